Prepaid budgets: ledger, grants, lots, countersigning, with their safety property

The decision logic is apart from sockets and clocks. Found on the way and settled before it landed: a witness named anew could reclaim before it had signed anything, and so below what its holder had allocated on the word of the witness before; the row now carries that amount.

--- /dev/null
+++ b/pkg/budget/spender.go
@@ -0,0 +1,457 @@
+package budget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
+)
+
+// maxParts bounds the lots that one reservation may take tokens from.
+const maxParts = 8
+
+// lot is a spender's part of a grant. Invariant:
+// used + returned + reserved ≤ allocated, and the first two only grow.
+type lot struct {
+	grant, holder, witness string
+	allocated              int64
+	used                   int64
+	returned               int64
+	reserved               int64
+	reportedUsed           int64
+	reportedReturned       int64
+	settled                bool
+}
+
+func (l *lot) free() int64 { return l.allocated - l.used - l.returned - l.reserved }
+
+func (l *lot) dirty() bool { return l.used != l.reportedUsed || l.returned != l.reportedReturned }
+
+// finished reports that nothing of the lot is left to spend or report.
+func (l *lot) finished() bool { return l.free() == 0 && l.reserved == 0 && !l.dirty() }
+
+// position is what a spender has of one budget.
+type position struct {
+	lots     []*lot
+	seq      uint64
+	demand   int64   // tokens reserved since the last tick
+	perTick  float64 // smoothed demand per tick
+	idle     int     // ticks without demand
+	gather   sync.Mutex
+	deniedAt time.Time
+	denied   int64
+}
+
+func (p *position) free() int64 {
+	var free int64
+	for _, l := range p.lots {
+		free += l.free()
+	}
+	return free
+}
+
+// part is a reservation's share of one lot.
+type part struct {
+	lot    *lot
+	tokens int64
+}
+
+// Reservation sets tokens aside for one request. It must be settled exactly
+// once; settling again changes nothing.
+type Reservation struct {
+	budget string
+	parts  [maxParts]part
+	count  int
+	done   bool
+}
+
+// Tokens returns how many tokens are set aside.
+func (r *Reservation) Tokens() int64 {
+	var tokens int64
+	for i := 0; i < r.count; i++ {
+		tokens += r.parts[i].tokens
+	}
+	return tokens
+}
+
+// Spender reserves and settles tokens of the lots that holders allocated to
+// this instance. It is safe for concurrent use.
+type Spender struct {
+	self string
+
+	mu        sync.Mutex
+	positions map[string]*position
+	active    map[string]*position
+	stopping  bool
+}
+
+// NewSpender returns a spender without tokens.
+func NewSpender(self string) *Spender {
+	return &Spender{self: self, positions: map[string]*position{}, active: map[string]*position{}}
+}
+
+// TryReserve sets tokens aside from lots at hand, and reports whether there
+// were enough. It does no I/O and, once a budget is known, no allocation.
+func (s *Spender) TryReserve(budget string, tokens int64, into *Reservation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.positions[budget]
+	if p == nil || s.stopping {
+		return false
+	}
+	*into = Reservation{budget: budget}
+	if !p.take(tokens, into) {
+		return false
+	}
+	p.demand += tokens
+	s.active[budget] = p
+	return true
+}
+
+func (p *position) take(tokens int64, into *Reservation) bool {
+	for _, l := range p.lots {
+		if l.free() >= tokens {
+			into.add(l, tokens)
+			return true
+		}
+	}
+	return p.takeFromSeveral(tokens, into)
+}
+
+func (p *position) takeFromSeveral(tokens int64, into *Reservation) bool {
+	if p.free() < tokens {
+		return false
+	}
+	missing := tokens
+	for _, l := range p.lots {
+		if l.free() <= 0 || into.count == maxParts {
+			continue
+		}
+		share := min(l.free(), missing)
+		into.add(l, share)
+		missing -= share
+	}
+	if missing > 0 {
+		into.release()
+		return false
+	}
+	return true
+}
+
+func (r *Reservation) add(l *lot, tokens int64) {
+	if tokens == 0 {
+		return
+	}
+	l.reserved += tokens
+	r.parts[r.count] = part{lot: l, tokens: tokens}
+	r.count++
+}
+
+func (r *Reservation) release() {
+	for i := 0; i < r.count; i++ {
+		r.parts[i].lot.reserved -= r.parts[i].tokens
+	}
+	r.count = 0
+}
+
+// Settle ends a reservation with what was used and frees the rest. Usage above
+// the reservation is cut to it, since only reserved tokens were deducted from
+// the budget; the return value is what was billed.
+func (s *Spender) Settle(r *Reservation, used int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.done {
+		return 0
+	}
+	r.done = true
+	left := used
+	for i := 0; i < r.count; i++ {
+		p := &r.parts[i]
+		share := min(left, p.tokens)
+		p.lot.reserved -= p.tokens
+		p.lot.used += share
+		left -= share
+	}
+	if position := s.positions[r.budget]; position != nil {
+		s.active[r.budget] = position
+	}
+	return used - left
+}
+
+// merge takes over what holders say they allocated. Allocated only grows, so an
+// old answer changes nothing.
+func (s *Spender) merge(budget string, lots []*budgetpb.Lot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.position(budget)
+	for _, told := range lots {
+		p.merge(told)
+	}
+	s.active[budget] = p
+}
+
+func (s *Spender) position(budget string) *position {
+	p := s.positions[budget]
+	if p == nil {
+		p = &position{}
+		s.positions[budget] = p
+	}
+	return p
+}
+
+func (p *position) merge(told *budgetpb.Lot) {
+	for _, l := range p.lots {
+		if l.grant == told.Grant {
+			l.allocated = max(l.allocated, told.Allocated)
+			l.witness = told.Witness
+			return
+		}
+	}
+	p.lots = append(p.lots, &lot{
+		grant:     told.Grant,
+		holder:    told.Holder,
+		witness:   told.Witness,
+		allocated: told.Allocated,
+	})
+}
+
+// wish is what a spender asks a holder for.
+type wish struct {
+	seq   uint64
+	need  int64
+	ahead int64
+	found int64
+}
+
+// wishFor returns what is missing for a reservation, under a new number.
+func (s *Spender) wishFor(budget string, tokens int64, ahead time.Duration) wish {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.position(budget)
+	p.seq++
+	free := p.free()
+	return wish{
+		seq:   p.seq,
+		need:  max(tokens-free, 0),
+		ahead: int64(p.perTick * ahead.Seconds()),
+		found: free,
+	}
+}
+
+// recall returns every token of a budget beyond the given number that is not
+// set aside, and tells the usage of all its lots.
+func (s *Spender) recall(budget string, keep int64) []*budgetpb.Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.positions[budget]
+	if p == nil {
+		return nil
+	}
+	p.giveBack(keep)
+	s.active[budget] = p
+	usages := make([]*budgetpb.Usage, 0, len(p.lots))
+	for _, l := range p.lots {
+		usages = append(usages, s.usage(budget, l))
+	}
+	return usages
+}
+
+// giveBack returns free tokens beyond keep. A returned token is counted as
+// returned before the message that says so is sent: if it is lost the token
+// is nobody's for a while, never two instances'.
+func (p *position) giveBack(keep int64) {
+	surplus := p.free() - keep
+	for _, l := range p.lots {
+		share := min(surplus, l.free())
+		if share > 0 {
+			l.returned += share
+			surplus -= share
+		}
+	}
+}
+
+func (s *Spender) usage(budget string, l *lot) *budgetpb.Usage {
+	return &budgetpb.Usage{
+		Spender:  s.self,
+		Grant:    l.grant,
+		Budget:   budget,
+		Used:     l.used,
+		Returned: l.returned,
+	}
+}
+
+// reports gathers, by holder, the usage not told yet.
+type reports map[reportTarget][]*budgetpb.Usage
+
+// reportTarget says who takes the report of a lot.
+type reportTarget struct{ holder, witness string }
+
+// tick ends one measuring interval of the given length: demand is smoothed,
+// surplus is returned, and what has not been reported is gathered.
+func (s *Spender) tick(ahead, interval time.Duration) reports {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := reports{}
+	for budget, p := range s.active {
+		p.smooth(interval)
+		keep := int64(p.perTick * ahead.Seconds())
+		if s.stopping || p.idle >= idleTicksBeforeReturn {
+			keep = 0
+		}
+		p.giveBack(2 * keep)
+		s.collect(budget, p, out)
+		if p.quiet() {
+			delete(s.active, budget)
+		}
+	}
+	return out
+}
+
+// idleTicksBeforeReturn is how long an unused lot is kept.
+const idleTicksBeforeReturn = 15
+
+func (p *position) smooth(interval time.Duration) {
+	perSecond := float64(p.demand) / interval.Seconds()
+	p.perTick += tickSmoothing * (perSecond - p.perTick)
+	p.idle++
+	if p.demand > 0 {
+		p.idle = 0
+	}
+	p.demand = 0
+}
+
+// quiet reports that ticks have nothing to do until the budget is used again.
+func (p *position) quiet() bool {
+	if p.idle < idleTicksBeforeReturn {
+		return false
+	}
+	for _, l := range p.lots {
+		if !l.finished() {
+			return false
+		}
+	}
+	p.perTick = 0
+	return true
+}
+
+func (s *Spender) collect(budget string, p *position, out reports) {
+	for _, l := range p.lots {
+		if l.dirty() && !l.settled {
+			target := reportTarget{holder: l.holder, witness: l.witness}
+			out[target] = append(out[target], s.usage(budget, l))
+		}
+	}
+}
+
+// reported notes that usages have been taken, and which grants are recorded
+// for good. What has changed since stays to be reported.
+func (s *Spender) reported(usages []*budgetpb.Usage, settled []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range usages {
+		if l := s.find(u.Budget, u.Grant); l != nil {
+			l.reportedUsed = max(l.reportedUsed, u.Used)
+			l.reportedReturned = max(l.reportedReturned, u.Returned)
+		}
+	}
+	for _, u := range usages {
+		for _, grant := range settled {
+			if u.Grant == grant {
+				s.drop(u.Budget, grant)
+			}
+		}
+	}
+}
+
+func (s *Spender) find(budget, grant string) *lot {
+	p := s.positions[budget]
+	if p == nil {
+		return nil
+	}
+	for _, l := range p.lots {
+		if l.grant == grant {
+			return l
+		}
+	}
+	return nil
+}
+
+// drop forgets a lot whose grant is settled in the ledger. A grant settles only
+// when every token is accounted for, so no free token is lost or kept here.
+func (s *Spender) drop(budget, grant string) {
+	p := s.positions[budget]
+	for i, l := range p.lots {
+		if l.grant == grant && l.reserved == 0 {
+			l.settled = true
+			p.lots = append(p.lots[:i], p.lots[i+1:]...)
+			return
+		}
+	}
+}
+
+// lotsOf returns the budgets and grants that were allocated by a holder and are
+// not finished, for settlement when that holder is gone.
+func (s *Spender) lotsOf(holder string) []*budgetpb.Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var usages []*budgetpb.Usage
+	for budget, p := range s.positions {
+		for _, l := range p.lots {
+			if l.holder == holder {
+				usages = append(usages, s.usage(budget, l))
+			}
+		}
+	}
+	return usages
+}
+
+// holders returns the incarnations that this spender has lots of.
+func (s *Spender) holders() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := map[string]bool{}
+	var out []string
+	for _, p := range s.positions {
+		for _, l := range p.lots {
+			if !seen[l.holder] {
+				seen[l.holder] = true
+				out = append(out, l.holder)
+			}
+		}
+	}
+	return out
+}
+
+// stop makes every further reservation fail and every tick return all tokens
+// that are not set aside.
+func (s *Spender) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for budget, p := range s.positions {
+		s.active[budget] = p
+	}
+}
+
+// Free returns the tokens of a budget at hand.
+func (s *Spender) Free(budget string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.positions[budget]; p != nil {
+		return p.free()
+	}
+	return 0
+}
+
+// Outstanding returns all tokens set aside for running requests.
+func (s *Spender) Outstanding() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var reserved int64
+	for _, p := range s.positions {
+		for _, l := range p.lots {
+			reserved += l.reserved
+		}
+	}
+	return reserved
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,172 @@
+// Package settings reads an instance's start-up settings: where it stands and
+// whom it talks to. They never change while it runs; what does change is the
+// service document.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings is what one instance is started with.
+type Settings struct {
+	// Name identifies the instance; a restarted instance may keep it.
+	Name string `toml:"name"`
+	// Region is the region the instance stands in. Default "main".
+	Region string `toml:"region"`
+	// Domain is its failure domain.
+	Domain string `toml:"domain"`
+	// CallerAddress is the IP address and port where callers are served.
+	CallerAddress string `toml:"caller_address"`
+	// PeerAddress is the IP address and port for other instances.
+	PeerAddress string `toml:"peer_address"`
+	// AdminAddress is the IP address and port for operators: health, metrics,
+	// status, events.
+	AdminAddress string `toml:"admin_address"`
+	// PlatformAddress is the platform's object API, IP address and port.
+	PlatformAddress string `toml:"platform_address"`
+	// LedgerShards is the number of ledger objects; the same at all instances
+	// and never changed on a platform in use. Default 16.
+	LedgerShards int `toml:"ledger_shards"`
+	// ClaimShards is the number of claim objects; the same at all instances
+	// and never changed on a platform in use. Default 16.
+	ClaimShards int `toml:"claim_shards"`
+	// StoreTimeoutMillis bounds one call to the platform, in milliseconds.
+	// Default 1000.
+	StoreTimeoutMillis int64 `toml:"store_timeout_millis"`
+	// HeartbeatMillis is the time between heartbeats to a peer, in
+	// milliseconds. Default 500.
+	HeartbeatMillis int64 `toml:"heartbeat_millis"`
+	// PeerSilentMillis is how long a peer may be silent before others work
+	// around it, in milliseconds. Default 3000.
+	PeerSilentMillis int64 `toml:"peer_silent_millis"`
+	// AheadSeconds is how many seconds of an account's demand an instance
+	// keeps allocated for it. Default 5.
+	AheadSeconds int64 `toml:"ahead_seconds"`
+	// AdminTokenSHA256 is the SHA-256 of the operators' bearer token, in
+	// hexadecimal. Empty closes the administration calls that change or show
+	// accounts.
+	AdminTokenSHA256 string `toml:"admin_token_sha256"`
+}
+
+// Fault is one wrong setting.
+type Fault struct {
+	// File, Key and Value say where it stands and what stands there.
+	File, Key, Value string
+	// Allowed says what may stand there.
+	Allowed string
+}
+
+// InvalidError lists every wrong setting of a file.
+type InvalidError struct{ Faults []Fault }
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = fmt.Sprintf("%s: %s = %q: allowed is %s", f.File, f.Key, f.Value, f.Allowed)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file. The error is an *InvalidError that
+// names every fault, or the file system's.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse checks the text of a settings file; path is used in errors only.
+func Parse(path string, text []byte) (*Settings, error) {
+	s := defaults()
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(s); err != nil {
+		return nil, &InvalidError{Faults: decodeFaults(path, err)}
+	}
+	if faults := s.check(path); len(faults) > 0 {
+		return nil, &InvalidError{Faults: faults}
+	}
+	return s, nil
+}
+
+func decodeFaults(path string, err error) []Fault {
+	var strict *toml.StrictMissingError
+	if !errors.As(err, &strict) {
+		return []Fault{{File: path, Key: "(file)", Value: err.Error(), Allowed: "TOML of the documented shape"}}
+	}
+	faults := make([]Fault, 0, len(strict.Errors))
+	for i := range strict.Errors {
+		key := strings.Join(strict.Errors[i].Key(), ".")
+		faults = append(faults, Fault{File: path, Key: key, Value: "(set)", Allowed: "no such key"})
+	}
+	return faults
+}
+
+func defaults() *Settings {
+	return &Settings{
+		Region:             "main",
+		LedgerShards:       16,
+		ClaimShards:        16,
+		StoreTimeoutMillis: 1000,
+		HeartbeatMillis:    500,
+		PeerSilentMillis:   3000,
+		AheadSeconds:       5,
+	}
+}
+
+func (s *Settings) check(path string) []Fault {
+	var faults []Fault
+	require := func(ok bool, key string, value any, allowed string) {
+		if !ok {
+			faults = append(faults, Fault{File: path, Key: key, Value: fmt.Sprint(value), Allowed: allowed})
+		}
+	}
+	address := func(key, value string) {
+		_, err := netip.ParseAddrPort(value)
+		require(err == nil, key, value, "an IP address and port")
+	}
+	between := func(key string, value, low, high int64) {
+		require(value >= low && value <= high, key, value, fmt.Sprintf("%d to %d", low, high))
+	}
+	require(s.Name != "" && !strings.ContainsAny(s.Name, "/ "), "name", s.Name, "a name without slash or blank")
+	require(s.Domain != "", "domain", s.Domain, "a failure domain's name")
+	require(s.Region != "", "region", s.Region, "a region's name")
+	address("caller_address", s.CallerAddress)
+	address("peer_address", s.PeerAddress)
+	address("admin_address", s.AdminAddress)
+	address("platform_address", s.PlatformAddress)
+	between("ledger_shards", int64(s.LedgerShards), 1, 4096)
+	between("claim_shards", int64(s.ClaimShards), 1, 4096)
+	between("store_timeout_millis", s.StoreTimeoutMillis, 10, 60_000)
+	between("heartbeat_millis", s.HeartbeatMillis, 10, 60_000)
+	between("peer_silent_millis", s.PeerSilentMillis, 2*s.HeartbeatMillis, 600_000)
+	between("ahead_seconds", s.AheadSeconds, 1, 600)
+	hashed := s.AdminTokenSHA256 == "" || len(s.AdminTokenSHA256) == 64
+	require(hashed, "admin_token_sha256", s.AdminTokenSHA256, "64 hexadecimal digits, or empty")
+	return faults
+}
+
+// StoreTimeout returns the bound on one platform call.
+func (s *Settings) StoreTimeout() time.Duration {
+	return time.Duration(s.StoreTimeoutMillis) * time.Millisecond
+}
+
+// Heartbeat returns the time between heartbeats to a peer.
+func (s *Settings) Heartbeat() time.Duration {
+	return time.Duration(s.HeartbeatMillis) * time.Millisecond
+}
+
+// PeerSilent returns how long a peer may be silent before others work around it.
+func (s *Settings) PeerSilent() time.Duration {
+	return time.Duration(s.PeerSilentMillis) * time.Millisecond
+}
--- /dev/null
+++ b/scripts/safeguards.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Shows that the proofs can fail: takes one safeguard out at a time, in a copy
+# of the tree, and expects the named test to fail. Prints a line for each; exits
+# 1 if a test still passes without its safeguard. Usage: scripts/safeguards.sh [name]
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+only=${1:-}
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+status=0
+
+# try NAME FILE PERL-EDIT PACKAGE TEST
+try() {
+  local name=$1 file=$2 edit=$3 package=$4 test=$5
+  [ -n "$only" ] && [ "$only" != "$name" ] && return
+  rm -rf "$copy"/* && cp -r "$root"/go.mod "$root"/go.sum "$root"/pkg "$root"/cmd "$root"/examples "$copy"/
+  perl -0pi -e "$edit" "$copy/$file"
+  if cmp -s "$root/$file" "$copy/$file"; then
+    echo "$name: the edit no longer applies to $file"
+    status=1
+    return
+  fi
+  if (cd "$copy" && timeout 300 go test -count=1 -run "^$test\$" "./$package" >"$copy/out" 2>&1); then
+    echo "$name: $test still passes without it"
+    status=1
+  elif grep -q -- "--- FAIL: $test" "$copy/out"; then
+    echo "$name: $test fails without it, as it should"
+  else
+    echo "$name: did not run: $(grep -m1 . "$copy/out")"
+    status=1
+  fi
+}
+
+try witness-base pkg/ledger/ledger.go 's/g\.Signed = signed/g.Signed = 0/' pkg/budget TestNoHistoryOverspends
+try witness-closes-first pkg/budget/witness.go 's/\tg\.closed = true\n\tcopied/\tcopied/' pkg/budget TestNoHistoryOverspends
+try signature-void-while-renaming pkg/budget/holder.go 's/ \|\| g\.renaming \{/ {/' pkg/budget TestNoHistoryOverspends
+try absolute-draw-target pkg/ledger/ledger.go 's/min\(target-g\.Drawn, b\.Free\(\)\)/min(target-g.Drawn+100, b.Free()+100)/' pkg/budget TestNoHistoryOverspends
+try allocate-once-per-seq pkg/budget/holder.go 's/if req\.Seq > a\.seq \{/if req.Seq >= 0 {/' pkg/budget TestNoHistoryOverspends
+try allocate-only-signed pkg/budget/holder.go 's/return g\.signed - g\.allocated/return g.drawn + g.returned - g.allocated/' pkg/budget TestNoHistoryOverspends
+try returned-is-counted-first pkg/budget/spender.go 's/\t\t\tl\.returned \+= share\n//' pkg/budget TestNoHistoryOverspends
+try reclaim-checks-witness pkg/ledger/ledger.go 's/if g\.Witness != witness \{/if false {/' pkg/budget TestNoHistoryOverspends
