--- /dev/null
+++ b/pkg/bill/keeper.go
@@ -0,0 +1,103 @@
+package bill
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
+)
+
+// Keeper holds copies of other instances' records. It is safe for concurrent use.
+type Keeper struct {
+	store Store
+
+	mu     sync.Mutex
+	copies map[string]*copies
+}
+
+// copies is what is kept of one incarnation.
+type copies struct {
+	segment uint64
+	records map[uint64]*billpb.Record
+}
+
+// NewKeeper returns a keeper without copies.
+func NewKeeper(store Store) *Keeper {
+	return &Keeper{store: store, copies: map[string]*copies{}}
+}
+
+// Keep takes copies and drops those that are durable. A copy that comes twice
+// or late is one copy: its number says which.
+func (k *Keeper) Keep(_ context.Context, req *billpb.KeepRequest) (*billpb.KeepReply, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := k.copies[req.Incarnation]
+	if c == nil {
+		c = &copies{records: map[uint64]*billpb.Record{}}
+		k.copies[req.Incarnation] = c
+	}
+	c.segment = max(c.segment, req.Segment)
+	kept := req.Durable
+	for _, record := range req.Records {
+		c.records[record.Seq] = record
+		kept = max(kept, record.Seq)
+	}
+	for seq := range c.records {
+		if seq <= req.Durable {
+			delete(c.records, seq)
+		}
+	}
+	return &billpb.KeepReply{Kept: kept}, nil
+}
+
+// TakeOver writes the records kept for incarnations that are silent. It may be
+// early: the segments' names make sure that each record lands once.
+func (k *Keeper) TakeOver(ctx context.Context, silent func(incarnation string) bool) error {
+	for incarnation, left := range k.left(silent) {
+		if _, _, err := writeSegments(ctx, k.store, incarnation, left.segment, left.records); err != nil {
+			return err
+		}
+		k.forget(incarnation, left.records)
+	}
+	return nil
+}
+
+// leftRecords is what a silent incarnation has not been known to write.
+type leftRecords struct {
+	segment uint64
+	records []*billpb.Record
+}
+
+func (k *Keeper) left(silent func(string) bool) map[string]leftRecords {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := map[string]leftRecords{}
+	for incarnation, kept := range k.copies {
+		if len(kept.records) > 0 && silent(incarnation) {
+			out[incarnation] = kept.sorted()
+		}
+	}
+	return out
+}
+
+func (c *copies) sorted() leftRecords {
+	list := make([]*billpb.Record, 0, len(c.records))
+	for _, record := range c.records {
+		list = append(list, record)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Seq < list[j].Seq })
+	return leftRecords{segment: c.segment, records: list}
+}
+
+func (k *Keeper) forget(incarnation string, written []*billpb.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	kept := k.copies[incarnation]
+	for _, record := range written {
+		delete(kept.records, record.Seq)
+	}
+	if len(kept.records) == 0 {
+		delete(k.copies, incarnation)
+	}
+}
--- /dev/null
+++ b/pkg/bill/statement.go
@@ -0,0 +1,62 @@
+package bill
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
+	"github.com/lavenderring/lavenderring/pkg/platform"
+)
+
+// Statement is what a set of segments says: by request, its bill.
+type Statement struct {
+	// Bills holds the settled requests by id.
+	Bills map[string]*billpb.Record
+	// Open holds requests that were dispatched and have no bill; their tokens
+	// are bounds. They are in doubt if their instance is gone.
+	Open map[string]*billpb.Record
+	// Doubles lists requests with two bills; always empty unless a promise broke.
+	Doubles []string
+}
+
+// ReadStatement reads segments.
+func ReadStatement(objects []platform.Object) (*Statement, error) {
+	s := &Statement{Bills: map[string]*billpb.Record{}, Open: map[string]*billpb.Record{}}
+	for _, object := range objects {
+		var segment Segment
+		if err := json.Unmarshal(object.Value, &segment); err != nil {
+			return nil, fmt.Errorf("decode bill segment %s: %w", object.Key, err)
+		}
+		for _, record := range segment.Records {
+			s.add(record)
+		}
+	}
+	for request := range s.Bills {
+		delete(s.Open, request)
+	}
+	sort.Strings(s.Doubles)
+	return s, nil
+}
+
+func (s *Statement) add(record *billpb.Record) {
+	if record.Outcome == OutcomeOpen {
+		s.Open[record.Request] = record
+		return
+	}
+	if s.Bills[record.Request] != nil {
+		s.Doubles = append(s.Doubles, record.Request)
+	}
+	s.Bills[record.Request] = record
+}
+
+// Total returns the tokens billed to a budget.
+func (s *Statement) Total(budget string) int64 {
+	var total int64
+	for _, record := range s.Bills {
+		if record.Budget == budget {
+			total += record.Tokens
+		}
+	}
+	return total
+}
--- a/pkg/budget/collector.go
+++ b/pkg/budget/collector.go
@@ -83,7 +83,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := map[int][]closedGrant{}
-	for _, g := range c.grants {
+	for _, id := range sortedKeys(c.grants) {
+		g := c.grants[id]
 		if !g.dirty {
 			continue
 		}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -207,7 +207,8 @@
 		return nil
 	}
 	var out []string
-	for spender, a := range g.accounts {
+	for _, spender := range sortedKeys(g.accounts) {
+		a := g.accounts[spender]
 		if spender != except && a.allocated > a.used+a.returned {
 			out = append(out, spender)
 		}
@@ -234,7 +235,7 @@
 		return nil
 	}
 	state := &budgetpb.GrantState{Grant: g.id, Budget: g.budget, UpTo: max(upTo, g.signed)}
-	for spender := range g.unsentUsages {
+	for _, spender := range sortedKeys(g.unsentUsages) {
 		a := g.accounts[spender]
 		state.Usages = append(state.Usages, &budgetpb.Usage{
 			Spender:  spender,
@@ -491,12 +492,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	plan := tickPlan{sign: map[string][]*budgetpb.GrantState{}, draw: map[int][]drawWish{}}
-	for _, g := range h.byGrant {
+	for _, id := range sortedKeys(h.byGrant) {
+		g := h.byGrant[id]
 		g.smooth(interval)
 		if g.fresh {
 			continue
 		}
-		if witnessGone(g.witness) {
+		if g.renaming || witnessGone(g.witness) {
 			plan.renew = append(plan.renew, g)
 		} else if g.witness != "" {
 			h.planSign(g, &plan)
@@ -550,11 +552,7 @@
 func (h *Holder) open() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	ids := make([]string, 0, len(h.byGrant))
-	for id := range h.byGrant {
-		ids = append(ids, id)
-	}
-	return ids
+	return sortedKeys(h.byGrant)
 }
 
 // GrantView is a holder's grant as shown to operators. Numbers are tokens.
--- a/pkg/budget/safety_test.go
+++ b/pkg/budget/safety_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/budget"
 	"github.com/lavenderring/lavenderring/pkg/budget/fleetfake"
+	"github.com/lavenderring/lavenderring/pkg/ledger"
 )
 
 // Sizes of one random history.
@@ -21,10 +22,10 @@
 	historyShards   = 2
 	historyBudgets  = 3
 	historySteps    = 400
-	historyPrepaid  = 5000
+	historyPrepaid  = 1500
 	largestRequest  = 300
-	quietTicks      = 60
-	historiesPerRun = 300
+	quietTicks      = 30
+	historiesPerRun = 120
 )
 
 // history plays random operations and faults on a fleet and keeps what the
@@ -143,7 +144,10 @@
 		return
 	}
 	h.open = append(h.open[:i], h.open[i+1:]...)
-	used := h.rng.Int64N(request.reservation.Tokens() + 1)
+	used := request.reservation.Tokens()
+	if h.rng.IntN(3) == 0 {
+		used = h.rng.Int64N(used + 1)
+	}
 	h.spent[request.budget] += used
 	if !request.member.Dead {
 		request.member.Node.Settle(request.reservation, used)
@@ -187,6 +191,47 @@
 			h.failure = fmt.Sprintf("%s: spent %d of %d prepaid", name, spent, h.highest[name])
 		}
 	}
+	h.checkCommitted()
+}
+
+// checkCommitted looks at what the last write committed: never more than was
+// prepaid, and never less than what is spent or can be spent by anybody.
+func (h *history) checkCommitted() {
+	for name, highest := range h.highest {
+		b := h.fleet.Budget(name)
+		if b == nil || h.failure != "" {
+			continue
+		}
+		if withheld(b) > highest {
+			h.failure = fmt.Sprintf("%s: the ledger withholds %d of %d prepaid", name, withheld(b), highest)
+		}
+		if reach := h.spent[name] + h.inReach(name); reach > withheld(b) {
+			h.failure = fmt.Sprintf("%s: %d spent or in reach, the ledger withholds %d", name, reach, withheld(b))
+		}
+	}
+}
+
+// inReach returns the tokens set aside for running requests or free at
+// instances that run.
+func (h *history) inReach(name string) int64 {
+	var tokens int64
+	for _, request := range h.open {
+		if request.budget == name {
+			tokens += request.reservation.Tokens()
+		}
+	}
+	for _, member := range h.fleet.Nodes {
+		tokens += member.Node.Spender().Free(name)
+	}
+	return tokens
+}
+
+func withheld(b *ledger.Budget) int64 {
+	tokens := b.Settled
+	for _, g := range b.Grants {
+		tokens += g.Held()
+	}
+	return tokens
 }
 
 // heal ends all faults and requests, lets everybody stop, and compares the
@@ -217,12 +262,8 @@
 		if b == nil || h.failure != "" {
 			continue
 		}
-		withheld := b.Settled
-		for _, g := range b.Grants {
-			withheld += g.Held()
-		}
-		if spent > withheld {
-			h.failure = fmt.Sprintf("%s: engines counted %d, the ledger withholds %d", name, spent, withheld)
+		if spent > withheld(b) {
+			h.failure = fmt.Sprintf("%s: engines counted %d, the ledger withholds %d", name, spent, withheld(b))
 		}
 		if b.Spent() > spent {
 			h.failure = fmt.Sprintf("%s: engines counted %d, the ledger bills %d", name, spent, b.Spent())
--- a/pkg/budget/spender.go
+++ b/pkg/budget/spender.go
@@ -82,12 +82,21 @@
 	mu        sync.Mutex
 	positions map[string]*position
 	active    map[string]*position
-	stopping  bool
+	// settled holds the ids of grants whose lots were dropped. A holder that was
+	// thought dead may wake and name such a lot again, with tokens that are
+	// spent: without this the lot would look new and be spent twice.
+	settled  map[string]bool
+	stopping bool
 }
 
 // NewSpender returns a spender without tokens.
 func NewSpender(self string) *Spender {
-	return &Spender{self: self, positions: map[string]*position{}, active: map[string]*position{}}
+	return &Spender{
+		self:      self,
+		positions: map[string]*position{},
+		active:    map[string]*position{},
+		settled:   map[string]bool{},
+	}
 }
 
 // TryReserve sets tokens aside from lots at hand, and reports whether there
@@ -185,7 +194,9 @@
 	defer s.mu.Unlock()
 	p := s.position(budget)
 	for _, told := range lots {
-		p.merge(told)
+		if !s.settled[told.Grant] {
+			p.merge(told)
+		}
 	}
 	s.active[budget] = p
 }
@@ -292,7 +303,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := reports{}
-	for budget, p := range s.active {
+	for _, budget := range sortedKeys(s.active) {
+		p := s.active[budget]
 		p.smooth(interval)
 		keep := int64(p.perTick * ahead.Seconds())
 		if s.stopping || p.idle >= idleTicksBeforeReturn {
@@ -383,6 +395,7 @@
 	for i, l := range p.lots {
 		if l.grant == grant && l.reserved == 0 {
 			l.settled = true
+			s.settled[grant] = true
 			p.lots = append(p.lots[:i], p.lots[i+1:]...)
 			return
 		}
@@ -395,8 +408,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var usages []*budgetpb.Usage
-	for budget, p := range s.positions {
-		for _, l := range p.lots {
+	for _, budget := range sortedKeys(s.positions) {
+		for _, l := range s.positions[budget].lots {
 			if l.holder == holder {
 				usages = append(usages, s.usage(budget, l))
 			}
@@ -411,8 +424,8 @@
 	defer s.mu.Unlock()
 	seen := map[string]bool{}
 	var out []string
-	for _, p := range s.positions {
-		for _, l := range p.lots {
+	for _, budget := range sortedKeys(s.positions) {
+		for _, l := range s.positions[budget].lots {
 			if !seen[l.holder] {
 				seen[l.holder] = true
 				out = append(out, l.holder)
--- a/pkg/budget/tick.go
+++ b/pkg/budget/tick.go
@@ -35,8 +35,9 @@
 }
 
 func (n *Node) sendReports(ctx context.Context, interval time.Duration) {
-	for target, usages := range n.spender.tick(n.cfg.Ahead, interval) {
-		n.sendReport(ctx, target, usages)
+	reports := n.spender.tick(n.cfg.Ahead, interval)
+	for _, target := range sortedTargets(reports) {
+		n.sendReport(ctx, target, reports[target])
 	}
 }
 
@@ -89,12 +90,12 @@
 	plan := n.holder.plan(interval, foldDue, func(witness string) bool {
 		return witness != next && (witness == "" || n.fleet.Silent(witness))
 	})
-	for witness, states := range plan.sign {
-		_ = n.sign(ctx, witness, states)
+	for _, witness := range sortedKeys(plan.sign) {
+		_ = n.sign(ctx, witness, plan.sign[witness])
 	}
 	n.planRenewals(&plan, next)
-	for shard, wishes := range plan.draw {
-		_ = n.write(ctx, shard, wishes)
+	for _, shard := range sortedKeys(plan.draw) {
+		_ = n.write(ctx, shard, plan.draw[shard])
 	}
 }
 
@@ -173,8 +174,10 @@
 	var done []reclaimed
 	err := n.ledger.Update(ctx, shard, func(s *ledger.Shard) {
 		done = done[:0]
-		for budget, b := range s.Budgets {
-			for id, g := range b.Grants {
+		for _, budget := range sortedKeys(s.Budgets) {
+			b := s.Budgets[budget]
+			for _, id := range sortedKeys(b.Grants) {
+				g := b.Grants[id]
 				if g.Holder != holder || g.Witness != n.cfg.Self || g.Closed {
 					continue
 				}
@@ -225,8 +228,8 @@
 		shard := ledger.ShardOf(u.Budget, n.cfg.Shards)
 		byShard[shard] = append(byShard[shard], u)
 	}
-	for shard, group := range byShard {
-		n.settleShard(ctx, shard, group)
+	for _, shard := range sortedKeys(byShard) {
+		n.settleShard(ctx, shard, byShard[shard])
 	}
 }
 
@@ -254,8 +257,9 @@
 
 // flushEvidence brings what was gathered for closed grants to the ledger.
 func (n *Node) flushEvidence(ctx context.Context) {
-	for shard, grants := range n.collector.pending(n.cfg.Shards) {
-		n.flushShard(ctx, shard, grants)
+	pending := n.collector.pending(n.cfg.Shards)
+	for _, shard := range sortedKeys(pending) {
+		n.flushShard(ctx, shard, pending[shard])
 	}
 }
 
--- a/pkg/budget/witness.go
+++ b/pkg/budget/witness.go
@@ -72,7 +72,8 @@
 	defer w.mu.Unlock()
 	seen := map[string]bool{}
 	var out []string
-	for _, g := range w.grants {
+	for _, id := range sortedKeys(w.grants) {
+		g := w.grants[id]
 		if !g.closed && !seen[g.holder] {
 			seen[g.holder] = true
 			out = append(out, g.holder)
--- /dev/null
+++ b/pkg/claim/claimer.go
@@ -0,0 +1,238 @@
+package claim
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/outcome"
+	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/ring"
+)
+
+// Sizes of the claiming duty.
+const (
+	// queueLength bounds the operations that wait for one shard's next write.
+	queueLength = 1024
+	// writeTimeout bounds one group's write, its retries included.
+	writeTimeout = 5 * time.Second
+	// finishRetryPause is the pause before an outcome is written again.
+	finishRetryPause = time.Second
+)
+
+// ErrBusy refuses an operation because too many wait.
+var ErrBusy = errors.New("claim: too many operations wait")
+
+// Key returns the form in which a caller's key is kept: nobody who reads the
+// store learns the key, and two accounts' equal keys stay apart.
+func Key(budget, idempotencyKey string) string {
+	sum := sha256.Sum256([]byte(budget + "\x00" + idempotencyKey))
+	return hex.EncodeToString(sum[:16])
+}
+
+// Fingerprint returns what tells one request's content from another's.
+func Fingerprint(method, path string, body []byte) string {
+	digest := sha256.New()
+	_, _ = digest.Write([]byte(method + "\x00" + path + "\x00"))
+	_, _ = digest.Write(body)
+	return hex.EncodeToString(digest.Sum(nil)[:16])
+}
+
+// operation is one change of a shard that waits for the next group write.
+type operation struct {
+	apply func(*Shard)
+	done  chan error
+}
+
+// Claimer claims keys and records outcomes. Operations on one shard that come
+// together are committed by one write. It is safe for concurrent use.
+type Claimer struct {
+	store  platform.Store
+	shards []*ring.Ring[operation]
+	now    func() time.Time
+
+	wait   sync.WaitGroup
+	unsent sync.WaitGroup
+}
+
+// NewClaimer returns a claimer over so many shards; Run must be called.
+func NewClaimer(store platform.Store, shards int, now func() time.Time) *Claimer {
+	c := &Claimer{store: store, now: now}
+	for i := 0; i < shards; i++ {
+		c.shards = append(c.shards, ring.New[operation](queueLength))
+	}
+	return c
+}
+
+// Run commits operations until ctx ends; one goroutine a shard.
+func (c *Claimer) Run(ctx context.Context) {
+	for shard, queue := range c.shards {
+		c.wait.Add(1)
+		go func() {
+			defer c.wait.Done()
+			c.runShard(ctx, shard, queue)
+		}()
+	}
+	c.wait.Wait()
+}
+
+func (c *Claimer) runShard(ctx context.Context, shard int, queue *ring.Ring[operation]) {
+	for {
+		select {
+		case first := <-queue.Items():
+			c.commit(ctx, shard, gather(first, queue))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// gather takes everything that waits, so that one write carries it all.
+func gather(first operation, queue *ring.Ring[operation]) []operation {
+	group := []operation{first}
+	for len(group) < queueLength {
+		select {
+		case next := <-queue.Items():
+			group = append(group, next)
+		default:
+			return group
+		}
+	}
+	return group
+}
+
+func (c *Claimer) commit(ctx context.Context, shard int, group []operation) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	key := shardKey(shard)
+	err := platform.Update(ctx, c.store, key, func(value []byte) ([]byte, error) {
+		decoded, err := decodeShard(value)
+		if err != nil {
+			return nil, err
+		}
+		decoded.prune(c.now())
+		for _, op := range group {
+			op.apply(decoded)
+		}
+		encoded, fits, err := decoded.encode()
+		if err == nil && !fits {
+			err = &FullError{Step: "claim", Peer: key}
+		}
+		if err == nil && string(encoded) == string(value) {
+			err = platform.ErrUnchanged
+		}
+		return encoded, err
+	})
+	for _, op := range group {
+		op.done <- err
+	}
+}
+
+func (c *Claimer) do(ctx context.Context, key string, apply func(*Shard)) error {
+	op := operation{apply: apply, done: make(chan error, 1)}
+	if !c.shards[shardOf(key, len(c.shards))].TryPut(op) {
+		return ErrBusy
+	}
+	select {
+	case err := <-op.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Take claims a key before dispatch. It returns the standing claim and whether
+// it is the taker's own. After an error nothing is known about the claim, the
+// request must not be dispatched, and the caller releases it.
+func (c *Claimer) Take(ctx context.Context, key string, claim Claim) (Claim, bool, error) {
+	claim.AtMillis = c.now().UnixMilli()
+	result := make(chan takeResult, 1)
+	err := c.do(ctx, key, func(s *Shard) {
+		standing, taken := s.take(key, claim)
+		replace(result, takeResult{claim: *standing, taken: taken})
+	})
+	if err != nil {
+		return Claim{}, false, err
+	}
+	r := <-result
+	return r.claim, r.taken, nil
+}
+
+type takeResult struct {
+	claim Claim
+	taken bool
+}
+
+// replace keeps the newest result: an update that met a conflict runs again.
+func replace(result chan takeResult, r takeResult) {
+	select {
+	case <-result:
+	default:
+	}
+	result <- r
+}
+
+// Read returns the claim that stands for a key; nil if there is none.
+func (c *Claimer) Read(ctx context.Context, key string) (*Claim, error) {
+	object, err := c.store.Get(ctx, shardKey(shardOf(key, len(c.shards))))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	shard, err := decodeShard(object.Value)
+	if err != nil {
+		return nil, err
+	}
+	return shard.Claims[key], nil
+}
+
+// Finish records a request's outcome in the background, again and again until
+// it is written or ctx ends.
+func (c *Claimer) Finish(ctx context.Context, key, request string, word outcome.Word, answer *Answer) {
+	if answer != nil && len(answer.Body) > MaxAnswerBytes {
+		answer = &Answer{Status: answer.Status, ContentType: answer.ContentType, Omitted: true}
+	}
+	c.inBackground(ctx, key, func(s *Shard) { s.finish(key, request, word, answer, c.now()) })
+}
+
+// Release gives a key back in the background whose request did not run.
+func (c *Claimer) Release(ctx context.Context, key, request string) {
+	c.inBackground(ctx, key, func(s *Shard) { s.release(key, request) })
+}
+
+func (c *Claimer) inBackground(ctx context.Context, key string, apply func(*Shard)) {
+	c.unsent.Add(1)
+	go func() {
+		defer c.unsent.Done()
+		for ctx.Err() == nil && c.do(ctx, key, apply) != nil {
+			pause(ctx, finishRetryPause)
+		}
+	}()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Flush waits until every outcome is recorded, or ctx ends.
+func (c *Claimer) Flush(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		c.unsent.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/configsync/accept.go
@@ -0,0 +1,91 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"github.com/lavenderring/lavenderring/pkg/document"
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/platform"
+)
+
+// Accept validates a document that an operator wrote and records it under a new
+// generation, or records why not and leaves what is in force. Any number of
+// instances may do it at once: of their conditional writes one takes effect, and
+// the others find the document's version recorded.
+func (s *Syncer) Accept(ctx context.Context, object platform.Object) error {
+	service := strings.TrimPrefix(object.Key, DocumentPrefix)
+	doc, err := document.Parse(object.Value)
+	if err == nil && doc.Service != service {
+		fault := document.Fault{Key: "service", Value: doc.Service, Allowed: "the document's own name, " + service}
+		err = &document.InvalidError{Faults: []document.Fault{fault}}
+	}
+	if err != nil {
+		return s.reject(ctx, service, object.Version, err)
+	}
+	accepted, err := s.record(ctx, service, object)
+	if err != nil {
+		return err
+	}
+	_, err = s.apply(accepted)
+	return err
+}
+
+func (s *Syncer) record(ctx context.Context, service string, object platform.Object) (Accepted, error) {
+	var accepted Accepted
+	var written bool
+	err := platform.Update(ctx, s.store, AcceptedPrefix+service, func(value []byte) ([]byte, error) {
+		written = false
+		accepted = Accepted{Service: service}
+		if value != nil {
+			decoded, err := DecodeAccepted(value)
+			if err != nil {
+				return nil, err
+			}
+			accepted = decoded
+		}
+		if accepted.DocumentVersion >= object.Version {
+			return nil, platform.ErrUnchanged
+		}
+		accepted.Generation++
+		accepted.DocumentVersion = object.Version
+		accepted.Text = object.Value
+		written = true
+		return json.Marshal(accepted)
+	})
+	if err != nil {
+		return Accepted{}, err
+	}
+	if written {
+		s.log.Event(eventlog.ConfigAccepted, "", eventlog.Fields{"service": service, "generation": accepted.Generation})
+		return accepted, s.writeStatus(ctx, Status{Service: service, DocumentVersion: object.Version, Accepted: true})
+	}
+	return accepted, nil
+}
+
+func (s *Syncer) reject(ctx context.Context, service string, version platform.Version, cause error) error {
+	var invalid *document.InvalidError
+	if !errors.As(cause, &invalid) {
+		return cause
+	}
+	s.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"service": service, "reason": cause.Error()})
+	return s.writeStatus(ctx, Status{Service: service, DocumentVersion: version, Reason: cause.Error()})
+}
+
+// writeStatus records what became of a document unless a newer one is recorded.
+func (s *Syncer) writeStatus(ctx context.Context, status Status) error {
+	return platform.Update(ctx, s.store, StatusPrefix+status.Service, func(value []byte) ([]byte, error) {
+		var present Status
+		if value != nil {
+			if err := json.Unmarshal(value, &present); err != nil {
+				return nil, err
+			}
+		}
+		if present.DocumentVersion >= status.DocumentVersion {
+			return nil, platform.ErrUnchanged
+		}
+		return json.Marshal(status)
+	})
+}
--- /dev/null
+++ b/pkg/configsync/syncer.go
@@ -0,0 +1,128 @@
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/platform"
+)
+
+// Pace of the slow ways that back up the fast ones.
+const (
+	// watchWait bounds one waiting watch.
+	watchWait = 20 * time.Second
+	// pollEvery is how often an instance that does not watch reads the store.
+	pollEvery = 30 * time.Second
+	// retryPause is the pause after a failed call to the store.
+	retryPause = 500 * time.Millisecond
+	// roleCheckEvery is how often an instance asks whether it is to watch.
+	roleCheckEvery = time.Second
+)
+
+// Store is what the slice needs of the platform.
+type Store interface {
+	platform.Store
+	List(ctx context.Context, prefix string) ([]platform.Object, error)
+	Watch(ctx context.Context, prefix string, since platform.Version, wait time.Duration) (platform.WatchAnswer, error)
+}
+
+// Syncer keeps the state up to date from the store.
+type Syncer struct {
+	store   Store
+	state   *State
+	log     *eventlog.Log
+	watcher func() bool
+	spread  func()
+}
+
+// NewSyncer returns a syncer. watcher tells whether this instance is to watch
+// the store; spread is called when a document has come into force, to tell peers.
+func NewSyncer(store Store, state *State, log *eventlog.Log, watcher func() bool, spread func()) *Syncer {
+	return &Syncer{store: store, state: state, log: log, watcher: watcher, spread: spread}
+}
+
+// Load reads everything once.
+func (s *Syncer) Load(ctx context.Context) error {
+	objects, err := s.store.List(ctx, Prefix)
+	if err != nil {
+		return err
+	}
+	s.take(ctx, objects)
+	return nil
+}
+
+// Run watches or polls the store until ctx ends. Few instances watch; a
+// waiting watch counts as a call, and the rest learn from peers.
+func (s *Syncer) Run(ctx context.Context) {
+	lastPoll := time.Now()
+	since := platform.NoVersion
+	for ctx.Err() == nil {
+		if s.watcher() {
+			since = s.watchOnce(ctx, since)
+			continue
+		}
+		since = platform.NoVersion
+		if time.Since(lastPoll) >= pollEvery {
+			lastPoll = time.Now().Add(rand.N(pollEvery / 4))
+			_ = s.Load(ctx)
+		}
+		pause(ctx, roleCheckEvery)
+	}
+}
+
+func (s *Syncer) watchOnce(ctx context.Context, since platform.Version) platform.Version {
+	answer, err := s.store.Watch(ctx, Prefix, since, watchWait)
+	if err != nil {
+		pause(ctx, retryPause)
+		return since
+	}
+	s.take(ctx, answer.Objects)
+	return max(answer.Version, since)
+}
+
+// take applies accepted objects first: whoever starts late need not accept
+// anything anew.
+func (s *Syncer) take(ctx context.Context, objects []platform.Object) {
+	for _, object := range objects {
+		if strings.HasPrefix(object.Key, AcceptedPrefix) {
+			if accepted, err := DecodeAccepted(object.Value); err == nil {
+				_, _ = s.apply(accepted)
+			}
+		}
+	}
+	for _, object := range objects {
+		if strings.HasPrefix(object.Key, DocumentPrefix) && s.unknown(object) {
+			_ = s.Accept(ctx, object) // tried again at the next watch or poll
+		}
+	}
+}
+
+func (s *Syncer) unknown(object platform.Object) bool {
+	f := s.state.Snapshot().Services[strings.TrimPrefix(object.Key, DocumentPrefix)]
+	return f == nil || f.DocumentVersion < object.Version
+}
+
+// Apply takes an accepted document from a peer.
+func (s *Syncer) Apply(a Accepted) { _, _ = s.apply(a) }
+
+func (s *Syncer) apply(a Accepted) (bool, error) {
+	applied, err := s.state.Apply(a)
+	if err != nil || !applied {
+		return applied, err
+	}
+	s.log.Event(eventlog.ConfigInForce, "", eventlog.Fields{"service": a.Service, "generation": a.Generation})
+	s.spread()
+	return true, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/picker.go
@@ -0,0 +1,253 @@
+// Package dispatch chooses an upstream for a request and holds back or refuses
+// what cannot be started yet.
+//
+// The choice looks at a few candidates only, so its cost does not grow with the
+// pool: two drawn at random and the one that the prompt's prefix hashes to. Of
+// them the one with the least expected work wins; the prefix's own upstream is
+// preferred while its load is within a bound of the others'.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/document"
+)
+
+// Constants of the choice.
+const (
+	// drawn is how many candidates are drawn at random.
+	drawn = 2
+	// otherDomainCost is what standing in another failure domain weighs, in
+	// requests.
+	otherDomainCost = 0.5
+	// affinityBound is how much more load the prefix's own upstream may have
+	// than the best candidate, in requests.
+	affinityBound = 2.0
+	// loadHalfLife is the age at which a reported load counts half: the fleet's
+	// own dispatches since then are what is known.
+	loadHalfLife = 2 * time.Second
+	// failuresBeforeAvoiding is how many failures in a row pass an upstream over.
+	failuresBeforeAvoiding = 3
+	// avoidFor is how long it is passed over before a request tries it again.
+	avoidFor = 2 * time.Second
+	// serviceSmoothing is the weight of the newest request in the smoothed time
+	// that a request takes.
+	serviceSmoothing = 0.1
+)
+
+// upstreamState is what this instance knows of one upstream.
+type upstreamState struct {
+	upstream   document.Upstream
+	inFlight   int
+	sinceLoad  int // own dispatches since the load was reported
+	load       float64
+	loadAt     time.Time
+	failures   int
+	avoidUntil time.Time
+}
+
+// cost is the work expected to be before a new request, in requests.
+func (u *upstreamState) cost(domain string, now time.Time) float64 {
+	cost := float64(u.inFlight)
+	if u.load > 0 {
+		age := now.Sub(u.loadAt)
+		fresh := float64(loadHalfLife) / float64(loadHalfLife+age)
+		cost = max(cost, u.load*fresh+float64(u.sinceLoad))
+	}
+	if u.upstream.Domain != domain {
+		cost += otherDomainCost
+	}
+	return cost
+}
+
+func (u *upstreamState) avoided(now time.Time) bool {
+	return u.failures >= failuresBeforeAvoiding && now.Before(u.avoidUntil)
+}
+
+// Pool chooses among the upstreams of one pool. It is safe for concurrent use.
+type Pool struct {
+	domain string
+	now    func() time.Time
+
+	mu       sync.Mutex
+	limit    int
+	states   []*upstreamState
+	byName   map[string]*upstreamState
+	waiting  [2]waitList // urgent ones first
+	service  time.Duration
+	inFlight int
+}
+
+// NewPool returns a pool without upstreams for an instance in a failure domain.
+func NewPool(domain string, now func() time.Time) *Pool {
+	return &Pool{domain: domain, now: now, byName: map[string]*upstreamState{}}
+}
+
+// Update takes over the document's upstreams. Those that leave, or are gone,
+// get nothing new from here on; what runs on them finishes.
+func (p *Pool) Update(pool *document.Pool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = pool.MaxConcurrent
+	p.states = p.states[:0]
+	for _, upstream := range pool.Upstreams {
+		if upstream.State == document.StateLeaving {
+			continue
+		}
+		state := p.byName[upstream.Name]
+		if state == nil {
+			state = &upstreamState{}
+			p.byName[upstream.Name] = state
+		}
+		state.upstream = upstream
+		p.states = append(p.states, state)
+	}
+	p.forgetGone()
+	p.wake()
+}
+
+func (p *Pool) forgetGone() {
+	present := map[string]bool{}
+	for _, state := range p.states {
+		present[state.upstream.Name] = true
+	}
+	for name, state := range p.byName {
+		if !present[name] && state.inFlight == 0 {
+			delete(p.byName, name)
+		}
+	}
+}
+
+// pick returns the chosen upstream, or nil if none can take a request now;
+// p.mu is held. Upstreams named in tried are passed over.
+func (p *Pool) pick(prefix uint64, tried []string) *upstreamState {
+	now := p.now()
+	var best *upstreamState
+	var bestCost float64
+	consider := func(u *upstreamState) {
+		if !p.eligible(u, tried, now) {
+			return
+		}
+		if cost := u.cost(p.domain, now); best == nil || cost < bestCost {
+			best, bestCost = u, cost
+		}
+	}
+	for i := 0; i < drawn && len(p.states) > 0; i++ {
+		consider(p.states[rand.IntN(len(p.states))])
+	}
+	if best == nil {
+		p.scan(consider)
+	}
+	return p.preferOwn(prefix, best, bestCost, tried, now)
+}
+
+// scan looks at every upstream, when those drawn cannot take the request.
+func (p *Pool) scan(consider func(*upstreamState)) {
+	for _, u := range p.states {
+		consider(u)
+	}
+}
+
+func (p *Pool) preferOwn(
+	prefix uint64, best *upstreamState, bestCost float64, tried []string, now time.Time,
+) *upstreamState {
+	if prefix == 0 || best == nil {
+		return best
+	}
+	own := p.states[jump(prefix, len(p.states))]
+	if p.eligible(own, tried, now) && own.cost(p.domain, now) <= bestCost+affinityBound {
+		return own
+	}
+	return best
+}
+
+// jump is the jump consistent hash of Lamping and Veach (2014).
+func jump(key uint64, buckets int) int {
+	const multiplier = 2862933555777941757
+	bucket, next := int64(-1), int64(0)
+	for next < int64(buckets) {
+		bucket = next
+		key = key*multiplier + 1
+		next = int64(float64(bucket+1) * (float64(int64(1)<<31) / float64((key>>33)+1)))
+	}
+	return int(bucket)
+}
+
+func (p *Pool) eligible(u *upstreamState, tried []string, now time.Time) bool {
+	if u.inFlight >= p.limit || u.avoided(now) {
+		return false
+	}
+	for _, name := range tried {
+		if u.upstream.Name == name {
+			return false
+		}
+	}
+	return true
+}
+
+// Lease is a request's place on an upstream until Done.
+type Lease struct {
+	// Upstream is the chosen one.
+	Upstream document.Upstream
+
+	pool    *Pool
+	state   *upstreamState
+	started time.Time
+}
+
+func (p *Pool) lease(u *upstreamState) *Lease {
+	u.inFlight++
+	u.sinceLoad++
+	p.inFlight++
+	return &Lease{Upstream: u.upstream, pool: p, state: u, started: p.now()}
+}
+
+// Result is how a request on an upstream ended.
+type Result struct {
+	// Failed counts against the upstream: it was unreachable, fell silent or
+	// broke off.
+	Failed bool
+	// Load is what the upstream reported with its answer; negative for nothing.
+	Load float64
+}
+
+// Done gives the place back and reports whether the upstream has just become
+// one to be avoided.
+func (l *Lease) Done(r Result) (avoiding bool) {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := l.state
+	u.inFlight--
+	p.inFlight--
+	if r.Load >= 0 {
+		u.load, u.loadAt, u.sinceLoad = r.Load, p.now(), 0
+	}
+	if r.Failed {
+		u.failures++
+		u.avoidUntil = p.now().Add(avoidFor)
+		avoiding = u.failures == failuresBeforeAvoiding
+	} else {
+		u.failures = 0
+		p.observeService(p.now().Sub(l.started))
+	}
+	p.wake()
+	return avoiding
+}
+
+func (p *Pool) observeService(took time.Duration) {
+	if p.service == 0 {
+		p.service = took
+		return
+	}
+	p.service += time.Duration(serviceSmoothing * float64(took-p.service))
+}
+
+// InFlight returns how many requests this instance has on the pool's upstreams.
+func (p *Pool) InFlight() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.inFlight
+}
--- /dev/null
+++ b/pkg/httpserve/httpserve.go
@@ -0,0 +1,83 @@
+// Package httpserve starts HTTP servers with the bounds that every server of the
+// project shares.
+package httpserve
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+)
+
+// Bounds of every server.
+const (
+	// readTimeout bounds the reading of one request, so that a caller who sends
+	// slowly or never ends holds one connection for a bounded time only.
+	readTimeout = 30 * time.Second
+	// idleTimeout bounds the silence between two requests of a connection.
+	idleTimeout = 60 * time.Second
+	// exitWait bounds the wait for idle connections at a stop. Owners count
+	// their own requests and wait for them before they shut a server down:
+	// the library cuts streams off when this has passed.
+	exitWait = 200 * time.Millisecond
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 64 << 10
+)
+
+// Options names a server.
+type Options struct {
+	// Address is the IP address and port to listen on.
+	Address string
+	// MaxBodyBytes bounds a request's body; above it the answer is 413.
+	MaxBodyBytes int
+}
+
+// Server is a running HTTP server.
+type Server struct {
+	// Hertz takes the routes.
+	*server.Hertz
+	listener net.Listener
+	done     chan struct{}
+}
+
+// Listen binds the address, so that a taken one is known at once.
+func Listen(opts Options) (*Server, error) {
+	hlog.SetOutput(io.Discard) // the library's own lines are not numbered events
+	listener, err := net.Listen("tcp", opts.Address)
+	if err != nil {
+		return nil, err
+	}
+	hertz := server.New(
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(opts.MaxBodyBytes),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithKeepAliveTimeout(idleTimeout),
+		server.WithExitWaitTime(exitWait),
+		server.WithDisablePrintRoute(true),
+		server.WithUseRawPath(true),
+	)
+	return &Server{Hertz: hertz, listener: listener, done: make(chan struct{})}, nil
+}
+
+// Serve answers requests in the background until Close.
+func (s *Server) Serve() {
+	go func() {
+		defer close(s.done)
+		_ = s.Run() // returns when the listener closes
+	}()
+}
+
+// Close stops listening and ends the server.
+func (s *Server) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*exitWait)
+	defer cancel()
+	_ = s.Shutdown(ctx)
+	_ = s.listener.Close()
+}
--- /dev/null
+++ b/pkg/member/table.go
@@ -0,0 +1,328 @@
+// Package member keeps what one instance knows of the others: from the
+// platform's lagging list, from heartbeats, and from every message that comes.
+// Nothing that must be safe depends on its being right; it decides whom to ask
+// first and when to work around somebody.
+package member
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+)
+
+// forgetAfter is how long a silent incarnation is remembered.
+const forgetAfter = 10 * time.Minute
+
+// entry is one incarnation of an instance.
+type entry struct {
+	member *memberpb.Member
+	heard  time.Time
+}
+
+// Table holds the known incarnations. It is safe for concurrent use.
+type Table struct {
+	self   *memberpb.Member
+	bound  time.Duration
+	fanout int
+	beat   time.Duration
+	now    func() time.Time
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	byName  map[string]string // name → newest incarnation
+	next    int
+	notify  func(joined *memberpb.Member)
+}
+
+// Config sizes a table.
+type Config struct {
+	// Self is this instance.
+	Self *memberpb.Member
+	// Silent is how long a peer may be silent before others work around it.
+	Silent time.Duration
+	// Heartbeat is the time between two rounds of heartbeats.
+	Heartbeat time.Duration
+	// Fanout is how many peers one round goes to.
+	Fanout int
+	// Now is the clock.
+	Now func() time.Time
+	// Joined is told of each incarnation heard of for the first time.
+	Joined func(*memberpb.Member)
+}
+
+// DefaultFanout bounds a round of heartbeats, so that an instance's heartbeat
+// traffic does not grow with the fleet.
+const DefaultFanout = 8
+
+// NewTable returns a table that knows this instance only.
+func NewTable(cfg Config) *Table {
+	t := &Table{
+		self:    cfg.Self,
+		bound:   cfg.Silent,
+		fanout:  cfg.Fanout,
+		beat:    cfg.Heartbeat,
+		now:     cfg.Now,
+		entries: map[string]*entry{},
+		byName:  map[string]string{},
+		notify:  cfg.Joined,
+	}
+	t.entries[cfg.Self.Incarnation] = &entry{member: cfg.Self, heard: cfg.Now()}
+	t.byName[cfg.Self.Name] = cfg.Self.Incarnation
+	return t
+}
+
+// Learn takes in a member. Direct knowledge, a message from the member itself,
+// counts as a sign of life; hearsay only makes it known. Incarnations rise with
+// time, so an older one of the same name never replaces a newer one.
+func (t *Table) Learn(m *memberpb.Member, direct bool) {
+	if m == nil || m.Incarnation == "" || m.Incarnation == t.self.Incarnation {
+		return
+	}
+	joined := t.learn(m, direct)
+	if joined && t.notify != nil {
+		t.notify(m)
+	}
+}
+
+func (t *Table) learn(m *memberpb.Member, direct bool) (joined bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[m.Incarnation]
+	if e == nil {
+		if newest := t.byName[m.Name]; newest > m.Incarnation {
+			return false
+		}
+		e = &entry{member: m, heard: t.now()}
+		t.entries[m.Incarnation] = e
+		t.byName[m.Name] = m.Incarnation
+		joined = true
+	}
+	if direct {
+		e.heard = t.now()
+	}
+	if m.Leaving {
+		e.member = m // leaving is never taken back by an older message
+	}
+	return joined
+}
+
+// Heard notes a sign of life of an incarnation.
+func (t *Table) Heard(incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[incarnation]; e != nil {
+		e.heard = t.now()
+	}
+}
+
+// MarkLeaving notes that this instance leaves.
+func (t *Table) MarkLeaving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self = &memberpb.Member{
+		Incarnation: t.self.Incarnation,
+		Name:        t.self.Name,
+		Region:      t.self.Region,
+		Domain:      t.self.Domain,
+		PeerAddress: t.self.PeerAddress,
+		Leaving:     true,
+	}
+	t.entries[t.self.Incarnation].member = t.self
+}
+
+// Self returns this instance as others see it.
+func (t *Table) Self() *memberpb.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// silentBound grows with the fleet: with a bounded fan-out each peer is heard
+// from less often, and three missed rounds of its turn are a sign.
+func (t *Table) silentBound() time.Duration {
+	const missedTurns = 3
+	turn := time.Duration(float64(t.beat) * float64(len(t.entries)) / float64(2*t.fanout))
+	return max(t.bound, missedTurns*turn)
+}
+
+// Silent reports whether an incarnation has not been heard of for the bound. An
+// incarnation that was replaced by a newer one of its name is silent for good.
+func (t *Table) Silent(incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silent(incarnation)
+}
+
+func (t *Table) silent(incarnation string) bool {
+	if incarnation == t.self.Incarnation {
+		return false
+	}
+	e := t.entries[incarnation]
+	if e == nil || t.byName[e.member.Name] != incarnation {
+		return true
+	}
+	return t.now().Sub(e.heard) > t.silentBound()
+}
+
+// Address returns the peer address of an incarnation; empty if it is unknown.
+func (t *Table) Address(incarnation string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[incarnation]; e != nil {
+		return e.member.PeerAddress
+	}
+	return ""
+}
+
+// Live returns the members that are neither silent nor leaving, this one too
+// unless it leaves, ordered by incarnation.
+func (t *Table) Live() []*memberpb.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.live()
+}
+
+func (t *Table) live() []*memberpb.Member {
+	out := make([]*memberpb.Member, 0, len(t.entries))
+	for incarnation, e := range t.entries {
+		if !e.member.Leaving && !t.silent(incarnation) {
+			out = append(out, e.member)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Incarnation < out[j].Incarnation })
+	return out
+}
+
+// NextRound returns the peers that the next round of heartbeats goes to, silent
+// ones too: they may be back. Long silent ones are forgotten here.
+func (t *Table) NextRound() []*memberpb.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	peers := make([]*memberpb.Member, 0, len(t.entries))
+	for incarnation, e := range t.entries {
+		if incarnation == t.self.Incarnation {
+			continue
+		}
+		replaced := t.byName[e.member.Name] != incarnation
+		if t.now().Sub(e.heard) > forgetAfter || (replaced && t.silent(incarnation)) {
+			t.forget(incarnation, e)
+			continue
+		}
+		peers = append(peers, e.member)
+	}
+	sort.Slice(peers, func(i, j int) bool { return peers[i].Incarnation < peers[j].Incarnation })
+	return t.rotate(peers)
+}
+
+func (t *Table) forget(incarnation string, e *entry) {
+	delete(t.entries, incarnation)
+	if t.byName[e.member.Name] == incarnation {
+		delete(t.byName, e.member.Name)
+	}
+}
+
+func (t *Table) rotate(peers []*memberpb.Member) []*memberpb.Member {
+	if len(peers) <= t.fanout {
+		return peers
+	}
+	round := make([]*memberpb.Member, 0, t.fanout)
+	for i := 0; i < t.fanout; i++ {
+		round = append(round, peers[(t.next+i)%len(peers)])
+	}
+	t.next = (t.next + t.fanout) % len(peers)
+	return round
+}
+
+// score ranks members for a key; the highest wins (rendezvous hashing), so that
+// a member's coming or going moves only what it wins itself.
+func score(key string, m *memberpb.Member) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(m.Name)
+	return digest.Sum64()
+}
+
+// WinnersByDomain returns, for a key, the winning live member of each failure
+// domain, this instance's own domain first, then its region, then the others.
+func (t *Table) WinnersByDomain(key string) []*memberpb.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best := map[string]*memberpb.Member{}
+	for _, m := range t.live() {
+		place := m.Region + "/" + m.Domain
+		if best[place] == nil || score(key, m) > score(key, best[place]) {
+			best[place] = m
+		}
+	}
+	winners := make([]*memberpb.Member, 0, len(best))
+	for _, m := range best {
+		winners = append(winners, m)
+	}
+	sort.Slice(winners, func(i, j int) bool {
+		a, b := t.distance(winners[i]), t.distance(winners[j])
+		if a != b {
+			return a < b
+		}
+		return score(key, winners[i]) > score(key, winners[j])
+	})
+	return winners
+}
+
+func (t *Table) distance(m *memberpb.Member) int {
+	switch {
+	case m.Region == t.self.Region && m.Domain == t.self.Domain:
+		return 0
+	case m.Region == t.self.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// Partner returns the live member of another failure domain that this instance
+// should trust its records to, the same region first; empty if there is none.
+func (t *Table) Partner(key string) string {
+	for _, m := range t.WinnersByDomain(key + t.self.Name) {
+		if t.distance(m) > 0 {
+			return m.Incarnation
+		}
+	}
+	return ""
+}
+
+// View is one member as shown to operators.
+type View struct {
+	Incarnation string        `json:"incarnation"`
+	Name        string        `json:"name"`
+	Region      string        `json:"region"`
+	Domain      string        `json:"domain"`
+	Leaving     bool          `json:"leaving"`
+	Silent      bool          `json:"silent"`
+	Heard       time.Duration `json:"heard_nanos_ago"`
+}
+
+// View returns every known member.
+func (t *Table) View() []View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	views := make([]View, 0, len(t.entries))
+	for incarnation, e := range t.entries {
+		views = append(views, View{
+			Incarnation: incarnation,
+			Name:        e.member.Name,
+			Region:      e.member.Region,
+			Domain:      e.member.Domain,
+			Leaving:     e.member.Leaving,
+			Silent:      t.silent(incarnation),
+			Heard:       t.now().Sub(e.heard),
+		})
+	}
+	sort.Slice(views, func(i, j int) bool { return views[i].Incarnation < views[j].Incarnation })
+	return views
+}
--- /dev/null
+++ b/pkg/upstream/stream.go
@@ -0,0 +1,177 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"github.com/lavenderring/lavenderring/pkg/chat"
+	"github.com/lavenderring/lavenderring/pkg/httpcall"
+	"github.com/lavenderring/lavenderring/pkg/outcome"
+)
+
+// maxEventBytes bounds one event of an engine's stream.
+const maxEventBytes = 1 << 20
+
+// StreamRequest starts or resumes a streamed answer.
+type StreamRequest struct {
+	ID   string
+	Body []byte
+	// Offset is how many tokens the caller has; above 0 it resumes.
+	Offset int64
+	// Urgent asks the engine to start it before others.
+	Urgent bool
+	// Idle bounds the wait for the head and for each event.
+	Idle time.Duration
+}
+
+// Event is one part of a streamed answer.
+type Event struct {
+	// Offset is how many tokens have come with this event.
+	Offset int64
+	// Response is the event's content.
+	Response chat.Response
+	// End says that the answer is whole.
+	End bool
+}
+
+// Stream is an answer being read. Close must be called.
+type Stream struct {
+	address string
+	id      string
+	reader  *sse.Reader
+	resp    *protocol.Response
+	end     func()
+	cancel  context.CancelCauseFunc
+	idle    time.Duration
+	timer   *time.Timer
+	ctx     context.Context
+	// Load is what the engine reported with the answer's head; negative for none.
+	Load float64
+}
+
+// Open sends a request to an engine and reads the answer's head. Errors:
+// *CallError.
+func Open(ctx context.Context, address string, r StreamRequest, facts *outcome.Facts) (*Stream, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := &Stream{address: address, id: r.ID, cancel: cancel, idle: r.Idle, ctx: ctx}
+	// An engine that falls silent holds an open connection for good. The timer
+	// is set anew at each event; when it fires the connection is closed.
+	s.timer = time.AfterFunc(r.Idle, func() { cancel(ErrSilent) })
+	if err := s.open(ctx, r, facts); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Stream) open(ctx context.Context, r StreamRequest, facts *outcome.Facts) error {
+	req := protocol.AcquireRequest()
+	defer protocol.ReleaseRequest(req)
+	s.resp = protocol.AcquireResponse()
+	fillRequest(req, s.address, r)
+	opts := httpcall.Options{Address: s.address, OnHanded: facts.MarkHanded, Stream: true}
+	end, err := httpcall.Call(ctx, opts, req, s.resp)
+	s.end = end
+	if err != nil {
+		return callError(s.address, err)
+	}
+	if err := s.checkHead(); err != nil {
+		return err
+	}
+	s.Load = parseLoad(s.resp.Header.Get(chat.HeaderLoad))
+	s.reader, err = sse.NewReader(s.resp)
+	if err != nil {
+		return &CallError{Step: "stream", Peer: s.address, Status: s.resp.StatusCode(), Err: err}
+	}
+	s.reader.SetMaxBufferSize(maxEventBytes)
+	return nil
+}
+
+func fillRequest(req *protocol.Request, address string, r StreamRequest) {
+	req.SetMethod(consts.MethodPost)
+	req.SetRequestURI("http://" + address + "/v1/chat/completions")
+	req.Header.SetContentTypeBytes([]byte("application/json"))
+	req.Header.Set(chat.HeaderRequestID, r.ID)
+	if r.Offset > 0 {
+		req.Header.Set(chat.HeaderResumeOffset, strconv.FormatInt(r.Offset, 10))
+	}
+	if r.Urgent {
+		req.Header.Set(chat.HeaderPriority, "urgent")
+	}
+	req.SetBody(r.Body)
+}
+
+func (s *Stream) checkHead() error {
+	status := s.resp.StatusCode()
+	switch {
+	case status == consts.StatusGone:
+		return &CallError{Step: "status", Peer: s.address, Status: status, Err: ErrGone}
+	case status != consts.StatusOK:
+		return &CallError{Step: "status", Peer: s.address, Status: status, Err: fmt.Errorf("status %d", status)}
+	case s.resp.Header.Get(chat.HeaderRequestID) != s.id:
+		return &CallError{Step: "status", Peer: s.address, Status: status, Err: ErrMismatch}
+	}
+	return nil
+}
+
+// Next returns the next event. An answer without its end mark is an error, never
+// a short answer. Errors: *CallError, which wraps ErrCut, ErrSilent, ErrMismatch
+// or the context's cause.
+func (s *Stream) Next() (Event, error) {
+	s.timer.Reset(s.idle)
+	event := sse.NewEvent()
+	defer event.Release()
+	if err := s.reader.Read(event); err != nil {
+		return Event{}, s.readError(err)
+	}
+	if string(event.Data) == chat.EndMark {
+		return Event{End: true}, nil
+	}
+	out := Event{}
+	if err := decode(event.Data, &out.Response); err != nil {
+		return Event{}, s.streamError(err)
+	}
+	if out.Response.ID != s.id {
+		return Event{}, s.streamError(ErrMismatch)
+	}
+	out.Offset, _ = strconv.ParseInt(event.ID, 10, 64)
+	return out, nil
+}
+
+func (s *Stream) readError(err error) error {
+	if s.ctx.Err() != nil {
+		return s.streamError(context.Cause(s.ctx))
+	}
+	if err == io.EOF {
+		return s.streamError(ErrCut)
+	}
+	return s.streamError(fmt.Errorf("%w: %w", ErrCut, err))
+}
+
+func (s *Stream) streamError(err error) error {
+	return &CallError{Step: "stream", Peer: s.address, Status: consts.StatusOK, Err: err}
+}
+
+// Close ends the call and its connection.
+func (s *Stream) Close() {
+	s.timer.Stop()
+	s.cancel(context.Canceled)
+	if s.end != nil {
+		s.end()
+	}
+}
+
+func decode(data []byte, into any) error {
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/upstream/upstream.go
@@ -0,0 +1,148 @@
+// Package upstream calls model engines and plain services.
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/lavenderring/lavenderring/pkg/chat"
+	"github.com/lavenderring/lavenderring/pkg/httpcall"
+	"github.com/lavenderring/lavenderring/pkg/outcome"
+)
+
+// Errors of a call.
+var (
+	// ErrMismatch means that the answer carries another request's id. It is
+	// discarded with its connection.
+	ErrMismatch = errors.New("answer carries another request's id")
+	// ErrGone means that the engine does not know the request any more.
+	ErrGone = errors.New("upstream does not know the request")
+	// ErrCut means that a stream ended without its end mark.
+	ErrCut = errors.New("stream ended without its end mark")
+	// ErrSilent means that nothing came for the bound.
+	ErrSilent = errors.New("upstream fell silent")
+)
+
+// CallError tells at which step and upstream a call failed.
+type CallError struct {
+	// Step is "dial", "exchange", "status", "stream" or "cancel".
+	Step string
+	// Peer is the upstream's address.
+	Peer string
+	// Status is the HTTP status, if there was one.
+	Status int
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *CallError) Error() string {
+	return fmt.Sprintf("upstream %s %s (status %d): %v", e.Step, e.Peer, e.Status, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+func callError(address string, err error) error {
+	var call *httpcall.Error
+	if errors.As(err, &call) {
+		return &CallError{Step: call.Step, Peer: address, Err: call.Err}
+	}
+	return &CallError{Step: "exchange", Peer: address, Err: err}
+}
+
+// maxAnswerBytes bounds a plain service's answer.
+const maxAnswerBytes = 16 << 20
+
+// PlainRequest is a call of a plain service.
+type PlainRequest struct {
+	ID, Method, Path, Query, ContentType, IdempotencyKey string
+	Body                                                 []byte
+}
+
+// PlainAnswer is its answer.
+type PlainAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// Load is the reported load; negative for none.
+	Load float64
+}
+
+// CallPlain calls a plain service. Facts are marked before the first byte
+// leaves. Errors: *CallError.
+func CallPlain(ctx context.Context, address string, r PlainRequest, facts *outcome.Facts) (*PlainAnswer, error) {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	uri := "http://" + address + r.Path
+	if r.Query != "" {
+		uri += "?" + r.Query
+	}
+	req.SetMethod(r.Method)
+	req.SetRequestURI(uri)
+	req.SetBody(r.Body)
+	req.Header.Set(chat.HeaderRequestID, r.ID)
+	if r.ContentType != "" {
+		req.Header.SetContentTypeBytes([]byte(r.ContentType))
+	}
+	if r.IdempotencyKey != "" {
+		req.Header.Set(chat.HeaderIdempotencyKey, r.IdempotencyKey)
+	}
+	opts := httpcall.Options{Address: address, OnHanded: facts.MarkHanded, MaxResponseBytes: maxAnswerBytes}
+	end, err := httpcall.Call(ctx, opts, req, resp)
+	defer end()
+	if err != nil {
+		return nil, callError(address, err)
+	}
+	if resp.Header.Get(chat.HeaderRequestID) != r.ID {
+		return nil, &CallError{Step: "exchange", Peer: address, Status: resp.StatusCode(), Err: ErrMismatch}
+	}
+	return &PlainAnswer{
+		Status:      resp.StatusCode(),
+		ContentType: string(resp.Header.ContentType()),
+		Body:        append([]byte(nil), resp.Body()...),
+		Load:        parseLoad(resp.Header.Get(chat.HeaderLoad)),
+	}, nil
+}
+
+// parseLoad reads "running/waiting"; it returns -1 if there is nothing to read.
+func parseLoad(text string) float64 {
+	running, waiting, found := strings.Cut(text, "/")
+	r, errRunning := strconv.ParseFloat(running, 64)
+	w, errWaiting := strconv.ParseFloat(waiting, 64)
+	if !found || errRunning != nil || errWaiting != nil || !(r >= 0) || !(w >= 0) {
+		return -1
+	}
+	return r + w
+}
+
+// Cancel stops a request on an engine and returns what it cost. Errors:
+// *CallError; it wraps ErrGone if the engine never had the request.
+func Cancel(ctx context.Context, address, id string) (chat.Usage, error) {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(consts.MethodPost)
+	req.SetRequestURI("http://" + address + "/cancel/" + id)
+	opts := httpcall.Options{Address: address, MaxResponseBytes: maxEventBytes}
+	end, err := httpcall.Call(ctx, opts, req, resp)
+	defer end()
+	if err != nil {
+		return chat.Usage{}, callError(address, err)
+	}
+	if resp.StatusCode() == consts.StatusNotFound {
+		return chat.Usage{}, &CallError{Step: "cancel", Peer: address, Status: resp.StatusCode(), Err: ErrGone}
+	}
+	var usage chat.Usage
+	if err := decode(resp.Body(), &usage); err != nil {
+		return chat.Usage{}, &CallError{Step: "cancel", Peer: address, Status: resp.StatusCode(), Err: err}
+	}
+	return usage, nil
+}
