--- /dev/null
+++ b/cmd/lavenderring/main.go
@@ -0,0 +1,133 @@
+// Command lavenderring runs one instance of the router fleet and serves its
+// operators.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/lavenderring/lavenderring/pkg/instance"
+	"github.com/lavenderring/lavenderring/pkg/operator"
+	"github.com/lavenderring/lavenderring/pkg/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type serveArgs struct {
+	Settings string `arg:"positional,required" help:"the instance's settings file, TOML"`
+}
+
+type configCheckArgs struct {
+	File string `arg:"positional,required" help:"a service document, TOML"`
+}
+
+type configApplyArgs struct {
+	File     string `arg:"positional,required" help:"a service document, TOML"`
+	Platform string `arg:"--platform,required" help:"address of the platform's object API, IP:port"`
+	Expect   *int64 `arg:"--expect" help:"version that the stored document must still have; 0 for none stored"`
+}
+
+type configShowArgs struct {
+	Service  string `arg:"positional,required" help:"the service's name"`
+	Platform string `arg:"--platform,required" help:"address of the platform's object API, IP:port"`
+}
+
+type configArgs struct {
+	Check *configCheckArgs `arg:"subcommand:check" help:"check a document and name every fault"`
+	Apply *configApplyArgs `arg:"subcommand:apply" help:"write a document and wait until it is accepted or refused"`
+	Show  *configShowArgs  `arg:"subcommand:show" help:"show the stored and the accepted document"`
+}
+
+type adminArgs struct {
+	Admin string `arg:"--admin,required" help:"an instance's administration address, IP:port"`
+	Token string `arg:"--token,env:LAVENDERRING_TOKEN" help:"the operators' token"`
+	Path  string `arg:"positional" default:"status" help:"what to show: status, accounts, metrics, events, or bills?request=ID"`
+}
+
+type timelineArgs struct {
+	Logs     []string `arg:"positional,required" help:"event log files of the processes"`
+	Request  string   `arg:"--request" help:"show one request only"`
+	Instance string   `arg:"--instance" help:"show one process only"`
+}
+
+type args struct {
+	Serve    *serveArgs    `arg:"subcommand:serve" help:"run an instance until it is told to stop (SIGTERM)"`
+	Config   *configArgs   `arg:"subcommand:config" help:"check, apply or show a service document"`
+	Status   *adminArgs    `arg:"subcommand:status" help:"ask an instance"`
+	Timeline *timelineArgs `arg:"subcommand:timeline" help:"merge event logs into one time line"`
+}
+
+// Description implements arg.Described.
+func (args) Description() string {
+	return "lavenderring: a router fleet for prepaid token budgets.\n" +
+		"An instance stands between callers and upstreams; operators edit service documents."
+}
+
+// Epilogue implements arg.Epilogued.
+func (args) Epilogue() string {
+	return "Exit codes: 0 done, 1 failed, 2 wrong arguments, settings or document."
+}
+
+func main() {
+	var a args
+	parser := arg.MustParse(&a)
+	if parser.Subcommand() == nil {
+		parser.Fail("a command is needed; see --help")
+	}
+	if err := run(&a); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var invalidSettings *settings.InvalidError
+	if errors.As(err, &invalidSettings) || errors.Is(err, operator.ErrInvalidDocument) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func run(a *args) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	switch {
+	case a.Serve != nil:
+		return serve(ctx, a.Serve.Settings)
+	case a.Config != nil && a.Config.Check != nil:
+		return operator.Check(os.Stdout, a.Config.Check.File)
+	case a.Config != nil && a.Config.Apply != nil:
+		apply := a.Config.Apply
+		return operator.Apply(ctx, os.Stdout, apply.Platform, apply.File, apply.Expect)
+	case a.Config != nil && a.Config.Show != nil:
+		return operator.Show(ctx, os.Stdout, a.Config.Show.Platform, a.Config.Show.Service)
+	case a.Status != nil:
+		return operator.Ask(ctx, os.Stdout, a.Status.Admin, a.Status.Token, a.Status.Path)
+	case a.Timeline != nil:
+		return operator.Timeline(os.Stdout, a.Timeline.Logs, a.Timeline.Request, a.Timeline.Instance)
+	default:
+		return errors.New("config needs one of check, apply, show; see --help")
+	}
+}
+
+func serve(ctx context.Context, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	i, err := instance.New(s, os.Stderr)
+	if err != nil {
+		return err
+	}
+	return i.Run(ctx)
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,73 @@
+// Command standin runs one of the stand-ins that take the place of outside
+// systems in trials and tests: the platform's object API, a model engine, a
+// plain service, or a relay that can cut, freeze and delay.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/lavenderring/lavenderring/pkg/standin/engine"
+	"github.com/lavenderring/lavenderring/pkg/standin/objectapi"
+	"github.com/lavenderring/lavenderring/pkg/standin/plain"
+	"github.com/lavenderring/lavenderring/pkg/standin/relay"
+)
+
+type listenArgs struct {
+	Listen string `arg:"--listen,required" help:"IP:port to listen on"`
+}
+
+type engineArgs struct {
+	listenArgs
+	Slots       int `arg:"--slots" default:"8" help:"requests that generate at once"`
+	TokenMillis int `arg:"--token-millis" default:"10" help:"time for one token, in milliseconds"`
+}
+
+type relayArgs struct {
+	listenArgs
+	Control string `arg:"--control,required" help:"IP:port for POST /faults"`
+	To      string `arg:"--to,required" help:"IP:port to pass connections on to"`
+}
+
+type args struct {
+	Platform *listenArgs `arg:"subcommand:platform" help:"the platform's object API; POST /faults switches faults"`
+	Engine   *engineArgs `arg:"subcommand:engine" help:"a model engine; POST /faults switches faults"`
+	Plain    *listenArgs `arg:"subcommand:plain" help:"a plain service; POST /_faults switches faults, GET /_runs shows runs"`
+	Relay    *relayArgs  `arg:"subcommand:relay" help:"a relay between two addresses"`
+}
+
+func main() {
+	var a args
+	parser := arg.MustParse(&a)
+	if parser.Subcommand() == nil {
+		parser.Fail("a stand-in is needed; see --help")
+	}
+	if err := start(&a); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	<-ctx.Done()
+}
+
+func start(a *args) error {
+	var err error
+	switch {
+	case a.Platform != nil:
+		_, err = objectapi.Start(a.Platform.Listen)
+	case a.Engine != nil:
+		e := a.Engine
+		_, err = engine.Start(engine.Config{Address: e.Listen, Slots: e.Slots, TokenMillis: e.TokenMillis})
+	case a.Plain != nil:
+		_, err = plain.Start(a.Plain.Listen)
+	case a.Relay != nil:
+		_, err = relay.Start(a.Relay.Listen, a.Relay.Control, a.Relay.To)
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/instance/instance.go
@@ -0,0 +1,258 @@
+// Package instance puts the duties together into one process of the fleet.
+package instance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/qmuntal/stateless"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lavenderring/lavenderring/pkg/bill"
+	"github.com/lavenderring/lavenderring/pkg/budget"
+	"github.com/lavenderring/lavenderring/pkg/claim"
+	"github.com/lavenderring/lavenderring/pkg/configsync"
+	"github.com/lavenderring/lavenderring/pkg/entry"
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/httpserve"
+	"github.com/lavenderring/lavenderring/pkg/member"
+	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+	"github.com/lavenderring/lavenderring/pkg/peer"
+	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/ring"
+	"github.com/lavenderring/lavenderring/pkg/settings"
+)
+
+// States of an instance's life.
+const (
+	stateStarting = "starting"
+	stateReady    = "ready"
+	stateDraining = "draining"
+	stateStopped  = "stopped"
+)
+
+// Triggers between them.
+const (
+	triggerSynced = "synced"
+	triggerStop   = "stop"
+	triggerDone   = "done"
+)
+
+// Bounds of the stop.
+const (
+	// drainTimeout bounds the wait for requests in progress at a planned stop;
+	// it is above the longest deadline and stream that documents allow.
+	drainTimeout = 15 * time.Minute
+	// handOverTimeout bounds the return of tokens, bills and outcomes.
+	handOverTimeout = 20 * time.Second
+	// signedAtLeast is the least number of tokens countersigned ahead.
+	signedAtLeast = 4096
+	// fetchQueue bounds the configuration reads that wait.
+	fetchQueue = 64
+	// maxBodyBytes bounds a caller's body before its service is known.
+	maxBodyBytes = 8 << 20
+)
+
+// Instance is one running process of the fleet.
+type Instance struct {
+	settings    *settings.Settings
+	incarnation string
+	log         *eventlog.Log
+	metrics     metrics.Registry
+	life        *stateless.StateMachine
+
+	store   *platform.Client
+	peers   *peer.Client
+	table   *member.Table
+	config  *configsync.State
+	syncer  *configsync.Syncer
+	budgets *budget.Node
+	journal *bill.Journal
+	keeper  *bill.Keeper
+	claims  *claim.Claimer
+	entry   *entry.Entry
+	fetches *ring.Ring[fetch]
+	nudge   *ring.Ring[struct{}]
+
+	callers *httpserve.Server
+	admin   *httpserve.Server
+	server  *peer.Server
+
+	storeMu sync.Mutex
+	storeUp bool
+
+	// syncedGenerations is touched by the ledger sync duty only.
+	syncedGenerations uint64
+
+	// background is where duties run; it ends after the hand-over.
+	background context.Context
+	end        context.CancelFunc
+	duties     sync.WaitGroup
+}
+
+// New provisions an instance: everything is made and bound, nothing runs. The
+// error says which address could not be bound.
+func New(s *settings.Settings, logOut io.Writer) (*Instance, error) {
+	i := &Instance{
+		settings:    s,
+		incarnation: s.Name + "-" + ulid.Make().String(),
+		log:         eventlog.New(s.Name, logOut),
+		metrics:     metrics.NewRegistry(),
+		fetches:     ring.New[fetch](fetchQueue),
+		nudge:       ring.New[struct{}](1),
+		storeUp:     true,
+	}
+	i.background, i.end = context.WithCancel(context.Background())
+	i.life = i.newLife()
+	i.provisionFleet()
+	i.provisionDuties()
+	if err := i.bind(); err != nil {
+		i.end()
+		return nil, err
+	}
+	i.log.Event(eventlog.InstanceStarting, "", eventlog.Fields{"incarnation": i.incarnation, "domain": s.Domain})
+	return i, nil
+}
+
+func (i *Instance) newLife() *stateless.StateMachine {
+	life := stateless.NewStateMachine(stateStarting)
+	life.Configure(stateStarting).Permit(triggerSynced, stateReady).Permit(triggerStop, stateDraining)
+	life.Configure(stateReady).
+		OnEntry(func(context.Context, ...any) error {
+			i.log.Event(eventlog.InstanceReady, "", nil)
+			return nil
+		}).
+		Permit(triggerStop, stateDraining)
+	life.Configure(stateDraining).
+		OnEntry(func(context.Context, ...any) error {
+			i.log.Event(eventlog.InstanceDraining, "", nil)
+			return nil
+		}).
+		Permit(triggerDone, stateStopped)
+	life.Configure(stateStopped).OnEntry(func(context.Context, ...any) error {
+		i.log.Event(eventlog.InstanceStopped, "", nil)
+		return nil
+	})
+	return life
+}
+
+func (i *Instance) provisionFleet() {
+	s := i.settings
+	i.store = platform.NewClient(s.PlatformAddress, s.StoreTimeout(), i.noteStore)
+	i.table = member.NewTable(member.Config{
+		Self: &memberpb.Member{
+			Incarnation: i.incarnation,
+			Name:        s.Name,
+			Region:      s.Region,
+			Domain:      s.Domain,
+			PeerAddress: s.PeerAddress,
+		},
+		Silent:    s.PeerSilent(),
+		Heartbeat: s.Heartbeat(),
+		Fanout:    member.DefaultFanout,
+		Now:       time.Now,
+		Joined: func(m *memberpb.Member) {
+			i.log.Event(eventlog.MemberJoined, "", eventlog.Fields{"member": m.Incarnation, "domain": m.Domain})
+		},
+	})
+	i.peers = peer.NewClient(i.table.Address, i.table.Heard)
+	i.config = configsync.NewState(i.onConfig)
+	i.syncer = configsync.NewSyncer(i.store, i.config, i.log, i.isWatcher, func() { i.nudge.TryPut(struct{}{}) })
+}
+
+func (i *Instance) provisionDuties() {
+	s := i.settings
+	view := fleetView{table: i.table, shards: s.LedgerShards}
+	cfg := budget.Config{
+		Self:          i.incarnation,
+		Shards:        s.LedgerShards,
+		Ahead:         time.Duration(s.AheadSeconds) * time.Second,
+		MinimumSigned: signedAtLeast,
+	}
+	i.budgets = budget.NewNode(cfg, budget.Deps{
+		Ledger:   ledgerStore{i.store},
+		Peers:    i.peers,
+		Fleet:    view,
+		Prepaid:  prepaidIn(i.config, s.LedgerShards),
+		Observer: budgetObserver{i.log},
+		Now:      time.Now,
+	})
+	billPeer := func() string { return i.table.Partner("bills/") }
+	i.journal = bill.NewJournal(i.incarnation, i.store, i.peers, billPeer)
+	i.keeper = bill.NewKeeper(i.store)
+	i.claims = claim.NewClaimer(i.store, s.ClaimShards, time.Now)
+	i.entry = entry.New(i.background, entry.Deps{
+		Self:    i.incarnation,
+		Domain:  s.Domain,
+		Config:  i.config,
+		Budgets: i.budgets,
+		Journal: i.journal,
+		Claims:  i.claims,
+		Silent:  i.table.Silent,
+		Log:     i.log,
+		Metrics: i.metrics,
+		Now:     time.Now,
+	})
+}
+
+func (i *Instance) bind() error {
+	var err error
+	handlers := peer.Handlers{Budgets: i.budgets, Bills: i.keeper, Members: i}
+	if i.server, err = peer.Listen(i.settings.PeerAddress, handlers); err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	opts := httpserve.Options{Address: i.settings.CallerAddress, MaxBodyBytes: maxBodyBytes}
+	if i.callers, err = httpserve.Listen(opts); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	opts = httpserve.Options{Address: i.settings.AdminAddress, MaxBodyBytes: maxBodyBytes}
+	if i.admin, err = httpserve.Listen(opts); err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	i.entry.Routes(i.callers)
+	i.adminRoutes()
+	return nil
+}
+
+// onConfig is told of each document that comes into force.
+func (i *Instance) onConfig(f *configsync.InForce) {
+	i.entry.ApplyConfig(f)
+}
+
+// noteStore logs when the platform goes away and comes back.
+func (i *Instance) noteStore(err error) {
+	i.storeMu.Lock()
+	defer i.storeMu.Unlock()
+	up := err == nil
+	if up == i.storeUp {
+		return
+	}
+	i.storeUp = up
+	if up {
+		i.log.Event(eventlog.StoreReachable, "", nil)
+		return
+	}
+	i.log.Event(eventlog.StoreUnreachable, "", eventlog.Fields{"cause": err.Error()})
+}
+
+// isWatcher tells whether this instance is the one of its failure domain that
+// watches the store. Two may think so for a while; that costs a call.
+func (i *Instance) isWatcher() bool {
+	for _, m := range i.table.WinnersByDomain("config-watch") {
+		if m.Incarnation == i.incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// fire moves the instance's life; a trigger that does not fit is a fault of this
+// package and is logged by its caller's next step being refused.
+func (i *Instance) fire(trigger string) bool { return i.life.Fire(trigger) == nil }
+
+// State returns the state of the instance's life.
+func (i *Instance) State() string { return i.life.MustState().(string) }
--- /dev/null
+++ b/pkg/peer/client.go
@@ -0,0 +1,207 @@
+// Package peer carries the slices' messages between instances over drpc.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
+	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
+	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+)
+
+// Bounds of the client.
+const (
+	// callTimeout bounds one call; what is asked is answered from memory or by
+	// one write to the store.
+	callTimeout = 2 * time.Second
+	// heartbeatTimeout bounds a heartbeat.
+	heartbeatTimeout = 500 * time.Millisecond
+	// dialTimeout bounds a connection's set-up.
+	dialTimeout = 500 * time.Millisecond
+	// idleExpiry closes a pooled connection that is not used.
+	idleExpiry = time.Minute
+	// connectionsPerPeer bounds the pool; drpc carries one call at a time on a
+	// connection.
+	connectionsPerPeer = 16
+)
+
+// ErrUnknownPeer means that no address is known for an incarnation.
+var ErrUnknownPeer = errors.New("peer is not known")
+
+// CallError tells which call to which peer failed.
+type CallError struct {
+	// Step is the call; Peer is the incarnation or the address.
+	Step, Peer string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *CallError) Error() string { return fmt.Sprintf("peer %s %s: %v", e.Step, e.Peer, e.Err) }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Client calls other instances. It is safe for concurrent use.
+type Client struct {
+	address func(incarnation string) string
+	heard   func(incarnation string)
+
+	mu    sync.Mutex
+	pools map[string]*drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewClient returns a client. address finds an incarnation's peer address;
+// heard is told of each incarnation that answered.
+func NewClient(address func(string) string, heard func(string)) *Client {
+	return &Client{address: address, heard: heard, pools: map[string]*drpcpool.Pool[string, drpcpool.Conn]{}}
+}
+
+// Close closes every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, pool := range c.pools {
+		_ = pool.Close()
+	}
+	c.pools = map[string]*drpcpool.Pool[string, drpcpool.Conn]{}
+}
+
+func (c *Client) pool(address string) *drpcpool.Pool[string, drpcpool.Conn] {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pool := c.pools[address]
+	if pool == nil {
+		pool = drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+			Expiration:  idleExpiry,
+			Capacity:    connectionsPerPeer,
+			KeyCapacity: connectionsPerPeer,
+		})
+		c.pools[address] = pool
+	}
+	return pool
+}
+
+// dropPool closes every connection to an address. A call that got no answer in
+// time may have met a connection that something between the two ends has lost
+// track of; the others of its age are no better, and each would cost a timeout.
+func (c *Client) dropPool(address string) {
+	c.mu.Lock()
+	pool := c.pools[address]
+	delete(c.pools, address)
+	c.mu.Unlock()
+	if pool != nil {
+		_ = pool.Close()
+	}
+}
+
+func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(raw), nil
+}
+
+// to makes one call to an incarnation.
+func to[Reply any](
+	ctx context.Context, c *Client, step, incarnation string, call func(context.Context, drpc.Conn) (Reply, error),
+) (Reply, error) {
+	var none Reply
+	address := c.address(incarnation)
+	if address == "" {
+		return none, &CallError{Step: step, Peer: incarnation, Err: ErrUnknownPeer}
+	}
+	reply, err := at(ctx, c, step, address, callTimeout, call)
+	if err == nil {
+		c.heard(incarnation)
+	}
+	return reply, err
+}
+
+func at[Reply any](
+	ctx context.Context, c *Client, step, address string, timeout time.Duration,
+	call func(context.Context, drpc.Conn) (Reply, error),
+) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn := c.pool(address).Get(ctx, address, dial)
+	defer func() { _ = conn.Close() }()
+	reply, err := call(ctx, conn)
+	if err != nil {
+		if ctx.Err() != nil {
+			c.dropPool(address)
+		}
+		return reply, &CallError{Step: step, Peer: address, Err: err}
+	}
+	return reply, nil
+}
+
+// Allocate implements budget.Peers.
+func (c *Client) Allocate(
+	ctx context.Context, incarnation string, req *budgetpb.AllocateRequest,
+) (*budgetpb.AllocateReply, error) {
+	return to(ctx, c, "allocate", incarnation, func(ctx context.Context, conn drpc.Conn) (*budgetpb.AllocateReply, error) {
+		return budgetpb.NewDRPCBudgetsClient(conn).Allocate(ctx, req)
+	})
+}
+
+// Recall implements budget.Peers.
+func (c *Client) Recall(
+	ctx context.Context, incarnation string, req *budgetpb.RecallRequest,
+) (*budgetpb.RecallReply, error) {
+	return to(ctx, c, "recall", incarnation, func(ctx context.Context, conn drpc.Conn) (*budgetpb.RecallReply, error) {
+		return budgetpb.NewDRPCBudgetsClient(conn).Recall(ctx, req)
+	})
+}
+
+// Report implements budget.Peers.
+func (c *Client) Report(
+	ctx context.Context, incarnation string, req *budgetpb.ReportRequest,
+) (*budgetpb.ReportReply, error) {
+	return to(ctx, c, "report", incarnation, func(ctx context.Context, conn drpc.Conn) (*budgetpb.ReportReply, error) {
+		return budgetpb.NewDRPCBudgetsClient(conn).Report(ctx, req)
+	})
+}
+
+// Sign implements budget.Peers.
+func (c *Client) Sign(
+	ctx context.Context, incarnation string, req *budgetpb.SignRequest,
+) (*budgetpb.SignReply, error) {
+	return to(ctx, c, "sign", incarnation, func(ctx context.Context, conn drpc.Conn) (*budgetpb.SignReply, error) {
+		return budgetpb.NewDRPCBudgetsClient(conn).Sign(ctx, req)
+	})
+}
+
+// Keep implements bill.Peers.
+func (c *Client) Keep(ctx context.Context, incarnation string, req *billpb.KeepRequest) (*billpb.KeepReply, error) {
+	return to(ctx, c, "keep", incarnation, func(ctx context.Context, conn drpc.Conn) (*billpb.KeepReply, error) {
+		return billpb.NewDRPCBillsClient(conn).Keep(ctx, req)
+	})
+}
+
+// Heartbeat exchanges digests with the instance at an address.
+func (c *Client) Heartbeat(ctx context.Context, address string, digest *memberpb.Digest) (*memberpb.Digest, error) {
+	return at(ctx, c, "heartbeat", address, heartbeatTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*memberpb.Digest, error) {
+			return memberpb.NewDRPCMembersClient(conn).Heartbeat(ctx, digest)
+		})
+}
+
+// FetchConfig reads a service's accepted document from the instance at an address.
+func (c *Client) FetchConfig(ctx context.Context, address, service string) (*memberpb.Config, error) {
+	return at(ctx, c, "fetch-config", address, callTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*memberpb.Config, error) {
+			return memberpb.NewDRPCMembersClient(conn).FetchConfig(ctx, &memberpb.FetchConfigRequest{Service: service})
+		})
+}
--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
+	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
+	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+)
+
+// Handlers answers the slices' messages.
+type Handlers struct {
+	Budgets budgetpb.DRPCBudgetsServer
+	Bills   billpb.DRPCBillsServer
+	Members memberpb.DRPCMembersServer
+}
+
+// Server answers other instances.
+type Server struct {
+	listener net.Listener
+	server   *drpcserver.Server
+}
+
+// Listen binds an address and registers the handlers.
+func Listen(address string, handlers Handlers) (*Server, error) {
+	mux := drpcmux.New()
+	if err := budgetpb.DRPCRegisterBudgets(mux, handlers.Budgets); err != nil {
+		return nil, err
+	}
+	if err := billpb.DRPCRegisterBills(mux, handlers.Bills); err != nil {
+		return nil, err
+	}
+	if err := memberpb.DRPCRegisterMembers(mux, handlers.Members); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{listener: listener, server: drpcserver.New(mux)}, nil
+}
+
+// Serve answers until ctx ends.
+func (s *Server) Serve(ctx context.Context) error { return s.server.Serve(ctx, s.listener) }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -32,6 +32,9 @@
 	AdminAddress string `toml:"admin_address"`
 	// PlatformAddress is the platform's object API, IP address and port.
 	PlatformAddress string `toml:"platform_address"`
+	// Seeds lists peer addresses of other instances, for an instance that starts
+	// while the platform is down. Default none.
+	Seeds []string `toml:"seeds"`
 	// LedgerShards is the number of ledger objects; the same at all instances
 	// and never changed on a platform in use. Default 16.
 	LedgerShards int `toml:"ledger_shards"`
@@ -145,6 +148,9 @@
 	address("peer_address", s.PeerAddress)
 	address("admin_address", s.AdminAddress)
 	address("platform_address", s.PlatformAddress)
+	for i, seed := range s.Seeds {
+		address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
 	between("ledger_shards", int64(s.LedgerShards), 1, 4096)
 	between("claim_shards", int64(s.ClaimShards), 1, 4096)
 	between("store_timeout_millis", s.StoreTimeoutMillis, 10, 60_000)
--- a/pkg/upstream/stream.go
+++ b/pkg/upstream/stream.go
@@ -24,7 +24,9 @@
 type StreamRequest struct {
 	ID   string
 	Body []byte
-	// Offset is how many tokens the caller has; above 0 it resumes.
+	// Resume asks for the rest of a request that the engine has.
+	Resume bool
+	// Offset is how many tokens the caller has.
 	Offset int64
 	// Urgent asks the engine to start it before others.
 	Urgent bool
@@ -100,7 +102,7 @@
 	req.SetRequestURI("http://" + address + "/v1/chat/completions")
 	req.Header.SetContentTypeBytes([]byte("application/json"))
 	req.Header.Set(chat.HeaderRequestID, r.ID)
-	if r.Offset > 0 {
+	if r.Resume {
 		req.Header.Set(chat.HeaderResumeOffset, strconv.FormatInt(r.Offset, 10))
 	}
 	if r.Urgent {
