--- a/pkg/budget/collector.go
+++ b/pkg/budget/collector.go
@@ -126,17 +126,3 @@
 	}
 	c.settled[id] = true
 }
-
-// forget drops a grant that turned out not to be closed.
-func (c *Collector) forget(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.grants, id)
-}
-
-// open returns how many closed grants wait to be settled.
-func (c *Collector) open() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.grants)
-}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -75,8 +76,6 @@
 type budgetHeld struct {
 	open   *grant
 	refill sync.Mutex // one refill at a time for a budget
-	// dryAt is when the ledger and all spenders were last found to have no more.
-	dryAt time.Time
 }
 
 // Holder draws grants and allocates from them. It is safe for concurrent use.
@@ -87,7 +86,6 @@
 	budgets map[string]*budgetHeld
 	byGrant map[string]*grant
 	counter uint64
-	stopped bool
 }
 
 // NewHolder returns a holder without grants.
@@ -357,7 +355,12 @@
 		}
 		h.byGrant[b.open.id] = b.open
 	}
-	return h.wishOf(b.open, need)
+	w := h.wishOf(b.open, need)
+	// Whoever has to draw at all draws as much as one draw may: what is drawn
+	// lasts through an outage of the store, and is within reach of the others
+	// by allocation. The countersigned part, not this, is what a crash strands.
+	w.want = math.MaxInt64 / 2
+	return w
 }
 
 func (h *Holder) wishOf(g *grant, need int64) drawWish {
--- a/pkg/budget/node.go
+++ b/pkg/budget/node.go
@@ -97,13 +97,15 @@
 	if n.spender.TryReserve(budget, tokens, into) {
 		return nil
 	}
-	if tokens >= p.denied && n.now().Sub(p.deniedAt) < denyFor {
-		return &ShortError{Budget: budget, Need: tokens, Exhausted: true, Step: "reserve"}
+	if p.denied != nil && tokens >= p.denied.Need && n.now().Sub(p.deniedAt) < denyFor {
+		again := *p.denied
+		again.Need = tokens
+		return &again
 	}
-	err := n.search(ctx, budget, tokens, into)
-	if err != nil {
-		p.denied, p.deniedAt = tokens, n.now()
-		return err
+	p.denied = n.search(ctx, budget, tokens, into)
+	if p.denied != nil {
+		p.deniedAt = n.now()
+		return p.denied
 	}
 	return nil
 }
@@ -118,7 +120,7 @@
 	return p
 }
 
-func (n *Node) search(ctx context.Context, budget string, tokens int64, into *Reservation) error {
+func (n *Node) search(ctx context.Context, budget string, tokens int64, into *Reservation) *ShortError {
 	short := &ShortError{Budget: budget, Need: tokens, Exhausted: true, Step: "allocate"}
 	for _, to := range n.fleet.Holders(ledger.ShardOf(budget, n.cfg.Shards)) {
 		wish := n.spender.wishFor(budget, tokens, n.cfg.Ahead)
--- a/pkg/budget/spender.go
+++ b/pkg/budget/spender.go
@@ -39,7 +39,7 @@
 	idle     int     // ticks without demand
 	gather   sync.Mutex
 	deniedAt time.Time
-	denied   int64
+	denied   *ShortError // what the last search in vain found
 }
 
 func (p *position) free() int64 {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -39,8 +39,6 @@
 	// budgetRetryAfter is when to come back for a budget that is used up: after
 	// a top-up has had time to come into force.
 	budgetRetryAfter = 30 * time.Second
-	// hardBodyLimit bounds any body, before the service is known.
-	hardBodyLimit = 8 << 20
 )
 
 // Budgets reserves and settles tokens.
--- /dev/null
+++ b/test/document_test.go
@@ -0,0 +1,18 @@
+package test
+
+import (
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/lavenderring/lavenderring/pkg/document"
+)
+
+func encodeDocument(t *testing.T, doc *document.Document) []byte {
+	t.Helper()
+	text, err := toml.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
--- /dev/null
+++ b/test/harness_test.go
@@ -0,0 +1,521 @@
+// Package test proves the promises on real processes: instances and stand-ins
+// are started, killed, frozen and cut, and what callers got is compared with
+// what the upstreams, the bills and the ledger say.
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/bill"
+	"github.com/lavenderring/lavenderring/pkg/chat"
+	"github.com/lavenderring/lavenderring/pkg/document"
+	"github.com/lavenderring/lavenderring/pkg/instance"
+	"github.com/lavenderring/lavenderring/pkg/ledger"
+	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/standin/plain"
+)
+
+// Bounds of waiting. They say when a test gives up, not how fast anything is.
+const (
+	giveUpAfter = 60 * time.Second
+	lookAgain   = 50 * time.Millisecond
+	adminToken  = "operator"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "lavenderring-test")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/lavenderring", "../cmd/standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out))
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one started program.
+type process struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	address string
+	control string
+}
+
+func start(t *testing.T, log io.Writer, program string, args ...string) *process {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binaries, program), args...)
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{t: t, cmd: cmd}
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	_ = p.cmd.Wait()
+}
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// fleet is a platform with instances and upstreams.
+type fleet struct {
+	t         *testing.T
+	dir       string
+	platform  *process
+	engines   []*process
+	services  []*process
+	instances []*process
+	doc       *document.Document
+	store     *platform.Client
+}
+
+// options sizes a fleet.
+type options struct {
+	instances, engines, services int
+	tokenMillis                  int
+	prepaid                      int64
+	deadlineMillis, idleMillis   int64
+	// viaRelay puts a relay before each engine.
+	viaRelay bool
+}
+
+const (
+	service    = "sirajganj-dispatch"
+	crewKey    = "crew-key"
+	crewBudget = service + "/crew"
+)
+
+func newFleet(t *testing.T, o options) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir()}
+	address := freeAddress(t)
+	f.platform = start(t, io.Discard, "standin", "platform", "--listen", address)
+	f.platform.address = address
+	f.store = platform.NewClient(address, 5*time.Second, nil)
+	f.await("platform", func() bool { _, err := f.store.List(t.Context(), "x"); return err == nil })
+	f.startUpstreams(o)
+	f.doc = f.document(o)
+	for n := 0; n < o.instances; n++ {
+		f.instances = append(f.instances, f.startInstance(n, nil))
+	}
+	f.apply(f.doc)
+	for _, i := range f.instances {
+		f.awaitReady(i)
+	}
+	f.awaitGeneration(1)
+	f.awaitMembers(o.instances)
+	return f
+}
+
+func (f *fleet) startUpstreams(o options) {
+	for n := 0; n < o.engines; n++ {
+		address := freeAddress(f.t)
+		p := start(f.t, io.Discard, "standin", "engine", "--listen", address, "--token-millis", fmt.Sprint(max(o.tokenMillis, 1)))
+		p.address, p.control = address, address
+		if o.viaRelay {
+			p.address, p.control = f.startRelay(address)
+		}
+		f.engines = append(f.engines, p)
+	}
+	for n := 0; n < o.services; n++ {
+		address := freeAddress(f.t)
+		p := start(f.t, io.Discard, "standin", "plain", "--listen", address)
+		p.address, p.control = address, address
+		f.services = append(f.services, p)
+	}
+	for _, p := range append(append([]*process{}, f.engines...), f.services...) {
+		f.awaitListening(p.address)
+	}
+}
+
+func (f *fleet) startRelay(to string) (address, control string) {
+	address, control = freeAddress(f.t), freeAddress(f.t)
+	f.awaitListening(to)
+	start(f.t, io.Discard, "standin", "relay", "--listen", address, "--control", control, "--to", to)
+	f.awaitListening(control)
+	return address, control
+}
+
+func (f *fleet) awaitListening(address string) {
+	f.await(address, func() bool {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err == nil
+	})
+}
+
+func (f *fleet) document(o options) *document.Document {
+	doc := &document.Document{
+		Service: service,
+		Limits:  document.Limits{DeadlineMillis: max(o.deadlineMillis, 10_000), StreamIdleMillis: o.idleMillis},
+		Accounts: []document.Account{
+			{Name: "crew", KeySHA256: document.HashKey(crewKey), PrepaidTokens: o.prepaid},
+			{Name: "other", KeySHA256: document.HashKey("other-key"), PrepaidTokens: o.prepaid},
+		},
+		Pools: []document.Pool{
+			{Name: "reports", Kind: document.KindModel, Model: "leak-report", MaxOutputTokens: 400},
+			{Name: "jobs", Kind: document.KindPlain, PriceTokens: 10, Once: []document.Once{{Method: "POST", Path: "/assign"}}},
+		},
+	}
+	for n, p := range f.engines {
+		u := document.Upstream{Name: fmt.Sprintf("engine-%d", n), Address: p.address, Domain: domainOf(n)}
+		doc.Pools[0].Upstreams = append(doc.Pools[0].Upstreams, u)
+	}
+	for n, p := range f.services {
+		u := document.Upstream{Name: fmt.Sprintf("service-%d", n), Address: p.address, Domain: domainOf(n)}
+		doc.Pools[1].Upstreams = append(doc.Pools[1].Upstreams, u)
+	}
+	return doc
+}
+
+func domainOf(n int) string { return []string{"a", "b", "c"}[n%3] }
+
+// startInstance starts an instance; seeds may be nil.
+func (f *fleet) startInstance(n int, seeds []string) *process {
+	f.t.Helper()
+	caller, peer, admin := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	quoted := make([]string, len(seeds))
+	for i, seed := range seeds {
+		quoted[i] = fmt.Sprintf("%q", seed)
+	}
+	text := fmt.Sprintf(`name = "instance-%d"
+domain = %q
+caller_address = %q
+peer_address = %q
+admin_address = %q
+platform_address = %q
+seeds = [%s]
+ledger_shards = 4
+claim_shards = 4
+heartbeat_millis = 100
+peer_silent_millis = 1500
+admin_token_sha256 = %q
+`, n, domainOf(n), caller, peer, admin, f.platform.address, strings.Join(quoted, ","), document.HashKey(adminToken))
+	path := filepath.Join(f.dir, fmt.Sprintf("instance-%d.toml", n))
+	f.must(os.WriteFile(path, []byte(text), 0o600))
+	log, err := os.Create(filepath.Join(f.dir, fmt.Sprintf("instance-%d-%d.log", n, time.Now().UnixNano())))
+	f.must(err)
+	p := start(f.t, log, "lavenderring", "serve", path)
+	p.address, p.control = caller, admin
+	return p
+}
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) await(what string, done func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(giveUpAfter)
+	for !done() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("gave up waiting for %s", what)
+		}
+		time.Sleep(lookAgain)
+	}
+}
+
+func (f *fleet) awaitReady(p *process) {
+	f.t.Helper()
+	f.await("ready", func() bool {
+		resp, err := http.Get("http://" + p.control + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// admin reads one of an instance's administration pages.
+func (f *fleet) admin(p *process, path string, into any) error {
+	req, err := http.NewRequest(http.MethodGet, "http://"+p.control+path, nil)
+	f.must(err)
+	req.Header.Set("Authorization", "Bearer "+adminToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+func (f *fleet) status(p *process) (instance.Status, error) {
+	var status instance.Status
+	err := f.admin(p, "/status", &status)
+	return status, err
+}
+
+func (f *fleet) awaitGeneration(generation uint64) {
+	f.t.Helper()
+	for _, p := range f.instances {
+		f.await(fmt.Sprintf("generation %d", generation), func() bool {
+			status, err := f.status(p)
+			return err == nil && status.Generations[service] >= generation
+		})
+	}
+}
+
+func (f *fleet) awaitMembers(count int) {
+	f.t.Helper()
+	for _, p := range f.instances {
+		f.await("members", func() bool {
+			status, err := f.status(p)
+			live := 0
+			for _, m := range status.Members {
+				if !m.Silent && !m.Leaving {
+					live++
+				}
+			}
+			return err == nil && live >= count
+		})
+	}
+}
+
+// write writes a document's text for the operators; expect is its version.
+func (f *fleet) write(text []byte, expect platform.Version) (platform.Version, error) {
+	return f.store.Put(f.t.Context(), "config/documents/"+service, text, expect)
+}
+
+// apply writes a document over whatever is stored.
+func (f *fleet) apply(doc *document.Document) {
+	f.t.Helper()
+	object, _ := f.store.Get(f.t.Context(), "config/documents/"+service)
+	_, err := f.write(encodeDocument(f.t, doc), object.Version)
+	f.must(err)
+}
+
+// post sends a JSON body to a stand-in's or relay's switch.
+func (f *fleet) post(address, path string, body any) {
+	f.t.Helper()
+	encoded, err := json.Marshal(body)
+	f.must(err)
+	resp, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(encoded))
+	f.must(err)
+	_ = resp.Body.Close()
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	whole   bool
+	problem problem
+	err     error
+}
+
+// problem is a refusal or failure.
+type problem struct {
+	Title   string `json:"title"`
+	Outcome string `json:"outcome"`
+	Request string `json:"request"`
+}
+
+// refusedUnrun says that the answer truly claims that nothing ran.
+func (a answer) refusedUnrun() bool { return a.problem.Outcome == "not-run" }
+
+// call sends a caller's request and reads all of the answer.
+func call(address, key, method, path, idempotencyKey string, body []byte) answer {
+	return callFor(giveUpAfter, address, key, method, path, idempotencyKey, body)
+}
+
+// callFor is call by a caller who hangs up after a while.
+func callFor(patience time.Duration, address, key, method, path, idempotencyKey string, body []byte) answer {
+	req, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	if idempotencyKey != "" {
+		req.Header.Set(chat.HeaderIdempotencyKey, idempotencyKey)
+	}
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	read, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, header: resp.Header, body: string(read), err: err}
+	a.whole = err == nil && resp.StatusCode == http.StatusOK
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		a.whole = a.whole && strings.HasSuffix(strings.TrimSpace(a.body), chat.EndMark)
+	} else if !a.whole {
+		_ = json.Unmarshal(read, &a.problem)
+	}
+	return a
+}
+
+// ask sends a model request.
+func ask(address, key string, stream bool, maxTokens int64, question string) answer {
+	return askFor(giveUpAfter, address, key, stream, maxTokens, question)
+}
+
+func askFor(patience time.Duration, address, key string, stream bool, maxTokens int64, question string) answer {
+	body, err := json.Marshal(chat.Request{
+		Model:     "leak-report",
+		Messages:  []chat.Message{{Role: "user", Content: question}},
+		MaxTokens: maxTokens,
+		Stream:    stream,
+	})
+	if err != nil {
+		return answer{err: err}
+	}
+	return callFor(patience, address, key, http.MethodPost, "/v1/chat/completions", "", body)
+}
+
+// assign sends a request that may not be repeated.
+func assign(address, idempotencyKey, job string) answer {
+	return call(address, crewKey, http.MethodPost, "/services/jobs/assign", idempotencyKey, []byte(`{"job":"`+job+`"}`))
+}
+
+// text returns the answer's text, streamed or whole.
+func (a answer) text() string {
+	var out strings.Builder
+	for _, line := range strings.Split(a.body, "\n") {
+		data, found := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !found {
+			data = line
+		}
+		var response chat.Response
+		if json.Unmarshal([]byte(data), &response) != nil {
+			continue
+		}
+		for _, choice := range response.Choices {
+			if choice.Delta != nil {
+				out.WriteString(choice.Delta.Content)
+			}
+			if choice.Message != nil {
+				out.WriteString(choice.Message.Content)
+			}
+		}
+	}
+	return out.String()
+}
+
+// runs returns what the plain services ran.
+func (f *fleet) runs() []plain.Run {
+	f.t.Helper()
+	var all []plain.Run
+	for _, p := range f.services {
+		resp, err := http.Get("http://" + p.control + "/_runs")
+		f.must(err)
+		var runs []plain.Run
+		f.must(json.NewDecoder(resp.Body).Decode(&runs))
+		_ = resp.Body.Close()
+		all = append(all, runs...)
+	}
+	return all
+}
+
+// runsOf counts how often a job ran.
+func (f *fleet) runsOf(job string) int {
+	f.t.Helper()
+	count := 0
+	for _, run := range f.runs() {
+		if run.Body == `{"job":"`+job+`"}` {
+			count++
+		}
+	}
+	return count
+}
+
+// engineUsage returns the tokens that the engines counted, by request.
+func (f *fleet) engineUsage() map[string]int64 {
+	f.t.Helper()
+	usage := map[string]int64{}
+	for _, p := range f.engines {
+		resp, err := http.Get("http://" + p.control + "/usage")
+		f.must(err)
+		var counted map[string]int64
+		f.must(json.NewDecoder(resp.Body).Decode(&counted))
+		_ = resp.Body.Close()
+		for id, tokens := range counted {
+			usage[id] += tokens
+		}
+	}
+	return usage
+}
+
+// statement reads every bill in the store.
+func (f *fleet) statement() *bill.Statement {
+	f.t.Helper()
+	objects, err := f.store.List(f.t.Context(), bill.Prefix)
+	f.must(err)
+	statement, err := bill.ReadStatement(objects)
+	f.must(err)
+	return statement
+}
+
+// budget reads a budget from the ledger; an empty one if nobody touched it.
+func (f *fleet) budget(id string) *ledger.Budget {
+	f.t.Helper()
+	for shard := 0; shard < 4; shard++ {
+		object, err := f.store.Get(f.t.Context(), ledger.ObjectKey(shard))
+		if err != nil {
+			continue
+		}
+		decoded, err := ledger.Decode(object.Value)
+		f.must(err)
+		if b := decoded.Budgets[id]; b != nil {
+			return b
+		}
+	}
+	return &ledger.Budget{}
+}
+
+// stopAll stops the instances in an orderly way and expects exit 0 of each.
+func (f *fleet) stopAll() {
+	f.t.Helper()
+	for _, p := range f.instances {
+		p.signal(syscall.SIGTERM)
+	}
+	for _, p := range f.instances {
+		if err := p.cmd.Wait(); err != nil {
+			f.t.Errorf("an instance did not stop in an orderly way: %v", err)
+		}
+	}
+}
