--- a/pkg/budget/fleetfake/calls.go
+++ b/pkg/budget/fleetfake/calls.go
@@ -47,6 +47,9 @@
 		}
 		f.Writes++
 		f.shards[shard] = value
+		if f.Faults.StoreSlow && f.waiting {
+			return errFake
+		}
 		if f.rng.Float64() < f.Faults.LoseWriteAnswer {
 			continue // the client reads back, as platform.Update does
 		}
--- a/pkg/budget/fleetfake/fake.go
+++ b/pkg/budget/fleetfake/fake.go
@@ -24,6 +24,9 @@
 type Faults struct {
 	// StoreDown makes every call to the store fail without effect.
 	StoreDown bool
+	// StoreSlow makes every write of a request that waits take effect after the
+	// request has given up on it; writes that nobody waits for succeed.
+	StoreSlow bool
 	// LoseWriteAnswer makes a write take effect and report a fault.
 	LoseWriteAnswer float64
 	// LoseRequest and LoseReply lose messages between instances.
@@ -57,6 +60,7 @@
 	shards  map[int][]byte
 	cut     map[[2]int]bool
 	nesting int
+	waiting bool // a request waits for what is being done
 	births  int
 }
 
@@ -147,6 +151,13 @@
 	}
 }
 
+// Reserve reserves at a place, as a request that waits for the answer.
+func (f *Fleet) Reserve(place int, id string, tokens int64, into *budget.Reservation) error {
+	f.waiting = true
+	defer func() { f.waiting = false }()
+	return f.Nodes[place].Node.Reserve(context.Background(), id, tokens, into)
+}
+
 // Crash ends the node at a place for good and starts a new one there.
 func (f *Fleet) Crash(place int) {
 	old := f.Nodes[place]
