Tokens cross a partition through the store

Ruled out: witness changes (the unwitnessed form had the same). A holder that lacks tokens now notes so in the ledger, and holders that can spare some give half of what is unsigned back. The safety property found the first form wrong: giving back twice after a lost answer; the floor is now absolute. Writes of a holder to a shard come one at a time, since a grant can shrink now.

--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -32,11 +32,15 @@
 	returned            int64
 	accounts            map[string]*account
 	folded              int64 // used as last written to the ledger
-	unsentUsages        map[string]bool
-	renaming            bool // another witness is being named; see beginRename
-	demand              int64
-	perSecond           float64
-	idleTicks           int
+	// offered is how much of drawn was set aside to be given back by a write
+	// that has not been settled. It is not in drawn meanwhile.
+	offered      int64
+	wanted       int64 // what others lacked when the ledger was last read
+	unsentUsages map[string]bool
+	renaming     bool // another witness is being named; see beginRename
+	demand       int64
+	perSecond    float64
+	idleTicks    int
 }
 
 // allocatable returns the signed tokens that have not been allocated.
@@ -308,11 +312,11 @@
 	return g.id
 }
 
-// beginRename makes the line that names another witness. From here on no
+// renameWish makes the line that names another witness. From here on no
 // signature counts until the ledger names the new one: it will answer for what
 // is signed now, and a late signature of the old one would let more be
 // allocated than the new one reclaims down to.
-func (h *Holder) beginRename(g *grant, witness string) drawWish {
+func (h *Holder) renameWish(g *grant, witness string) drawWish {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	g.renaming = true
@@ -335,6 +339,9 @@
 	want    int64 // tokens wished beyond that
 	used    int64
 	signed  int64
+	floor   int64 // the least that drawn may be lowered to
+	ahead   int64 // tokens that should be free or held, or others are asked
+	settle  bool  // an offer is made or not settled yet
 	fresh   bool
 	rename  bool
 }
@@ -363,6 +370,10 @@
 	return w
 }
 
+// keepAhead is how much of its demand a holder wants within reach; when it has
+// less and the ledger has none it asks the others.
+const keepAhead = 15 * time.Second
+
 func (h *Holder) wishOf(g *grant, need int64) drawWish {
 	horizon := int64(g.perSecond * h.cfg.Horizon.Seconds())
 	return drawWish{
@@ -374,17 +385,46 @@
 		need:    need,
 		want:    max(horizon-g.rest(), 0),
 		used:    g.used,
+		ahead:   max(int64(g.perSecond*keepAhead.Seconds())-g.rest(), 0),
+		settle:  g.offered > 0,
+		floor:   math.MaxInt64,
 		fresh:   g.fresh,
 	}
 }
 
+// offerWish makes the line that gives back what others want and this holder can
+// spare: half of what is unsigned, or all of it if nobody asks for it here. What
+// is offered counts as gone until the write is settled, since a signature on it
+// meanwhile would let it be spent here and drawn elsewhere.
+func (h *Holder) offerWish(g *grant) (drawWish, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	spare := g.unsigned()
+	if g.perSecond >= 1 {
+		spare /= 2
+	}
+	spare = min(spare, g.wanted)
+	if spare <= 0 || g.fresh || h.byGrant[g.id] != g {
+		return drawWish{}, false
+	}
+	g.offered += spare
+	g.drawn -= spare
+	w := h.wishOf(g, 0)
+	w.want, w.ahead = 0, 0
+	w.settle = true
+	w.floor = g.drawn
+	return w, true
+}
+
 // drawResult is what a write to a ledger shard found for one line.
 type drawResult struct {
 	wish  drawWish
 	drawn int64
 	free  int64
-	err   error
-	row   *ledger.Grant
+	// wanted is what others lack.
+	wanted int64
+	err    error
+	row    *ledger.Grant
 }
 
 // apply makes one line's changes to a shard. How much is drawn is decided on
@@ -399,6 +439,7 @@
 	}
 	result.err = w.change(shard, b, self, poolShare)
 	result.free = b.Free()
+	result.wanted = b.Wanted
 	if g := b.Grants[w.id]; g != nil {
 		result.drawn = g.Drawn
 		copied := *g
@@ -418,6 +459,17 @@
 			return err
 		}
 	}
+	if w.settle {
+		if err := shard.GiveBack(w.budget, w.id, w.floor); err != nil {
+			return err
+		}
+	}
+	if b.Free() >= b.Wanted {
+		b.Wanted = 0
+	}
+	if missing := max(w.need, w.ahead) - b.Free(); missing > 0 {
+		shard.Want(w.budget, missing)
+	}
 	extra := min(w.want, max(b.Free()-w.need, 0)/poolShare)
 	if w.need+extra <= 0 {
 		return nil
@@ -445,7 +497,8 @@
 			continue
 		}
 		g.fresh = false
-		g.drawn = max(g.drawn, r.drawn)
+		g.adoptDrawn(r)
+		g.wanted = r.wanted
 		g.folded = max(g.folded, r.wish.used)
 		if r.wish.rename {
 			h.rewitness(g, r.wish.witness)
@@ -454,6 +507,18 @@
 	return lost
 }
 
+// adoptDrawn takes over what the ledger says is drawn. Writes to a shard come
+// one at a time, so the row is the truth; but while an offer is not settled an
+// older write may still take effect, and only a write that settles it may raise
+// drawn again.
+func (g *grant) adoptDrawn(r drawResult) {
+	if g.offered > 0 && !r.wish.settle {
+		return
+	}
+	g.drawn = r.drawn
+	g.offered = 0
+}
+
 // rewitness makes another instance the grant's witness. The new one must learn
 // every usage, since it is the one to give evidence.
 func (h *Holder) rewitness(g *grant, witness string) {
@@ -483,8 +548,8 @@
 type tickPlan struct {
 	// sign holds, by witness, what to have signed.
 	sign map[string][]*budgetpb.GrantState
-	// draw holds, by shard, what to write to the ledger.
-	draw map[int][]drawWish
+	// draw holds, by shard, the grants to bring up to date in the ledger.
+	draw map[int][]*grant
 	// renew lists budgets whose witness has to be replaced.
 	renew []*grant
 }
@@ -494,7 +559,7 @@
 func (h *Holder) plan(interval time.Duration, foldDue bool, witnessGone func(string) bool) tickPlan {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	plan := tickPlan{sign: map[string][]*budgetpb.GrantState{}, draw: map[int][]drawWish{}}
+	plan := tickPlan{sign: map[string][]*budgetpb.GrantState{}, draw: map[int][]*grant{}}
 	for _, id := range sortedKeys(h.byGrant) {
 		g := h.byGrant[id]
 		g.smooth(interval)
@@ -532,16 +597,22 @@
 }
 
 func (h *Holder) planDraw(g *grant, foldDue bool, plan *tickPlan) {
+	if foldDue && (g.rest() > 0 || g.used > g.folded || g.offered > 0) {
+		shard := ledger.ShardOf(g.budget, h.cfg.Shards)
+		plan.draw[shard] = append(plan.draw[shard], g)
+	}
+}
+
+// tickWish makes the line of one tick: spending is recorded, and more is drawn
+// when less than half the horizon is left.
+func (h *Holder) tickWish(g *grant) drawWish {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	w := h.wishOf(g, 0)
-	low := int64(g.perSecond*h.cfg.Horizon.Seconds()) / 2
-	if g.rest() > low {
+	if g.rest() > int64(g.perSecond*h.cfg.Horizon.Seconds())/2 {
 		w.want = 0
 	}
-	drawDue := w.want > 0 && foldDue
-	if drawDue || (foldDue && g.used > g.folded) {
-		shard := ledger.ShardOf(g.budget, h.cfg.Shards)
-		plan.draw[shard] = append(plan.draw[shard], w)
-	}
+	return w
 }
 
 // find returns an open grant, or nil.
--- a/pkg/budget/interfaces.go
+++ b/pkg/budget/interfaces.go
@@ -97,7 +97,7 @@
 	DefaultSignedAhead = 10 * time.Second
 	DefaultHorizon     = time.Hour
 	DefaultPoolShare   = 4
-	DefaultFoldEvery   = 10 * time.Second
+	DefaultFoldEvery   = 5 * time.Second
 	// tickSmoothing is the weight of the newest tick in smoothed demand.
 	tickSmoothing = 0.2
 )
--- a/pkg/budget/node.go
+++ b/pkg/budget/node.go
@@ -36,6 +36,7 @@
 	holder    *Holder
 	witness   *Witness
 	collector *Collector
+	shards    []sync.Mutex // one ledger write of the holder at a time
 
 	mu       sync.Mutex
 	lastTick time.Time
@@ -71,6 +72,7 @@
 		holder:    NewHolder(cfg),
 		witness:   NewWitness(),
 		collector: NewCollector(),
+		shards:    make([]sync.Mutex, cfg.Shards),
 		lastTick:  deps.Now(),
 		taken:     map[string]bool{},
 		direct:    map[string]time.Time{},
@@ -218,8 +220,10 @@
 }
 
 func (n *Node) drawFor(ctx context.Context, budget string, missing int64) error {
-	w := n.holder.drawWish(budget, n.chooseWitness(), missing)
-	return n.write(ctx, ledger.ShardOf(budget, n.cfg.Shards), []drawWish{w})
+	witness := n.chooseWitness()
+	return n.write(ctx, ledger.ShardOf(budget, n.cfg.Shards), func() []drawWish {
+		return []drawWish{n.holder.drawWish(budget, witness, missing)}
+	})
 }
 
 func (n *Node) chooseWitness() string {
@@ -230,8 +234,20 @@
 }
 
 // write brings a holder's wishes for one shard to the ledger, with the prepaid
-// amounts in force, in one conditional write.
-func (n *Node) write(ctx context.Context, shard int, wishes []drawWish) error {
+// amounts in force, in one conditional write. Writes to a shard come one at a
+// time, wishes included: a grant can grow and shrink, and results taken over in
+// the wrong order would make it look larger than it is.
+func (n *Node) write(ctx context.Context, shard int, makeWishes func() []drawWish) error {
+	n.shards[shard].Lock()
+	defer n.shards[shard].Unlock()
+	wishes := makeWishes()
+	if len(wishes) == 0 {
+		return nil
+	}
+	return n.writeLocked(ctx, shard, wishes)
+}
+
+func (n *Node) writeLocked(ctx context.Context, shard int, wishes []drawWish) error {
 	var results []drawResult
 	err := n.ledger.Update(ctx, shard, func(s *ledger.Shard) {
 		results = results[:0]
@@ -271,7 +287,11 @@
 }
 
 // SyncPrepaid brings the prepaid amounts in force to one shard.
-func (n *Node) SyncPrepaid(ctx context.Context, shard int) error { return n.write(ctx, shard, nil) }
+func (n *Node) SyncPrepaid(ctx context.Context, shard int) error {
+	n.shards[shard].Lock()
+	defer n.shards[shard].Unlock()
+	return n.writeLocked(ctx, shard, nil)
+}
 
 // recallFor asks spenders to return what they do not need, and reports whether
 // all answered.
--- a/pkg/budget/tick.go
+++ b/pkg/budget/tick.go
@@ -93,22 +93,51 @@
 	for _, witness := range sortedKeys(plan.sign) {
 		_ = n.sign(ctx, witness, plan.sign[witness])
 	}
-	n.planRenewals(&plan, next)
+	if next != "" {
+		n.renameWitness(ctx, plan.renew, next)
+	}
 	for _, shard := range sortedKeys(plan.draw) {
-		_ = n.write(ctx, shard, plan.draw[shard])
+		n.bringUpToDate(ctx, shard, plan.draw[shard])
 	}
 }
 
-// planRenewals adds a change of witness to the writes of the tick.
-func (n *Node) planRenewals(plan *tickPlan, next string) {
-	if next == "" {
-		return
-	}
-	for _, g := range plan.renew {
-		w := n.holder.beginRename(g, next)
+// renameWitness names another witness for grants, one write for each shard.
+func (n *Node) renameWitness(ctx context.Context, grants []*grant, next string) {
+	byShard := map[int][]*grant{}
+	for _, g := range grants {
 		shard := ledger.ShardOf(g.budget, n.cfg.Shards)
-		plan.draw[shard] = append(plan.draw[shard], w)
+		byShard[shard] = append(byShard[shard], g)
+	}
+	for _, shard := range sortedKeys(byShard) {
+		_ = n.write(ctx, shard, func() (wishes []drawWish) {
+			for _, g := range byShard[shard] {
+				wishes = append(wishes, n.holder.renameWish(g, next))
+			}
+			return wishes
+		})
+	}
+}
+
+// bringUpToDate records spending and draws ahead; if it finds that others lack
+// tokens, it gives back what can be spared by a second write.
+func (n *Node) bringUpToDate(ctx context.Context, shard int, grants []*grant) {
+	err := n.write(ctx, shard, func() (wishes []drawWish) {
+		for _, g := range grants {
+			wishes = append(wishes, n.holder.tickWish(g))
+		}
+		return wishes
+	})
+	if err != nil {
+		return
 	}
+	_ = n.write(ctx, shard, func() (wishes []drawWish) {
+		for _, g := range grants {
+			if w, spare := n.holder.offerWish(g); spare {
+				wishes = append(wishes, w)
+			}
+		}
+		return wishes
+	})
 }
 
 // closeSurrendered closes grants that could not be closed in the ledger yet.
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -54,6 +54,9 @@
 	Allocated int64 `json:"allocated,omitempty"`
 	// Used is how many of them are known to be spent.
 	Used int64 `json:"used"`
+	// Seq rises with each write that gives tokens back or settles whether an
+	// earlier one did.
+	Seq uint64 `json:"seq,omitempty"`
 	// Closed grants are never drawn on or allocated from again.
 	Closed bool `json:"closed,omitempty"`
 	// Evidence settles a closed grant, by spender.
@@ -104,6 +107,9 @@
 	Prepaid int64 `json:"prepaid"`
 	// Settled is what closed and settled grants have spent, in tokens.
 	Settled int64 `json:"settled"`
+	// Wanted is how many tokens a holder found missing here. Holders that can
+	// spare some return them: so tokens cross a partition through the store.
+	Wanted int64 `json:"wanted,omitempty"`
 	// Grants holds the grants that are not settled, by id.
 	Grants map[string]*Grant `json:"grants,omitempty"`
 }
@@ -258,6 +264,31 @@
 	return nil
 }
 
+// Want notes that a holder lacks tokens that are not free.
+func (s *Shard) Want(id string, tokens int64) {
+	if b := s.Budgets[id]; b != nil {
+		b.Wanted = max(b.Wanted, tokens)
+	}
+}
+
+// GiveBack lowers an open grant's Drawn by what is wanted, down to floor at
+// most. The floor is absolute and chosen before the write: applied again after a
+// lost answer it gives back no second time. GiveBack always changes the shard:
+// after a write of it that succeeded no earlier one can take effect any more.
+// Errors: ErrGrantMissing, ErrGrantClosed.
+func (s *Shard) GiveBack(id, grantID string, floor int64) error {
+	g, err := s.open(id, grantID)
+	if err != nil {
+		return err
+	}
+	b := s.Budgets[id]
+	give := max(min(b.Wanted, g.Drawn-floor), 0)
+	g.Drawn -= give
+	b.Wanted -= give
+	g.Seq++
+	return nil
+}
+
 // NameWitness gives an open grant another witness. It and Reclaim are writes on
 // the same object, so of a holder that replaces its witness and a witness that
 // reclaims, one loses. signed is how much the holder may allocate on the word of
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -64,6 +64,22 @@
 	}
 }
 
+// A holder's offer is applied twice after a lost answer, and somebody else wants
+// more meanwhile. Only what was set aside may leave the grant.
+func TestRepeatedGiveBackGivesOnce(t *testing.T) {
+	s := newShard(1000)
+	_, _ = s.Draw(id, "x#1", "x", "y", 800, true)
+	for range 3 {
+		s.Want(id, 100)
+		if err := s.GiveBack(id, "x#1", 700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if drawn := s.Budgets[id].Grants["x#1"].Drawn; drawn != 700 {
+		t.Errorf("drawn is %d", drawn)
+	}
+}
+
 // Whatever operations come in whatever order, no write makes more withheld and
 // settled than was prepaid.
 func TestNoOperationWithholdsMoreThanPrepaid(t *testing.T) {
@@ -89,9 +105,13 @@
 	grant := names[rng.IntN(len(names))]
 	tokens := rng.Int64N(600)
 	evidence := map[string]Evidence{"p": {Used: rng.Int64N(50), Returned: rng.Int64N(50)}}
-	switch rng.IntN(6) {
+	switch rng.IntN(8) {
 	case 0, 1:
 		_, _ = s.Draw(id, grant, grant[:1], "w", tokens, rng.IntN(2) == 0)
+	case 6:
+		s.Want(id, tokens)
+	case 7:
+		_ = s.GiveBack(id, grant, tokens)
 	case 2:
 		_ = s.Fold(id, grant, tokens)
 	case 3:
