Near exhaustion tokens go back to the ledger, allocated ones too

A holder that reads that others lack tokens now recalls its lots and gives back all but three seconds of its own demand, the signed part too: a closed grant withholds no more than was drawn.

--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -128,8 +128,8 @@
 		give := g.share(req.Need, req.Ahead)
 		a.allocated += give
 		g.allocated += give
+		g.demand += max(give, req.Need)
 	}
-	g.demand += req.Need
 	return &budgetpb.AllocateReply{Lots: []*budgetpb.Lot{g.lot(a)}}
 }
 
@@ -286,15 +286,20 @@
 	}
 }
 
-// selfSign signs everything of grants that have no witness: with one instance,
-// or with a witness switched off, there is nobody to countersign.
-func (h *Holder) selfSign(budget string) {
+// selfSign signs for grants that have no witness, since nobody else is there to
+// countersign. It signs no more than a witness is asked to: what is signed can
+// not be given back to the ledger.
+func (h *Holder) selfSign(budget string, need int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if g := h.openGrant(budget); g != nil && g.witness == "" && !g.fresh && !g.renaming {
-		g.signed = g.drawn + g.returned
-		g.unsentUsages = map[string]bool{}
+	g := h.openGrant(budget)
+	if g == nil || g.witness != "" || g.fresh || g.renaming {
+		return
+	}
+	if state := h.signState(g, need); state != nil {
+		g.signed = max(g.signed, state.UpTo)
 	}
+	g.unsentUsages = map[string]bool{}
 }
 
 // newGrantID returns an id that was never used: ids carry the incarnation.
@@ -374,6 +379,11 @@
 // less and the ledger has none it asks the others.
 const keepAhead = 15 * time.Second
 
+// keepWhenWanted is how much of its demand a holder keeps when others
+// lack tokens. Near exhaustion tokens are better in the ledger, where every
+// side of a partition finds them.
+const keepWhenWanted = 3 * time.Second
+
 func (h *Holder) wishOf(g *grant, need int64) drawWish {
 	horizon := int64(g.perSecond * h.cfg.Horizon.Seconds())
 	return drawWish{
@@ -392,23 +402,28 @@
 	}
 }
 
+// lacking reports whether others lack more of a budget than is at hand here.
+func (h *Holder) lacking(g *grant) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return g.wanted > g.rest()
+}
+
 // offerWish makes the line that gives back what others want and this holder can
-// spare: half of what is unsigned, or all of it if nobody asks for it here. What
-// is offered counts as gone until the write is settled, since a signature on it
+// spare: what is not allocated, beyond a few seconds of its own demand. What is offered counts as gone until the write is settled, since a signature on it
 // meanwhile would let it be spent here and drawn elsewhere.
 func (h *Holder) offerWish(g *grant) (drawWish, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	spare := g.unsigned()
-	if g.perSecond >= 1 {
-		spare /= 2
-	}
-	spare = min(spare, g.wanted)
+	spare := min(g.rest()-int64(g.perSecond*keepWhenWanted.Seconds()), g.wanted)
 	if spare <= 0 || g.fresh || h.byGrant[g.id] != g {
 		return drawWish{}, false
 	}
 	g.offered += spare
 	g.drawn -= spare
+	// The witness may have signed more than is kept. That is no harm: a closed
+	// grant withholds no more than was drawn.
+	g.signed = min(g.signed, g.drawn+g.returned)
 	w := h.wishOf(g, 0)
 	w.want, w.ahead = 0, 0
 	w.settle = true
--- a/pkg/budget/interfaces.go
+++ b/pkg/budget/interfaces.go
@@ -93,8 +93,8 @@
 
 // Defaults of the sizing.
 const (
-	DefaultAhead       = 5 * time.Second
-	DefaultSignedAhead = 10 * time.Second
+	DefaultAhead       = 2 * time.Second
+	DefaultSignedAhead = 5 * time.Second
 	DefaultHorizon     = time.Hour
 	DefaultPoolShare   = 4
 	DefaultFoldEvery   = 5 * time.Second
--- a/pkg/budget/node.go
+++ b/pkg/budget/node.go
@@ -199,7 +199,7 @@
 func (n *Node) signFor(ctx context.Context, budget string, need int64) error {
 	witness, state := n.holder.signWish(budget, need)
 	if witness == "" {
-		n.holder.selfSign(budget)
+		n.holder.selfSign(budget, need)
 		return nil
 	}
 	if state == nil {
--- a/pkg/budget/tick.go
+++ b/pkg/budget/tick.go
@@ -130,6 +130,11 @@
 	if err != nil {
 		return
 	}
+	for _, g := range grants {
+		if n.holder.lacking(g) {
+			n.recallFor(ctx, g.budget, "")
+		}
+	}
 	_ = n.write(ctx, shard, func() (wishes []drawWish) {
 		for _, g := range grants {
 			if w, spare := n.holder.offerWish(g); spare {
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -82,7 +82,7 @@
 	for _, e := range g.Evidence {
 		rest -= e.Used + e.Returned
 	}
-	return max(rest, 0)
+	return min(max(rest, 0), g.Held()-g.Spent())
 }
 
 // Held returns the tokens that the grant withholds from the budget. A closed
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -51,7 +51,7 @@
 	// around it, in milliseconds. Default 3000.
 	PeerSilentMillis int64 `toml:"peer_silent_millis"`
 	// AheadSeconds is how many seconds of an account's demand an instance
-	// keeps allocated for it. Default 5.
+	// keeps allocated for it. Default 2.
 	AheadSeconds int64 `toml:"ahead_seconds"`
 	// AdminTokenSHA256 is the SHA-256 of the operators' bearer token, in
 	// hexadecimal. Empty closes the administration calls that change or show
@@ -123,7 +123,7 @@
 		StoreTimeoutMillis: 1000,
 		HeartbeatMillis:    500,
 		PeerSilentMillis:   3000,
-		AheadSeconds:       5,
+		AheadSeconds:       2,
 	}
 }
 
