--- /dev/null
+++ b/pkg/bill/bill_test.go
@@ -0,0 +1,110 @@
+package bill
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
+	"github.com/lavenderring/lavenderring/pkg/platform/storefake"
+)
+
+// direct brings copies to one keeper, unless the message or its answer is lost.
+type direct struct {
+	keeper *Keeper
+	rng    *rand.Rand
+}
+
+var errLost = errors.New("lost")
+
+func (d direct) Keep(ctx context.Context, _ string, req *billpb.KeepRequest) (*billpb.KeepReply, error) {
+	if d.rng.IntN(5) == 0 {
+		return nil, errLost
+	}
+	reply, err := d.keeper.Keep(ctx, req)
+	if d.rng.IntN(5) == 0 {
+		return nil, errLost
+	}
+	return reply, err
+}
+
+// An instance bills requests; its writes meet conflicts and lost answers, copies
+// are lost and resent, and its keeper thinks it dead, sometimes wrongly, and
+// writes what it has while the instance goes on. Every bill lands once: bills
+// are told apart by number, and a segment's name is taken by one writer.
+func TestEachRequestIsBilledOnce(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(6)
+	parameters.MinSuccessfulTests = 300
+	properties := gopter.NewProperties(parameters)
+	properties.Property("one bill for each request", prop.ForAll(func(seed uint64) string {
+		return billHistory(t.Context(), seed)
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+func billHistory(ctx context.Context, seed uint64) string {
+	rng := rand.New(rand.NewPCG(seed, 9))
+	store := storefake.New(seed)
+	keeper := NewKeeper(store)
+	j := NewJournal("i", store, direct{keeper, rng}, func() string { return "peer" })
+	silent := func(string) bool { return true }
+	store.SetBetween(0.2, func() { _ = keeper.TakeOver(ctx, silent) })
+	billed := 0
+	var running []string
+	for range 150 {
+		store.SetFaults(rng.IntN(8) == 0, 0.3*rng.Float64())
+		switch rng.IntN(7) {
+		case 0, 1:
+			id := fmt.Sprintf("request-%d", billed+len(running))
+			j.Open(id, "s/a", 100)
+			running = append(running, id)
+		case 2, 3:
+			if len(running) > 0 {
+				j.Settle(running[0], 10, OutcomeRan)
+				j.Settle(running[0], 10, OutcomeRan) // a second settlement changes nothing
+				running = running[1:]
+				billed++
+			}
+		case 4:
+			_ = j.Copy(ctx)
+		case 5:
+			_ = j.Flush(ctx)
+		case 6:
+			_ = keeper.TakeOver(ctx, silent)
+		}
+	}
+	return finishHistory(ctx, store, keeper, j, rng.IntN(2) == 0, billed)
+}
+
+// finishHistory ends with the instance alive, or dead with a copy at its keeper.
+func finishHistory(ctx context.Context, store *storefake.Store, keeper *Keeper, j *Journal, dies bool, billed int) string {
+	store.SetFaults(false, 0)
+	store.SetBetween(0, nil)
+	if dies {
+		for j.Copy(ctx) != nil {
+			continue
+		}
+		if err := keeper.TakeOver(ctx, func(string) bool { return true }); err != nil {
+			return err.Error()
+		}
+	} else if err := j.Flush(ctx); err != nil {
+		return err.Error()
+	}
+	statement, err := ReadStatement(store.Objects())
+	if err != nil {
+		return err.Error()
+	}
+	if len(statement.Doubles) > 0 {
+		return fmt.Sprintf("billed twice: %v", statement.Doubles)
+	}
+	if len(statement.Bills) != billed {
+		return fmt.Sprintf("%d requests were billed, %d bills stand (instance died: %v)", billed, len(statement.Bills), dies)
+	}
+	return ""
+}
--- a/pkg/bill/keeper.go
+++ b/pkg/bill/keeper.go
@@ -11,6 +11,8 @@
 // Keeper holds copies of other instances' records. It is safe for concurrent use.
 type Keeper struct {
 	store Store
+	// taking is held by the one takeover at a time.
+	taking sync.Mutex
 
 	mu     sync.Mutex
 	copies map[string]*copies
@@ -54,6 +56,10 @@
 // TakeOver writes the records kept for incarnations that are silent. It may be
 // early: the segments' names make sure that each record lands once.
 func (k *Keeper) TakeOver(ctx context.Context, silent func(incarnation string) bool) error {
+	if !k.taking.TryLock() {
+		return nil
+	}
+	defer k.taking.Unlock()
 	for incarnation, left := range k.left(silent) {
 		if _, _, err := writeSegments(ctx, k.store, incarnation, left.segment, left.records); err != nil {
 			return err
--- a/pkg/budget/interfaces.go
+++ b/pkg/budget/interfaces.go
@@ -94,7 +94,7 @@
 // Defaults of the sizing.
 const (
 	DefaultAhead       = 2 * time.Second
-	DefaultSignedAhead = 5 * time.Second
+	DefaultSignedAhead = 2 * time.Second
 	DefaultHorizon     = time.Hour
 	DefaultPoolShare   = 4
 	DefaultFoldEvery   = 5 * time.Second
--- a/pkg/budget/spender.go
+++ b/pkg/budget/spender.go
@@ -310,7 +310,7 @@
 		if s.stopping || p.idle >= idleTicksBeforeReturn {
 			keep = 0
 		}
-		p.giveBack(2 * keep)
+		p.giveBack(keep + keep/2)
 		s.collect(budget, p, out)
 		if p.quiet() {
 			delete(s.active, budget)
--- /dev/null
+++ b/pkg/claim/claim_test.go
@@ -0,0 +1,122 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/lavenderring/lavenderring/pkg/outcome"
+	"github.com/lavenderring/lavenderring/pkg/platform/storefake"
+)
+
+// Callers press again and again, at several instances at once, while writes meet
+// conflicts, lose their answers, or meet an outage. Whatever happens, at most
+// one request of a key is told to run, and once an outcome is recorded every
+// later press finds that one.
+func TestAtMostOneRequestOfAKeyRuns(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(5)
+	parameters.MinSuccessfulTests = 60
+	properties := gopter.NewProperties(parameters)
+	properties.Property("one run for each key", prop.ForAll(func(seed uint64) string {
+		failure := ""
+		synctest.Test(t, func(t *testing.T) { failure = claimHistory(t, seed) })
+		return failure
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// presses is how often the callers of one history press.
+const presses = 60
+
+func claimHistory(t *testing.T, seed uint64) string {
+	rng := rand.New(rand.NewPCG(seed, 8))
+	store := storefake.New(seed)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var claimers []*Claimer
+	for range 3 {
+		c := NewClaimer(store, 2, time.Now)
+		go c.Run(ctx)
+		claimers = append(claimers, c)
+	}
+	ran := map[string]string{}
+	pressed := 0
+	press := func() string {
+		pressed++
+		key := Key("s/a", fmt.Sprint(rng.IntN(4)))
+		request := fmt.Sprintf("request-%d", pressed)
+		c := claimers[rng.IntN(len(claimers))]
+		pressCtx, done := context.WithTimeout(ctx, time.Second)
+		defer done()
+		standing, taken, err := c.Take(pressCtx, key, Claim{Request: request, Holder: "i"})
+		switch {
+		case err != nil:
+			c.Release(ctx, key, request)
+		case taken && ran[key] != "" && ran[key] != request:
+			return fmt.Sprintf("%s ran for %s, and %s too", ran[key], key, request)
+		case taken:
+			ran[key] = request
+			if rng.IntN(2) == 0 {
+				c.Finish(ctx, key, request, outcome.Ran, &Answer{Status: 200, Body: []byte(request)})
+			}
+		case standing.Outcome == outcome.Ran && string(standing.Answer.Body) != ran[key]:
+			return fmt.Sprintf("the answer of %s is recorded, %s ran", standing.Answer.Body, ran[key])
+		}
+		return ""
+	}
+	for pressed < presses {
+		store.SetFaults(rng.IntN(6) == 0, 0.4*rng.Float64())
+		if failure := press(); failure != "" {
+			return failure
+		}
+	}
+	return ""
+}
+
+// A claim's answer is too large for its shard's value. The fact that its request
+// ran is kept and the answer is left out, the oldest first: forgetting the claim
+// would let the request run again.
+func TestFullShardForgetsAnswersNotClaims(t *testing.T) {
+	s, err := decodeShard(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1_700_000_000, 0)
+	const claims = 200
+	for n := range claims {
+		key := fmt.Sprint(n)
+		s.take(key, Claim{Request: key})
+		s.finish(key, key, outcome.Ran, &Answer{Body: make([]byte, MaxAnswerBytes)}, now.Add(time.Duration(n)*time.Second))
+	}
+	value, fits, err := s.encode()
+	if err != nil || !fits || len(value) > maxShardBytes {
+		t.Fatalf("%d bytes, fits %v, %v", len(value), fits, err)
+	}
+	if len(s.Claims) != claims || !s.Claims["0"].Answer.Omitted || s.Claims["199"].Answer.Omitted {
+		t.Error("the wrong answers were left out")
+	}
+}
+
+// A day passes. Finished claims go, so that shards do not grow for ever; one
+// without an outcome stays, since nobody knows whether its request ran.
+func TestPruneKeepsTheUnknown(t *testing.T) {
+	s, err := decodeShard(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1_700_000_000, 0)
+	s.take("done", Claim{Request: "1"})
+	s.finish("done", "1", outcome.Ran, nil, now)
+	s.take("open", Claim{Request: "2", AtMillis: now.UnixMilli()})
+	s.prune(now.Add(Retention + time.Second))
+	if s.Claims["done"] != nil || s.Claims["open"] == nil {
+		t.Errorf("left: %v", s.Claims)
+	}
+}
--- /dev/null
+++ b/pkg/configsync/state_test.go
@@ -0,0 +1,116 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/lavenderring/lavenderring/pkg/document"
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/platform/storefake"
+)
+
+func documentText(prepaid int64) []byte {
+	return fmt.Appendf(nil, `service = "s"
+[[accounts]]
+name = "a"
+key_sha256 = %q
+prepaid_tokens = %d
+[[pools]]
+name = "p"
+kind = "plain"
+`, document.HashKey("key"), prepaid)
+}
+
+// noList gives a fake store the calls that this test does not make.
+type noList struct{ *storefake.Store }
+
+func (noList) List(context.Context, string) ([]platform.Object, error) { return nil, nil }
+
+func (noList) Watch(context.Context, string, platform.Version, time.Duration) (platform.WatchAnswer, error) {
+	return platform.WatchAnswer{}, nil
+}
+
+// Several instances accept what operators write, at once, late, and from old
+// watch events, while the store loses answers; peers pass on what they have in
+// any order. No instance ever goes back, and in the end all work by the newest.
+func TestConfigurationNeverReverts(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters.MinSuccessfulTests = 60
+	properties := gopter.NewProperties(parameters)
+	properties.Property("generations only rise, and follow the documents", prop.ForAll(func(seed uint64) string {
+		failure := ""
+		synctest.Test(t, func(t *testing.T) { failure = configHistory(t.Context(), seed) })
+		return failure
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+func configHistory(ctx context.Context, seed uint64) string {
+	rng := rand.New(rand.NewPCG(seed, 10))
+	store := storefake.New(seed)
+	var syncers []*Syncer
+	seen := make([]uint64, 4)
+	for n := range seen {
+		state := NewState(func(f *InForce) {
+			if f.Generation <= seen[n] {
+				panic("went back")
+			}
+			seen[n] = f.Generation
+		})
+		syncers = append(syncers, NewSyncer(noList{store}, state, eventlog.Discard("test"), nil, func() {}))
+	}
+	var events []platform.Object // every version ever stored, as late watches deliver it
+	var newest platform.Object
+	for range 60 {
+		store.SetFaults(rng.IntN(8) == 0, 0.3*rng.Float64())
+		switch rng.IntN(4) {
+		case 0:
+			text := documentText(rng.Int64N(1000))
+			if _, err := store.Put(ctx, DocumentPrefix+"s", text, newest.Version); err == nil {
+				newest, _ = store.Get(ctx, DocumentPrefix+"s")
+				events = append(events, newest)
+			} else if object, err := store.Get(ctx, DocumentPrefix+"s"); err == nil && object.Version > newest.Version {
+				newest = object
+				events = append(events, newest)
+			}
+		case 1, 2:
+			if len(events) > 0 {
+				_ = syncers[rng.IntN(4)].Accept(ctx, events[rng.IntN(len(events))])
+			}
+		case 3:
+			if f := syncers[rng.IntN(4)].state.Snapshot().Services["s"]; f != nil {
+				syncers[rng.IntN(4)].Apply(f.Accepted)
+			}
+		}
+	}
+	return expectNewest(ctx, store, syncers, newest)
+}
+
+func expectNewest(ctx context.Context, store *storefake.Store, syncers []*Syncer, newest platform.Object) string {
+	store.SetFaults(false, 0)
+	object, err := store.Get(ctx, DocumentPrefix+"s")
+	if err != nil {
+		return "" // nothing was ever stored
+	}
+	for _, s := range syncers {
+		if err := s.Accept(ctx, object); err != nil {
+			return err.Error()
+		}
+	}
+	for n, s := range syncers {
+		f := s.state.Snapshot().Services["s"]
+		if f == nil || f.DocumentVersion != object.Version {
+			return fmt.Sprintf("instance %d does not work by version %d (an operator saw %d)", n, object.Version, newest.Version)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/dispatch/bench_test.go
@@ -0,0 +1,166 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/document"
+)
+
+func poolOf(upstreams, limit int) *Pool {
+	p := NewPool("a", time.Now)
+	doc := &document.Pool{MaxConcurrent: limit}
+	for n := range upstreams {
+		doc.Upstreams = append(doc.Upstreams, document.Upstream{
+			Name:    fmt.Sprintf("engine-%03d", n),
+			Address: "127.0.0.1:1",
+			Domain:  string(rune('a' + n%8)),
+			State:   document.StateInService,
+		})
+	}
+	p.Update(doc)
+	return p
+}
+
+func BenchmarkPickAmong600(b *testing.B) {
+	p := poolOf(600, 1<<30)
+	b.ReportAllocs()
+	for n := uint64(1); b.Loop(); n++ {
+		p.mu.Lock()
+		if p.pick(n, nil) == nil {
+			b.Fatal("none")
+		}
+		p.mu.Unlock()
+	}
+}
+
+// A leaving upstream takes nothing new while its running requests finish.
+func TestLeavingUpstreamIsNotPicked(t *testing.T) {
+	p := poolOf(3, 10)
+	want := Want{StartBy: time.Now().Add(time.Minute)}
+	running, err := p.Acquire(t.Context(), want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc := &document.Pool{MaxConcurrent: 10}
+	for n := range 3 {
+		u := document.Upstream{Name: fmt.Sprintf("engine-%03d", n), State: document.StateInService}
+		if u.Name == running.Upstream.Name {
+			u.State = document.StateLeaving
+		}
+		doc.Upstreams = append(doc.Upstreams, u)
+	}
+	p.Update(doc)
+	for range 20 {
+		lease, err := p.Acquire(t.Context(), want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if lease.Upstream.Name == running.Upstream.Name {
+			t.Fatal("the leaving upstream was picked")
+		}
+	}
+	running.Done(Result{Load: -1})
+}
+
+// All places are taken by long drafts. An urgent request that waits is started
+// before drafts that have waited longer.
+func TestUrgentGoesBeforeDrafts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := poolOf(1, 1)
+		first, err := p.Acquire(t.Context(), Want{StartBy: time.Now().Add(time.Hour)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		order := make(chan string, 2)
+		wait := func(name string, urgent bool) {
+			lease, err := p.Acquire(t.Context(), Want{Urgent: urgent, StartBy: time.Now().Add(time.Hour)})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			order <- name
+			lease.Done(Result{Load: -1})
+		}
+		go wait("draft", false)
+		synctest.Wait()
+		go wait("urgent", true)
+		synctest.Wait()
+		first.Done(Result{Load: -1})
+		if got := <-order; got != "urgent" {
+			t.Errorf("%s was started first", got)
+		}
+		<-order
+	})
+}
+
+// The queue is longer than can be worked off before a request's deadline. It is
+// refused at once with when to come back, not held until it is too late.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := poolOf(1, 1)
+		lease, err := p.Acquire(t.Context(), Want{StartBy: time.Now().Add(time.Hour)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		lease.Done(Result{Load: -1}) // a request takes ten seconds
+		_, _ = p.Acquire(t.Context(), Want{StartBy: time.Now().Add(time.Hour)})
+		for range 5 {
+			go func() { _, _ = p.Acquire(t.Context(), Want{StartBy: time.Now().Add(time.Hour)}) }()
+		}
+		synctest.Wait()
+		before := time.Now()
+		_, err = p.Acquire(t.Context(), Want{Pool: "drafts", StartBy: time.Now().Add(5 * time.Second)})
+		var overload *OverloadError
+		if !errors.As(err, &overload) || overload.RetryAfter < 10*time.Second {
+			t.Errorf("got %v", err)
+		}
+		if waited := time.Since(before); waited != 0 {
+			t.Errorf("it was held for %v", waited)
+		}
+		for range 6 { // let the others end
+			p.mu.Lock()
+			u := p.states[0]
+			p.mu.Unlock()
+			(&Lease{pool: p, state: u, started: time.Now()}).Done(Result{Load: -1})
+			synctest.Wait()
+		}
+	})
+}
+
+// A waiter's deadline passes at the moment a place is given to it. The place
+// must go back, or the pool would lose it for good.
+func TestPlaceGivenTooLateGoesBack(t *testing.T) {
+	p := poolOf(1, 1)
+	for range 200 {
+		lease, err := p.Acquire(t.Context(), Want{StartBy: time.Now().Add(time.Hour)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if late, err := p.Acquire(ctx, Want{StartBy: time.Now().Add(time.Hour)}); err == nil {
+				late.Done(Result{Load: -1})
+			}
+		}()
+		if rand.IntN(2) == 0 {
+			cancel()
+			lease.Done(Result{Load: -1})
+		} else {
+			lease.Done(Result{Load: -1})
+			cancel()
+		}
+		<-done
+	}
+	if p.InFlight() != 0 {
+		t.Errorf("%d places are lost", p.InFlight())
+	}
+}
--- a/pkg/experiment/policy.go
+++ b/pkg/experiment/policy.go
@@ -64,7 +64,7 @@
 
 func newGrants(unwitnessed bool) func(Deployment, []int64, *rand.Rand) world {
 	return func(d Deployment, prepaid []int64, rng *rand.Rand) world {
-		cfg := budget.Config{Shards: experimentShards, Unwitnessed: unwitnessed, MinimumSigned: 256}
+		cfg := budget.Config{Shards: experimentShards, Unwitnessed: unwitnessed, MinimumSigned: 64}
 		return &grants{fleet: fleetfake.New(d.Instances, d.Domains, cfg, named(prepaid), rng)}
 	}
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -50,7 +50,7 @@
 	// handOverTimeout bounds the return of tokens, bills and outcomes.
 	handOverTimeout = 20 * time.Second
 	// signedAtLeast is the least number of tokens countersigned ahead.
-	signedAtLeast = 256
+	signedAtLeast = 64
 	// fetchQueue bounds the configuration reads that wait.
 	fetchQueue = 64
 	// maxBodyBytes bounds a caller's body before its service is known.
--- /dev/null
+++ b/pkg/platform/storefake/store.go
@@ -0,0 +1,108 @@
+// Package storefake is an in-memory object store with seeded faults, for tests
+// of the duties that write to the platform.
+package storefake
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/lavenderring/lavenderring/pkg/platform"
+)
+
+// errDown is the fault of a store that is away.
+var errDown = errors.New("store is down")
+
+// Store implements platform.Store. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	objects map[string]platform.Object
+	version platform.Version
+	// Down makes every call fail without effect.
+	down bool
+	// lose is the probability that a write takes effect and its answer is lost.
+	lose float64
+	// Between, if set, runs before each write with a given probability.
+	between func()
+	nested  bool
+	chance  float64
+}
+
+// New returns an empty store.
+func New(seed uint64) *Store {
+	return &Store{rng: rand.New(rand.NewPCG(seed, 3)), objects: map[string]platform.Object{}}
+}
+
+// SetFaults switches an outage and the probability of lost answers.
+func (s *Store) SetFaults(down bool, lose float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.lose = down, lose
+}
+
+// SetBetween runs a function before writes with a probability; not within itself.
+func (s *Store) SetBetween(chance float64, between func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chance, s.between = chance, between
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(_ context.Context, key string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Object{}, errDown
+	}
+	object, found := s.objects[key]
+	if !found {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return object, nil
+}
+
+// Put implements platform.Store.
+func (s *Store) Put(_ context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+	s.interleave()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, errDown
+	}
+	if s.objects[key].Version != expect {
+		return 0, platform.ErrConflict
+	}
+	s.version++
+	s.objects[key] = platform.Object{Key: key, Version: s.version, Value: append([]byte(nil), value...)}
+	if s.rng.Float64() < s.lose {
+		return 0, platform.ErrUncertain
+	}
+	return s.version, nil
+}
+
+func (s *Store) interleave() {
+	s.mu.Lock()
+	run := s.between != nil && !s.nested && s.rng.Float64() < s.chance
+	s.nested = s.nested || run
+	s.mu.Unlock()
+	if !run {
+		return
+	}
+	s.between()
+	s.mu.Lock()
+	s.nested = false
+	s.mu.Unlock()
+}
+
+// Objects returns all objects.
+func (s *Store) Objects() []platform.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]platform.Object, 0, len(s.objects))
+	for _, object := range s.objects {
+		out = append(out, object)
+	}
+	return out
+}
