A request's open record has a copy before it is dispatched; alone means unwitnessed, not stuck

Cause 1: with both other instances gone a holder kept asking a silent witness and refused callers who had tokens (a real-process test gave up waiting). It now goes on without a witness until one is back. The open record now reaches the peer before dispatch; waiting requests share a copy. A stopping keeper writes what it keeps for silent ones.

--- a/pkg/bill/journal.go
+++ b/pkg/bill/journal.go
@@ -67,6 +67,10 @@
 	kept     map[string]uint64 // by peer
 	segment  uint64
 	flushing sync.Mutex
+	// copying is held by the one copy at a time; those that wait for it find
+	// their records copied with the ones before.
+	copying      sync.Mutex
+	copyFailedAt time.Time
 }
 
 // NewJournal returns an empty journal; peer names whom to keep copies with.
@@ -95,6 +99,40 @@
 	j.open[request] = j.add(request, budget, bound, OutcomeOpen)
 }
 
+// Bounds of securing a record.
+const (
+	// secureTimeout bounds the wait of one request for its record's copy.
+	secureTimeout = 300 * time.Millisecond
+	// secureAgainAfter is how long after a copy that failed nobody waits for one.
+	secureAgainAfter = time.Second
+)
+
+// Secure waits until every record so far has a copy, so that a request that is
+// about to be dispatched leaves a trace even if this instance dies at once. It
+// gives up after a short while: with the peer out of reach the records are lost
+// only if this instance dies too before they are in the store.
+func (j *Journal) Secure(ctx context.Context) {
+	j.mu.Lock()
+	upTo := j.seq
+	j.mu.Unlock()
+	j.copying.Lock()
+	defer j.copying.Unlock()
+	if j.secured(upTo) || time.Since(j.copyFailedAt) < secureAgainAfter {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, secureTimeout)
+	defer cancel()
+	if j.copyLocked(ctx) != nil {
+		j.copyFailedAt = time.Now()
+	}
+}
+
+func (j *Journal) secured(upTo uint64) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.durable >= upTo || j.kept[j.peer()] >= upTo
+}
+
 // Settle records a request's bill. Settling a request that is not open changes
 // nothing, so no request is billed twice.
 func (j *Journal) Settle(request string, tokens int64, outcome string) {
@@ -124,6 +162,12 @@
 
 // Copy brings new records to the peer.
 func (j *Journal) Copy(ctx context.Context) error {
+	j.copying.Lock()
+	defer j.copying.Unlock()
+	return j.copyLocked(ctx)
+}
+
+func (j *Journal) copyLocked(ctx context.Context) error {
 	peer := j.peer()
 	if peer == "" {
 		return nil
--- a/pkg/budget/bench_test.go
+++ b/pkg/budget/bench_test.go
@@ -15,7 +15,7 @@
 	ids := make([]string, budgets)
 	for n := range ids {
 		ids[n] = fmt.Sprintf("service/account-%05d", n)
-		s.merge(ids[n], []*budgetpb.Lot{{Grant: "h#1", Holder: "h", Allocated: 1 << 50}})
+		s.Merge(ids[n], []*budgetpb.Lot{{Grant: "h#1", Holder: "h", Allocated: 1 << 50}})
 	}
 	return s, ids
 }
--- a/pkg/budget/node.go
+++ b/pkg/budget/node.go
@@ -137,7 +137,7 @@
 			short.Peer, short.Err, short.Exhausted = to, err, false
 			continue
 		}
-		n.spender.merge(budget, reply.Lots)
+		n.spender.Merge(budget, reply.Lots)
 		if n.spender.TryReserve(budget, tokens, into) {
 			return nil
 		}
--- a/pkg/budget/spender.go
+++ b/pkg/budget/spender.go
@@ -187,9 +187,9 @@
 	return used - left
 }
 
-// merge takes over what holders say they allocated. Allocated only grows, so an
+// Merge takes over what holders say they allocated. Allocated only grows, so an
 // old answer changes nothing.
-func (s *Spender) merge(budget string, lots []*budgetpb.Lot) {
+func (s *Spender) Merge(budget string, lots []*budgetpb.Lot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.position(budget)
--- a/pkg/budget/takeover_test.go
+++ b/pkg/budget/takeover_test.go
@@ -205,7 +205,7 @@
 			reply := x.holder.allocate(&budgetpb.AllocateRequest{
 				Spender: "x", Budget: deskBudget, Seq: uint64(1000 + spent), Need: rest,
 			})
-			x.spender.merge(deskBudget, reply.Lots)
+			x.spender.Merge(deskBudget, reply.Lots)
 			spent += rest
 		}
 	}
@@ -261,6 +261,32 @@
 	}
 }
 
+// Both others fall silent and x is left alone with the store. It goes on without
+// a witness rather than refuse callers who have tokens; when y is back it
+// countersigns again.
+func TestLeftAloneGoesOnUnwitnessed(t *testing.T) {
+	d := newDesk("x", "y", "z")
+	if !d.spend(t, "x", 100) {
+		t.Fatal("no tokens")
+	}
+	for _, name := range []string{"y", "z"} {
+		d.silent[name], d.cut[name] = true, true
+	}
+	d.tick(t, "x")
+	spent := 0
+	for d.spend(t, "x", 100) {
+		spent++
+	}
+	if spent != 9 {
+		t.Errorf("%d of 9 requests were served", spent)
+	}
+	d.silent["y"], d.cut["y"] = false, false
+	d.tick(t, "x", "y")
+	if got := d.onlyGrant(t).Witness; got != "y" {
+		t.Errorf("the witness is %q", got)
+	}
+}
+
 // A crash of x leaves in doubt no more than was countersigned ahead, and what y
 // knows to be spent is settled. The rest is free again.
 func TestCrashStrandsOnlyWhatWasSigned(t *testing.T) {
--- a/pkg/budget/tick.go
+++ b/pkg/budget/tick.go
@@ -81,7 +81,7 @@
 	}
 	n.spender.reported(taken, reply.Settled)
 	for _, l := range reply.Lots {
-		n.spender.merge(budgets[l.Grant], []*budgetpb.Lot{l})
+		n.spender.Merge(budgets[l.Grant], []*budgetpb.Lot{l})
 	}
 }
 
@@ -93,9 +93,7 @@
 	for _, witness := range sortedKeys(plan.sign) {
 		_ = n.sign(ctx, witness, plan.sign[witness])
 	}
-	if next != "" {
-		n.renameWitness(ctx, plan.renew, next)
-	}
+	n.renameWitness(ctx, plan.renew, next)
 	for _, shard := range sortedKeys(plan.draw) {
 		n.bringUpToDate(ctx, shard, plan.draw[shard])
 	}
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -122,7 +122,7 @@
 // run makes attempts until the answer is delivered whole or nothing more may
 // be tried.
 func (a *chatCall) run(ctx context.Context) *Problem {
-	a.cost.open()
+	a.cost.open(ctx)
 	a.e.retries.deposit()
 	for {
 		again, p := a.attempt(ctx)
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -93,7 +93,7 @@
 
 // run dispatches until an upstream answers or nothing more may be tried.
 func (p *plainCall) run(ctx context.Context) *Problem {
-	p.cost.open()
+	p.cost.open(ctx)
 	p.e.retries.deposit()
 	for {
 		again, problem := p.attempt(ctx)
--- a/pkg/entry/reserve.go
+++ b/pkg/entry/reserve.go
@@ -56,12 +56,15 @@
 	return c.entry.reserve(ctx, c.r, bound, &c.reservation)
 }
 
-// open starts the bill, before the first dispatch.
-func (c *cost) open() {
-	if !c.opened {
-		c.opened = true
-		c.entry.Journal.Open(c.r.id, c.r.budget, c.reservation.Tokens())
+// open starts the bill before the first dispatch, and has a copy of it made: if
+// this instance dies now, the request is known to be in doubt, not forgotten.
+func (c *cost) open(ctx context.Context) {
+	if c.opened {
+		return
 	}
+	c.opened = true
+	c.entry.Journal.Open(c.r.id, c.r.budget, c.reservation.Tokens())
+	c.entry.Journal.Secure(ctx)
 }
 
 // spend settles one attempt.
--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -5,44 +5,40 @@
 
 // The event numbers, by duty. docs/EVENTS.md is checked against Catalogue.
 const (
-	InstanceStarting   Number = 100
-	InstanceReady      Number = 101
-	InstanceDraining   Number = 102
-	InstanceStopped    Number = 103
-	StoreUnreachable   Number = 110
-	StoreReachable     Number = 111
-	RequestAccepted    Number = 200
-	RequestRefused     Number = 201
-	RequestDispatched  Number = 202
-	RequestResumed     Number = 203
-	RequestRan         Number = 204
-	RequestFailed      Number = 205
-	AnswerMismatch     Number = 206
-	RequestReplayed    Number = 207
-	CallerGone         Number = 208
-	ReservationDenied  Number = 300
-	RequestBilled      Number = 301
-	UsageAboveBound    Number = 302
-	GrantDrawn         Number = 310
-	GrantReturned      Number = 311
-	WitnessNamed       Number = 312
-	GrantReclaimed     Number = 313
-	GrantLost          Number = 314
-	BudgetReduced      Number = 315
-	InDoubtSettled     Number = 316
-	ClaimTaken         Number = 400
-	ClaimConflict      Number = 401
-	ClaimOutcome       Number = 402
-	ConfigAccepted     Number = 500
-	ConfigRejected     Number = 501
-	ConfigInForce      Number = 502
-	MemberJoined       Number = 600
-	MemberSilent       Number = 601
-	MemberLeft         Number = 602
-	UpstreamFailing    Number = 610
-	UpstreamRecovering Number = 611
-	ReplicaRun         Number = 700
-	StandinSwitched    Number = 701
+	InstanceStarting  Number = 100
+	InstanceReady     Number = 101
+	InstanceDraining  Number = 102
+	InstanceStopped   Number = 103
+	StoreUnreachable  Number = 110
+	StoreReachable    Number = 111
+	RequestAccepted   Number = 200
+	RequestRefused    Number = 201
+	RequestDispatched Number = 202
+	RequestResumed    Number = 203
+	RequestRan        Number = 204
+	RequestFailed     Number = 205
+	AnswerMismatch    Number = 206
+	RequestReplayed   Number = 207
+	CallerGone        Number = 208
+	ReservationDenied Number = 300
+	RequestBilled     Number = 301
+	UsageAboveBound   Number = 302
+	GrantDrawn        Number = 310
+	GrantReturned     Number = 311
+	WitnessNamed      Number = 312
+	GrantReclaimed    Number = 313
+	GrantLost         Number = 314
+	BudgetReduced     Number = 315
+	ClaimTaken        Number = 400
+	ClaimConflict     Number = 401
+	ClaimOutcome      Number = 402
+	ConfigAccepted    Number = 500
+	ConfigRejected    Number = 501
+	ConfigInForce     Number = 502
+	MemberJoined      Number = 600
+	MemberSilent      Number = 601
+	MemberLeft        Number = 602
+	UpstreamFailing   Number = 610
 )
 
 // Description tells what an event means and what to do about it.
@@ -57,42 +53,38 @@
 
 // Catalogue describes every event.
 var Catalogue = map[Number]Description{
-	InstanceStarting:   {"instance-starting", "the process has read its settings", "none"},
-	InstanceReady:      {"instance-ready", "the instance serves callers", "none"},
-	InstanceDraining:   {"instance-draining", "a planned stop has begun; running requests finish", "none"},
-	InstanceStopped:    {"instance-stopped", "grants are returned, bills handed over, the process exits", "none"},
-	StoreUnreachable:   {"store-unreachable", "a platform call failed after calls had succeeded", "see OPERATING, store outage"},
-	StoreReachable:     {"store-reachable", "a platform call succeeded after calls had failed", "none"},
-	RequestAccepted:    {"request-accepted", "a caller's request passed authentication and checks", "none"},
-	RequestRefused:     {"request-refused", "the request was refused and did not run", "by the reason field"},
-	RequestDispatched:  {"request-dispatched", "the request was handed to an upstream", "none"},
-	RequestResumed:     {"request-resumed", "a broken answer was taken up again at its offset", "none"},
-	RequestRan:         {"request-ran", "the whole answer was delivered", "none"},
-	RequestFailed:      {"request-failed", "no whole answer came; the outcome field says what is known", "by the step field"},
-	AnswerMismatch:     {"answer-mismatch", "an upstream answered with another request's id; discarded", "inspect the upstream"},
-	RequestReplayed:    {"request-replayed", "a retry got the recorded answer of a request that ran", "none"},
-	CallerGone:         {"caller-gone", "the caller went away; the upstream was cancelled", "none"},
-	ReservationDenied:  {"reservation-denied", "the account's budget had no tokens to reserve", "top up, or see OPERATING, refusals"},
-	RequestBilled:      {"request-billed", "a request's cost was taken from its reservation", "none"},
-	UsageAboveBound:    {"usage-above-bound", "an upstream reported more tokens than were reserved; billed at the bound", "correct min_bytes_per_token or the engine"},
-	GrantDrawn:         {"grant-drawn", "tokens were drawn from the ledger", "none"},
-	GrantReturned:      {"grant-returned", "an unspent rest went back to the ledger", "none"},
-	WitnessNamed:       {"witness-named", "a grant has another witness", "none"},
-	GrantReclaimed:     {"grant-reclaimed", "a silent holder's unsigned rest went back to the ledger", "see OPERATING, instance crash"},
-	GrantLost:          {"grant-lost", "this instance's grant was reclaimed by its witness", "none; it was thought dead"},
-	BudgetReduced:      {"budget-reduced", "a budget is below what is granted; nothing new is granted", "wait, or raise it"},
-	InDoubtSettled:     {"in-doubt-settled", "tokens in doubt were settled on evidence", "none"},
-	ClaimTaken:         {"claim-taken", "an idempotency key was claimed for one run", "none"},
-	ClaimConflict:      {"claim-conflict", "the key is claimed already", "none"},
-	ClaimOutcome:       {"claim-outcome", "the outcome of a claimed request was recorded", "none"},
-	ConfigAccepted:     {"config-accepted", "a document was validated and accepted under a new generation", "none"},
-	ConfigRejected:     {"config-rejected", "a document is invalid; the one accepted before stays in force", "correct the document"},
-	ConfigInForce:      {"config-in-force", "this instance works by the generation named", "none"},
-	MemberJoined:       {"member-joined", "another instance was heard of", "none"},
-	MemberSilent:       {"member-silent", "another instance has not answered for the bound", "see OPERATING, instance crash"},
-	MemberLeft:         {"member-left", "another instance said that it leaves", "none"},
-	UpstreamFailing:    {"upstream-failing", "an upstream failed several times in a row and is passed over", "inspect the upstream"},
-	UpstreamRecovering: {"upstream-recovering", "a failing upstream gets a trial request", "none"},
-	ReplicaRun:         {"replica-run", "a stand-in upstream ran a request", "none"},
-	StandinSwitched:    {"standin-switched", "a stand-in's fault switch was set", "none"},
+	InstanceStarting:  {"instance-starting", "the process has read its settings", "none"},
+	InstanceReady:     {"instance-ready", "the instance serves callers", "none"},
+	InstanceDraining:  {"instance-draining", "a planned stop has begun; running requests finish", "none"},
+	InstanceStopped:   {"instance-stopped", "grants are returned, bills handed over, the process exits", "none"},
+	StoreUnreachable:  {"store-unreachable", "a platform call failed after calls had succeeded", "see OPERATING, store outage"},
+	StoreReachable:    {"store-reachable", "a platform call succeeded after calls had failed", "none"},
+	RequestAccepted:   {"request-accepted", "a caller's request passed authentication and checks", "none"},
+	RequestRefused:    {"request-refused", "the request was refused and did not run", "by the reason field"},
+	RequestDispatched: {"request-dispatched", "the request was handed to an upstream", "none"},
+	RequestResumed:    {"request-resumed", "a broken answer was taken up again at its offset", "none"},
+	RequestRan:        {"request-ran", "the whole answer was delivered", "none"},
+	RequestFailed:     {"request-failed", "no whole answer came; the outcome field says what is known", "by the step field"},
+	AnswerMismatch:    {"answer-mismatch", "an upstream answered with another request's id; discarded", "inspect the upstream"},
+	RequestReplayed:   {"request-replayed", "a retry got the recorded answer of a request that ran", "none"},
+	CallerGone:        {"caller-gone", "the caller went away; the upstream was cancelled", "none"},
+	ReservationDenied: {"reservation-denied", "the account's budget had no tokens to reserve", "top up, or see OPERATING, refusals"},
+	RequestBilled:     {"request-billed", "a request's cost was taken from its reservation", "none"},
+	UsageAboveBound:   {"usage-above-bound", "an upstream reported more tokens than were reserved; billed at the bound", "correct min_bytes_per_token or the engine"},
+	GrantDrawn:        {"grant-drawn", "tokens were drawn from the ledger", "none"},
+	GrantReturned:     {"grant-returned", "an unspent rest went back to the ledger", "none"},
+	WitnessNamed:      {"witness-named", "a grant has another witness", "none"},
+	GrantReclaimed:    {"grant-reclaimed", "a silent holder's unsigned rest went back to the ledger", "see OPERATING, instance crash"},
+	GrantLost:         {"grant-lost", "this instance's grant was reclaimed by its witness", "none; it was thought dead"},
+	BudgetReduced:     {"budget-reduced", "a budget is below what is granted; nothing new is granted", "wait, or raise it"},
+	ClaimTaken:        {"claim-taken", "an idempotency key was claimed for one run", "none"},
+	ClaimConflict:     {"claim-conflict", "the key is claimed already", "none"},
+	ClaimOutcome:      {"claim-outcome", "the outcome of a claimed request was recorded", "none"},
+	ConfigAccepted:    {"config-accepted", "a document was validated and accepted under a new generation", "none"},
+	ConfigRejected:    {"config-rejected", "a document is invalid; the one accepted before stays in force", "correct the document"},
+	ConfigInForce:     {"config-in-force", "this instance works by the generation named", "none"},
+	MemberJoined:      {"member-joined", "another instance was heard of", "none"},
+	MemberSilent:      {"member-silent", "another instance has not answered for the bound", "see OPERATING, instance crash"},
+	MemberLeft:        {"member-left", "another instance said that it leaves", "none"},
+	UpstreamFailing:   {"upstream-failing", "an upstream failed several times in a row and is passed over", "inspect the upstream"},
 }
--- a/pkg/instance/admin.go
+++ b/pkg/instance/admin.go
@@ -76,6 +76,10 @@
 	metrics.GetOrRegisterGauge("store.reads", i.metrics).Update(calls.Reads.Load())
 	metrics.GetOrRegisterGauge("store.writes", i.metrics).Update(calls.Writes.Load())
 	metrics.GetOrRegisterGauge("store.watches", i.metrics).Update(calls.Watches.Load())
+	metrics.GetOrRegisterGauge("config.services", i.metrics).Update(int64(len(i.config.Snapshot().Services)))
+	metrics.GetOrRegisterGauge("store.bytes", i.metrics).Update(calls.Bytes.Load())
+	metrics.GetOrRegisterGauge("peers.bytes_in", i.metrics).Update(i.traffic.In.Load())
+	metrics.GetOrRegisterGauge("peers.bytes_out", i.metrics).Update(i.traffic.Out.Load())
 	metrics.GetOrRegisterGauge("requests.active", i.metrics).Update(i.entry.Active())
 	c.JSON(consts.StatusOK, i.metrics.GetAll())
 }
--- a/pkg/instance/duties.go
+++ b/pkg/instance/duties.go
@@ -102,6 +102,7 @@
 func (i *Instance) heartbeatDuty(ctx context.Context) {
 	for ctx.Err() == nil {
 		i.beatAll(ctx)
+		i.noteMembers()
 		timer := time.NewTimer(i.settings.Heartbeat())
 		select {
 		case <-i.nudge.Items():
@@ -183,6 +184,7 @@
 	i.claims.Flush(ctx)
 	i.budgets.Stop(ctx)
 	_ = i.journal.Copy(ctx)
+	_ = i.keeper.TakeOver(ctx, i.table.Silent)
 	for ctx.Err() == nil && i.journal.Flush(ctx) != nil {
 		wait(ctx, syncRetry)
 	}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -67,6 +67,7 @@
 
 	store   *platform.Client
 	peers   *peer.Client
+	traffic peer.Traffic
 	table   *member.Table
 	config  *configsync.State
 	syncer  *configsync.Syncer
@@ -77,6 +78,7 @@
 	entry   *entry.Entry
 	fetches *ring.Ring[fetch]
 	nudge   *ring.Ring[struct{}]
+	noted   map[string]memberNote // touched by the heartbeat duty only
 
 	callers *httpserve.Server
 	admin   *httpserve.Server
@@ -104,6 +106,7 @@
 		metrics:     metrics.NewRegistry(),
 		fetches:     ring.New[fetch](fetchQueue),
 		nudge:       ring.New[struct{}](1),
+		noted:       map[string]memberNote{},
 		storeUp:     true,
 	}
 	i.background, i.end = context.WithCancel(context.Background())
@@ -159,7 +162,7 @@
 			i.log.Event(eventlog.MemberJoined, "", eventlog.Fields{"member": m.Incarnation, "domain": m.Domain})
 		},
 	})
-	i.peers = peer.NewClient(i.table.Address, i.table.Heard)
+	i.peers = peer.NewClient(i.table.Address, i.table.Heard, &i.traffic)
 	i.config = configsync.NewState(i.onConfig)
 	i.syncer = configsync.NewSyncer(i.store, i.config, i.log, i.isWatcher, func() { i.nudge.TryPut(struct{}{}) })
 }
@@ -202,7 +205,7 @@
 func (i *Instance) bind() error {
 	var err error
 	handlers := peer.Handlers{Budgets: i.budgets, Bills: i.keeper, Members: i}
-	if i.server, err = peer.Listen(i.settings.PeerAddress, handlers); err != nil {
+	if i.server, err = peer.Listen(i.settings.PeerAddress, handlers, &i.traffic); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	opts := httpserve.Options{Address: i.settings.CallerAddress, MaxBodyBytes: maxBodyBytes}
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/lavenderring/lavenderring/pkg/configsync"
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/platform"
 )
@@ -106,6 +107,25 @@
 	}
 }
 
+// noteMembers logs which members have fallen silent or left since the last look.
+func (i *Instance) noteMembers() {
+	for _, m := range i.table.View() {
+		before := i.noted[m.Incarnation]
+		now := memberNote{silent: m.Silent, left: m.Leaving}
+		fields := eventlog.Fields{"member": m.Incarnation, "domain": m.Domain}
+		if now.silent && !before.silent {
+			i.log.Event(eventlog.MemberSilent, "", fields)
+		}
+		if now.left && !before.left {
+			i.log.Event(eventlog.MemberLeft, "", fields)
+		}
+		i.noted[m.Incarnation] = now
+	}
+}
+
+// memberNote is what was last logged of a member.
+type memberNote struct{ silent, left bool }
+
 // readInstanceList takes in the platform's list. It lags and may miss members;
 // it only makes them known.
 func (i *Instance) readInstanceList(ctx context.Context) {
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -55,15 +55,21 @@
 type Client struct {
 	address func(incarnation string) string
 	heard   func(incarnation string)
+	traffic *Traffic
 
 	mu    sync.Mutex
 	pools map[string]*drpcpool.Pool[string, drpcpool.Conn]
 }
 
 // NewClient returns a client. address finds an incarnation's peer address;
-// heard is told of each incarnation that answered.
-func NewClient(address func(string) string, heard func(string)) *Client {
-	return &Client{address: address, heard: heard, pools: map[string]*drpcpool.Pool[string, drpcpool.Conn]{}}
+// heard is told of each incarnation that answered; traffic counts the bytes.
+func NewClient(address func(string) string, heard func(string), traffic *Traffic) *Client {
+	return &Client{
+		address: address,
+		heard:   heard,
+		traffic: traffic,
+		pools:   map[string]*drpcpool.Pool[string, drpcpool.Conn]{},
+	}
 }
 
 // Close closes every connection.
@@ -104,13 +110,13 @@
 	}
 }
 
-func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(raw), nil
+	return drpcconn.New(c.traffic.count(raw)), nil
 }
 
 // to makes one call to an incarnation.
@@ -135,7 +141,7 @@
 ) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn := c.pool(address).Get(ctx, address, dial)
+	conn := c.pool(address).Get(ctx, address, c.dial)
 	defer func() { _ = conn.Close() }()
 	reply, err := call(ctx, conn)
 	if err != nil {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -25,8 +25,8 @@
 	server   *drpcserver.Server
 }
 
-// Listen binds an address and registers the handlers.
-func Listen(address string, handlers Handlers) (*Server, error) {
+// Listen binds an address and registers the handlers; traffic counts the bytes.
+func Listen(address string, handlers Handlers, traffic *Traffic) (*Server, error) {
 	mux := drpcmux.New()
 	if err := budgetpb.DRPCRegisterBudgets(mux, handlers.Budgets); err != nil {
 		return nil, err
@@ -41,8 +41,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{listener: listener, server: drpcserver.New(mux)}, nil
+	return &Server{listener: countedListener{listener, traffic}, server: drpcserver.New(mux)}, nil
 }
 
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
 // Serve answers until ctx ends.
 func (s *Server) Serve(ctx context.Context) error { return s.server.Serve(ctx, s.listener) }
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -49,9 +49,9 @@
 	Version Version  `json:"version"`
 }
 
-// Calls counts the calls made, by kind.
+// Calls counts the calls made, by kind, and the bytes of requests and answers.
 type Calls struct {
-	Reads, Writes, Watches atomic.Int64
+	Reads, Writes, Watches, Bytes atomic.Int64
 }
 
 // Client calls one object API. It is safe for concurrent use.
@@ -193,6 +193,7 @@
 	end, err := httpcall.Call(ctx, opts, req, resp)
 	defer end()
 	c.onState(err)
+	c.calls.Bytes.Add(int64(len(req.Header.Header()) + len(body) + len(resp.Header.Header()) + len(resp.Body())))
 	if err != nil {
 		return answer{}, err
 	}
--- a/test/budget_test.go
+++ b/test/budget_test.go
@@ -54,6 +54,7 @@
 
 func (l *load) awaitWhole(count int) {
 	l.f.t.Helper()
+	l.f.t.Cleanup(l.tellLast)
 	l.f.await(fmt.Sprintf("%d whole answers", count), func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -67,6 +68,16 @@
 	})
 }
 
+// tellLast prints the last answers of a failed test.
+func (l *load) tellLast() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.f.t.Failed() && len(l.answers) > 0 {
+		last := l.answers[len(l.answers)-1]
+		l.f.t.Logf("%d answers, the last: %d %s %v", len(l.answers), last.status, last.body, last.err)
+	}
+}
+
 // checkBooks compares the engines' own count with the bills and the ledger.
 // Every whole answer has exactly one bill of exactly its cost; nothing is billed
 // that no engine counted; and no budget is spent beyond what was prepaid.
