--- a/pkg/capacity/micro.go
+++ b/pkg/capacity/micro.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lavenderring/lavenderring/pkg/bill"
 	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
 	"github.com/lavenderring/lavenderring/pkg/budget"
@@ -227,8 +229,7 @@
 	for n := range members {
 		d.Known = append(d.Known, typicalMember(n))
 	}
-	value, _ := json.Marshal(d) // an upper bound: on the wire it is shorter
-	return float64(len(value))
+	return float64(proto.Size(d))
 }
 
 // heapOf returns the heap that what build makes keeps alive, in bytes.
@@ -305,7 +306,7 @@
 // allocation between two instances, both ends in this process.
 func callCost() (micros, bytes float64, err error) {
 	var traffic peer.Traffic
-	server, err := peer.Listen("127.0.0.1:0", peer.Handlers{Budgets: idle{}}, &traffic)
+	server, err := peer.Listen("127.0.0.1:0", peer.Handlers{Budgets: idle{}}, &traffic, nil)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -313,7 +314,7 @@
 	defer cancel()
 	go func() { _ = server.Serve(ctx) }()
 	var unused peer.Traffic
-	client := peer.NewClient(func(string) string { return server.Address() }, func(string) {}, &unused)
+	client := peer.NewClient(func(string) string { return server.Address() }, func(string) {}, &unused, nil)
 	defer client.Close()
 	req := &budgetpb.AllocateRequest{Spender: typicalIncarnation, Budget: "service/account-00001", Seq: 1, Need: 1000}
 	const calls = 5000
--- a/pkg/capacity/model.go
+++ b/pkg/capacity/model.go
@@ -37,12 +37,13 @@
 	registerSeconds  = 30.0
 	pollSeconds      = 30.0
 	watchSeconds     = 20.0
-	heartbeatSeconds = 0.5
+	heartbeatSeconds = 1.0
 	signedSeconds    = 2.0
 	aheadSeconds     = 2.0
 	copiesPerSecond  = 5.0
 	heartbeatFanout  = 8.0
 	failureDomains   = 8.0
+	digestMembers    = 1.0
 )
 
 // Cost is what one role costs on one node.
@@ -95,7 +96,7 @@
 func (m Model) dispatcher() Cost {
 	rate := perNode(requestsPerSecond)
 	return Cost{
-		Role: "dispatcher", Carrier: "`dispatch.Pool`: two drawn candidates and the prefix's own",
+		Role: "dispatcher", Carrier: "`dispatch.Pool`: eight drawn candidates and the prefix's own",
 		Processor: rate * m.Micro.Pick / 1e6 * 100,
 		From:      "pick among 600",
 	}
@@ -207,7 +208,7 @@
 	return Cost{
 		Role: "member", Carrier: "`member.Table`; heartbeats to 8 peers a round",
 		Calls:      2 * beats,
-		PeerBytes:  2 * beats * 2 * m.Micro.DigestBytes.At(math.Min(16, n)),
+		PeerBytes:  2 * beats * 2 * m.Micro.DigestBytes.At(digestMembers),
 		StoreBytes: n * listedBytes / listSeconds,
 		Processor:  m.call(beats),
 		Memory:     n * m.Micro.MemberMemory.Slope,
--- a/pkg/capacity/page.go
+++ b/pkg/capacity/page.go
@@ -30,7 +30,7 @@
 	return os.WriteFile(plot, []byte(m.plot()), 0o644)
 }
 
-// Numbers writes a measurement's figures in few digits.
+// number writes a figure in few digits.
 func number(x float64) string {
 	switch {
 	case x == 0:
@@ -101,7 +101,7 @@
 		"with the store, KB/s | %% of a core | memory, MB | reads/s, fleet | writes/s, fleet | measurement |\n"+
 		"|---|---|---:|---:|---:|---:|---:|---:|---:|---|\n", nodesOfTheLetter)
 	for _, c := range append(costs, Total(costs)) {
-		fmt.Fprintf(b, "| %s | %s | %s | %.1f | %.1f | %.3f | %.2f | %s | %s | %s |\n", c.Role, c.Carrier, number(c.Calls),
+		fmt.Fprintf(b, "| %s | %s | %s | %.1f | %.1f | %.4f | %.2f | %s | %s | %s |\n", c.Role, c.Carrier, number(c.Calls),
 			c.PeerBytes/1e3, c.StoreBytes/1e3, c.Processor, c.Memory/1e6, number(c.Reads+c.Watches), number(c.Writes), c.From)
 	}
 	b.WriteString("\n")
--- a/pkg/capacity/process.go
+++ b/pkg/capacity/process.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -94,13 +93,13 @@
 	instances               []*child
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+// benchPort is below the range that outgoing connections take their ports from.
+const benchPort = 7001
+
+// placeAddress returns an address of the place with a number; each has an IP
+// address of its own, so that no connection can take its port before it starts.
+func placeAddress(place, offset int) string {
+	return fmt.Sprintf("127.7.%d.%d:%d", place/250, 1+place%250, benchPort+offset)
 }
 
 func (b *bench) run(program string, args ...string) (*child, error) {
@@ -116,10 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &bench{dir: dir, binaries: binaries}
-	if b.platform, err = freeAddress(); err != nil {
-		return nil, err
-	}
+	b := &bench{dir: dir, binaries: binaries, platform: placeAddress(0, 0)}
 	b.platformProcess, err = b.run("standin", "platform", "--listen", b.platform)
 	return b, err
 }
@@ -138,11 +134,7 @@
 func (b *bench) startInstance(n int) error {
 	var addresses [3]string
 	for i := range addresses {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		addresses[i] = address
+		addresses[i] = placeAddress(n+1, i)
 	}
 	domain := n % domainsOfTheLetter
 	text := fmt.Sprintf(`name = "instance-%03d"
--- a/pkg/dispatch/picker.go
+++ b/pkg/dispatch/picker.go
@@ -2,9 +2,10 @@
 // what cannot be started yet.
 //
 // The choice looks at a few candidates only, so its cost does not grow with the
-// pool: two drawn at random and the one that the prompt's prefix hashes to. Of
-// them the one with the least expected work wins; the prefix's own upstream is
-// preferred while its load is within a bound of the others'.
+// pool: all of a small one, eight drawn at random of a large one, and the one that
+// the prompt's prefix hashes to. Of them the one with the least expected work wins;
+// the prefix's own upstream is preferred while its load is within a bound of the
+// others'.
 package dispatch
 
 import (
@@ -17,17 +18,22 @@
 
 // Constants of the choice.
 const (
-	// drawn is how many candidates are drawn at random.
-	drawn = 2
+	// lookAtAll is the largest pool of which every upstream is a candidate.
+	lookAtAll = 32
+	// drawn is how many candidates are drawn at random from a larger one.
+	drawn = 8
 	// otherDomainCost is what standing in another failure domain weighs, in
 	// requests.
 	otherDomainCost = 0.5
 	// affinityBound is how much more load the prefix's own upstream may have
 	// than the best candidate, in requests.
-	affinityBound = 2.0
-	// loadHalfLife is the age at which a reported load counts half: the fleet's
-	// own dispatches since then are what is known.
-	loadHalfLife = 2 * time.Second
+	affinityBound = 6.0
+	// loadHalfLife is the age at which a reported load counts half.
+	loadHalfLife = 10 * time.Second
+	// leastPace and mostPace bound how much slower or faster than the pool's
+	// mean an upstream is taken to be.
+	leastPace = 0.5
+	mostPace  = 8.0
 	// failuresBeforeAvoiding is how many failures in a row pass an upstream over.
 	failuresBeforeAvoiding = 3
 	// avoidFor is how long it is passed over before a request tries it again.
@@ -44,24 +50,35 @@
 	sinceLoad  int // own dispatches since the load was reported
 	load       float64
 	loadAt     time.Time
+	service    time.Duration // smoothed time that a request takes there
 	failures   int
 	avoidUntil time.Time
 }
 
-// cost is the work expected to be before a new request, in requests.
-func (u *upstreamState) cost(domain string, now time.Time) float64 {
-	cost := float64(u.inFlight)
+// cost is the work expected to be before and with a new request, in requests of
+// the pool's mean. An upstream that takes four times as long counts four times:
+// its queue is as long as the others' when it is four times as late.
+func (p *Pool) cost(u *upstreamState, now time.Time) float64 {
+	work := float64(u.inFlight)
 	if u.load > 0 {
 		age := now.Sub(u.loadAt)
 		fresh := float64(loadHalfLife) / float64(loadHalfLife+age)
-		cost = max(cost, u.load*fresh+float64(u.sinceLoad))
+		work = max(work, u.load*fresh+float64(u.sinceLoad))
 	}
-	if u.upstream.Domain != domain {
+	cost := (work + 1) * p.pace(u)
+	if u.upstream.Domain != p.domain {
 		cost += otherDomainCost
 	}
 	return cost
 }
 
+func (p *Pool) pace(u *upstreamState) float64 {
+	if u.service == 0 || p.service == 0 {
+		return 1
+	}
+	return min(max(float64(u.service)/float64(p.service), leastPace), mostPace)
+}
+
 func (u *upstreamState) avoided(now time.Time) bool {
 	return u.failures >= failuresBeforeAvoiding && now.Before(u.avoidUntil)
 }
@@ -72,6 +89,7 @@
 	now    func() time.Time
 
 	mu       sync.Mutex
+	rng      *rand.Rand
 	limit    int
 	states   []*upstreamState
 	byName   map[string]*upstreamState
@@ -82,7 +100,12 @@
 
 // NewPool returns a pool without upstreams for an instance in a failure domain.
 func NewPool(domain string, now func() time.Time) *Pool {
-	return &Pool{domain: domain, now: now, byName: map[string]*upstreamState{}}
+	return &Pool{
+		domain: domain,
+		now:    now,
+		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		byName: map[string]*upstreamState{},
+	}
 }
 
 // Update takes over the document's upstreams. Those that leave, or are gone,
@@ -130,23 +153,27 @@
 		if !p.eligible(u, tried, now) {
 			return
 		}
-		if cost := u.cost(p.domain, now); best == nil || cost < bestCost {
+		if cost := p.cost(u, now); best == nil || cost < bestCost {
 			best, bestCost = u, cost
 		}
 	}
-	for i := 0; i < drawn && len(p.states) > 0; i++ {
-		consider(p.states[rand.IntN(len(p.states))])
+	if len(p.states) > lookAtAll {
+		for range drawn {
+			consider(p.states[p.rng.IntN(len(p.states))])
+		}
 	}
-	if best == nil {
+	if best == nil && len(p.states) > 0 {
 		p.scan(consider)
 	}
 	return p.preferOwn(prefix, best, bestCost, tried, now)
 }
 
-// scan looks at every upstream, when those drawn cannot take the request.
+// scan looks at every upstream, from a random one on so that equals take turns:
+// in a small pool, and when those drawn cannot take the request.
 func (p *Pool) scan(consider func(*upstreamState)) {
-	for _, u := range p.states {
-		consider(u)
+	start := p.rng.IntN(len(p.states))
+	for i := range p.states {
+		consider(p.states[(start+i)%len(p.states)])
 	}
 }
 
@@ -157,7 +184,7 @@
 		return best
 	}
 	own := p.states[jump(prefix, len(p.states))]
-	if p.eligible(own, tried, now) && own.cost(p.domain, now) <= bestCost+affinityBound {
+	if p.eligible(own, tried, now) && p.cost(own, now) <= bestCost+affinityBound {
 		return own
 	}
 	return best
@@ -222,27 +249,59 @@
 	u := l.state
 	u.inFlight--
 	p.inFlight--
-	if r.Load >= 0 {
-		u.load, u.loadAt, u.sinceLoad = r.Load, p.now(), 0
-	}
+	p.report(u, r.Load)
 	if r.Failed {
 		u.failures++
 		u.avoidUntil = p.now().Add(avoidFor)
 		avoiding = u.failures == failuresBeforeAvoiding
 	} else {
 		u.failures = 0
-		p.observeService(p.now().Sub(l.started))
+		took := p.now().Sub(l.started)
+		p.service = smoothed(p.service, took)
+		u.service = smoothed(u.service, took)
 	}
 	p.wake()
 	return avoiding
 }
 
-func (p *Pool) observeService(took time.Duration) {
-	if p.service == 0 {
-		p.service = took
-		return
+func smoothed(value, newest time.Duration) time.Duration {
+	if value == 0 {
+		return newest
 	}
-	p.service += time.Duration(serviceSmoothing * float64(took-p.service))
+	return value + time.Duration(serviceSmoothing*float64(newest-value))
+}
+
+// Upstreams returns the upstreams that may be chosen.
+func (p *Pool) Upstreams() []document.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]document.Upstream, 0, len(p.states))
+	for _, u := range p.states {
+		out = append(out, u.upstream)
+	}
+	return out
+}
+
+// Report takes an upstream's reported load; negative for none.
+func (p *Pool) Report(upstream string, load float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u := p.byName[upstream]; u != nil {
+		p.report(u, load)
+	}
+}
+
+func (p *Pool) report(u *upstreamState, load float64) {
+	if load >= 0 {
+		u.load, u.loadAt, u.sinceLoad = load, p.now(), 0
+	}
+}
+
+// Report takes the load that came with the head of an answer.
+func (l *Lease) Report(load float64) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.pool.report(l.state, load)
 }
 
 // InFlight returns how many requests this instance has on the pool's upstreams.
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -162,16 +162,16 @@
 	}
 	a.tried = append(a.tried, lease.Upstream.Name)
 	a.e.Log.Event(eventlog.RequestDispatched, a.r.id, eventlog.Fields{"upstream": lease.Upstream.Name})
-	delivery := &delivery{a: a, lease: lease, load: -1}
+	delivery := &delivery{a: a, lease: lease}
 	err = delivery.run(ctx)
 	if err == nil {
-		a.e.done(lease, dispatch.Result{Load: delivery.load})
+		a.e.done(lease, dispatch.Result{Load: -1})
 		a.cost.spend(delivery.cost(a.bound))
 		a.r.facts.MarkAnswered()
 		return false, nil
 	}
 	gone := errors.Is(err, errCallerGone)
-	a.e.done(lease, dispatch.Result{Failed: !gone, Load: delivery.load})
+	a.e.done(lease, dispatch.Result{Failed: !gone, Load: -1})
 	a.cost.spend(a.costOfFailed(lease.Upstream.Address, err))
 	return a.mayTryAgain(err), a.failure(err)
 }
--- a/pkg/entry/delivery.go
+++ b/pkg/entry/delivery.go
@@ -19,7 +19,6 @@
 	a       *chatCall
 	lease   *dispatch.Lease
 	usage   *chat.Usage
-	load    float64
 	resumes int
 }
 
@@ -58,7 +57,7 @@
 		return err
 	}
 	defer stream.Close()
-	d.load = stream.Load
+	d.lease.Report(stream.Load)
 	for {
 		event, err := stream.Next()
 		if err != nil {
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -4,20 +4,22 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 )
 
 // Bounds of every server.
 const (
-	// readTimeout bounds the reading of one request, so that a caller who sends
-	// slowly or never ends holds one connection for a bounded time only.
-	readTimeout = 30 * time.Second
+	// defaultReadTimeout bounds the reading of one request, so that a caller who
+	// sends slowly or never ends holds one connection for a bounded time only.
+	defaultReadTimeout = 30 * time.Second
 	// idleTimeout bounds the silence between two requests of a connection.
 	idleTimeout = 60 * time.Second
 	// exitWait bounds the wait for idle connections at a stop. Owners count
@@ -34,6 +36,10 @@
 	Address string
 	// MaxBodyBytes bounds a request's body; above it the answer is 413.
 	MaxBodyBytes int
+	// TLS secures the connections; nil for plain ones.
+	TLS *tls.Config
+	// ReadTimeout bounds the reading of one request. Default 30 s.
+	ReadTimeout time.Duration
 }
 
 // Server is a running HTTP server.
@@ -51,7 +57,11 @@
 	if err != nil {
 		return nil, err
 	}
-	hertz := server.New(
+	readTimeout := opts.ReadTimeout
+	if readTimeout <= 0 {
+		readTimeout = defaultReadTimeout
+	}
+	options := []config.Option{
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(opts.MaxBodyBytes),
@@ -62,7 +72,11 @@
 		server.WithExitWaitTime(exitWait),
 		server.WithDisablePrintRoute(true),
 		server.WithUseRawPath(true),
-	)
+	}
+	if opts.TLS != nil {
+		options = append(options, server.WithTLS(opts.TLS))
+	}
+	hertz := server.New(options...)
 	return &Server{Hertz: hertz, listener: listener, done: make(chan struct{})}, nil
 }
 
--- a/pkg/instance/duties.go
+++ b/pkg/instance/duties.go
@@ -60,6 +60,7 @@
 	i.duty(i.syncer.Run)
 	i.duty(i.claims.Run)
 	i.duty(i.fetchDuty)
+	i.duty(i.entry.PollLoads)
 	i.duty(i.heartbeatDuty)
 	i.every(budgetTick, i.budgets.Tick)
 	i.every(budgetTick, i.syncLedger)
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"sync"
@@ -25,6 +26,7 @@
 	"github.com/lavenderring/lavenderring/pkg/platform"
 	"github.com/lavenderring/lavenderring/pkg/ring"
 	"github.com/lavenderring/lavenderring/pkg/settings"
+	"github.com/lavenderring/lavenderring/pkg/tlsfiles"
 )
 
 // States of an instance's life.
@@ -84,6 +86,8 @@
 	admin   *httpserve.Server
 	server  *peer.Server
 
+	callerTLS, peerServerTLS, peerClientTLS *tls.Config // nil for plain connections
+
 	storeMu sync.Mutex
 	storeUp bool
 
@@ -111,6 +115,9 @@
 	}
 	i.background, i.end = context.WithCancel(context.Background())
 	i.life = i.newLife()
+	if err := i.provisionTLS(); err != nil {
+		return nil, err
+	}
 	i.provisionFleet()
 	i.provisionDuties()
 	if err := i.bind(); err != nil {
@@ -143,6 +150,17 @@
 	return life
 }
 
+func (i *Instance) provisionTLS() error {
+	var err error
+	if files := i.settings.CallerTLS; files != (settings.TLSFiles{}) {
+		i.callerTLS, err = tlsfiles.Caller(tlsfiles.Files(files))
+	}
+	if files := i.settings.PeerTLS; err == nil && files != (settings.TLSFiles{}) {
+		i.peerServerTLS, i.peerClientTLS, err = tlsfiles.Peer(tlsfiles.Files(files))
+	}
+	return err
+}
+
 func (i *Instance) provisionFleet() {
 	s := i.settings
 	i.store = platform.NewClient(s.PlatformAddress, s.StoreTimeout(), i.noteStore)
@@ -162,7 +180,7 @@
 			i.log.Event(eventlog.MemberJoined, "", eventlog.Fields{"member": m.Incarnation, "domain": m.Domain})
 		},
 	})
-	i.peers = peer.NewClient(i.table.Address, i.table.Heard, &i.traffic)
+	i.peers = peer.NewClient(i.table.Address, i.table.Heard, &i.traffic, i.peerClientTLS)
 	i.config = configsync.NewState(i.onConfig)
 	i.syncer = configsync.NewSyncer(i.store, i.config, i.log, i.isWatcher, func() { i.nudge.TryPut(struct{}{}) })
 }
@@ -205,10 +223,15 @@
 func (i *Instance) bind() error {
 	var err error
 	handlers := peer.Handlers{Budgets: i.budgets, Bills: i.keeper, Members: i}
-	if i.server, err = peer.Listen(i.settings.PeerAddress, handlers, &i.traffic); err != nil {
+	if i.server, err = peer.Listen(i.settings.PeerAddress, handlers, &i.traffic, i.peerServerTLS); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	opts := httpserve.Options{Address: i.settings.CallerAddress, MaxBodyBytes: maxBodyBytes}
+	opts := httpserve.Options{
+		Address:      i.settings.CallerAddress,
+		MaxBodyBytes: maxBodyBytes,
+		ReadTimeout:  i.settings.CallerRead(),
+		TLS:          i.callerTLS,
+	}
 	if i.callers, err = httpserve.Listen(opts); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/lavenderring/lavenderring/pkg/configsync"
@@ -14,24 +15,20 @@
 // instancePrefix is the platform's list of instances.
 const instancePrefix = "instances/"
 
-// digest is what this instance tells others.
+// digest is what this instance tells others. It names one other member, drawn
+// anew each time: news of a member spreads in a few rounds, and the platform's
+// list brings it anyway. Naming all cost most of an instance's traffic.
 func (i *Instance) digest() *memberpb.Digest {
 	d := &memberpb.Digest{From: i.table.Self()}
 	for _, f := range i.config.Snapshot().Services {
 		d.Generations = append(d.Generations, &memberpb.ServiceGeneration{Service: f.Service, Generation: f.Generation})
 	}
-	for _, m := range i.table.Live() {
-		d.Known = append(d.Known, m)
-		if len(d.Known) == digestMembers {
-			break
-		}
+	if live := i.table.Live(); len(live) > 0 {
+		d.Known = append(d.Known, live[rand.IntN(len(live))])
 	}
 	return d
 }
 
-// digestMembers bounds the members named in one digest.
-const digestMembers = 16
-
 // takeDigest learns from a digest and reports which services the sender has
 // under a higher generation.
 func (i *Instance) takeDigest(d *memberpb.Digest) (newer []string) {
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -56,18 +57,21 @@
 	address func(incarnation string) string
 	heard   func(incarnation string)
 	traffic *Traffic
+	tls     *tls.Config
 
 	mu    sync.Mutex
 	pools map[string]*drpcpool.Pool[string, drpcpool.Conn]
 }
 
 // NewClient returns a client. address finds an incarnation's peer address;
-// heard is told of each incarnation that answered; traffic counts the bytes.
-func NewClient(address func(string) string, heard func(string), traffic *Traffic) *Client {
+// heard is told of each incarnation that answered; traffic counts the bytes;
+// tlsConfig is nil for plain connections.
+func NewClient(address func(string) string, heard func(string), traffic *Traffic, tlsConfig *tls.Config) *Client {
 	return &Client{
 		address: address,
 		heard:   heard,
 		traffic: traffic,
+		tls:     tlsConfig,
 		pools:   map[string]*drpcpool.Pool[string, drpcpool.Conn]{},
 	}
 }
@@ -116,7 +120,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(c.traffic.count(raw)), nil
+	counted := c.traffic.count(raw)
+	if c.tls == nil {
+		return drpcconn.New(counted), nil
+	}
+	secured := tls.Client(counted, c.tls)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return drpcconn.New(secured), nil
 }
 
 // to makes one call to an incarnation.
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 
 	"storj.io/drpc/drpcmux"
@@ -25,8 +26,9 @@
 	server   *drpcserver.Server
 }
 
-// Listen binds an address and registers the handlers; traffic counts the bytes.
-func Listen(address string, handlers Handlers, traffic *Traffic) (*Server, error) {
+// Listen binds an address and registers the handlers; traffic counts the bytes,
+// and tlsConfig is nil for plain connections.
+func Listen(address string, handlers Handlers, traffic *Traffic, tlsConfig *tls.Config) (*Server, error) {
 	mux := drpcmux.New()
 	if err := budgetpb.DRPCRegisterBudgets(mux, handlers.Budgets); err != nil {
 		return nil, err
@@ -41,7 +43,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{listener: countedListener{listener, traffic}, server: drpcserver.New(mux)}, nil
+	listener = countedListener{listener, traffic}
+	if tlsConfig != nil {
+		listener = tls.NewListener(listener, tlsConfig)
+	}
+	return &Server{listener: listener, server: drpcserver.New(mux)}, nil
 }
 
 // Address returns the address that the server listens on.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -45,20 +45,39 @@
 	// Default 1000.
 	StoreTimeoutMillis int64 `toml:"store_timeout_millis"`
 	// HeartbeatMillis is the time between heartbeats to a peer, in
-	// milliseconds. Default 500.
+	// milliseconds. Default 1000.
 	HeartbeatMillis int64 `toml:"heartbeat_millis"`
 	// PeerSilentMillis is how long a peer may be silent before others work
-	// around it, in milliseconds. Default 3000.
+	// around it, in milliseconds. Default 3500.
 	PeerSilentMillis int64 `toml:"peer_silent_millis"`
 	// AheadSeconds is how many seconds of an account's demand an instance
 	// keeps allocated for it. Default 2.
 	AheadSeconds int64 `toml:"ahead_seconds"`
+	// CallerReadMillis bounds the reading of one caller's request, and so how
+	// long a slow or endless one holds a connection, in milliseconds. Default 30000.
+	CallerReadMillis int64 `toml:"caller_read_millis"`
+	// PeerTLS holds the files for mutual TLS between instances. Empty is none:
+	// then the peer address must be reachable by instances only.
+	PeerTLS TLSFiles `toml:"peer_tls"`
+	// CallerTLS holds the files for TLS towards callers. Empty is none.
+	CallerTLS TLSFiles `toml:"caller_tls"`
 	// AdminTokenSHA256 is the SHA-256 of the operators' bearer token, in
 	// hexadecimal. Empty closes the administration calls that change or show
 	// accounts.
 	AdminTokenSHA256 string `toml:"admin_token_sha256"`
 }
 
+// TLSFiles names PEM files. They are read again when they are replaced.
+type TLSFiles struct {
+	// Certificate is the instance's certificate; between instances it carries
+	// the DNS name "lavenderring-peer".
+	Certificate string `toml:"certificate"`
+	// Key is its private key.
+	Key string `toml:"key"`
+	// Authority certifies instances; for peer_tls only.
+	Authority string `toml:"authority"`
+}
+
 // Fault is one wrong setting.
 type Fault struct {
 	// File, Key and Value say where it stands and what stands there.
@@ -121,9 +140,10 @@
 		LedgerShards:       16,
 		ClaimShards:        16,
 		StoreTimeoutMillis: 1000,
-		HeartbeatMillis:    500,
-		PeerSilentMillis:   3000,
+		HeartbeatMillis:    1000,
+		PeerSilentMillis:   3500,
 		AheadSeconds:       2,
+		CallerReadMillis:   30_000,
 	}
 }
 
@@ -156,7 +176,13 @@
 	between("store_timeout_millis", s.StoreTimeoutMillis, 10, 60_000)
 	between("heartbeat_millis", s.HeartbeatMillis, 10, 60_000)
 	between("peer_silent_millis", s.PeerSilentMillis, 2*s.HeartbeatMillis, 600_000)
+	between("caller_read_millis", s.CallerReadMillis, 100, 600_000)
 	between("ahead_seconds", s.AheadSeconds, 1, 600)
+	peer, caller := s.PeerTLS, s.CallerTLS
+	peerWhole := peer.Certificate != "" && peer.Key != "" && peer.Authority != ""
+	require(peer == TLSFiles{} || peerWhole, "peer_tls", peer, "certificate, key and authority, or none of them")
+	callerWhole := caller.Certificate != "" && caller.Key != "" && caller.Authority == ""
+	require(caller == TLSFiles{} || callerWhole, "caller_tls", caller, "certificate and key, or none of them")
 	hashed := s.AdminTokenSHA256 == "" || len(s.AdminTokenSHA256) == 64
 	require(hashed, "admin_token_sha256", s.AdminTokenSHA256, "64 hexadecimal digits, or empty")
 	return faults
@@ -167,6 +193,11 @@
 	return time.Duration(s.StoreTimeoutMillis) * time.Millisecond
 }
 
+// CallerRead returns the bound on the reading of one caller's request.
+func (s *Settings) CallerRead() time.Duration {
+	return time.Duration(s.CallerReadMillis) * time.Millisecond
+}
+
 // Heartbeat returns the time between heartbeats to a peer.
 func (s *Settings) Heartbeat() time.Duration {
 	return time.Duration(s.HeartbeatMillis) * time.Millisecond
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -90,6 +90,7 @@
 	s.reported = "0/0"
 	http.POST("/v1/chat/completions", s.complete)
 	http.POST("/cancel/:id", s.cancel)
+	http.GET("/load", s.load)
 	http.POST("/faults", s.setFaults)
 	http.GET("/usage", s.usage)
 	http.Serve()
@@ -120,6 +121,12 @@
 
 func (s *Server) usage(_ context.Context, c *app.RequestContext) { c.JSON(consts.StatusOK, s.Usage()) }
 
+func (s *Server) load(_ context.Context, c *app.RequestContext) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.Header(chat.HeaderLoad, s.reported)
+}
+
 func (s *Server) setFaults(_ context.Context, c *app.RequestContext) {
 	var faults Faults
 	if err := json.Unmarshal(c.Request.Body(), &faults); err != nil {
@@ -166,13 +173,13 @@
 	if s.takeFrozen() {
 		time.Sleep(time.Hour)
 	}
-	s.writeHead(c, id)
+	told := s.writeHead(c, id)
 	if req.Stream {
-		s.stream(c, g, req.Model, offset)
+		s.stream(c, g, told, req.Model, offset)
 		return
 	}
 	<-g.ended
-	c.JSON(consts.StatusOK, wholeAnswer(g, req.Model))
+	c.JSON(consts.StatusOK, wholeAnswer(g, told, req.Model))
 }
 
 func resumeOffset(c *app.RequestContext) (int64, bool) {
@@ -187,7 +194,8 @@
 	return s.faults.Frozen
 }
 
-func (s *Server) writeHead(c *app.RequestContext, id string) {
+// writeHead writes the answer's head and returns the id that it is told under.
+func (s *Server) writeHead(c *app.RequestContext, id string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.WrongID {
@@ -196,6 +204,7 @@
 	}
 	c.Header(chat.HeaderRequestID, id)
 	c.Header(chat.HeaderLoad, s.reported)
+	return id
 }
 
 // generation finds or starts a request's run.
@@ -289,32 +298,32 @@
 	return fmt.Sprintf("%x.%d ", xxhash.Sum64String(id)%0xffff, index)
 }
 
-func wholeAnswer(g *generation, model string) chat.Response {
+func wholeAnswer(g *generation, id, model string) chat.Response {
 	text := ""
 	for i := int64(0); i < g.done.Load(); i++ {
 		text += Token(g.id, i)
 	}
 	message := &chat.Message{Role: "assistant", Content: text}
 	return chat.Response{
-		ID:      g.id,
+		ID:      id,
 		Model:   model,
 		Choices: []chat.Choice{{Message: message, FinishReason: "stop"}},
 		Usage:   &chat.Usage{PromptTokens: g.prompt, CompletionTokens: g.done.Load()},
 	}
 }
 
-func (s *Server) stream(c *app.RequestContext, g *generation, model string, offset int64) {
+func (s *Server) stream(c *app.RequestContext, g *generation, id, model string, offset int64) {
 	w := sse.NewWriter(c)
 	defer func() { _ = w.Close() }()
 	for sent := offset; ; {
 		done, over := g.next(sent)
 		for ; sent < done; sent++ {
-			if s.cutNow(c, sent) || writeToken(w, g, model, sent) != nil {
+			if s.cutNow(c, sent) || writeToken(w, g, id, model, sent) != nil {
 				return
 			}
 		}
 		if over && sent == g.done.Load() {
-			writeEnd(w, g, model)
+			writeEnd(w, g, id, model)
 			return
 		}
 	}
@@ -332,16 +341,16 @@
 	return true
 }
 
-func writeToken(w *sse.Writer, g *generation, model string, index int64) error {
+func writeToken(w *sse.Writer, g *generation, id, model string, index int64) error {
 	delta := &chat.Delta{Content: Token(g.id, index)}
-	event := chat.Response{ID: g.id, Model: model, Choices: []chat.Choice{{Delta: delta}}}
+	event := chat.Response{ID: id, Model: model, Choices: []chat.Choice{{Delta: delta}}}
 	return writeJSON(w, strconv.FormatInt(index+1, 10), event)
 }
 
-func writeEnd(w *sse.Writer, g *generation, model string) {
+func writeEnd(w *sse.Writer, g *generation, id, model string) {
 	usage := &chat.Usage{PromptTokens: g.prompt, CompletionTokens: g.done.Load()}
 	choices := []chat.Choice{{Delta: &chat.Delta{}, FinishReason: "stop"}}
-	event := chat.Response{ID: g.id, Model: model, Choices: choices, Usage: usage}
+	event := chat.Response{ID: id, Model: model, Choices: choices, Usage: usage}
 	if writeJSON(w, "", event) == nil {
 		_ = w.WriteEvent("", "", []byte(chat.EndMark))
 	}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -31,7 +31,7 @@
 
 // CallError tells at which step and upstream a call failed.
 type CallError struct {
-	// Step is "dial", "exchange", "status", "stream" or "cancel".
+	// Step is "dial", "exchange", "status", "stream", "load" or "cancel".
 	Step string
 	// Peer is the upstream's address.
 	Peer string
@@ -123,6 +123,29 @@
 	return r + w
 }
 
+// FetchLoad asks an engine for its load, in requests running and waiting.
+// Errors: *CallError.
+func FetchLoad(ctx context.Context, address string) (float64, error) {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(consts.MethodGet)
+	req.SetRequestURI("http://" + address + "/load")
+	end, err := httpcall.Call(ctx, httpcall.Options{Address: address, MaxResponseBytes: maxEventBytes}, req, resp)
+	defer end()
+	if err != nil {
+		return 0, callError(address, err)
+	}
+	load := parseLoad(resp.Header.Get(chat.HeaderLoad))
+	if resp.StatusCode() != consts.StatusOK || load < 0 {
+		return 0, &CallError{Step: "load", Peer: address, Status: resp.StatusCode(), Err: errNoLoad}
+	}
+	return load, nil
+}
+
+// errNoLoad means that an engine does not report its load.
+var errNoLoad = errors.New("no load reported")
+
 // Cancel stops a request on an engine and returns what it cost. Errors:
 // *CallError; it wraps ErrGone if the engine never had the request.
 func Cancel(ctx context.Context, address, id string) (chat.Usage, error) {
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -13,7 +13,7 @@
 try() {
   local name=$1 file=$2 edit=$3 package=$4 test=$5
   [ -n "$only" ] && [ "$only" != "$name" ] && return
-  rm -rf "$copy"/* && cp -r "$root"/go.mod "$root"/go.sum "$root"/pkg "$root"/cmd "$root"/examples "$copy"/
+  rm -rf "$copy"/* && cp -r "$root"/go.mod "$root"/go.sum "$root"/pkg "$root"/cmd "$root"/examples "$root"/test "$copy"/
   perl -0pi -e "$edit" "$copy/$file"
   if cmp -s "$root/$file" "$copy/$file"; then
     echo "$name: the edit no longer applies to $file"
@@ -42,3 +42,13 @@
 try allocate-only-signed $budget/holder.go 's/return g\.signed - g\.allocated/return g.drawn + g.returned - g.allocated/' $budget TestNoHistoryOverspends
 try returned-is-counted-first $budget/spender.go 's/\t\t\tl\.returned \+= share\n//' $budget TestNoHistoryOverspends
 try settled-lots-stay-settled $budget/spender.go 's/if !s\.settled\[told\.Grant\] \{/if true {/' $budget TestNoHistoryOverspends
+try give-back-has-a-floor pkg/ledger/ledger.go 's/min\(b\.Wanted, g\.Drawn-floor\)/min(b.Wanted, g.Drawn)/' pkg/ledger TestRepeatedGiveBackGivesOnce
+try stored-records-are-left-out pkg/bill/journal.go 's/if !stored\[record\.Seq\] \{/if true {/' pkg/bill TestEachRequestIsBilledOnce
+try claim-stands pkg/claim/shard.go 's/present != nil \{/false {/' pkg/claim TestAtMostOneRequestOfAKeyRuns
+try only-newer-generations pkg/configsync/state.go 's/a\.Generation <= s\.Generation\(a\.Service\)/false/' pkg/configsync TestConfigurationNeverReverts
+try leaving-is-passed-over pkg/dispatch/picker.go 's/upstream\.State == document\.StateLeaving/false/' pkg/dispatch TestLeavingUpstreamIsNotPicked
+try handed-before-first-byte pkg/httpcall/httpcall.go 's/\t\td\.onHanded\(\)\n//' test TestBrokenAnswerIsUnknownNeverTwice
+try end-mark pkg/upstream/stream.go 's/return Event\{\}, s\.readError\(err\)/return Event{End: true}, nil/' test TestCutStreamIsResumedWhole
+try answer-id pkg/upstream/stream.go 's/s\.resp\.Header\.Get\(chat\.HeaderRequestID\) != s\.id/false/; s/out\.Response\.ID != s\.id/false/' test TestCrossedAnswerNeverReachesTheCaller
+try drain-waits pkg/entry/entry.go 's/\t\te\.running\.Wait\(\)\n//' test TestPlannedStopCutsNothing
+exit $status
--- a/test/document_test.go
+++ b/test/document_test.go
@@ -8,7 +8,7 @@
 	"github.com/lavenderring/lavenderring/pkg/document"
 )
 
-func encodeDocument(t *testing.T, doc *document.Document) []byte {
+func encodeDocument(t testing.TB, doc *document.Document) []byte {
 	t.Helper()
 	text, err := toml.Marshal(doc)
 	if err != nil {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -54,13 +55,13 @@
 
 // process is one started program.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	cmd     *exec.Cmd
 	address string
 	control string
 }
 
-func start(t *testing.T, log io.Writer, program string, args ...string) *process {
+func start(t testing.TB, log io.Writer, program string, args ...string) *process {
 	t.Helper()
 	cmd := exec.Command(filepath.Join(binaries, program), args...)
 	cmd.Stderr = log
@@ -79,20 +80,22 @@
 	_ = p.cmd.Wait()
 }
 
-// freeAddress returns an address that nobody listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// testPort is below the range that outgoing connections take their ports from.
+const testPort = 7001
+
+var places atomic.Int64
+
+// freeAddress returns an address that nobody listens on: an IP address of its
+// own, told apart from another run's by the process, so that no connection can
+// take its port before it is listened on.
+func freeAddress() string {
+	place := places.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 16+os.Getpid()%200, place/250, 1+place%250, testPort)
 }
 
 // fleet is a platform with instances and upstreams.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	platform  *process
 	engines   []*process
@@ -100,6 +103,7 @@
 	instances []*process
 	doc       *document.Document
 	store     *platform.Client
+	extra     string // settings for every instance
 }
 
 // options sizes a fleet.
@@ -108,6 +112,10 @@
 	tokenMillis                  int
 	prepaid                      int64
 	deadlineMillis, idleMillis   int64
+	// callerReadMillis bounds the reading of a request; 0 leaves the default.
+	callerReadMillis int
+	// extra is settings text for every instance.
+	extra string
 	// viaRelay puts a relay before each engine.
 	viaRelay bool
 }
@@ -118,10 +126,14 @@
 	crewBudget = service + "/crew"
 )
 
-func newFleet(t *testing.T, o options) *fleet {
+func newFleet(t testing.TB, o options) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir()}
-	address := freeAddress(t)
+	f.extra = o.extra
+	if o.callerReadMillis > 0 {
+		f.extra += fmt.Sprintf("caller_read_millis = %d\n", o.callerReadMillis)
+	}
+	address := freeAddress()
 	f.platform = start(t, io.Discard, "standin", "platform", "--listen", address)
 	f.platform.address = address
 	f.store = platform.NewClient(address, 5*time.Second, nil)
@@ -142,7 +154,7 @@
 
 func (f *fleet) startUpstreams(o options) {
 	for n := 0; n < o.engines; n++ {
-		address := freeAddress(f.t)
+		address := freeAddress()
 		p := start(f.t, io.Discard, "standin", "engine", "--listen", address, "--token-millis", fmt.Sprint(max(o.tokenMillis, 1)))
 		p.address, p.control = address, address
 		if o.viaRelay {
@@ -151,7 +163,7 @@
 		f.engines = append(f.engines, p)
 	}
 	for n := 0; n < o.services; n++ {
-		address := freeAddress(f.t)
+		address := freeAddress()
 		p := start(f.t, io.Discard, "standin", "plain", "--listen", address)
 		p.address, p.control = address, address
 		f.services = append(f.services, p)
@@ -162,7 +174,7 @@
 }
 
 func (f *fleet) startRelay(to string) (address, control string) {
-	address, control = freeAddress(f.t), freeAddress(f.t)
+	address, control = freeAddress(), freeAddress()
 	f.awaitListening(to)
 	start(f.t, io.Discard, "standin", "relay", "--listen", address, "--control", control, "--to", to)
 	f.awaitListening(control)
@@ -208,7 +220,7 @@
 // startInstance starts an instance; seeds may be nil.
 func (f *fleet) startInstance(n int, seeds []string) *process {
 	f.t.Helper()
-	caller, peer, admin := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	caller, peer, admin := freeAddress(), freeAddress(), freeAddress()
 	quoted := make([]string, len(seeds))
 	for i, seed := range seeds {
 		quoted[i] = fmt.Sprintf("%q", seed)
@@ -227,7 +239,7 @@
 admin_token_sha256 = %q
 `, n, domainOf(n), caller, peer, admin, f.platform.address, strings.Join(quoted, ","), document.HashKey(adminToken))
 	path := filepath.Join(f.dir, fmt.Sprintf("instance-%d.toml", n))
-	f.must(os.WriteFile(path, []byte(text), 0o600))
+	f.must(os.WriteFile(path, []byte(text+f.extra), 0o600))
 	log, err := os.Create(filepath.Join(f.dir, fmt.Sprintf("instance-%d-%d.log", n, time.Now().UnixNano())))
 	f.must(err)
 	p := start(f.t, log, "lavenderring", "serve", path)
@@ -363,6 +375,12 @@
 
 // callFor is call by a caller who hangs up after a while.
 func callFor(patience time.Duration, address, key, method, path, idempotencyKey string, body []byte) answer {
+	return callWithID(patience, address, key, method, path, idempotencyKey, "", body)
+}
+
+func callWithID(
+	patience time.Duration, address, key, method, path, idempotencyKey, id string, body []byte,
+) answer {
 	req, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
@@ -372,6 +390,9 @@
 	if idempotencyKey != "" {
 		req.Header.Set(chat.HeaderIdempotencyKey, idempotencyKey)
 	}
+	if id != "" {
+		req.Header.Set(chat.HeaderRequestID, id)
+	}
 	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
