A first request that is never finished no longer holds its connection for ever

Cause: the HTTP library sets its read bound before a connection's second and later requests only. Found by sending half a body (held open past 60 s with a bound of 1.5 s). The bound is set when a connection is accepted.

--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -67,6 +67,7 @@
 		server.WithMaxRequestBodySize(opts.MaxBodyBytes),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithReadTimeout(readTimeout),
+		server.WithOnAccept(boundFirstRead(readTimeout)),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithKeepAliveTimeout(idleTimeout),
 		server.WithExitWaitTime(exitWait),
@@ -80,6 +81,16 @@
 	return &Server{Hertz: hertz, listener: listener, done: make(chan struct{})}, nil
 }
 
+// boundFirstRead bounds the reading of a connection's first request. The library
+// sets its read bound before later requests only: a caller who connects and sends
+// half a body would hold the connection for ever.
+func boundFirstRead(bound time.Duration) func(net.Conn) context.Context {
+	return func(conn net.Conn) context.Context {
+		_ = conn.SetReadDeadline(time.Now().Add(bound))
+		return context.Background()
+	}
+}
+
 // Serve answers requests in the background until Close.
 func (s *Server) Serve() {
 	go func() {
