--- a/pkg/budget/bench_test.go
+++ b/pkg/budget/bench_test.go
@@ -34,8 +34,7 @@
 
 // BenchmarkBareMap is what the ratio is taken to: two updates of a plain map.
 func BenchmarkBareMap(b *testing.B) {
-	_, ids := benchSpender(1)
-	ids = make([]string, benchBudgets)
+	ids := make([]string, benchBudgets)
 	m := map[string]int64{}
 	for n := range ids {
 		ids[n] = fmt.Sprintf("service/account-%05d", n)
--- a/pkg/experiment/baselines.go
+++ b/pkg/experiment/baselines.go
@@ -34,7 +34,6 @@
 type held struct {
 	account, place int
 	bound          int64
-	lost           bool
 }
 
 // split gives each instance a fixed equal part of each budget. A crash strands
