--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -25,13 +25,17 @@
 
 // Table holds the known incarnations. It is safe for concurrent use.
 type Table struct {
-	self   *memberpb.Member
+	// identity is this instance as it started; its fields never change. self is
+	// the same as others see it now, and is read and replaced under mu only.
+	identity *memberpb.Member
+
 	bound  time.Duration
 	fanout int
 	beat   time.Duration
 	now    func() time.Time
 
 	mu      sync.Mutex
+	self    *memberpb.Member
 	entries map[string]*entry
 	byName  map[string]string // name → newest incarnation
 	next    int
@@ -61,14 +65,15 @@
 // NewTable returns a table that knows this instance only.
 func NewTable(cfg Config) *Table {
 	t := &Table{
-		self:    cfg.Self,
-		bound:   cfg.Silent,
-		fanout:  cfg.Fanout,
-		beat:    cfg.Heartbeat,
-		now:     cfg.Now,
-		entries: map[string]*entry{},
-		byName:  map[string]string{},
-		notify:  cfg.Joined,
+		identity: cfg.Self,
+		self:     cfg.Self,
+		bound:    cfg.Silent,
+		fanout:   cfg.Fanout,
+		beat:     cfg.Heartbeat,
+		now:      cfg.Now,
+		entries:  map[string]*entry{},
+		byName:   map[string]string{},
+		notify:   cfg.Joined,
 	}
 	t.entries[cfg.Self.Incarnation] = &entry{member: cfg.Self, heard: cfg.Now()}
 	t.byName[cfg.Self.Name] = cfg.Self.Incarnation
@@ -79,7 +84,7 @@
 // counts as a sign of life; hearsay only makes it known. Incarnations rise with
 // time, so an older one of the same name never replaces a newer one.
 func (t *Table) Learn(m *memberpb.Member, direct bool) {
-	if m == nil || m.Incarnation == "" || m.Incarnation == t.self.Incarnation {
+	if m == nil || m.Incarnation == "" || m.Incarnation == t.identity.Incarnation {
 		return
 	}
 	joined := t.learn(m, direct)
@@ -124,14 +129,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self = &memberpb.Member{
-		Incarnation: t.self.Incarnation,
-		Name:        t.self.Name,
-		Region:      t.self.Region,
-		Domain:      t.self.Domain,
-		PeerAddress: t.self.PeerAddress,
+		Incarnation: t.identity.Incarnation,
+		Name:        t.identity.Name,
+		Region:      t.identity.Region,
+		Domain:      t.identity.Domain,
+		PeerAddress: t.identity.PeerAddress,
 		Leaving:     true,
 	}
-	t.entries[t.self.Incarnation].member = t.self
+	t.entries[t.identity.Incarnation].member = t.self
 }
 
 // Self returns this instance as others see it.
@@ -158,7 +163,7 @@
 }
 
 func (t *Table) silent(incarnation string) bool {
-	if incarnation == t.self.Incarnation {
+	if incarnation == t.identity.Incarnation {
 		return false
 	}
 	e := t.entries[incarnation]
@@ -204,7 +209,7 @@
 	defer t.mu.Unlock()
 	peers := make([]*memberpb.Member, 0, len(t.entries))
 	for incarnation, e := range t.entries {
-		if incarnation == t.self.Incarnation {
+		if incarnation == t.identity.Incarnation {
 			continue
 		}
 		replaced := t.byName[e.member.Name] != incarnation
@@ -276,9 +281,9 @@
 
 func (t *Table) distance(m *memberpb.Member) int {
 	switch {
-	case m.Region == t.self.Region && m.Domain == t.self.Domain:
+	case m.Region == t.identity.Region && m.Domain == t.identity.Domain:
 		return 0
-	case m.Region == t.self.Region:
+	case m.Region == t.identity.Region:
 		return 1
 	default:
 		return 2
@@ -288,7 +293,7 @@
 // Partner returns the live member of another failure domain that this instance
 // should trust its records to, the same region first; empty if there is none.
 func (t *Table) Partner(key string) string {
-	for _, m := range t.WinnersByDomain(key + t.self.Name) {
+	for _, m := range t.WinnersByDomain(key + t.identity.Name) {
 		if t.distance(m) > 0 {
 			return m.Incarnation
 		}
--- /dev/null
+++ b/test/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package test
+
+var raceFlags []string
