--- a/pkg/claim/claimer.go
+++ b/pkg/claim/claimer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/outcome"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/platform"
 	"github.com/lavenderring/lavenderring/pkg/ring"
 )
@@ -210,20 +211,11 @@
 	go func() {
 		defer c.unsent.Done()
 		for ctx.Err() == nil && c.do(ctx, key, apply) != nil {
-			pause(ctx, finishRetryPause)
+			pause.For(ctx, finishRetryPause)
 		}
 	}()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Flush waits until every outcome is recorded, or ctx ends.
 func (c *Claimer) Flush(ctx context.Context) {
 	done := make(chan struct{})
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/platform"
 )
 
@@ -69,14 +70,14 @@
 			lastPoll = time.Now().Add(rand.N(pollEvery / 4))
 			_ = s.Load(ctx)
 		}
-		pause(ctx, roleCheckEvery)
+		pause.For(ctx, roleCheckEvery)
 	}
 }
 
 func (s *Syncer) watchOnce(ctx context.Context, since platform.Version) platform.Version {
 	answer, err := s.store.Watch(ctx, Prefix, since, watchWait)
 	if err != nil {
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 		return since
 	}
 	s.take(ctx, answer.Objects)
@@ -117,12 +118,3 @@
 	s.spread()
 	return true, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/entry/delivery.go
+++ b/pkg/entry/delivery.go
@@ -7,6 +7,7 @@
 	"github.com/lavenderring/lavenderring/pkg/chat"
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/upstream"
 )
 
@@ -31,7 +32,7 @@
 		d.resumes++
 		d.a.e.meters.resumed.Inc(1)
 		d.a.e.Log.Event(eventlog.RequestResumed, d.a.r.id, eventlog.Fields{"offset": d.a.offset, "cause": err.Error()})
-		if !sleep(ctx, resumePause) {
+		if !pause.For(ctx, resumePause) {
 			return err
 		}
 	}
--- a/pkg/entry/load.go
+++ b/pkg/entry/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
 	"github.com/lavenderring/lavenderring/pkg/document"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/upstream"
 )
 
@@ -29,7 +30,7 @@
 
 // PollLoads asks model engines for their load, in turn, until ctx ends.
 func (e *Entry) PollLoads(ctx context.Context) {
-	for next := 0; sleep(ctx, pollEvery); {
+	for next := 0; pause.For(ctx, pollEvery); {
 		targets := e.loadTargets()
 		count := min(pollsPerRound, len(targets))
 		var round sync.WaitGroup
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -10,6 +10,7 @@
 	"github.com/lavenderring/lavenderring/pkg/claim"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 )
 
 // Constants of waiting for a request in progress.
@@ -80,7 +81,7 @@
 		if e.Silent(standing.Holder) {
 			return e.unknownFate(standing)
 		}
-		if !e.Now().Add(wait).Before(r.deadline) || !sleep(ctx, wait) {
+		if !e.Now().Add(wait).Before(r.deadline) || !pause.For(ctx, wait) {
 			return problem(consts.StatusConflict, kindInProgress,
 				"request "+standing.Request+" under this key is still running", outcome.Unknown, inProgressRetryAfter)
 		}
@@ -119,15 +120,3 @@
 	r.c.Data(standing.Answer.Status, standing.Answer.ContentType, standing.Answer.Body)
 	return nil
 }
-
-// sleep waits and reports whether the context still stands.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -5,14 +5,17 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"io"
 	"net"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
 )
 
 // Bounds of every server.
@@ -91,6 +94,19 @@
 	}
 }
 
+// Take makes a handler that decodes a JSON body and hands it on; a body that is
+// none is answered with 400.
+func Take[T any](take func(T)) app.HandlerFunc {
+	return func(_ context.Context, c *app.RequestContext) {
+		var body T
+		if json.Unmarshal(c.Request.Body(), &body) != nil {
+			c.SetStatusCode(consts.StatusBadRequest)
+			return
+		}
+		take(body)
+	}
+}
+
 // Serve answers requests in the background until Close.
 func (s *Server) Serve() {
 	go func() {
--- a/pkg/instance/duties.go
+++ b/pkg/instance/duties.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/ledger"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 )
 
 // Pace of the duties.
@@ -37,7 +38,7 @@
 		if i.syncOnce(ctx) {
 			return true
 		}
-		wait(ctx, syncRetry)
+		pause.For(ctx, syncRetry)
 	}
 	return false
 }
@@ -79,11 +80,11 @@
 }
 
 // every runs a duty at once and then again and again with a pause between.
-func (i *Instance) every(pause time.Duration, run func(context.Context)) {
+func (i *Instance) every(interval time.Duration, run func(context.Context)) {
 	i.duty(func(ctx context.Context) {
 		for ctx.Err() == nil {
 			run(ctx)
-			wait(ctx, pause)
+			pause.For(ctx, interval)
 		}
 	})
 }
@@ -187,16 +188,7 @@
 	_ = i.journal.Copy(ctx)
 	_ = i.keeper.TakeOver(ctx, i.table.Silent)
 	for ctx.Err() == nil && i.journal.Flush(ctx) != nil {
-		wait(ctx, syncRetry)
+		pause.For(ctx, syncRetry)
 	}
 	i.beatAll(ctx)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -91,7 +91,7 @@
 	http.POST("/v1/chat/completions", s.complete)
 	http.POST("/cancel/:id", s.cancel)
 	http.GET("/load", s.load)
-	http.POST("/faults", s.setFaults)
+	http.POST("/faults", httpserve.Take(s.SetFaults))
 	http.GET("/usage", s.usage)
 	http.Serve()
 	go s.reportLoad()
@@ -127,15 +127,6 @@
 	c.Header(chat.HeaderLoad, s.reported)
 }
 
-func (s *Server) setFaults(_ context.Context, c *app.RequestContext) {
-	var faults Faults
-	if err := json.Unmarshal(c.Request.Body(), &faults); err != nil {
-		c.SetStatusCode(consts.StatusBadRequest)
-		return
-	}
-	s.SetFaults(faults)
-}
-
 func (s *Server) reportLoad() {
 	for range time.Tick(loadLag) {
 		s.mu.Lock()
--- a/pkg/standin/objectapi/objectapi.go
+++ b/pkg/standin/objectapi/objectapi.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sort"
 	"strconv"
 	"strings"
@@ -72,7 +71,7 @@
 	http.PUT("/objects/*key", s.put)
 	http.GET("/list", s.list)
 	http.GET("/watch", s.watch)
-	http.POST("/faults", s.setFaults)
+	http.POST("/faults", httpserve.Take(s.SetFaults))
 	http.GET("/stats", s.getStats)
 	http.Serve()
 	return s, nil
@@ -241,15 +240,6 @@
 	}
 }
 
-func (s *Server) setFaults(_ context.Context, c *app.RequestContext) {
-	var faults Faults
-	if err := json.Unmarshal(c.Request.Body(), &faults); err != nil {
-		c.SetStatusCode(consts.StatusBadRequest)
-		return
-	}
-	s.SetFaults(faults)
-}
-
 func (s *Server) getStats(_ context.Context, c *app.RequestContext) {
 	c.JSON(consts.StatusOK, s.Stats())
 }
--- a/pkg/standin/plain/plain.go
+++ b/pkg/standin/plain/plain.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
@@ -52,7 +51,7 @@
 		return nil, err
 	}
 	s := &Server{http: http}
-	http.POST("/_faults", s.setFaults)
+	http.POST("/_faults", httpserve.Take(s.SetFaults))
 	http.GET("/_runs", s.getRuns)
 	http.NoRoute(s.run)
 	http.Serve()
@@ -76,15 +75,6 @@
 	s.faults = faults
 }
 
-func (s *Server) setFaults(_ context.Context, c *app.RequestContext) {
-	var faults Faults
-	if err := json.Unmarshal(c.Request.Body(), &faults); err != nil {
-		c.SetStatusCode(consts.StatusBadRequest)
-		return
-	}
-	s.SetFaults(faults)
-}
-
 func (s *Server) getRuns(_ context.Context, c *app.RequestContext) { c.JSON(consts.StatusOK, s.Runs()) }
 
 func (s *Server) run(_ context.Context, c *app.RequestContext) {
--- a/pkg/standin/relay/relay.go
+++ b/pkg/standin/relay/relay.go
@@ -3,15 +3,10 @@
 package relay
 
 import (
-	"context"
-	"encoding/json"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol/consts"
-
 	"github.com/lavenderring/lavenderring/pkg/httpserve"
 )
 
@@ -71,14 +66,7 @@
 		return err
 	}
 	r.control = server
-	server.POST("/faults", func(_ context.Context, c *app.RequestContext) {
-		var faults Faults
-		if json.Unmarshal(c.Request.Body(), &faults) != nil {
-			c.SetStatusCode(consts.StatusBadRequest)
-			return
-		}
-		r.SetFaults(faults)
-	})
+	server.POST("/faults", httpserve.Take(r.SetFaults))
 	server.Serve()
 	return nil
 }
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -39,8 +39,7 @@
 try old-generation-changes-nothing pkg/ledger/ledger.go 's/generation <= s\.Generations\[service\]/false/' $budget TestReductionBelowGrantedGivesNothingNew
 try draw-within-free pkg/ledger/ledger.go 's/min\(target-g\.Drawn, b\.Free\(\)\)/target-g.Drawn/' $budget TestNoHistoryOverspends
 try absolute-draw-target pkg/ledger/ledger.go 's/min\(target-g\.Drawn, b\.Free\(\)\)/min(target-g.Drawn+100, b.Free()+100)/' $budget TestNoHistoryOverspends
-try allocate-only-signed $budget/holder.go 's/return g\.signed - g\.allocated/return g.drawn + g.returned - g.allocated/' $budget TestNoHistoryOverspends
-try returned-is-counted-first $budget/spender.go 's/\t\t\tl\.returned \+= share\n//' $budget TestNoHistoryOverspends
+try allocate-only-signed $budget/grant.go 's/return g\.signed - g\.allocated/return g.drawn + g.returned - g.allocated/' $budget TestNoHistoryOverspends
 try settled-lots-stay-settled $budget/spender.go 's/if !s\.settled\[told\.Grant\] \{/if true {/' $budget TestNoHistoryOverspends
 try give-back-has-a-floor pkg/ledger/ledger.go 's/min\(b\.Wanted, g\.Drawn-floor\)/min(b.Wanted, g.Drawn)/' pkg/ledger TestRepeatedGiveBackGivesOnce
 try stored-records-are-left-out pkg/bill/journal.go 's/if !stored\[record\.Seq\] \{/if true {/' pkg/bill TestEachRequestIsBilledOnce
--- /dev/null
+++ b/test/upstreams_test.go
@@ -0,0 +1,81 @@
+package test
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/lavenderring/lavenderring/pkg/bill"
+	"github.com/lavenderring/lavenderring/pkg/ledger"
+	"github.com/lavenderring/lavenderring/pkg/standin/plain"
+)
+
+// runs returns what the plain services ran.
+func (f *fleet) runs() []plain.Run {
+	f.t.Helper()
+	var all []plain.Run
+	for _, p := range f.services {
+		resp, err := http.Get("http://" + p.control + "/_runs")
+		f.must(err)
+		var runs []plain.Run
+		f.must(json.NewDecoder(resp.Body).Decode(&runs))
+		_ = resp.Body.Close()
+		all = append(all, runs...)
+	}
+	return all
+}
+
+// runsOf counts how often a job ran.
+func (f *fleet) runsOf(job string) int {
+	f.t.Helper()
+	count := 0
+	for _, run := range f.runs() {
+		if run.Body == `{"job":"`+job+`"}` {
+			count++
+		}
+	}
+	return count
+}
+
+// engineUsage returns the tokens that the engines counted, by request.
+func (f *fleet) engineUsage() map[string]int64 {
+	f.t.Helper()
+	usage := map[string]int64{}
+	for _, p := range f.engines {
+		resp, err := http.Get("http://" + p.control + "/usage")
+		f.must(err)
+		var counted map[string]int64
+		f.must(json.NewDecoder(resp.Body).Decode(&counted))
+		_ = resp.Body.Close()
+		for id, tokens := range counted {
+			usage[id] += tokens
+		}
+	}
+	return usage
+}
+
+// statement reads every bill in the store.
+func (f *fleet) statement() *bill.Statement {
+	f.t.Helper()
+	objects, err := f.store.List(f.t.Context(), bill.Prefix)
+	f.must(err)
+	statement, err := bill.ReadStatement(objects)
+	f.must(err)
+	return statement
+}
+
+// budget reads a budget from the ledger; an empty one if nobody touched it.
+func (f *fleet) budget(id string) *ledger.Budget {
+	f.t.Helper()
+	for shard := 0; shard < 4; shard++ {
+		object, err := f.store.Get(f.t.Context(), ledger.ObjectKey(shard))
+		if err != nil {
+			continue
+		}
+		decoded, err := ledger.Decode(object.Value)
+		f.must(err)
+		if b := decoded.Budgets[id]; b != nil {
+			return b
+		}
+	}
+	return &ledger.Budget{}
+}
