--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -170,7 +170,7 @@
 			Name:        s.Name,
 			Region:      s.Region,
 			Domain:      s.Domain,
-			PeerAddress: s.PeerAddress,
+			PeerAddress: s.PeerAdvertise,
 		},
 		Silent:    s.PeerSilent(),
 		Heartbeat: s.Heartbeat(),
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -27,6 +27,9 @@
 	CallerAddress string `toml:"caller_address"`
 	// PeerAddress is the IP address and port for other instances.
 	PeerAddress string `toml:"peer_address"`
+	// PeerAdvertise is the IP address and port by which other instances reach
+	// this one, where that differs from peer_address. Default peer_address.
+	PeerAdvertise string `toml:"peer_advertise"`
 	// AdminAddress is the IP address and port for operators: health, metrics,
 	// status, events.
 	AdminAddress string `toml:"admin_address"`
@@ -166,6 +169,10 @@
 	require(s.Region != "", "region", s.Region, "a region's name")
 	address("caller_address", s.CallerAddress)
 	address("peer_address", s.PeerAddress)
+	if s.PeerAdvertise == "" {
+		s.PeerAdvertise = s.PeerAddress
+	}
+	address("peer_advertise", s.PeerAdvertise)
 	address("admin_address", s.AdminAddress)
 	address("platform_address", s.PlatformAddress)
 	for i, seed := range s.Seeds {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -102,6 +102,8 @@
 	doc       *document.Document
 	store     *platform.Client
 	extra     string // settings for every instance
+	peerRelay bool
+	relays    []string // control addresses of the relays before instances
 }
 
 // options sizes a fleet.
@@ -116,6 +118,8 @@
 	extra string
 	// viaRelay puts a relay before each engine.
 	viaRelay bool
+	// peerRelays puts a relay before each instance's peer address.
+	peerRelays bool
 }
 
 const (
@@ -127,7 +131,7 @@
 func newFleet(t testing.TB, o options) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir()}
-	f.extra = o.extra
+	f.extra, f.peerRelay = o.extra, o.peerRelays
 	if o.callerReadMillis > 0 {
 		f.extra += fmt.Sprintf("caller_read_millis = %d\n", o.callerReadMillis)
 	}
@@ -179,6 +183,15 @@
 	return address, control
 }
 
+// startPeerRelay starts a relay that others reach an instance through.
+func (f *fleet) startPeerRelay(to string) string {
+	address, control := freeAddress(), freeAddress()
+	start(f.t, io.Discard, "standin", "relay", "--listen", address, "--control", control, "--to", to)
+	f.awaitListening(control)
+	f.relays = append(f.relays, control)
+	return address
+}
+
 func (f *fleet) awaitListening(address string) {
 	f.await(address, func() bool {
 		conn, err := net.Dial("tcp", address)
@@ -219,6 +232,10 @@
 func (f *fleet) startInstance(n int, seeds []string) *process {
 	f.t.Helper()
 	caller, peer, admin := freeAddress(), freeAddress(), freeAddress()
+	advertise := peer
+	if f.peerRelay {
+		advertise = f.startPeerRelay(peer)
+	}
 	quoted := make([]string, len(seeds))
 	for i, seed := range seeds {
 		quoted[i] = fmt.Sprintf("%q", seed)
@@ -227,6 +244,7 @@
 domain = %q
 caller_address = %q
 peer_address = %q
+peer_advertise = %q
 admin_address = %q
 platform_address = %q
 seeds = [%s]
@@ -235,7 +253,7 @@
 heartbeat_millis = 100
 peer_silent_millis = 1500
 admin_token_sha256 = %q
-`, n, domainOf(n), caller, peer, admin, f.platform.address, strings.Join(quoted, ","), document.HashKey(adminToken))
+`, n, domainOf(n), caller, peer, advertise, admin, f.platform.address, strings.Join(quoted, ","), document.HashKey(adminToken))
 	path := filepath.Join(f.dir, fmt.Sprintf("instance-%d.toml", n))
 	f.must(os.WriteFile(path, []byte(text+f.extra), 0o600))
 	log, err := os.Create(filepath.Join(f.dir, fmt.Sprintf("instance-%d-%d.log", n, time.Now().UnixNano())))
--- a/test/once_test.go
+++ b/test/once_test.go
@@ -73,6 +73,63 @@
 	}
 }
 
+// The instance dies at one step of a booking after the other. Wherever it is, the
+// desk's retry at another instance never makes it run twice, and what it is told
+// is true: it ran, it did not, or nobody knows.
+func TestDeathAtEachStepOfABooking(t *testing.T) {
+	for _, step := range []struct {
+		description string
+		before      func(*fleet)
+		reached     func(*fleet) bool
+		ranBefore   int
+	}{
+		{
+			description: "while the claim is on its way",
+			before:      func(f *fleet) { f.post(f.platform.address, "/faults", objectapi.Faults{SlowMillis: 400}) },
+			reached:     func(f *fleet) bool { status, err := f.status(f.instances[0]); return err == nil && status.Active == 1 },
+		},
+		{
+			description: "while the service works",
+			before:      func(f *fleet) { f.post(f.services[0].control, "/_faults", plain.Faults{DelayMillis: 1500}) },
+			reached:     func(f *fleet) bool { return f.runsOf("leak-17") == 1 },
+			ranBefore:   1,
+		},
+		{
+			description: "before the outcome is recorded",
+			before:      func(f *fleet) { f.post(f.services[0].control, "/_faults", plain.Faults{DelayMillis: 500}) },
+			reached: func(f *fleet) bool {
+				if f.runsOf("leak-17") == 0 {
+					return false
+				}
+				f.post(f.platform.address, "/faults", objectapi.Faults{Outage: true})
+				status, err := f.status(f.instances[0])
+				return err == nil && status.Active == 0
+			},
+			ranBefore: 1,
+		},
+	} {
+		t.Run(step.description, func(t *testing.T) {
+			f := newFleet(t, options{instances: 2, services: 1, prepaid: 10_000})
+			step.before(f)
+			first := make(chan answer, 1)
+			go func() { first <- assign(f.instances[0].address, "job-1", "leak-17") }()
+			f.await(step.description, func() bool { return step.reached(f) })
+			f.instances[0].kill()
+			<-first
+			f.post(f.platform.address, "/faults", objectapi.Faults{})
+			f.post(f.services[0].control, "/_faults", plain.Faults{})
+			a := assign(f.instances[1].address, "job-1", "leak-17")
+			runs := f.runsOf("leak-17")
+			if runs > 1 || runs < step.ranBefore {
+				t.Errorf("the job ran %d times", runs)
+			}
+			if a.whole && runs != 1 || a.refusedUnrun() && runs != 0 {
+				t.Errorf("told %d %s, and it ran %d times", a.status, a.body, runs)
+			}
+		})
+	}
+}
+
 // The instance is frozen past every limit with the job at the service, and wakes
 // after others have answered the retry. It may finish its own request; it
 // dispatches nothing anew, and the retry after that gets the recorded answer.
