A claim is looked up before any other refusal; a witness that does not answer is replaced at once

The claim now comes before the reservation, so the standing outcome is told. Cause 2: the tokens were out of reach only because the dead instance was the witness and not yet silent for the bound; a request that waits now names another witness at once.

--- a/pkg/budget/fleetfake/calls.go
+++ b/pkg/budget/fleetfake/calls.go
@@ -145,11 +145,11 @@
 }
 
 // Witness implements budget.Fleet: the next place in another domain.
-func (v view) Witness() string {
+func (v view) Witness(except string) string {
 	f := v.m.fleet
 	for i := 1; i < len(f.Nodes); i++ {
 		m := f.Nodes[(v.m.Place+i)%len(f.Nodes)]
-		if m.Domain != v.m.Domain && !v.Silent(m.Incarnation) {
+		if m.Domain != v.m.Domain && m.Incarnation != except && !v.Silent(m.Incarnation) {
 			return m.Incarnation
 		}
 	}
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -71,6 +71,16 @@
 	return nil
 }
 
+// openOf returns a budget's open grant if the ledger has it; nil otherwise.
+func (h *Holder) openOf(budget string) *grant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g := h.openGrant(budget); g != nil && !g.fresh {
+		return g
+	}
+	return nil
+}
+
 // allocatable returns the tokens of a budget that can be allocated at once.
 func (h *Holder) allocatable(budget string) int64 {
 	h.mu.Lock()
--- a/pkg/budget/interfaces.go
+++ b/pkg/budget/interfaces.go
@@ -36,9 +36,9 @@
 type Fleet interface {
 	// Holders returns the incarnations to ask for a shard's budgets, nearest first.
 	Holders(shard int) []string
-	// Witness returns whom this instance should have countersign its grants;
-	// empty if no other instance is known.
-	Witness() string
+	// Witness returns whom this instance should have countersign its grants,
+	// other than one that has just failed; empty if nobody else is known.
+	Witness(except string) string
 	// Silent reports whether an incarnation has not been heard of for the bound.
 	Silent(incarnation string) bool
 }
--- a/pkg/budget/node.go
+++ b/pkg/budget/node.go
@@ -178,6 +178,7 @@
 	for round := 0; round < maxRefillRounds; round++ {
 		if n.signFor(ctx, budget, need) != nil {
 			dry = false
+			n.replaceWitness(ctx, budget)
 		}
 		missing := need - n.holder.allocatable(budget) - n.holder.unsignedRest(budget)
 		if n.holder.allocatable(budget) >= need {
@@ -230,7 +231,16 @@
 	if n.cfg.Unwitnessed {
 		return ""
 	}
-	return n.fleet.Witness()
+	return n.fleet.Witness("")
+}
+
+// replaceWitness names another witness at once when the present one does not
+// answer a request that waits. It may be too early: that costs a write, and to
+// wait until the silence is certain costs a caller its answer.
+func (n *Node) replaceWitness(ctx context.Context, budget string) {
+	if g := n.holder.openOf(budget); g != nil {
+		n.renameWitness(ctx, []*grant{g}, n.fleet.Witness(g.witness))
+	}
 }
 
 // write brings a holder's wishes for one shard to the ledger, with the prepaid
--- a/pkg/budget/takeover_test.go
+++ b/pkg/budget/takeover_test.go
@@ -101,9 +101,9 @@
 func (v deskView) Holders(int) []string { return []string{"x"} }
 
 // Witness is y, or z when y is silent.
-func (v deskView) Witness() string {
+func (v deskView) Witness(except string) string {
 	for _, name := range []string{"y", "z"} {
-		if name != v.self && !v.d.silent[name] && v.d.nodes[name] != nil {
+		if name != v.self && name != except && !v.d.silent[name] && v.d.nodes[name] != nil {
 			return name
 		}
 	}
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -53,16 +53,11 @@
 	if p := call.parse(r.c.Request.Body()); p != nil {
 		return p
 	}
-	if p := call.cost.hold(ctx, call.bound); p != nil {
-		return p
-	}
 	if call.repeatable || r.key == "" {
 		return call.run(ctx)
 	}
 	fingerprint := claim.Fingerprint(consts.MethodPost, chatPath, r.c.Request.Body())
-	p := e.once(ctx, r, fingerprint, call.runOnce)
-	call.cost.spend(0) // changes nothing unless the claim stood already
-	return p
+	return e.once(ctx, r, fingerprint, call.runOnce)
 }
 
 // parse checks the request and writes the body that the engine gets: streamed,
@@ -119,9 +114,12 @@
 	return &claim.Answer{Status: consts.StatusOK, ContentType: "application/json", Body: body}, nil
 }
 
-// run makes attempts until the answer is delivered whole or nothing more may
-// be tried.
+// run reserves, and makes attempts until the answer is delivered whole or nothing
+// more may be tried.
 func (a *chatCall) run(ctx context.Context) *Problem {
+	if p := a.cost.hold(ctx, a.bound); p != nil {
+		return p
+	}
 	a.cost.open(ctx)
 	a.e.retries.deposit()
 	for {
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -29,6 +29,8 @@
 // once runs a request that may not be repeated under its caller's key, or
 // answers from the claim that stands. The claim is durable before the first
 // byte leaves, so that no crash, pause or lost answer lets a second one leave.
+// It comes before every other refusal: a retry that was refused "not run" for lack
+// of tokens while its first sending had run would send its caller to book anew.
 func (e *Entry) once(
 	ctx context.Context, r *request, fingerprint string, run func(context.Context) (*claim.Answer, *Problem),
 ) *Problem {
@@ -43,7 +45,8 @@
 	if err != nil {
 		e.Claims.Release(e.background, key, r.id) // the write may have taken effect
 		return notRun(consts.StatusServiceUnavailable, kindStore,
-			"a request that may not be repeated needs the platform's store, which is unreachable", storeRetryAfter)
+			"a request that may not be repeated needs the platform's store, which is unreachable; this sending did "+
+				"not run. If an earlier one may have, send it again under the same key", storeRetryAfter)
 	}
 	if !taken {
 		e.Log.Event(eventlog.ClaimConflict, r.id, eventlog.Fields{"standing": standing.Request})
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -72,16 +72,11 @@
 }
 
 func (p *plainCall) serve(ctx context.Context) *Problem {
-	if problem := p.cost.hold(ctx, p.pool.PriceTokens); problem != nil {
-		return problem
-	}
 	if p.repeatable || p.r.key == "" {
 		return p.run(ctx)
 	}
 	fingerprint := claim.Fingerprint(p.call.Method, p.call.Path+"?"+p.call.Query, p.call.Body)
-	problem := p.e.once(ctx, p.r, fingerprint, p.runOnce)
-	p.cost.spend(0) // changes nothing unless the claim stood already
-	return problem
+	return p.e.once(ctx, p.r, fingerprint, p.runOnce)
 }
 
 func (p *plainCall) runOnce(ctx context.Context) (*claim.Answer, *Problem) {
@@ -91,8 +86,12 @@
 	return &claim.Answer{Status: p.answer.Status, ContentType: p.answer.ContentType, Body: p.answer.Body}, nil
 }
 
-// run dispatches until an upstream answers or nothing more may be tried.
+// run reserves, and dispatches until an upstream answers or nothing more may be
+// tried.
 func (p *plainCall) run(ctx context.Context) *Problem {
+	if problem := p.cost.hold(ctx, p.pool.PriceTokens); problem != nil {
+		return problem
+	}
 	p.cost.open(ctx)
 	p.e.retries.deposit()
 	for {
--- a/pkg/instance/fleet.go
+++ b/pkg/instance/fleet.go
@@ -32,7 +32,7 @@
 }
 
 // Witness implements budget.Fleet.
-func (v fleetView) Witness() string { return v.table.Partner("witness/") }
+func (v fleetView) Witness(except string) string { return v.table.Partner("witness/", except) }
 
 // Silent implements budget.Fleet.
 func (v fleetView) Silent(incarnation string) bool { return v.table.Silent(incarnation) }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -202,7 +202,7 @@
 		Observer: budgetObserver{i.log},
 		Now:      time.Now,
 	})
-	billPeer := func() string { return i.table.Partner("bills/") }
+	billPeer := func() string { return i.table.Partner("bills/", "") }
 	i.journal = bill.NewJournal(i.incarnation, i.store, i.peers, billPeer)
 	i.keeper = bill.NewKeeper(i.store)
 	i.claims = claim.NewClaimer(i.store, s.ClaimShards, time.Now)
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -291,10 +291,11 @@
 }
 
 // Partner returns the live member of another failure domain that this instance
-// should trust its records to, the same region first; empty if there is none.
-func (t *Table) Partner(key string) string {
+// should trust its records to, the same region first, other than the incarnation
+// named; empty if there is none.
+func (t *Table) Partner(key, except string) string {
 	for _, m := range t.WinnersByDomain(key + t.identity.Name) {
-		if t.distance(m) > 0 {
+		if t.distance(m) > 0 && m.Incarnation != except {
 			return m.Incarnation
 		}
 	}
