--- a/pkg/instance/duties.go
+++ b/pkg/instance/duties.go
@@ -164,6 +164,7 @@
 	i.fire(triggerStop)
 	i.table.MarkLeaving()
 	i.nudge.TryPut(struct{}{})
+	pause.For(context.Background(), i.settings.DrainDelay())
 	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	err := i.entry.Drain(drain)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -59,6 +59,10 @@
 	// CallerReadMillis bounds the reading of one caller's request, and so how
 	// long a slow or endless one holds a connection, in milliseconds. Default 30000.
 	CallerReadMillis int64 `toml:"caller_read_millis"`
+	// DrainDelayMillis is how long a stopping instance is unready and still takes
+	// requests, so that the balancer has turned away before one is refused, in
+	// milliseconds. Default 2000.
+	DrainDelayMillis int64 `toml:"drain_delay_millis"`
 	// PeerTLS holds the files for mutual TLS between instances. Empty is none:
 	// then the peer address must be reachable by instances only.
 	PeerTLS TLSFiles `toml:"peer_tls"`
@@ -147,6 +151,7 @@
 		PeerSilentMillis:   3500,
 		AheadSeconds:       2,
 		CallerReadMillis:   30_000,
+		DrainDelayMillis:   2000,
 	}
 }
 
@@ -183,6 +188,7 @@
 	between("store_timeout_millis", s.StoreTimeoutMillis, 10, 60_000)
 	between("heartbeat_millis", s.HeartbeatMillis, 10, 60_000)
 	between("peer_silent_millis", s.PeerSilentMillis, 2*s.HeartbeatMillis, 600_000)
+	between("drain_delay_millis", s.DrainDelayMillis, 0, 600_000)
 	between("caller_read_millis", s.CallerReadMillis, 100, 600_000)
 	between("ahead_seconds", s.AheadSeconds, 1, 600)
 	peer, caller := s.PeerTLS, s.CallerTLS
@@ -205,6 +211,11 @@
 	return time.Duration(s.CallerReadMillis) * time.Millisecond
 }
 
+// DrainDelay returns how long a stopping instance still takes requests.
+func (s *Settings) DrainDelay() time.Duration {
+	return time.Duration(s.DrainDelayMillis) * time.Millisecond
+}
+
 // Heartbeat returns the time between heartbeats to a peer.
 func (s *Settings) Heartbeat() time.Duration {
 	return time.Duration(s.HeartbeatMillis) * time.Millisecond
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -252,6 +252,7 @@
 claim_shards = 4
 heartbeat_millis = 100
 peer_silent_millis = 1500
+drain_delay_millis = 300
 admin_token_sha256 = %q
 `, n, domainOf(n), caller, peer, advertise, admin, f.platform.address, strings.Join(quoted, ","), document.HashKey(adminToken))
 	path := filepath.Join(f.dir, fmt.Sprintf("instance-%d.toml", n))
