--- a/pkg/budget/lot.go
+++ b/pkg/budget/lot.go
@@ -29,14 +29,14 @@
 
 // position is what a spender has of one budget.
 type position struct {
-	lots     []*lot
-	seq      uint64
-	demand   int64   // tokens reserved since the last tick
-	perTick  float64 // smoothed demand per tick
-	idle     int     // ticks without demand
-	gather   sync.Mutex
-	deniedAt time.Time
-	denied   *ShortError // what the last search in vain found
+	lots      []*lot
+	seq       uint64
+	demand    int64   // tokens reserved since the last tick
+	perSecond float64 // smoothed demand, tokens a second
+	idle      int     // ticks without demand
+	gather    sync.Mutex
+	deniedAt  time.Time
+	denied    *ShortError // what the last search in vain found
 }
 
 func (p *position) free() int64 {
@@ -85,6 +85,9 @@
 			return
 		}
 	}
+	if told.Allocated == 0 {
+		return
+	}
 	p.lots = append(p.lots, &lot{
 		grant:     told.Grant,
 		holder:    told.Holder,
@@ -112,7 +115,7 @@
 
 func (p *position) smooth(interval time.Duration) {
 	perSecond := float64(p.demand) / interval.Seconds()
-	p.perTick += tickSmoothing * (perSecond - p.perTick)
+	p.perSecond += tickSmoothing * (perSecond - p.perSecond)
 	p.idle++
 	if p.demand > 0 {
 		p.idle = 0
@@ -130,6 +133,6 @@
 			return false
 		}
 	}
-	p.perTick = 0
+	p.perSecond = 0
 	return true
 }
--- a/pkg/budget/node.go
+++ b/pkg/budget/node.go
@@ -320,7 +320,7 @@
 
 func (n *Node) recallFrom(ctx context.Context, spender, budget string) ([]*budgetpb.Usage, error) {
 	if spender == n.cfg.Self {
-		return n.spender.recall(budget, 0), nil
+		return n.spender.recall(budget), nil
 	}
 	reply, err := n.peers.Recall(ctx, spender, &budgetpb.RecallRequest{Budget: budget})
 	if err != nil {
@@ -331,7 +331,7 @@
 
 // Recall answers a holder that needs tokens back.
 func (n *Node) Recall(_ context.Context, req *budgetpb.RecallRequest) (*budgetpb.RecallReply, error) {
-	return &budgetpb.RecallReply{Usages: n.spender.recall(req.Budget, 0)}, nil
+	return &budgetpb.RecallReply{Usages: n.spender.recall(req.Budget)}, nil
 }
 
 // Sign answers a holder whose witness this instance is.
--- a/pkg/budget/spender.go
+++ b/pkg/budget/spender.go
@@ -115,21 +115,21 @@
 	return wish{
 		seq:   p.seq,
 		need:  max(tokens-free, 0),
-		ahead: int64(p.perTick * ahead.Seconds()),
+		ahead: int64(p.perSecond * ahead.Seconds()),
 		found: free,
 	}
 }
 
-// recall returns every token of a budget beyond the given number that is not
-// set aside, and tells the usage of all its lots.
-func (s *Spender) recall(budget string, keep int64) []*budgetpb.Usage {
+// recall returns every token of a budget that is not set aside, and tells the
+// usage of all its lots.
+func (s *Spender) recall(budget string) []*budgetpb.Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.positions[budget]
 	if p == nil {
 		return nil
 	}
-	p.giveBack(keep)
+	p.giveBack(0)
 	s.active[budget] = p
 	usages := make([]*budgetpb.Usage, 0, len(p.lots))
 	for _, l := range p.lots {
@@ -163,7 +163,7 @@
 	for _, budget := range sortedKeys(s.active) {
 		p := s.active[budget]
 		p.smooth(interval)
-		keep := int64(p.perTick * ahead.Seconds())
+		keep := int64(p.perSecond * ahead.Seconds())
 		if s.stopping || p.idle >= idleTicksBeforeReturn {
 			keep = 0
 		}
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"strings"
 	"sync"
@@ -131,6 +132,9 @@
 	return len(one.engineUsage())
 }
 
+// rollingRounds is how often each instance is replaced; more are run by hand.
+var rollingRounds = flag.Int("rolling", 1, "rounds of TestRollingRestartLosesNothing")
+
 // All instances are replaced one after the other under load, by callers who, as
 // the balancer does, go to another instance when one refuses or is gone. Nothing
 // that was begun is lost, and the books agree afterwards.
@@ -166,7 +170,8 @@
 			}
 		})
 	}
-	for n := range 3 {
+	for restart := range 3 * *rollingRounds {
+		n := restart % 3
 		old := pick(n)
 		fresh := f.startInstance(n, nil)
 		f.awaitReady(fresh)
