--- a/pkg/budget/fleetfake/fake.go
+++ b/pkg/budget/fleetfake/fake.go
@@ -54,14 +54,14 @@
 	// Reclaims counts grants that witnesses reclaimed.
 	Reclaims int
 
-	cfg     budget.Config
-	rng     *rand.Rand
-	now     time.Time
-	shards  map[int][]byte
-	cut     map[[2]int]bool
-	nesting int
-	waiting bool // a request waits for what is being done
-	births  int
+	cfg          budget.Config
+	rng          *rand.Rand
+	now          time.Time
+	shards       map[int][]byte
+	cut          map[[2]int]bool
+	nesting      int
+	waiting      bool // a request waits for what is being done
+	incarnations int
 }
 
 // Member is one place with the node that stands in it.
@@ -94,15 +94,15 @@
 		cut:        map[[2]int]bool{},
 	}
 	for place := 0; place < nodes; place++ {
-		f.Nodes = append(f.Nodes, f.birth(place, place%domains))
+		f.Nodes = append(f.Nodes, f.newMember(place, place%domains))
 	}
 	return f
 }
 
-func (f *Fleet) birth(place, domain int) *Member {
-	f.births++
+func (f *Fleet) newMember(place, domain int) *Member {
+	f.incarnations++
 	m := &Member{
-		Incarnation: incarnationName(place, f.births),
+		Incarnation: incarnationName(place, f.incarnations),
 		Place:       place,
 		Domain:      domain,
 		fleet:       f,
@@ -121,9 +121,9 @@
 	return m
 }
 
-func incarnationName(place, birth int) string {
+func incarnationName(place, count int) string {
 	const letters = "abcdefghijklmnopqrstuvwxyz"
-	return string(letters[place%len(letters)]) + "-" + time.Duration(birth).String()
+	return string(letters[place%len(letters)]) + "-" + time.Duration(count).String()
 }
 
 func (f *Fleet) prepaidOf(shard int) []budget.ServicePrepaid {
@@ -162,7 +162,7 @@
 func (f *Fleet) Crash(place int) {
 	old := f.Nodes[place]
 	old.Dead = true
-	f.Nodes[place] = f.birth(place, old.Domain)
+	f.Nodes[place] = f.newMember(place, old.Domain)
 }
 
 // Pause stops a node, and Resume lets it go on where it was.
--- a/pkg/budget/grant.go
+++ b/pkg/budget/grant.go
@@ -70,7 +70,7 @@
 	g.unsentUsages[u.Spender] = true
 }
 
-// share decides how much of a wish is given. Beyond the need at most a
+// share decides how much of a request is given. Beyond the need at most a
 // quarter of what is left goes out, so that the last tokens stay in one place
 // instead of being scattered over spenders that do not need them.
 func (g *grant) share(need, ahead int64) int64 {
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -41,7 +41,7 @@
 
 // allocate gives a spender tokens that are signed already. It never gives less
 // than was asked for as need if it can, and nothing twice for one seq: after a
-// lost answer the same wish finds its lots unchanged.
+// lost answer the same request finds its lots unchanged.
 func (h *Holder) allocate(req *budgetpb.AllocateRequest) *budgetpb.AllocateReply {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -140,9 +140,9 @@
 	return out
 }
 
-// signWish returns what a witness is asked to sign for a budget so that need
+// signRequest returns what a witness is asked to sign for a budget so that need
 // more tokens can be allocated; nil if there is nothing to sign.
-func (h *Holder) signWish(budget string, need int64) (string, *budgetpb.GrantState) {
+func (h *Holder) signRequest(budget string, need int64) (string, *budgetpb.GrantState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	g := h.openGrant(budget)
--- a/pkg/budget/node.go
+++ b/pkg/budget/node.go
@@ -125,13 +125,13 @@
 func (n *Node) search(ctx context.Context, budget string, tokens int64, into *Reservation) *ShortError {
 	short := &ShortError{Budget: budget, Need: tokens, Exhausted: true, Step: "allocate"}
 	for _, to := range n.fleet.Holders(ledger.ShardOf(budget, n.cfg.Shards)) {
-		wish := n.spender.wishFor(budget, tokens, n.cfg.Ahead)
+		missing := n.spender.shortfallFor(budget, tokens, n.cfg.Ahead)
 		reply, err := n.allocateFrom(ctx, to, &budgetpb.AllocateRequest{
 			Spender: n.cfg.Self,
 			Budget:  budget,
-			Seq:     wish.seq,
-			Need:    wish.need,
-			Ahead:   wish.ahead,
+			Seq:     missing.seq,
+			Need:    missing.need,
+			Ahead:   missing.ahead,
 		})
 		if err != nil {
 			short.Peer, short.Err, short.Exhausted = to, err, false
@@ -156,7 +156,7 @@
 	return n.peers.Allocate(ctx, to, req)
 }
 
-// Allocate answers a spender's wish, refilling first if need be.
+// Allocate answers a spender's request, refilling first if need be.
 func (n *Node) Allocate(ctx context.Context, req *budgetpb.AllocateRequest) (*budgetpb.AllocateReply, error) {
 	dry := false
 	if n.holder.allocatable(req.Budget) < req.Need {
@@ -198,7 +198,7 @@
 }
 
 func (n *Node) signFor(ctx context.Context, budget string, need int64) error {
-	witness, state := n.holder.signWish(budget, need)
+	witness, state := n.holder.signRequest(budget, need)
 	if witness == "" {
 		n.holder.selfSign(budget, need)
 		return nil
@@ -222,8 +222,8 @@
 
 func (n *Node) drawFor(ctx context.Context, budget string, missing int64) error {
 	witness := n.chooseWitness()
-	return n.write(ctx, ledger.ShardOf(budget, n.cfg.Shards), func() []drawWish {
-		return []drawWish{n.holder.drawWish(budget, witness, missing)}
+	return n.write(ctx, ledger.ShardOf(budget, n.cfg.Shards), func() []ledgerUpdate {
+		return []ledgerUpdate{n.holder.drawUpdate(budget, witness, missing)}
 	})
 }
 
@@ -243,28 +243,28 @@
 	}
 }
 
-// write brings a holder's wishes for one shard to the ledger, with the prepaid
+// write brings a holder's updates for one shard to the ledger, with the prepaid
 // amounts in force, in one conditional write. Writes to a shard come one at a
-// time, wishes included: a grant can grow and shrink, and results taken over in
+// time, updates included: a grant can grow and shrink, and results taken over in
 // the wrong order would make it look larger than it is.
-func (n *Node) write(ctx context.Context, shard int, makeWishes func() []drawWish) error {
+func (n *Node) write(ctx context.Context, shard int, makeUpdates func() []ledgerUpdate) error {
 	n.shards[shard].Lock()
 	defer n.shards[shard].Unlock()
-	wishes := makeWishes()
-	if len(wishes) == 0 {
+	updates := makeUpdates()
+	if len(updates) == 0 {
 		return nil
 	}
-	return n.writeLocked(ctx, shard, wishes)
+	return n.writeLocked(ctx, shard, updates)
 }
 
-func (n *Node) writeLocked(ctx context.Context, shard int, wishes []drawWish) error {
-	var results []drawResult
+func (n *Node) writeLocked(ctx context.Context, shard int, updates []ledgerUpdate) error {
+	var results []ledgerResult
 	err := n.ledger.Update(ctx, shard, func(s *ledger.Shard) {
 		results = results[:0]
 		for _, p := range n.prepaid(shard) {
 			s.SetPrepaid(p.Service, p.Generation, p.Amounts)
 		}
-		for _, w := range wishes {
+		for _, w := range updates {
 			results = append(results, w.apply(s, n.cfg.Self, n.cfg.PoolShare))
 		}
 	})
@@ -274,7 +274,7 @@
 	lost := n.holder.adopt(results)
 	n.observe(results)
 	for _, r := range lost {
-		if g := n.holder.surrender(r.wish.id); g != nil {
+		if g := n.holder.surrender(r.update.id); g != nil {
 			n.closeGrant(ctx, g)
 			n.observer.GrantLost(g.budget, g.id)
 		}
@@ -282,16 +282,16 @@
 	return nil
 }
 
-func (n *Node) observe(results []drawResult) {
+func (n *Node) observe(results []ledgerResult) {
 	for _, r := range results {
-		if r.drawn > r.wish.target {
-			n.observer.GrantDrawn(r.wish.budget, r.wish.id, r.drawn-r.wish.target)
+		if r.drawn > r.update.target {
+			n.observer.GrantDrawn(r.update.budget, r.update.id, r.drawn-r.update.target)
 		}
 		if r.free < 0 {
-			n.observer.BudgetReduced(r.wish.budget, r.free)
+			n.observer.BudgetReduced(r.update.budget, r.free)
 		}
-		if r.wish.rename && r.err == nil {
-			n.observer.WitnessNamed(r.wish.budget, r.wish.id, r.wish.witness)
+		if r.update.rename && r.err == nil {
+			n.observer.WitnessNamed(r.update.budget, r.update.id, r.update.witness)
 		}
 	}
 }
--- a/pkg/budget/spender.go
+++ b/pkg/budget/spender.go
@@ -97,22 +97,22 @@
 	return p
 }
 
-// wish is what a spender asks a holder for.
-type wish struct {
+// shortfall is what a spender asks a holder for.
+type shortfall struct {
 	seq   uint64
 	need  int64
 	ahead int64
 	found int64
 }
 
-// wishFor returns what is missing for a reservation, under a new number.
-func (s *Spender) wishFor(budget string, tokens int64, ahead time.Duration) wish {
+// shortfallFor returns what is missing for a reservation, under a new number.
+func (s *Spender) shortfallFor(budget string, tokens int64, ahead time.Duration) shortfall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.position(budget)
 	p.seq++
 	free := p.free()
-	return wish{
+	return shortfall{
 		seq:   p.seq,
 		need:  max(tokens-free, 0),
 		ahead: int64(p.perSecond * ahead.Seconds()),
--- a/pkg/budget/takeover_test.go
+++ b/pkg/budget/takeover_test.go
@@ -12,9 +12,9 @@
 
 var errCut = errors.New("cut")
 
-// desk is a store, peers and a fleet view for two or three nodes under a
+// fixture is a store, peers and a fleet view for two or three nodes under a
 // test's full control.
-type desk struct {
+type fixture struct {
 	shard  *ledger.Shard
 	nodes  map[string]*Node
 	cut    map[string]bool
@@ -24,14 +24,14 @@
 	beforeWrite func()
 }
 
-// deskPrepaid is the one budget's prepaid amount in tokens.
-const deskPrepaid = 1000
+// fixturePrepaid is the one budget's prepaid amount in tokens.
+const fixturePrepaid = 1000
 
-const deskBudget = "s/a"
+const fixtureBudget = "s/a"
 
-func newDesk(names ...string) *desk {
+func newFixture(names ...string) *fixture {
 	shard, _ := ledger.Decode(nil)
-	d := &desk{
+	d := &fixture{
 		shard:  shard,
 		nodes:  map[string]*Node{},
 		cut:    map[string]bool{},
@@ -42,20 +42,20 @@
 		d.nodes[name] = NewNode(Config{Self: name, Shards: 1, MinimumSigned: 100}, Deps{
 			Ledger:   d,
 			Peers:    d,
-			Fleet:    deskView{d, name},
+			Fleet:    fixtureView{d, name},
 			Prepaid:  d.prepaid,
-			Observer: quiet{},
+			Observer: noObserver{},
 			Now:      func() time.Time { return d.now },
 		})
 	}
 	return d
 }
 
-func (d *desk) prepaid(int) []ServicePrepaid {
-	return []ServicePrepaid{{Service: "s", Generation: 1, Amounts: map[string]int64{deskBudget: deskPrepaid}}}
+func (d *fixture) prepaid(int) []ServicePrepaid {
+	return []ServicePrepaid{{Service: "s", Generation: 1, Amounts: map[string]int64{fixtureBudget: fixturePrepaid}}}
 }
 
-func (d *desk) Update(_ context.Context, _ int, change func(*ledger.Shard)) error {
+func (d *fixture) Update(_ context.Context, _ int, change func(*ledger.Shard)) error {
 	if before := d.beforeWrite; before != nil {
 		d.beforeWrite = nil
 		before()
@@ -64,44 +64,44 @@
 	return nil
 }
 
-func (d *desk) Allocate(ctx context.Context, to string, req *budgetpb.AllocateRequest) (*budgetpb.AllocateReply, error) {
+func (d *fixture) Allocate(ctx context.Context, to string, req *budgetpb.AllocateRequest) (*budgetpb.AllocateReply, error) {
 	if d.cut[to] {
 		return nil, errCut
 	}
 	return d.nodes[to].Allocate(ctx, req)
 }
 
-func (d *desk) Recall(ctx context.Context, to string, req *budgetpb.RecallRequest) (*budgetpb.RecallReply, error) {
+func (d *fixture) Recall(ctx context.Context, to string, req *budgetpb.RecallRequest) (*budgetpb.RecallReply, error) {
 	if d.cut[to] {
 		return nil, errCut
 	}
 	return d.nodes[to].Recall(ctx, req)
 }
 
-func (d *desk) Report(ctx context.Context, to string, req *budgetpb.ReportRequest) (*budgetpb.ReportReply, error) {
+func (d *fixture) Report(ctx context.Context, to string, req *budgetpb.ReportRequest) (*budgetpb.ReportReply, error) {
 	if d.cut[to] {
 		return nil, errCut
 	}
 	return d.nodes[to].Report(ctx, req)
 }
 
-func (d *desk) Sign(ctx context.Context, to string, req *budgetpb.SignRequest) (*budgetpb.SignReply, error) {
+func (d *fixture) Sign(ctx context.Context, to string, req *budgetpb.SignRequest) (*budgetpb.SignReply, error) {
 	if d.cut[to] {
 		return nil, errCut
 	}
 	return d.nodes[to].Sign(ctx, req)
 }
 
-type deskView struct {
-	d    *desk
+type fixtureView struct {
+	d    *fixture
 	self string
 }
 
 // Holders makes x the only holder, to whom everybody comes.
-func (v deskView) Holders(int) []string { return []string{"x"} }
+func (v fixtureView) Holders(int) []string { return []string{"x"} }
 
 // Witness is y, or z when y is silent.
-func (v deskView) Witness(except string) string {
+func (v fixtureView) Witness(except string) string {
 	for _, name := range []string{"y", "z"} {
 		if name != v.self && name != except && !v.d.silent[name] && v.d.nodes[name] != nil {
 			return name
@@ -110,28 +110,28 @@
 	return ""
 }
 
-func (v deskView) Silent(name string) bool { return v.d.silent[name] || v.d.nodes[name] == nil }
+func (v fixtureView) Silent(name string) bool { return v.d.silent[name] || v.d.nodes[name] == nil }
 
-type quiet struct{}
+type noObserver struct{}
 
-func (quiet) GrantDrawn(string, string, int64)             {}
-func (quiet) GrantLost(string, string)                     {}
-func (quiet) GrantReclaimed(string, string, string, int64) {}
-func (quiet) GrantReturned(string, string, int64)          {}
-func (quiet) WitnessNamed(string, string, string)          {}
-func (quiet) BudgetReduced(string, int64)                  {}
+func (noObserver) GrantDrawn(string, string, int64)             {}
+func (noObserver) GrantLost(string, string)                     {}
+func (noObserver) GrantReclaimed(string, string, string, int64) {}
+func (noObserver) GrantReturned(string, string, int64)          {}
+func (noObserver) WitnessNamed(string, string, string)          {}
+func (noObserver) BudgetReduced(string, int64)                  {}
 
 // spend reserves and uses tokens at a node, and reports whether it could.
-func (d *desk) spend(t *testing.T, name string, tokens int64) bool {
+func (d *fixture) spend(t *testing.T, name string, tokens int64) bool {
 	t.Helper()
 	var r Reservation
-	if d.nodes[name].Reserve(t.Context(), deskBudget, tokens, &r) != nil {
+	if d.nodes[name].Reserve(t.Context(), fixtureBudget, tokens, &r) != nil {
 		return false
 	}
 	return d.nodes[name].Settle(&r, tokens) == tokens
 }
 
-func (d *desk) tick(t *testing.T, names ...string) {
+func (d *fixture) tick(t *testing.T, names ...string) {
 	t.Helper()
 	d.now = d.now.Add(time.Second)
 	for _, name := range names {
@@ -140,9 +140,9 @@
 }
 
 // expectCovered checks that what may have been spent is withheld.
-func (d *desk) expectCovered(t *testing.T, spent int64) {
+func (d *fixture) expectCovered(t *testing.T, spent int64) {
 	t.Helper()
-	b := d.shard.Budgets[deskBudget]
+	b := d.shard.Budgets[fixtureBudget]
 	withheld := b.Settled
 	for _, g := range b.Grants {
 		withheld += g.Held()
@@ -156,9 +156,9 @@
 // reclaims. Tokens that x had allocated on y's word are spent all the same: z
 // must not free them, or the account could spend them a second time.
 func TestNewWitnessKeepsWhatTheOldOneSigned(t *testing.T) {
-	d := newDesk("x", "y", "z")
+	d := newFixture("x", "y", "z")
 	var running Reservation
-	if err := d.nodes["x"].Reserve(t.Context(), deskBudget, 300, &running); err != nil {
+	if err := d.nodes["x"].Reserve(t.Context(), fixtureBudget, 300, &running); err != nil {
 		t.Fatal(err)
 	}
 	d.silent["y"], d.cut["y"] = true, true
@@ -173,9 +173,9 @@
 	d.expectCovered(t, 300)
 }
 
-func (d *desk) onlyGrant(t *testing.T) *ledger.Grant {
+func (d *fixture) onlyGrant(t *testing.T) *ledger.Grant {
 	t.Helper()
-	grants := d.shard.Budgets[deskBudget].Grants
+	grants := d.shard.Budgets[fixtureBudget].Grants
 	if len(grants) != 1 {
 		t.Fatalf("%d grants", len(grants))
 	}
@@ -189,7 +189,7 @@
 // signs more. If x allocated on it, z, who knows only what was signed when it
 // was named, would reclaim too much.
 func TestLateSignatureOfTheOldWitnessIsVoid(t *testing.T) {
-	d := newDesk("x", "y", "z")
+	d := newFixture("x", "y", "z")
 	if !d.spend(t, "x", 300) {
 		t.Fatal("no tokens")
 	}
@@ -197,15 +197,15 @@
 	d.silent["y"] = true
 	spent := int64(300)
 	d.beforeWrite = func() {
-		g := x.holder.openGrant(deskBudget)
+		g := x.holder.openGrant(fixtureBudget)
 		late := &budgetpb.Signature{Grant: g.id, Signed: g.drawn}
 		x.holder.signed("y", nil, []*budgetpb.Signature{late})
-		for x.holder.allocatable(deskBudget) > 0 {
-			rest := x.holder.allocatable(deskBudget)
+		for x.holder.allocatable(fixtureBudget) > 0 {
+			rest := x.holder.allocatable(fixtureBudget)
 			reply := x.holder.allocate(&budgetpb.AllocateRequest{
-				Spender: "x", Budget: deskBudget, Seq: uint64(1000 + spent), Need: rest,
+				Spender: "x", Budget: fixtureBudget, Seq: uint64(1000 + spent), Need: rest,
 			})
-			x.spender.Merge(deskBudget, reply.Lots)
+			x.spender.Merge(fixtureBudget, reply.Lots)
 			spent += rest
 		}
 	}
@@ -219,15 +219,15 @@
 // which others then spend. x wakes and asks y to sign more: a signature now
 // would let x spend the same tokens again.
 func TestWitnessThatReclaimedSignsNoMore(t *testing.T) {
-	d := newDesk("x", "y")
+	d := newFixture("x", "y")
 	if !d.spend(t, "x", 200) {
 		t.Fatal("no tokens")
 	}
 	d.silent["x"] = true
 	d.tick(t, "y")
-	b := d.shard.Budgets[deskBudget]
+	b := d.shard.Budgets[fixtureBudget]
 	// The rest goes to somebody else.
-	if _, err := d.shard.Draw(deskBudget, "other#1", "other", "", b.Free(), true); err != nil {
+	if _, err := d.shard.Draw(fixtureBudget, "other#1", "other", "", b.Free(), true); err != nil {
 		t.Fatal(err)
 	}
 	other := b.Grants["other#1"].Drawn
@@ -239,15 +239,15 @@
 		}
 		d.tick(t, "x", "y")
 	}
-	if spent+other > deskPrepaid {
-		t.Errorf("x spent %d and the other holds %d, of %d prepaid", spent, other, deskPrepaid)
+	if spent+other > fixturePrepaid {
+		t.Errorf("x spent %d and the other holds %d, of %d prepaid", spent, other, fixturePrepaid)
 	}
 }
 
 // x was replaced as y's charge: it named z. y, believing x dead, must not close
 // the grant that z answers for now.
 func TestOnlyTheNamedWitnessReclaims(t *testing.T) {
-	d := newDesk("x", "y", "z")
+	d := newFixture("x", "y", "z")
 	if !d.spend(t, "x", 100) {
 		t.Fatal("no tokens")
 	}
@@ -265,7 +265,7 @@
 // a witness rather than refuse callers who have tokens; when y is back it
 // countersigns again.
 func TestLeftAloneGoesOnUnwitnessed(t *testing.T) {
-	d := newDesk("x", "y", "z")
+	d := newFixture("x", "y", "z")
 	if !d.spend(t, "x", 100) {
 		t.Fatal("no tokens")
 	}
@@ -290,7 +290,7 @@
 // A crash of x leaves in doubt no more than was countersigned ahead, and what y
 // knows to be spent is settled. The rest is free again.
 func TestCrashStrandsOnlyWhatWasSigned(t *testing.T) {
-	d := newDesk("x", "y")
+	d := newFixture("x", "y")
 	for range 5 {
 		if !d.spend(t, "x", 50) {
 			t.Fatal("no tokens")
@@ -299,14 +299,14 @@
 	}
 	d.silent["x"], d.cut["x"] = true, true
 	d.tick(t, "y")
-	b := d.shard.Budgets[deskBudget]
+	b := d.shard.Budgets[fixtureBudget]
 	if b.Spent() != 250 {
 		t.Errorf("spent is %d, should be 250", b.Spent())
 	}
 	if b.InDoubt() > 250 {
 		t.Errorf("%d tokens in doubt", b.InDoubt())
 	}
-	if b.Free()+b.InDoubt() != deskPrepaid-250 {
+	if b.Free()+b.InDoubt() != fixturePrepaid-250 {
 		t.Errorf("free %d, in doubt %d", b.Free(), b.InDoubt())
 	}
 }
@@ -314,13 +314,13 @@
 // A reduction below what is granted gives nothing new out, and takes nothing
 // back by force: what is granted may be spent already.
 func TestReductionBelowGrantedGivesNothingNew(t *testing.T) {
-	d := newDesk("x", "y")
+	d := newFixture("x", "y")
 	if !d.spend(t, "x", 100) {
 		t.Fatal("no tokens")
 	}
 	drawn := d.onlyGrant(t).Drawn
-	d.shard.SetPrepaid("s", 2, map[string]int64{deskBudget: 50})
-	if d.shard.SetPrepaid("s", 1, map[string]int64{deskBudget: deskPrepaid}) {
+	d.shard.SetPrepaid("s", 2, map[string]int64{fixtureBudget: 50})
+	if d.shard.SetPrepaid("s", 1, map[string]int64{fixtureBudget: fixturePrepaid}) {
 		t.Error("an older generation took effect")
 	}
 	spent := int64(100)
--- a/pkg/budget/tick.go
+++ b/pkg/budget/tick.go
@@ -107,11 +107,11 @@
 		byShard[shard] = append(byShard[shard], g)
 	}
 	for _, shard := range sortedKeys(byShard) {
-		_ = n.write(ctx, shard, func() (wishes []drawWish) {
+		_ = n.write(ctx, shard, func() (updates []ledgerUpdate) {
 			for _, g := range byShard[shard] {
-				wishes = append(wishes, n.holder.renameWish(g, next))
+				updates = append(updates, n.holder.renameUpdate(g, next))
 			}
-			return wishes
+			return updates
 		})
 	}
 }
@@ -119,11 +119,11 @@
 // bringUpToDate records spending and draws ahead; if it finds that others lack
 // tokens, it gives back what can be spared by a second write.
 func (n *Node) bringUpToDate(ctx context.Context, shard int, grants []*grant) {
-	err := n.write(ctx, shard, func() (wishes []drawWish) {
+	err := n.write(ctx, shard, func() (updates []ledgerUpdate) {
 		for _, g := range grants {
-			wishes = append(wishes, n.holder.tickWish(g))
+			updates = append(updates, n.holder.tickUpdate(g))
 		}
-		return wishes
+		return updates
 	})
 	if err != nil {
 		return
@@ -133,12 +133,12 @@
 			n.recallFor(ctx, g.budget, "")
 		}
 	}
-	_ = n.write(ctx, shard, func() (wishes []drawWish) {
+	_ = n.write(ctx, shard, func() (updates []ledgerUpdate) {
 		for _, g := range grants {
-			if w, spare := n.holder.offerWish(g); spare {
-				wishes = append(wishes, w)
+			if w, spare := n.holder.offerUpdate(g); spare {
+				updates = append(updates, w)
 			}
 		}
-		return wishes
+		return updates
 	})
 }
--- a/pkg/budget/wish.go
+++ b/pkg/budget/update.go
@@ -8,15 +8,15 @@
 	"github.com/lavenderring/lavenderring/pkg/ledger"
 )
 
-// renameWish makes the line that names another witness. From here on no
+// renameUpdate makes the line that names another witness. From here on no
 // signature counts until the ledger names the new one: it will answer for what
 // is signed now, and a late signature of the old one would let more be
 // allocated than the new one reclaims down to.
-func (h *Holder) renameWish(g *grant, witness string) drawWish {
+func (h *Holder) renameUpdate(g *grant, witness string) ledgerUpdate {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	g.renaming = true
-	w := h.wishOf(g, 0)
+	w := h.updateOf(g, 0)
 	w.want = 0
 	w.rename = true
 	w.witness = witness
@@ -24,15 +24,15 @@
 	return w
 }
 
-// drawWish is one line of a holder's write to a ledger shard.
-type drawWish struct {
+// ledgerUpdate is one line of a holder's write to a ledger shard.
+type ledgerUpdate struct {
 	grant   *grant
 	id      string
 	budget  string
 	witness string
 	target  int64 // drawn, absolute
 	need    int64 // tokens that must be had, of the difference
-	want    int64 // tokens wished beyond that
+	want    int64 // tokens wanted beyond that
 	used    int64
 	signed  int64
 	floor   int64 // the least that drawn may be lowered to
@@ -42,8 +42,8 @@
 	rename  bool
 }
 
-// drawWish makes the line that gets need more tokens for a budget.
-func (h *Holder) drawWish(budget, witness string, need int64) drawWish {
+// ledgerUpdate makes the line that gets need more tokens for a budget.
+func (h *Holder) drawUpdate(budget, witness string, need int64) ledgerUpdate {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := h.budgets[budget]
@@ -58,7 +58,7 @@
 		}
 		h.byGrant[b.open.id] = b.open
 	}
-	w := h.wishOf(b.open, need)
+	w := h.updateOf(b.open, need)
 	// Whoever has to draw at all draws as much as one draw may: what is drawn
 	// lasts through an outage of the store, and is within reach of the others
 	// by allocation. The countersigned part, not this, is what a crash strands.
@@ -75,9 +75,9 @@
 // side of a partition finds them.
 const keepWhenWanted = 3 * time.Second
 
-func (h *Holder) wishOf(g *grant, need int64) drawWish {
+func (h *Holder) updateOf(g *grant, need int64) ledgerUpdate {
 	horizon := int64(g.perSecond * h.cfg.Horizon.Seconds())
-	return drawWish{
+	return ledgerUpdate{
 		grant:   g,
 		id:      g.id,
 		budget:  g.budget,
@@ -100,33 +100,33 @@
 	return g.wanted > g.rest()
 }
 
-// offerWish makes the line that gives back what others want and this holder can
+// offerUpdate makes the line that gives back what others want and this holder can
 // spare: what is not allocated, beyond a few seconds of its own demand. What is offered counts as gone until the write is settled, since a signature on it
 // meanwhile would let it be spent here and drawn elsewhere.
-func (h *Holder) offerWish(g *grant) (drawWish, bool) {
+func (h *Holder) offerUpdate(g *grant) (ledgerUpdate, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	spare := min(g.rest()-int64(g.perSecond*keepWhenWanted.Seconds()), g.wanted)
 	if spare <= 0 || g.fresh || h.byGrant[g.id] != g {
-		return drawWish{}, false
+		return ledgerUpdate{}, false
 	}
 	g.offered += spare
 	g.drawn -= spare
 	// The witness may have signed more than is kept. That is no harm: a closed
 	// grant withholds no more than was drawn.
 	g.signed = min(g.signed, g.drawn+g.returned)
-	w := h.wishOf(g, 0)
+	w := h.updateOf(g, 0)
 	w.want, w.ahead = 0, 0
 	w.settle = true
 	w.floor = g.drawn
 	return w, true
 }
 
-// drawResult is what a write to a ledger shard found for one line.
-type drawResult struct {
-	wish  drawWish
-	drawn int64
-	free  int64
+// ledgerResult is what a write to a ledger shard found for one line.
+type ledgerResult struct {
+	update ledgerUpdate
+	drawn  int64
+	free   int64
 	// wanted is what others lack.
 	wanted int64
 	err    error
@@ -136,8 +136,8 @@
 // apply makes one line's changes to a shard. How much is drawn is decided on
 // the committed state: the need if it is free, and beyond it at most a part of
 // what is free, so that others find something too.
-func (w drawWish) apply(shard *ledger.Shard, self string, poolShare int64) drawResult {
-	result := drawResult{wish: w}
+func (w ledgerUpdate) apply(shard *ledger.Shard, self string, poolShare int64) ledgerResult {
+	result := ledgerResult{update: w}
 	b := shard.Budgets[w.budget]
 	if b == nil {
 		result.err = ledger.ErrUnknownBudget
@@ -154,7 +154,7 @@
 	return result
 }
 
-func (w drawWish) change(shard *ledger.Shard, b *ledger.Budget, self string, poolShare int64) error {
+func (w ledgerUpdate) change(shard *ledger.Shard, b *ledger.Budget, self string, poolShare int64) error {
 	if !w.fresh {
 		if err := shard.Fold(w.budget, w.id, w.used); err != nil {
 			return err
@@ -185,12 +185,12 @@
 }
 
 // adopt takes over what a write found. It returns the grants found closed.
-func (h *Holder) adopt(results []drawResult) []drawResult {
+func (h *Holder) adopt(results []ledgerResult) []ledgerResult {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var lost []drawResult
+	var lost []ledgerResult
 	for _, r := range results {
-		g := h.byGrant[r.wish.id]
+		g := h.byGrant[r.update.id]
 		if g == nil {
 			continue
 		}
@@ -205,9 +205,9 @@
 		g.fresh = false
 		g.adoptDrawn(r)
 		g.wanted = r.wanted
-		g.folded = max(g.folded, r.wish.used)
-		if r.wish.rename {
-			h.rewitness(g, r.wish.witness)
+		g.folded = max(g.folded, r.update.used)
+		if r.update.rename {
+			h.rewitness(g, r.update.witness)
 		}
 	}
 	return lost
@@ -217,8 +217,8 @@
 // one at a time, so the row is the truth; but while an offer is not settled an
 // older write may still take effect, and only a write that settles it may raise
 // drawn again.
-func (g *grant) adoptDrawn(r drawResult) {
-	if g.offered > 0 && !r.wish.settle {
+func (g *grant) adoptDrawn(r ledgerResult) {
+	if g.offered > 0 && !r.update.settle {
 		return
 	}
 	g.drawn = r.drawn
@@ -235,12 +235,12 @@
 	}
 }
 
-// tickWish makes the line of one tick: spending is recorded, and more is drawn
+// tickUpdate makes the line of one tick: spending is recorded, and more is drawn
 // when less than half the horizon is left.
-func (h *Holder) tickWish(g *grant) drawWish {
+func (h *Holder) tickUpdate(g *grant) ledgerUpdate {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	w := h.wishOf(g, 0)
+	w := h.updateOf(g, 0)
 	if g.rest() > int64(g.perSecond*h.cfg.Horizon.Seconds())/2 {
 		w.want = 0
 	}
--- a/pkg/capacity/micro.go
+++ b/pkg/capacity/micro.go
@@ -102,11 +102,11 @@
 	return ids
 }
 
-// budgetsOfTheLetter is the number of budgets that decides the design.
-const budgetsOfTheLetter = 53_000
+// targetBudgets is the number of budgets that decides the design.
+const targetBudgets = 53_000
 
 func benchReserve(b *testing.B) {
-	ids := budgetIDs(budgetsOfTheLetter)
+	ids := budgetIDs(targetBudgets)
 	s := budget.NewSpender("s")
 	for _, id := range ids {
 		s.Merge(id, []*budgetpb.Lot{{Grant: "h#1", Holder: "h", Allocated: 1 << 50}})
@@ -119,7 +119,7 @@
 }
 
 func benchMap(b *testing.B) {
-	ids := budgetIDs(budgetsOfTheLetter)
+	ids := budgetIDs(targetBudgets)
 	m := map[string]int64{}
 	for n := 0; b.Loop(); n++ {
 		m[ids[n%len(ids)]] -= 100
--- a/pkg/capacity/model.go
+++ b/pkg/capacity/model.go
@@ -2,13 +2,13 @@
 
 import "math"
 
-// The size that decides the design, from the users' letter, and the limits.
+// The size that the design is made for, and the limits.
 const (
-	nodesOfTheLetter    = 330
-	requestsPerSecond   = 8900.0
-	tokensPerSecond     = 2_700_000.0
-	accountsOfTheLetter = 30_000
-	editsPerDay         = 720.0
+	targetNodes       = 330
+	requestsPerSecond = 8900.0
+	tokensPerSecond   = 2_700_000.0
+	targetAccounts    = 30_000
+	editsPerDay       = 720.0
 	// limitProcessor, limitMemory and limitBytes are a node's for control.
 	limitProcessor = 3.2
 	limitMemory    = 32e6
@@ -18,7 +18,7 @@
 	limitReads  = 2000.0
 )
 
-// What the letter does not give and the model assumes; the page says so.
+// What is not given and the model assumes; the page says so.
 const (
 	// keyedShare is the part of the requests that may not be repeated.
 	keyedShare = 0.1
@@ -69,8 +69,8 @@
 }
 
 // perNode returns what grows with the fleet: everything keeps its share of the
-// letter's size.
-func perNode(total float64) float64 { return total / nodesOfTheLetter }
+// target size.
+func perNode(total float64) float64 { return total / targetNodes }
 
 // call returns the processor share, in percent of a core, of calls a second,
 // each with both ends.
@@ -113,7 +113,7 @@
 		Calls:     calls,
 		PeerBytes: calls * m.Micro.CallBytes,
 		Processor: m.call(calls / 2),
-		Memory:    m.Micro.LotMemory.Slope * budgetsOfTheLetter,
+		Memory:    m.Micro.LotMemory.Slope * targetBudgets,
 		From:      "call between instances, memory of a lot",
 	}
 }
@@ -123,7 +123,7 @@
 func (m Model) holder(n float64) Cost {
 	calls := perNode(requestsPerSecond) * 3
 	holdings := ledgerShardsPerNode * failureDomains
-	budgets := perNode(budgetsOfTheLetter) / ledgerShardsPerNode
+	budgets := perNode(targetBudgets) / ledgerShardsPerNode
 	visits := holdings / foldSeconds
 	return Cost{
 		Role: "grant holder", Carrier: "`budget.Holder`; one conditional write for a shard each fold",
@@ -147,7 +147,7 @@
 		Calls:     calls,
 		PeerBytes: calls * m.Micro.CallBytes,
 		Processor: m.call(calls / 2),
-		Memory:    failureDomains * perNode(budgetsOfTheLetter) * m.Micro.LotMemory.Slope,
+		Memory:    failureDomains * perNode(targetBudgets) * m.Micro.LotMemory.Slope,
 		From:      "call between instances",
 	}
 }
@@ -186,14 +186,14 @@
 // heartbeats. Each poll lists every document.
 func (m Model) configuration(n float64) Cost {
 	const bytesPerAccount = 150.0 // of a document's text, twice: stored and accepted
-	documents := 2 * accountsOfTheLetter * bytesPerAccount * 4 / 3
+	documents := 2 * targetAccounts * bytesPerAccount * 4 / 3
 	edits := editsPerDay / 86_400
 	return Cost{
 		Role: "configuration watcher and relay", Carrier: "`configsync`; one watch in each domain, spread by heartbeats",
 		StoreBytes: documents / pollSeconds,
 		PeerBytes:  edits * documents,
-		Processor:  edits * m.Micro.ApplyTime.At(accountsOfTheLetter) / 1e6 * 100,
-		Memory:     m.Micro.AccountMemory.Slope * accountsOfTheLetter,
+		Processor:  edits * m.Micro.ApplyTime.At(targetAccounts) / 1e6 * 100,
+		Memory:     m.Micro.AccountMemory.Slope * targetAccounts,
 		Reads:      n / pollSeconds,
 		Watches:    failureDomains / watchSeconds,
 		From:       "document in force, memory of an account",
@@ -242,9 +242,9 @@
 }
 
 // firstOver returns the smallest fleet, with everything in proportion, at which a
-// value passes its limit; 0 if it does not up to the letter's size.
+// value passes its limit; 0 if it does not up to the target size.
 func (m Model) firstOver(role int, value func(Cost) float64, limit float64) int {
-	for n := 1; n <= nodesOfTheLetter; n++ {
+	for n := 1; n <= targetNodes; n++ {
 		if value(m.Roles(float64(n))[role]) > limit {
 			return n
 		}
--- a/pkg/capacity/page.go
+++ b/pkg/capacity/page.go
@@ -96,10 +96,10 @@
 }
 
 func (m Model) writeRoles(b *strings.Builder) {
-	costs := m.Roles(nodesOfTheLetter)
+	costs := m.Roles(targetNodes)
 	fmt.Fprintf(b, "### Roles at %d nodes, worked out\n\n| role | mechanism | messages/s, node | with peers, KB/s | "+
 		"with the store, KB/s | %% of a core | memory, MB | reads/s, fleet | writes/s, fleet | measurement |\n"+
-		"|---|---|---:|---:|---:|---:|---:|---:|---:|---|\n", nodesOfTheLetter)
+		"|---|---|---:|---:|---:|---:|---:|---:|---:|---|\n", targetNodes)
 	for _, c := range append(costs, Total(costs)) {
 		fmt.Fprintf(b, "| %s | %s | %s | %.1f | %.1f | %.4f | %.2f | %s | %s | %s |\n", c.Role, c.Carrier, number(c.Calls),
 			c.PeerBytes/1e3, c.StoreBytes/1e3, c.Processor, c.Memory/1e6, number(c.Reads+c.Watches), number(c.Writes), c.From)
@@ -108,7 +108,7 @@
 }
 
 func (m Model) writeLimits(b *strings.Builder) {
-	costs := m.Roles(nodesOfTheLetter)
+	costs := m.Roles(targetNodes)
 	total := Total(costs)
 	b.WriteString("### Against the limits\n\n| limit | allowed | at 330 nodes | kept |\n|---|---:|---:|---|\n")
 	row := func(name string, allowed, got float64) {
@@ -146,8 +146,8 @@
 func (m Model) writeFailures(b *strings.Builder) {
 	demand := perNode(tokensPerSecond)
 	stranded := demand * (signedSeconds + aheadSeconds)
-	silent := max(3, 3*heartbeatSeconds*nodesOfTheLetter/(2*heartbeatFanout))
-	shards := nodesOfTheLetter * ledgerShardsPerNode
+	silent := max(3, 3*heartbeatSeconds*targetNodes/(2*heartbeatFanout))
+	shards := targetNodes * ledgerShardsPerNode
 	b.WriteString("### Failures, worked out\n\n| failure | tokens in doubt | until others work around it, s | " +
 		"store reads in the first minute after | store writes |\n|---|---:|---:|---:|---:|\n")
 	row := func(name string, nodes float64) {
@@ -157,7 +157,7 @@
 	}
 	row("one instance (12 a day)", 1)
 	row("a rack of 10 (every month or two)", rackNodes)
-	row("a failure domain (once or twice a year)", nodesOfTheLetter/failureDomains)
+	row("a failure domain (once or twice a year)", targetNodes/failureDomains)
 	b.WriteString("| a planned replacement (110 a day) | 0 | 0 | 0 | ")
 	fmt.Fprintf(b, "%s |\n", number(ledgerShardsPerNode*failureDomains+2))
 	b.WriteString("| an hour without the other region | 0 | " + fmt.Sprintf("%.0f", silent) +
--- a/pkg/capacity/plot.go
+++ b/pkg/capacity/plot.go
@@ -45,12 +45,12 @@
 	var xs, ys []float64
 	highest := s.limit
 	for step := 1; step <= plotSteps; step++ {
-		n := float64(step) * nodesOfTheLetter / plotSteps
+		n := float64(step) * targetNodes / plotSteps
 		y := s.value(Total(m.Roles(n)))
 		xs, ys = append(xs, n), append(ys, y)
 		highest = math.Max(highest, y)
 	}
-	x := func(n float64) float64 { return plotLeft + n/nodesOfTheLetter*(plotWidth-plotLeft-20) }
+	x := func(n float64) float64 { return plotLeft + n/targetNodes*(plotWidth-plotLeft-20) }
 	y := func(v float64) float64 { return top + plotHeight - plotBottom - v/highest*(plotHeight-plotBottom-40) }
 	fmt.Fprintf(b, `<text x="%d" y="%.0f">%s</text>`+"\n", plotLeft, top+20, s.name)
 	var points []string
@@ -62,7 +62,7 @@
 		plotLeft, plotWidth-20, y(s.limit), y(s.limit))
 	fmt.Fprintf(b, `<text x="%d" y="%.1f" fill="#555">limit %.0f %s</text>`+"\n", plotWidth-150, y(s.limit)-4, s.limit, s.unit)
 	fmt.Fprintf(b, `<line x1="%d" x2="%d" y1="%.1f" y2="%.1f" stroke="black"/>`+"\n", plotLeft, plotWidth-20, y(0), y(0))
-	for _, n := range []float64{9, 100, 200, nodesOfTheLetter} {
+	for _, n := range []float64{9, 100, 200, targetNodes} {
 		fmt.Fprintf(b, `<text x="%.1f" y="%.1f" text-anchor="middle">%.0f nodes</text>`+"\n", x(n), y(0)+16, n)
 	}
 	fmt.Fprintf(b, `<text x="%d" y="%.1f" text-anchor="end">%.0f</text>`+"\n", plotLeft-6, y(highest)+4, highest)
--- a/pkg/capacity/process.go
+++ b/pkg/capacity/process.go
@@ -128,15 +128,15 @@
 	_ = os.RemoveAll(b.dir)
 }
 
-// domainsOfTheLetter spreads instances as the large deployment does.
-const domainsOfTheLetter = 8
+// targetDomains spreads instances as the large deployment does.
+const targetDomains = 8
 
 func (b *bench) startInstance(n int) error {
 	var addresses [3]string
 	for i := range addresses {
 		addresses[i] = placeAddress(n+1, i)
 	}
-	domain := n % domainsOfTheLetter
+	domain := n % targetDomains
 	text := fmt.Sprintf(`name = "instance-%03d"
 region = "region-%d"
 domain = "domain-%d"
--- a/pkg/experiment/baselines.go
+++ b/pkg/experiment/baselines.go
@@ -43,15 +43,15 @@
 	prepaid  []int64
 	parts    [][]int64
 	stranded []int64
-	births   []int
+	restarts []int
 }
 
-func newSplit(d Deployment, prepaid []int64, rng *rand.Rand) world {
+func newSplit(d Deployment, prepaid []int64, rng *rand.Rand) system {
 	s := &split{
 		faults:   newFaults(d, rng),
 		prepaid:  append([]int64(nil), prepaid...),
 		stranded: make([]int64, len(prepaid)),
-		births:   make([]int, d.Instances),
+		restarts: make([]int, d.Instances),
 	}
 	for range d.Instances {
 		part := make([]int64, len(prepaid))
@@ -63,22 +63,22 @@
 	return s
 }
 
-type splitTicket struct {
+type splitAdmission struct {
 	held
-	birth int
+	restart int
 }
 
-func (s *split) reserve(instance, n int, bound int64) (ticket, bool) {
+func (s *split) reserve(instance, n int, bound int64) (admission, bool) {
 	if s.parts[instance][n] < bound {
 		return nil, false
 	}
 	s.parts[instance][n] -= bound
-	return splitTicket{held{account: n, place: instance, bound: bound}, s.births[instance]}, true
+	return splitAdmission{held{account: n, place: instance, bound: bound}, s.restarts[instance]}, true
 }
 
-func (s *split) settle(_ int, t ticket, used int64) {
-	h := t.(splitTicket)
-	if s.births[h.place] == h.birth {
+func (s *split) settle(_ int, t admission, used int64) {
+	h := t.(splitAdmission)
+	if s.restarts[h.place] == h.restart {
 		s.parts[h.place][h.account] += h.bound - used
 	}
 }
@@ -94,7 +94,7 @@
 }
 
 func (s *split) crash(instance int) {
-	s.births[instance]++
+	s.restarts[instance]++
 	for n, rest := range s.parts[instance] {
 		s.stranded[n] += rest
 		s.parts[instance][n] = 0
@@ -117,7 +117,7 @@
 	used []int64
 }
 
-func newPerRequest(d Deployment, prepaid []int64, rng *rand.Rand) world {
+func newPerRequest(d Deployment, prepaid []int64, rng *rand.Rand) system {
 	return &perRequest{
 		faults: newFaults(d, rng),
 		free:   append([]int64(nil), prepaid...),
@@ -125,7 +125,7 @@
 	}
 }
 
-func (p *perRequest) reserve(_, n int, bound int64) (ticket, bool) {
+func (p *perRequest) reserve(_, n int, bound int64) (admission, bool) {
 	p.storeCalls += 2
 	if !p.storeAnswers() || p.free[n] < bound {
 		return nil, false
@@ -134,7 +134,7 @@
 	return held{account: n, bound: bound}, true
 }
 
-func (p *perRequest) settle(_ int, t ticket, used int64) {
+func (p *perRequest) settle(_ int, t admission, used int64) {
 	p.storeCalls += 2
 	h := t.(held)
 	p.free[h.account] += h.bound - used // flattered: written even in an outage
@@ -162,7 +162,7 @@
 	down  []bool
 }
 
-func newHome(d Deployment, prepaid []int64, rng *rand.Rand) world {
+func newHome(d Deployment, prepaid []int64, rng *rand.Rand) system {
 	return &home{
 		faults: newFaults(d, rng),
 		free:   append([]int64(nil), prepaid...),
@@ -172,7 +172,7 @@
 	}
 }
 
-func (h *home) reserve(instance, n int, bound int64) (ticket, bool) {
+func (h *home) reserve(instance, n int, bound int64) (admission, bool) {
 	at := n % h.instances
 	if h.down[at] || h.now < h.away[at] || !h.reach(instance, at) || h.free[n] < bound {
 		return nil, false
@@ -181,7 +181,7 @@
 	return held{account: n, bound: bound}, true
 }
 
-func (h *home) settle(_ int, t ticket, used int64) {
+func (h *home) settle(_ int, t admission, used int64) {
 	r := t.(held)
 	h.free[r.account] += r.bound - used
 }
@@ -209,7 +209,7 @@
 	shared  time.Duration
 }
 
-func newAfterwards(d Deployment, prepaid []int64, rng *rand.Rand) world {
+func newAfterwards(d Deployment, prepaid []int64, rng *rand.Rand) system {
 	a := &afterwards{faults: newFaults(d, rng), prepaid: append([]int64(nil), prepaid...)}
 	for range d.Instances {
 		a.own = append(a.own, make([]int64, len(prepaid)))
@@ -222,7 +222,7 @@
 	return a
 }
 
-func (a *afterwards) reserve(instance, n int, bound int64) (ticket, bool) {
+func (a *afterwards) reserve(instance, n int, bound int64) (admission, bool) {
 	total := a.own[instance][n]
 	for other := range a.own {
 		if other != instance {
@@ -232,7 +232,7 @@
 	return held{account: n, place: instance, bound: bound}, total < a.prepaid[n]
 }
 
-func (a *afterwards) settle(_ int, t ticket, used int64) {
+func (a *afterwards) settle(_ int, t admission, used int64) {
 	h := t.(held)
 	a.own[h.place][h.account] += used
 }
--- a/pkg/experiment/policy.go
+++ b/pkg/experiment/policy.go
@@ -8,15 +8,15 @@
 	"github.com/lavenderring/lavenderring/pkg/budget/fleetfake"
 )
 
-// ticket is one admitted request's reservation with a policy.
-type ticket any
+// admission is one admitted request's reservation with a policy.
+type admission any
 
-// world is what a policy can be hit by. The runner calls it.
-type world interface {
+// system is what a policy can be hit by. The runner calls it.
+type system interface {
 	// reserve admits a request of an account at an instance, or not.
-	reserve(instance int, account int, bound int64) (ticket, bool)
+	reserve(instance int, account int, bound int64) (admission, bool)
 	// settle ends a request at its instance.
-	settle(instance int, t ticket, used int64)
+	settle(instance int, t admission, used int64)
 	// tick lets a second pass.
 	tick(now time.Duration)
 	// topUp changes what accounts prepaid.
@@ -35,13 +35,13 @@
 	inDoubt() int64
 }
 
-// Policy makes a world.
+// Policy makes a system.
 type Policy struct {
 	// Name is the policy's name in tables.
 	Name string
 	// Safe says that it promises not to overspend.
 	Safe bool
-	make func(d Deployment, prepaid []int64, rng *rand.Rand) world
+	make func(d Deployment, prepaid []int64, rng *rand.Rand) system
 }
 
 // Policies are this project's, two weaker forms of it, and the baselines.
@@ -62,8 +62,8 @@
 	fleet *fleetfake.Fleet
 }
 
-func newGrants(unwitnessed bool) func(Deployment, []int64, *rand.Rand) world {
-	return func(d Deployment, prepaid []int64, rng *rand.Rand) world {
+func newGrants(unwitnessed bool) func(Deployment, []int64, *rand.Rand) system {
+	return func(d Deployment, prepaid []int64, rng *rand.Rand) system {
 		cfg := budget.Config{Shards: experimentShards, Unwitnessed: unwitnessed, MinimumSigned: 64}
 		return &grants{fleet: fleetfake.New(d.Instances, d.Domains, cfg, named(prepaid), rng)}
 	}
@@ -77,7 +77,7 @@
 	return out
 }
 
-func (g *grants) reserve(instance, n int, bound int64) (ticket, bool) {
+func (g *grants) reserve(instance, n int, bound int64) (admission, bool) {
 	r := &budget.Reservation{}
 	if g.fleet.Reserve(instance, account(n), bound, r) != nil {
 		return nil, false
@@ -85,7 +85,7 @@
 	return r, true
 }
 
-func (g *grants) settle(instance int, t ticket, used int64) {
+func (g *grants) settle(instance int, t admission, used int64) {
 	g.fleet.Nodes[instance].Node.Settle(t.(*budget.Reservation), used)
 }
 
--- a/pkg/experiment/run.go
+++ b/pkg/experiment/run.go
@@ -27,13 +27,13 @@
 // run is one policy under one scenario.
 type run struct {
 	deployment  Deployment
-	world       world
+	system      system
 	length      time.Duration
 	now         time.Duration
 	prepaid     []int64
 	spent       []int64 // by account: real costs of what ended or runs
 	paused      []bool
-	births      []int
+	restarts    []int
 	open        openHeap
 	partitioned bool
 	toppedUp    bool
@@ -43,11 +43,11 @@
 
 // running is an admitted request.
 type running struct {
-	ends     time.Duration
-	instance int
-	birth    int
-	ticket   ticket
-	cost     int64
+	ends      time.Duration
+	instance  int
+	restart   int
+	admission admission
+	cost      int64
 }
 
 type openHeap []running
@@ -68,12 +68,12 @@
 	w := newWorkload(d, length, seed)
 	r := &run{
 		deployment: d,
-		world:      p.make(d, w.prepaid, rand.New(rand.NewPCG(seed, 5))),
+		system:     p.make(d, w.prepaid, rand.New(rand.NewPCG(seed, 5))),
 		length:     length,
 		prepaid:    append([]int64(nil), w.prepaid...),
 		spent:      make([]int64, len(w.prepaid)),
 		paused:     make([]bool, d.Instances),
-		births:     make([]int, d.Instances),
+		restarts:   make([]int, d.Instances),
 	}
 	for _, request := range w.requests {
 		r.advance(s, request.at)
@@ -89,8 +89,8 @@
 		r.endUntil(next)
 		r.now = next
 		s.act(r, float64(next)/float64(r.length))
-		r.world.tick(next)
-		r.result.InDoubt = max(r.result.InDoubt, r.world.inDoubt())
+		r.system.tick(next)
+		r.result.InDoubt = max(r.result.InDoubt, r.system.inDoubt())
 	}
 	r.endUntil(to)
 	r.now = to
@@ -103,12 +103,12 @@
 	for len(r.open) > 0 && r.open[0].ends <= to {
 		done := heap.Pop(&r.open).(running)
 		switch {
-		case done.birth != r.births[done.instance]:
+		case done.restart != r.restarts[done.instance]:
 		case r.paused[done.instance]:
 			done.ends = to + time.Second
 			frozen = append(frozen, done)
 		default:
-			r.world.settle(done.instance, done.ticket, done.cost)
+			r.system.settle(done.instance, done.admission, done.cost)
 		}
 	}
 	for _, f := range frozen {
@@ -119,7 +119,7 @@
 func (r *run) serve(q request) {
 	instance := r.pick(q.pick)
 	r.result.Requests++
-	t, admitted := r.world.reserve(instance, q.account, q.bound)
+	t, admitted := r.system.reserve(instance, q.account, q.bound)
 	if !admitted {
 		if r.spent[q.account]+q.cost <= r.prepaid[q.account] {
 			r.result.FalseRefusals++
@@ -128,11 +128,11 @@
 	}
 	r.spent[q.account] += q.cost
 	heap.Push(&r.open, running{
-		ends:     r.now + q.duration,
-		instance: instance,
-		birth:    r.births[instance],
-		ticket:   t,
-		cost:     q.cost,
+		ends:      r.now + q.duration,
+		instance:  instance,
+		restart:   r.restarts[instance],
+		admission: t,
+		cost:      q.cost,
 	})
 }
 
@@ -148,8 +148,8 @@
 }
 
 func (r *run) crash(instance int) {
-	r.births[instance]++
-	r.world.crash(instance)
+	r.restarts[instance]++
+	r.system.crash(instance)
 }
 
 // setPaused freezes one instance and wakes all others.
@@ -158,7 +158,7 @@
 		want := paused && other == instance
 		if r.paused[other] != want {
 			r.paused[other] = want
-			r.world.pause(other, want)
+			r.system.pause(other, want)
 		}
 	}
 }
@@ -168,8 +168,8 @@
 		r.result.Overspent += max(spent-r.prepaid[n], 0)
 		r.result.Prepaid += r.prepaid[n]
 	}
-	r.result.InDoubtAtEnd = r.world.inDoubt()
-	r.result.StoreCalls = r.world.calls()
+	r.result.InDoubtAtEnd = r.system.inDoubt()
+	r.result.StoreCalls = r.system.calls()
 	r.result.Length = r.length
 	return r.result
 }
--- a/pkg/experiment/safety.go
+++ b/pkg/experiment/safety.go
@@ -26,11 +26,11 @@
 		case 1, 2:
 			r.setPaused(instance, rng.IntN(2) == 0)
 		case 3, 4, 5:
-			r.world.cut(instance, other, instance != other && rng.IntN(2) == 0)
+			r.system.cut(instance, other, instance != other && rng.IntN(2) == 0)
 		case 6:
-			r.world.store(rng.IntN(3) == 0, rng.IntN(3) == 0, 0.4*rng.Float64())
+			r.system.store(rng.IntN(3) == 0, rng.IntN(3) == 0, 0.4*rng.Float64())
 		case 7:
-			r.world.store(false, false, 0)
+			r.system.store(false, false, 0)
 		case 8:
 			r.toppedUp = false
 			r.topUpAt(1, 0)
--- a/pkg/experiment/scenario.go
+++ b/pkg/experiment/scenario.go
@@ -26,9 +26,9 @@
 	{"partition in halves", func(r *run, part float64) { r.partition(part, sideHalf, true) }},
 	{"one-way partition", func(r *run, part float64) { r.partition(part, sideHalf, false) }},
 	{"one instance alone", func(r *run, part float64) { r.partition(part, sideAlone, true) }},
-	{"store outage", func(r *run, part float64) { r.world.store(inFault(part), false, 0) }},
-	{"slow store", func(r *run, part float64) { r.world.store(false, inFault(part), 0) }},
-	{"lost answers", func(r *run, part float64) { r.world.store(false, false, lossIn(part)) }},
+	{"store outage", func(r *run, part float64) { r.system.store(inFault(part), false, 0) }},
+	{"slow store", func(r *run, part float64) { r.system.store(false, inFault(part), 0) }},
+	{"lost answers", func(r *run, part float64) { r.system.store(false, false, lossIn(part)) }},
 	{"three crashes", func(r *run, part float64) { r.crashAt(part, 0.3, 0.5, 0.7) }},
 	{"pauses", func(r *run, part float64) { r.pauses(part) }},
 	{"partition, top-up", func(r *run, part float64) {
@@ -36,7 +36,7 @@
 		r.topUpAt(part, topUpAt)
 	}},
 	{"store outage, top-up", func(r *run, part float64) {
-		r.world.store(inFault(part), false, 0)
+		r.system.store(inFault(part), false, 0)
 		r.topUpAt(part, topUpAt)
 	}},
 	{"crashes, top-up", func(r *run, part float64) {
@@ -66,9 +66,9 @@
 	for a := range r.deployment.Instances {
 		for b := range r.deployment.Instances {
 			if side(r, a) && !side(r, b) {
-				r.world.cut(a, b, cut)
+				r.system.cut(a, b, cut)
 				if both {
-					r.world.cut(b, a, cut)
+					r.system.cut(b, a, cut)
 				}
 			}
 		}
@@ -106,5 +106,5 @@
 	for n := range r.prepaid {
 		r.prepaid[n] += int64(topUpShare * float64(r.prepaid[n]))
 	}
-	r.world.topUp(append([]int64(nil), r.prepaid...))
+	r.system.topUp(append([]int64(nil), r.prepaid...))
 }
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -114,7 +114,7 @@
 	defer func() { _ = client.Close() }()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	req := &budgetpb.AllocateRequest{Spender: "thief", Budget: crewBudget, Seq: 1, Need: 100}
+	req := &budgetpb.AllocateRequest{Spender: "intruder", Budget: crewBudget, Seq: 1, Need: 100}
 	_, err = budgetpb.NewDRPCBudgetsClient(client).Allocate(ctx, req)
 	return err
 }
