--- a/pkg/budget/update.go
+++ b/pkg/budget/update.go
@@ -8,25 +8,8 @@
 	"github.com/lavenderring/lavenderring/pkg/ledger"
 )
 
-// renameUpdate makes the line that names another witness. From here on no
-// signature counts until the ledger names the new one: it will answer for what
-// is signed now, and a late signature of the old one would let more be
-// allocated than the new one reclaims down to.
-func (h *Holder) renameUpdate(g *grant, witness string) ledgerUpdate {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	g.renaming = true
-	w := h.updateOf(g, 0)
-	w.want = 0
-	w.rename = true
-	w.witness = witness
-	w.signed = g.signed
-	return w
-}
-
 // ledgerUpdate is one line of a holder's write to a ledger shard.
 type ledgerUpdate struct {
-	grant   *grant
 	id      string
 	budget  string
 	witness string
@@ -42,28 +25,15 @@
 	rename  bool
 }
 
-// ledgerUpdate makes the line that gets need more tokens for a budget.
-func (h *Holder) drawUpdate(budget, witness string, need int64) ledgerUpdate {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	b := h.budgets[budget]
-	if b.open == nil {
-		b.open = &grant{
-			id:           h.newGrantID(),
-			budget:       budget,
-			witness:      witness,
-			fresh:        true,
-			accounts:     map[string]*account{},
-			unsentUsages: map[string]bool{},
-		}
-		h.byGrant[b.open.id] = b.open
-	}
-	w := h.updateOf(b.open, need)
-	// Whoever has to draw at all draws as much as one draw may: what is drawn
-	// lasts through an outage of the store, and is within reach of the others
-	// by allocation. The countersigned part, not this, is what a crash strands.
-	w.want = math.MaxInt64 / 2
-	return w
+// ledgerResult is what a write to a ledger shard found for one line.
+type ledgerResult struct {
+	update ledgerUpdate
+	drawn  int64
+	free   int64
+	// wanted is what others lack.
+	wanted int64
+	err    error
+	row    *ledger.Grant
 }
 
 // keepAhead is how much of its demand a holder wants within reach; when it has
@@ -78,7 +48,6 @@
 func (h *Holder) updateOf(g *grant, need int64) ledgerUpdate {
 	horizon := int64(g.perSecond * h.cfg.Horizon.Seconds())
 	return ledgerUpdate{
-		grant:   g,
 		id:      g.id,
 		budget:  g.budget,
 		witness: g.witness,
@@ -93,6 +62,58 @@
 	}
 }
 
+// drawUpdate makes the line that gets need more tokens for a budget.
+func (h *Holder) drawUpdate(budget, witness string, need int64) ledgerUpdate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.budgets[budget]
+	if b.open == nil {
+		b.open = &grant{
+			id:           h.newGrantID(),
+			budget:       budget,
+			witness:      witness,
+			fresh:        true,
+			accounts:     map[string]*account{},
+			unsentUsages: map[string]bool{},
+		}
+		h.byGrant[b.open.id] = b.open
+	}
+	w := h.updateOf(b.open, need)
+	// Whoever has to draw at all draws as much as one draw may: what is drawn
+	// lasts through an outage of the store, and is within reach of the others
+	// by allocation. The countersigned part, not this, is what a crash strands.
+	w.want = math.MaxInt64 / 2
+	return w
+}
+
+// tickUpdate makes the line of one tick: spending is recorded, and more is drawn
+// when less than half the horizon is left.
+func (h *Holder) tickUpdate(g *grant) ledgerUpdate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w := h.updateOf(g, 0)
+	if g.rest() > int64(g.perSecond*h.cfg.Horizon.Seconds())/2 {
+		w.want = 0
+	}
+	return w
+}
+
+// renameUpdate makes the line that names another witness. From here on no
+// signature counts until the ledger names the new one: it will answer for what
+// is signed now, and a late signature of the old one would let more be
+// allocated than the new one reclaims down to.
+func (h *Holder) renameUpdate(g *grant, witness string) ledgerUpdate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g.renaming = true
+	w := h.updateOf(g, 0)
+	w.want = 0
+	w.rename = true
+	w.witness = witness
+	w.signed = g.signed
+	return w
+}
+
 // lacking reports whether others lack more of a budget than is at hand here.
 func (h *Holder) lacking(g *grant) bool {
 	h.mu.Lock()
@@ -101,7 +122,8 @@
 }
 
 // offerUpdate makes the line that gives back what others want and this holder can
-// spare: what is not allocated, beyond a few seconds of its own demand. What is offered counts as gone until the write is settled, since a signature on it
+// spare: what is not allocated, beyond a few seconds of its own demand. What is
+// offered counts as gone until the write is settled, since a signature on it
 // meanwhile would let it be spent here and drawn elsewhere.
 func (h *Holder) offerUpdate(g *grant) (ledgerUpdate, bool) {
 	h.mu.Lock()
@@ -122,17 +144,6 @@
 	return w, true
 }
 
-// ledgerResult is what a write to a ledger shard found for one line.
-type ledgerResult struct {
-	update ledgerUpdate
-	drawn  int64
-	free   int64
-	// wanted is what others lack.
-	wanted int64
-	err    error
-	row    *ledger.Grant
-}
-
 // apply makes one line's changes to a shard. How much is drawn is decided on
 // the committed state: the need if it is free, and beyond it at most a part of
 // what is free, so that others find something too.
@@ -234,15 +245,3 @@
 		g.unsentUsages[spender] = true
 	}
 }
-
-// tickUpdate makes the line of one tick: spending is recorded, and more is drawn
-// when less than half the horizon is left.
-func (h *Holder) tickUpdate(g *grant) ledgerUpdate {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	w := h.updateOf(g, 0)
-	if g.rest() > int64(g.perSecond*h.cfg.Horizon.Seconds())/2 {
-		w.want = 0
-	}
-	return w
-}
