--- a/pkg/entry/reserve.go
+++ b/pkg/entry/reserve.go
@@ -15,6 +15,8 @@
 
 // reserve sets a bound in tokens aside.
 func (e *Entry) reserve(ctx context.Context, r *request, bound int64, into *budget.Reservation) *Problem {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
 	err := e.Budgets.Reserve(ctx, r.budget, bound, into)
 	if err == nil {
 		return nil
