--- a/pkg/capacity/model.go
+++ b/pkg/capacity/model.go
@@ -25,6 +25,8 @@
 	// claimShards and ledgerShardsPerNode are the settings assumed.
 	claimShards         = 256
 	ledgerShardsPerNode = 1.0
+	// requestLength is how many seconds a request is in progress, on average.
+	requestLength = 5.0
 	// rackNodes is how many nodes a rack or switch takes with it.
 	rackNodes = 10
 )
--- a/pkg/capacity/page.go
+++ b/pkg/capacity/page.go
@@ -148,18 +148,20 @@
 	stranded := demand * (signedSeconds + aheadSeconds)
 	silent := max(3, 3*heartbeatSeconds*targetNodes/(2*heartbeatFanout))
 	shards := targetNodes * ledgerShardsPerNode
-	b.WriteString("### Failures, worked out\n\n| failure | tokens in doubt | until others work around it, s | " +
-		"store reads in the first minute after | store writes |\n|---|---:|---:|---:|---:|\n")
+	b.WriteString("### Failures, worked out\n\n| failure | tokens in doubt | requests in progress there, told \"unknown\" | " +
+		"until others work around it, s | store reads in the first minute after | store writes |\n" +
+		"|---|---:|---:|---:|---:|---:|\n")
 	row := func(name string, nodes float64) {
 		holdings := nodes * ledgerShardsPerNode * failureDomains
-		fmt.Fprintf(b, "| %s | %s | %.0f | %s | %s |\n", name, number(nodes*stranded), silent,
+		inProgress := nodes * perNode(requestsPerSecond) * requestLength
+		fmt.Fprintf(b, "| %s | %s | %s | %.0f | %s | %s |\n", name, number(nodes*stranded), number(inProgress), silent,
 			number(nodes*shards+holdings), number(holdings+nodes))
 	}
 	row("one instance (12 a day)", 1)
 	row("a rack of 10 (every month or two)", rackNodes)
 	row("a failure domain (once or twice a year)", targetNodes/failureDomains)
-	b.WriteString("| a planned replacement (110 a day) | 0 | 0 | 0 | ")
+	b.WriteString("| a planned replacement (110 a day) | 0 | 0 | 0 | 0 | ")
 	fmt.Fprintf(b, "%s |\n", number(ledgerShardsPerNode*failureDomains+2))
-	b.WriteString("| an hour without the other region | 0 | " + fmt.Sprintf("%.0f", silent) +
-		" | 0 beyond the usual | renaming of witnesses in the other region: none, partners are of the same region first |\n\n")
+	fmt.Fprintf(b, "| an hour without the other region | 0 | 0 | %.0f | 0 beyond the usual | 0 beyond the usual |\n\n"+
+		"Partners (witness, bill peer) are of the same region first, so losing the other region renames nobody.\n\n", silent)
 }
