--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -71,14 +71,15 @@
 	return nil
 }
 
-// openOf returns a budget's open grant if the ledger has it; nil otherwise.
-func (h *Holder) openOf(budget string) *grant {
+// openOf returns a budget's open grant, if the ledger has it, and its witness;
+// nil otherwise.
+func (h *Holder) openOf(budget string) (*grant, string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if g := h.openGrant(budget); g != nil && !g.fresh {
-		return g
+		return g, g.witness
 	}
-	return nil
+	return nil, ""
 }
 
 // allocatable returns the tokens of a budget that can be allocated at once.
--- a/pkg/budget/node.go
+++ b/pkg/budget/node.go
@@ -238,8 +238,8 @@
 // answer a request that waits. It may be too early: that costs a write, and to
 // wait until the silence is certain costs a caller its answer.
 func (n *Node) replaceWitness(ctx context.Context, budget string) {
-	if g := n.holder.openOf(budget); g != nil {
-		n.renameWitness(ctx, []*grant{g}, n.fleet.Witness(g.witness))
+	if g, failed := n.holder.openOf(budget); g != nil {
+		n.renameWitness(ctx, []*grant{g}, n.fleet.Witness(failed))
 	}
 }
 
