--- a/pkg/instance/fleet.go
+++ b/pkg/instance/fleet.go
@@ -14,10 +14,7 @@
 )
 
 // fleetView shows the member table to the budget slice.
-type fleetView struct {
-	table  *member.Table
-	shards int
-}
+type fleetView struct{ table *member.Table }
 
 // Holders implements budget.Fleet: for each failure domain the instance that
 // wins the shard. With few holders a budget's last tokens are in few places,
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -187,7 +187,7 @@
 
 func (i *Instance) provisionDuties() {
 	s := i.settings
-	view := fleetView{table: i.table, shards: s.LedgerShards}
+	view := fleetView{i.table}
 	cfg := budget.Config{
 		Self:          i.incarnation,
 		Shards:        s.LedgerShards,
@@ -276,9 +276,9 @@
 	return false
 }
 
-// fire moves the instance's life; a trigger that does not fit is a fault of this
-// package and is logged by its caller's next step being refused.
-func (i *Instance) fire(trigger string) bool { return i.life.Fire(trigger) == nil }
+// fire moves the instance's life on. Run fires each trigger once and in order, so
+// none is refused.
+func (i *Instance) fire(trigger string) { _ = i.life.Fire(trigger) }
 
 // State returns the state of the instance's life.
 func (i *Instance) State() string { return i.life.MustState().(string) }
