--- a/pkg/configsync/state_test.go
+++ b/pkg/configsync/state_test.go
@@ -59,10 +59,11 @@
 	store := storefake.New(seed)
 	var syncers []*Syncer
 	seen := make([]uint64, 4)
+	reverted := ""
 	for n := range seen {
 		state := NewState(func(f *InForce) {
 			if f.Generation <= seen[n] {
-				panic("went back")
+				reverted = fmt.Sprintf("instance %d went from generation %d to %d", n, seen[n], f.Generation)
 			}
 			seen[n] = f.Generation
 		})
@@ -92,6 +93,9 @@
 			}
 		}
 	}
+	if reverted != "" {
+		return reverted
+	}
 	return expectNewest(ctx, store, syncers, newest)
 }
 
