Copies of a long backlog of bills go in parts

Cause: after a long outage of the store a new bill peer was sent everything that is pending in one message, up to 200,000 records, more than one message may hold; every copy to it would have failed. Found by reading; the test sends 8,010.

--- a/pkg/bill/bill_test.go
+++ b/pkg/bill/bill_test.go
@@ -108,3 +108,39 @@
 	}
 	return ""
 }
+
+// The store has been away for long and then the peer is replaced: the new one
+// needs copies of more records than one message may hold. They come in parts.
+func TestLongBacklogIsCopiedInParts(t *testing.T) {
+	store := storefake.New(1)
+	store.SetFaults(true, 0)
+	keeper := NewKeeper(store)
+	largest := 0
+	j := NewJournal("i", store, sizes{keeper, &largest}, func() string { return "peer" })
+	const requests = 2*maxCopyRecords + 10
+	for n := range requests {
+		j.Open(fmt.Sprint(n), "s/a", 100)
+	}
+	for range 3 {
+		if err := j.Copy(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if largest > maxCopyRecords {
+		t.Errorf("a message held %d records", largest)
+	}
+	if kept := len(keeper.copies["i"].records); kept != requests {
+		t.Errorf("%d of %d records have a copy", kept, requests)
+	}
+}
+
+// sizes notes the largest message to a keeper.
+type sizes struct {
+	keeper  *Keeper
+	largest *int
+}
+
+func (s sizes) Keep(ctx context.Context, _ string, req *billpb.KeepRequest) (*billpb.KeepReply, error) {
+	*s.largest = max(*s.largest, len(req.Records))
+	return s.keeper.Keep(ctx, req)
+}
--- a/pkg/bill/journal.go
+++ b/pkg/bill/journal.go
@@ -193,14 +193,26 @@
 		return nil, 0
 	}
 	req := &billpb.KeepRequest{Incarnation: j.self, Durable: j.durable, Segment: j.segment}
+	upTo := j.seq
 	for _, record := range j.pending {
-		if record.Seq > kept {
-			req.Records = append(req.Records, record)
+		if record.Seq <= kept {
+			continue
+		}
+		if len(req.Records) == maxCopyRecords {
+			break
 		}
+		req.Records = append(req.Records, record)
 	}
-	return req, j.seq
+	if len(req.Records) == maxCopyRecords {
+		upTo = req.Records[maxCopyRecords-1].Seq
+	}
+	return req, upTo
 }
 
+// maxCopyRecords bounds one message to the peer: after a long outage of the store
+// a new peer needs copies of everything that is pending, more than one may hold.
+const maxCopyRecords = 4000
+
 // Flush writes all pending records to the store. Records of requests under way
 // are written as they are: their bills follow.
 func (j *Journal) Flush(ctx context.Context) error {
