--- a/pkg/budget/collector.go
+++ b/pkg/budget/collector.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
@@ -41,10 +42,7 @@
 		c.grants[id] = g
 	}
 	for spender, e := range evidence {
-		known := g.evidence[spender]
-		known.Used = max(known.Used, e.Used)
-		known.Returned = max(known.Returned, e.Returned)
-		g.evidence[spender] = known
+		g.evidence[spender] = g.evidence[spender].Merge(e)
 	}
 	g.dirty = true
 }
@@ -88,10 +86,7 @@
 		if !g.dirty {
 			continue
 		}
-		copied := closedGrant{id: g.id, budget: g.budget, evidence: map[string]ledger.Evidence{}}
-		for spender, e := range g.evidence {
-			copied.evidence[spender] = e
-		}
+		copied := closedGrant{id: g.id, budget: g.budget, evidence: maps.Clone(g.evidence)}
 		shard := ledger.ShardOf(g.budget, shards)
 		out[shard] = append(out[shard], copied)
 	}
--- a/pkg/budget/errors.go
+++ b/pkg/budget/errors.go
@@ -1,17 +1,6 @@
 package budget
 
-import (
-	"errors"
-	"fmt"
-)
-
-// Errors between the duties of the budget slice.
-var (
-	// ErrPeerUnreachable means that a peer did not take or answer a message.
-	ErrPeerUnreachable = errors.New("peer unreachable")
-	// ErrStopping means that the instance returns its tokens for a planned stop.
-	ErrStopping = errors.New("instance is stopping")
-)
+import "fmt"
 
 // ShortError refuses a reservation: not enough tokens could be gathered. The
 // request has not run.
--- a/pkg/budget/grant.go
+++ b/pkg/budget/grant.go
@@ -34,7 +34,6 @@
 	renaming     bool // another witness is being named; see beginRename
 	demand       int64
 	perSecond    float64
-	idleTicks    int
 }
 
 // allocatable returns the signed tokens that have not been allocated.
--- a/pkg/budget/lot.go
+++ b/pkg/budget/lot.go
@@ -17,7 +17,6 @@
 	reserved               int64
 	reportedUsed           int64
 	reportedReturned       int64
-	settled                bool
 }
 
 func (l *lot) free() int64 { return l.allocated - l.used - l.returned - l.reserved }
--- a/pkg/budget/plan.go
+++ b/pkg/budget/plan.go
@@ -42,10 +42,6 @@
 func (g *grant) smooth(interval time.Duration) {
 	perSecond := float64(g.demand) / interval.Seconds()
 	g.perSecond += tickSmoothing * (perSecond - g.perSecond)
-	g.idleTicks++
-	if g.demand > 0 {
-		g.idleTicks = 0
-	}
 	g.demand = 0
 }
 
--- a/pkg/budget/spender.go
+++ b/pkg/budget/spender.go
@@ -178,7 +178,7 @@
 
 func (s *Spender) collect(budget string, p *position, out reports) {
 	for _, l := range p.lots {
-		if l.dirty() && !l.settled {
+		if l.dirty() {
 			target := reportTarget{holder: l.holder, witness: l.witness}
 			out[target] = append(out[target], s.usage(budget, l))
 		}
@@ -224,7 +224,6 @@
 	p := s.positions[budget]
 	for i, l := range p.lots {
 		if l.grant == grant && l.reserved == 0 {
-			l.settled = true
 			s.settled[grant] = true
 			p.lots = append(p.lots[:i], p.lots[i+1:]...)
 			return
--- a/pkg/budget/witness.go
+++ b/pkg/budget/witness.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
@@ -60,10 +61,8 @@
 }
 
 func mergeEvidence(into map[string]ledger.Evidence, u *budgetpb.Usage) {
-	known := into[u.Spender]
-	known.Used = max(known.Used, u.Used)
-	known.Returned = max(known.Returned, u.Returned)
-	into[u.Spender] = known
+	told := ledger.Evidence{Used: u.Used, Returned: u.Returned}
+	into[u.Spender] = into[u.Spender].Merge(told)
 }
 
 // holders returns the incarnations with grants that are not closed here.
@@ -93,11 +92,7 @@
 		w.grants[grantID] = g
 	}
 	g.closed = true
-	copied := make(map[string]ledger.Evidence, len(g.evidence))
-	for spender, e := range g.evidence {
-		copied[spender] = e
-	}
-	return g.signed, copied
+	return g.signed, maps.Clone(g.evidence)
 }
 
 // strip drops what is known of a closed grant, but not that it is closed: its
--- a/pkg/claim/claimer.go
+++ b/pkg/claim/claimer.go
@@ -55,7 +55,6 @@
 	shards []*ring.Ring[operation]
 	now    func() time.Time
 
-	wait   sync.WaitGroup
 	unsent sync.WaitGroup
 }
 
@@ -70,14 +69,11 @@
 
 // Run commits operations until ctx ends; one goroutine a shard.
 func (c *Claimer) Run(ctx context.Context) {
+	var running sync.WaitGroup
 	for shard, queue := range c.shards {
-		c.wait.Add(1)
-		go func() {
-			defer c.wait.Done()
-			c.runShard(ctx, shard, queue)
-		}()
+		running.Go(func() { c.runShard(ctx, shard, queue) })
 	}
-	c.wait.Wait()
+	running.Wait()
 }
 
 func (c *Claimer) runShard(ctx context.Context, shard int, queue *ring.Ring[operation]) {
--- a/pkg/experiment/baselines.go
+++ b/pkg/experiment/baselines.go
@@ -11,14 +11,12 @@
 	cuts       map[[2]int]bool
 	storeDown  bool
 	storeSlow  bool
-	loseAnswer float64
 	storeCalls int64
-	rng        *rand.Rand
 	now        time.Duration
 }
 
-func newFaults(d Deployment, rng *rand.Rand) faults {
-	return faults{instances: d.Instances, cuts: map[[2]int]bool{}, rng: rng}
+func newFaults(d Deployment) faults {
+	return faults{instances: d.Instances, cuts: map[[2]int]bool{}}
 }
 
 func (f *faults) tick(now time.Duration)     { f.now = now }
@@ -27,7 +25,7 @@
 func (f *faults) calls() int64               { return f.storeCalls }
 func (f *faults) reach(a, b int) bool        { return !f.cuts[[2]int{a, b}] && !f.cuts[[2]int{b, a}] }
 func (f *faults) inDoubt() int64             { return 0 }
-func (f *faults) store(d, s bool, l float64) { f.storeDown, f.storeSlow, f.loseAnswer = d, s, l }
+func (f *faults) store(d, s bool, _ float64) { f.storeDown, f.storeSlow = d, s }
 func (f *faults) storeAnswers() bool         { return !f.storeDown && !f.storeSlow }
 
 // held is a reservation of a baseline.
@@ -46,9 +44,9 @@
 	restarts []int
 }
 
-func newSplit(d Deployment, prepaid []int64, rng *rand.Rand) system {
+func newSplit(d Deployment, prepaid []int64, _ *rand.Rand) system {
 	s := &split{
-		faults:   newFaults(d, rng),
+		faults:   newFaults(d),
 		prepaid:  append([]int64(nil), prepaid...),
 		stranded: make([]int64, len(prepaid)),
 		restarts: make([]int, d.Instances),
@@ -117,9 +115,9 @@
 	used []int64
 }
 
-func newPerRequest(d Deployment, prepaid []int64, rng *rand.Rand) system {
+func newPerRequest(d Deployment, prepaid []int64, _ *rand.Rand) system {
 	return &perRequest{
-		faults: newFaults(d, rng),
+		faults: newFaults(d),
 		free:   append([]int64(nil), prepaid...),
 		used:   append([]int64(nil), prepaid...),
 	}
@@ -162,9 +160,9 @@
 	down  []bool
 }
 
-func newHome(d Deployment, prepaid []int64, rng *rand.Rand) system {
+func newHome(d Deployment, prepaid []int64, _ *rand.Rand) system {
 	return &home{
-		faults: newFaults(d, rng),
+		faults: newFaults(d),
 		free:   append([]int64(nil), prepaid...),
 		known:  append([]int64(nil), prepaid...),
 		away:   make([]time.Duration, d.Instances),
@@ -209,8 +207,8 @@
 	shared  time.Duration
 }
 
-func newAfterwards(d Deployment, prepaid []int64, rng *rand.Rand) system {
-	a := &afterwards{faults: newFaults(d, rng), prepaid: append([]int64(nil), prepaid...)}
+func newAfterwards(d Deployment, prepaid []int64, _ *rand.Rand) system {
+	a := &afterwards{faults: newFaults(d), prepaid: append([]int64(nil), prepaid...)}
 	for range d.Instances {
 		a.own = append(a.own, make([]int64, len(prepaid)))
 		var seen [][]int64
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -38,6 +38,11 @@
 	Returned int64 `json:"returned"`
 }
 
+// Merge returns the evidence with what was told taken in.
+func (e Evidence) Merge(told Evidence) Evidence {
+	return Evidence{Used: max(e.Used, told.Used), Returned: max(e.Returned, told.Returned)}
+}
+
 // Grant is a block of tokens that one incarnation of an instance has drawn.
 type Grant struct {
 	// Holder is the incarnation that drew it.
@@ -358,10 +363,7 @@
 		g.Evidence = map[string]Evidence{}
 	}
 	for spender, told := range evidence {
-		known := g.Evidence[spender]
-		known.Used = max(known.Used, told.Used)
-		known.Returned = max(known.Returned, told.Returned)
-		g.Evidence[spender] = known
+		g.Evidence[spender] = g.Evidence[spender].Merge(told)
 	}
 	if g.InDoubt() == 0 {
 		b.Settled += g.Spent()
--- a/pkg/ring/ring.go
+++ b/pkg/ring/ring.go
@@ -2,13 +2,10 @@
 // never blocks its writer.
 package ring
 
-import "sync/atomic"
-
 // Ring is a bounded first-in first-out queue. A full ring refuses: the writer
 // learns at once that the reader is behind, and memory stays bounded.
 type Ring[T any] struct {
-	items   chan T
-	refused atomic.Int64
+	items chan T
 }
 
 // New returns a ring of the given capacity in items; capacity must be positive.
@@ -22,16 +19,9 @@
 	case r.items <- item:
 		return true
 	default:
-		r.refused.Add(1)
 		return false
 	}
 }
 
 // Items returns the channel that the reading duty receives from.
 func (r *Ring[T]) Items() <-chan T { return r.items }
-
-// Len returns the number of items waiting.
-func (r *Ring[T]) Len() int { return len(r.items) }
-
-// Refused returns how many items found the ring full since the start.
-func (r *Ring[T]) Refused() int64 { return r.refused.Load() }
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -98,9 +98,6 @@
 	return s, nil
 }
 
-// Close ends the stand-in.
-func (s *Server) Close() { s.http.Close() }
-
 // SetFaults switches faults.
 func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
--- a/pkg/standin/objectapi/objectapi.go
+++ b/pkg/standin/objectapi/objectapi.go
@@ -77,9 +77,6 @@
 	return s, nil
 }
 
-// Close ends the stand-in.
-func (s *Server) Close() { s.http.Close() }
-
 // SetFaults switches faults.
 func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
@@ -94,13 +91,6 @@
 	return s.stats
 }
 
-// Objects returns copies of all objects below a prefix.
-func (s *Server) Objects(prefix string) []platform.Object {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.below(prefix, 0)
-}
-
 // fail answers by the faults in force and reports whether it did.
 func (s *Server) fail(c *app.RequestContext) bool {
 	s.mu.Lock()
--- a/pkg/standin/plain/plain.go
+++ b/pkg/standin/plain/plain.go
@@ -58,9 +58,6 @@
 	return s, nil
 }
 
-// Close ends the stand-in.
-func (s *Server) Close() { s.http.Close() }
-
 // Runs returns everything that ran.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
--- a/pkg/standin/relay/relay.go
+++ b/pkg/standin/relay/relay.go
@@ -87,15 +87,6 @@
 	}
 }
 
-// Close ends the relay.
-func (r *Relay) Close() {
-	_ = r.listener.Close()
-	r.SetFaults(Faults{Cut: true})
-	if r.control != nil {
-		r.control.Close()
-	}
-}
-
 func (r *Relay) accept() {
 	for {
 		in, err := r.listener.Accept()
