One store client that speaks the platform's published protocol

Change: pkg/store is the interface (get, conditional put, list, watch, typed errors), platform.Client its one implementation on connections that are kept, checked and probed; a conflict's answer saves the next try a read. The stand-in (platform/standin) speaks the same, with lost and late writes, throttling and forgotten history. pkg/instance keeps only what is its own of heartbeats.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,9 +13,9 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/lavenderring/lavenderring/pkg/standin/engine"
-	"github.com/lavenderring/lavenderring/pkg/standin/objectapi"
 	"github.com/lavenderring/lavenderring/pkg/standin/plain"
 	"github.com/lavenderring/lavenderring/pkg/standin/relay"
+	"github.com/lavenderring/lavenderring/platform/standin"
 )
 
 type listenArgs struct {
@@ -60,7 +60,7 @@
 	var err error
 	switch {
 	case a.Platform != nil:
-		_, err = objectapi.Start(a.Platform.Listen)
+		_, err = standin.Start(a.Platform.Listen)
 	case a.Engine != nil:
 		e := a.Engine
 		_, err = engine.Start(engine.Config{Address: e.Listen, Slots: e.Slots, TokenMillis: e.TokenMillis})
--- a/pkg/bill/journal.go
+++ b/pkg/bill/journal.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
-	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // Outcomes of a record.
@@ -29,7 +29,10 @@
 )
 
 // Prefix is above all segments.
-const Prefix = "bills/"
+const Prefix = Kind + "/"
+
+// Kind is the kind of the segments in the store.
+const Kind = "bills"
 
 // maxPending bounds the records that wait for the store. Beyond it new requests
 // are refused: a bill is never dropped.
@@ -41,11 +44,6 @@
 	Records     []*billpb.Record `json:"records"`
 }
 
-// Store is what the slice needs of the platform.
-type Store interface {
-	platform.Store
-}
-
 // Peers carries records to another instance.
 type Peers interface {
 	Keep(ctx context.Context, to string, req *billpb.KeepRequest) (*billpb.KeepReply, error)
@@ -55,7 +53,7 @@
 // concurrent use.
 type Journal struct {
 	self  string
-	store Store
+	store store.Store
 	peers Peers
 	peer  func() string
 
@@ -74,10 +72,10 @@
 }
 
 // NewJournal returns an empty journal; peer names whom to keep copies with.
-func NewJournal(self string, store Store, peers Peers, peer func() string) *Journal {
+func NewJournal(self string, target store.Store, peers Peers, peer func() string) *Journal {
 	return &Journal{
 		self:  self,
-		store: store,
+		store: target,
 		peers: peers,
 		peer:  peer,
 		open:  map[string]*billpb.Record{},
@@ -252,7 +250,7 @@
 // number that is taken was written by this writer, with its answer lost, or by
 // the peer that thought it dead; either way the records in it are done with.
 func writeSegments(
-	ctx context.Context, store Store, incarnation string, next uint64, records []*billpb.Record,
+	ctx context.Context, target store.Store, incarnation string, next uint64, records []*billpb.Record,
 ) (uint64, []*billpb.Record, error) {
 	for len(records) > 0 {
 		batch := records[:min(len(records), maxSegmentRecords)]
@@ -261,9 +259,9 @@
 			return next, records, err
 		}
 		key := segmentKey(incarnation, next)
-		if _, err = store.Put(ctx, key, value, platform.NoVersion); err == nil {
+		if _, err = target.Put(ctx, key, value, store.NoVersion); err == nil {
 			records = records[len(batch):]
-		} else if records, err = withoutStored(ctx, store, key, records, err); err != nil {
+		} else if records, err = withoutStored(ctx, target, key, records, err); err != nil {
 			return next, records, err
 		}
 		next++
@@ -277,12 +275,12 @@
 
 // withoutStored settles a failed create by reading the segment back.
 func withoutStored(
-	ctx context.Context, store Store, key string, records []*billpb.Record, cause error,
+	ctx context.Context, target store.Store, key string, records []*billpb.Record, cause error,
 ) ([]*billpb.Record, error) {
-	if !errors.Is(cause, platform.ErrConflict) && !errors.Is(cause, platform.ErrUncertain) {
+	if !errors.Is(cause, store.ErrConflict) && !errors.Is(cause, store.ErrUncertain) {
 		return records, cause
 	}
-	object, err := store.Get(ctx, key)
+	object, err := target.Get(ctx, key)
 	if err != nil {
 		return records, err
 	}
--- a/pkg/bill/keeper.go
+++ b/pkg/bill/keeper.go
@@ -6,11 +6,12 @@
 	"sync"
 
 	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // Keeper holds copies of other instances' records. It is safe for concurrent use.
 type Keeper struct {
-	store Store
+	store store.Store
 	// taking is held by the one takeover at a time.
 	taking sync.Mutex
 
@@ -25,8 +26,8 @@
 }
 
 // NewKeeper returns a keeper without copies.
-func NewKeeper(store Store) *Keeper {
-	return &Keeper{store: store, copies: map[string]*copies{}}
+func NewKeeper(target store.Store) *Keeper {
+	return &Keeper{store: target, copies: map[string]*copies{}}
 }
 
 // Keep takes copies and drops those that are durable. A copy that comes twice
--- a/pkg/bill/statement.go
+++ b/pkg/bill/statement.go
@@ -6,7 +6,7 @@
 	"sort"
 
 	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
-	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // Statement is what a set of segments says: by request, its bill.
@@ -21,7 +21,7 @@
 }
 
 // ReadStatement reads segments.
-func ReadStatement(objects []platform.Object) (*Statement, error) {
+func ReadStatement(objects []store.Object) (*Statement, error) {
 	s := &Statement{Bills: map[string]*billpb.Record{}, Open: map[string]*billpb.Record{}}
 	for _, object := range objects {
 		var segment Segment
--- a/pkg/capacity/fleet.go
+++ b/pkg/capacity/fleet.go
@@ -6,7 +6,8 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/configsync"
-	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/store"
+	"github.com/lavenderring/lavenderring/platform"
 )
 
 // Idle is what one instance of a fleet costs without a request, on average.
@@ -149,7 +150,7 @@
 	client := platform.NewClient(b.platform, 5*time.Second, nil)
 	text := acceptedOf(10).Text
 	start := time.Now()
-	if _, err := client.Put(context.Background(), configsync.DocumentPrefix+"s", text, platform.NoVersion); err != nil {
+	if _, err := client.Put(context.Background(), configsync.DocumentPrefix+"s", text, store.NoVersion); err != nil {
 		return 0, 0, err
 	}
 	var times []time.Duration
--- a/pkg/claim/claimer.go
+++ b/pkg/claim/claimer.go
@@ -10,8 +10,8 @@
 
 	"github.com/lavenderring/lavenderring/pkg/outcome"
 	"github.com/lavenderring/lavenderring/pkg/pause"
-	"github.com/lavenderring/lavenderring/pkg/platform"
 	"github.com/lavenderring/lavenderring/pkg/ring"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // Sizes of the claiming duty.
@@ -51,7 +51,7 @@
 // Claimer claims keys and records outcomes. Operations on one shard that come
 // together are committed by one write. It is safe for concurrent use.
 type Claimer struct {
-	store  platform.Store
+	store  store.Store
 	shards []*ring.Ring[operation]
 	now    func() time.Time
 
@@ -59,7 +59,7 @@
 }
 
 // NewClaimer returns a claimer over so many shards; Run must be called.
-func NewClaimer(store platform.Store, shards int, now func() time.Time) *Claimer {
+func NewClaimer(store store.Store, shards int, now func() time.Time) *Claimer {
 	c := &Claimer{store: store, now: now}
 	for i := 0; i < shards; i++ {
 		c.shards = append(c.shards, ring.New[operation](queueLength))
@@ -105,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	key := shardKey(shard)
-	err := platform.Update(ctx, c.store, key, func(value []byte) ([]byte, error) {
+	err := store.Update(ctx, c.store, key, func(value []byte) ([]byte, error) {
 		decoded, err := decodeShard(value)
 		if err != nil {
 			return nil, err
@@ -119,7 +119,7 @@
 			err = &FullError{Step: "claim", Peer: key}
 		}
 		if err == nil && string(encoded) == string(value) {
-			err = platform.ErrUnchanged
+			err = store.ErrUnchanged
 		}
 		return encoded, err
 	})
@@ -175,7 +175,7 @@
 // Read returns the claim that stands for a key; nil if there is none.
 func (c *Claimer) Read(ctx context.Context, key string) (*Claim, error) {
 	object, err := c.store.Get(ctx, shardKey(shardOf(key, len(c.shards))))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
--- a/pkg/configsync/accept.go
+++ b/pkg/configsync/accept.go
@@ -8,14 +8,14 @@
 
 	"github.com/lavenderring/lavenderring/pkg/document"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
-	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // Accept validates a document that an operator wrote and records it under a new
 // generation, or records why not and leaves what is in force. Any number of
 // instances may do it at once: of their conditional writes one takes effect, and
 // the others find the document's version recorded.
-func (s *Syncer) Accept(ctx context.Context, object platform.Object) error {
+func (s *Syncer) Accept(ctx context.Context, object store.Object) error {
 	service := strings.TrimPrefix(object.Key, DocumentPrefix)
 	doc, err := document.Parse(object.Value)
 	if err == nil && doc.Service != service {
@@ -33,10 +33,10 @@
 	return err
 }
 
-func (s *Syncer) record(ctx context.Context, service string, object platform.Object) (Accepted, error) {
+func (s *Syncer) record(ctx context.Context, service string, object store.Object) (Accepted, error) {
 	var accepted Accepted
 	var written bool
-	err := platform.Update(ctx, s.store, AcceptedPrefix+service, func(value []byte) ([]byte, error) {
+	err := store.Update(ctx, s.store, AcceptedPrefix+service, func(value []byte) ([]byte, error) {
 		written = false
 		accepted = Accepted{Service: service}
 		if value != nil {
@@ -47,7 +47,7 @@
 			accepted = decoded
 		}
 		if accepted.DocumentVersion >= object.Version {
-			return nil, platform.ErrUnchanged
+			return nil, store.ErrUnchanged
 		}
 		accepted.Generation++
 		accepted.DocumentVersion = object.Version
@@ -65,7 +65,7 @@
 	return accepted, nil
 }
 
-func (s *Syncer) reject(ctx context.Context, service string, version platform.Version, cause error) error {
+func (s *Syncer) reject(ctx context.Context, service string, version store.Version, cause error) error {
 	var invalid *document.InvalidError
 	if !errors.As(cause, &invalid) {
 		return cause
@@ -76,7 +76,7 @@
 
 // writeStatus records what became of a document unless a newer one is recorded.
 func (s *Syncer) writeStatus(ctx context.Context, status Status) error {
-	return platform.Update(ctx, s.store, StatusPrefix+status.Service, func(value []byte) ([]byte, error) {
+	return store.Update(ctx, s.store, StatusPrefix+status.Service, func(value []byte) ([]byte, error) {
 		var present Status
 		if value != nil {
 			if err := json.Unmarshal(value, &present); err != nil {
@@ -84,7 +84,7 @@
 			}
 		}
 		if present.DocumentVersion >= status.DocumentVersion {
-			return nil, platform.ErrUnchanged
+			return nil, store.ErrUnchanged
 		}
 		return json.Marshal(status)
 	})
--- a/pkg/configsync/state.go
+++ b/pkg/configsync/state.go
@@ -9,17 +9,17 @@
 	"sync/atomic"
 
 	"github.com/lavenderring/lavenderring/pkg/document"
-	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // Prefixes of the objects.
 const (
-	// Prefix is above everything that instances watch.
-	Prefix = "config/"
+	// Kind is the kind of everything that instances watch.
+	Kind = "service-documents"
 	// DocumentPrefix holds what operators write.
-	DocumentPrefix = "config/documents/"
+	DocumentPrefix = Kind + "/documents/"
 	// AcceptedPrefix holds what instances accepted.
-	AcceptedPrefix = "config/accepted/"
+	AcceptedPrefix = Kind + "/accepted/"
 	// StatusPrefix holds, by service, what became of the newest document.
 	StatusPrefix = "status/"
 )
@@ -31,16 +31,16 @@
 	// Generation rises by one with each accepted document.
 	Generation uint64 `json:"generation"`
 	// DocumentVersion is the platform's version of the document accepted.
-	DocumentVersion platform.Version `json:"document_version"`
+	DocumentVersion store.Version `json:"document_version"`
 	// Text is the document.
 	Text []byte `json:"text"`
 }
 
 // Status tells operators what became of the newest document.
 type Status struct {
-	Service         string           `json:"service"`
-	DocumentVersion platform.Version `json:"document_version"`
-	Accepted        bool             `json:"accepted"`
+	Service         string        `json:"service"`
+	DocumentVersion store.Version `json:"document_version"`
+	Accepted        bool          `json:"accepted"`
 	// Reason says why it was not accepted.
 	Reason string `json:"reason,omitempty"`
 }
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strings"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/pause"
-	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // Pace of the slow ways that back up the fast ones.
@@ -23,35 +24,31 @@
 	roleCheckEvery = time.Second
 )
 
-// Store is what the slice needs of the platform.
-type Store interface {
-	platform.Store
-	List(ctx context.Context, prefix string) ([]platform.Object, error)
-	Watch(ctx context.Context, prefix string, since platform.Version, wait time.Duration) (platform.WatchAnswer, error)
-}
-
 // Syncer keeps the state up to date from the store.
 type Syncer struct {
-	store   Store
+	store   store.Watcher
 	state   *State
 	log     *eventlog.Log
 	watcher func() bool
 	spread  func()
+	// listed is the store's version at the last whole list.
+	listed store.Version
 }
 
 // NewSyncer returns a syncer. watcher tells whether this instance is to watch
 // the store; spread is called when a document has come into force, to tell peers.
-func NewSyncer(store Store, state *State, log *eventlog.Log, watcher func() bool, spread func()) *Syncer {
-	return &Syncer{store: store, state: state, log: log, watcher: watcher, spread: spread}
+func NewSyncer(source store.Watcher, state *State, log *eventlog.Log, watcher func() bool, spread func()) *Syncer {
+	return &Syncer{store: source, state: state, log: log, watcher: watcher, spread: spread}
 }
 
 // Load reads everything once.
 func (s *Syncer) Load(ctx context.Context) error {
-	objects, err := s.store.List(ctx, Prefix)
+	list, err := s.store.List(ctx, Kind)
 	if err != nil {
 		return err
 	}
-	s.take(ctx, objects)
+	s.take(ctx, list.Objects)
+	s.listed = list.Version
 	return nil
 }
 
@@ -59,13 +56,13 @@
 // waiting watch counts as a call, and the rest learn from peers.
 func (s *Syncer) Run(ctx context.Context) {
 	lastPoll := time.Now()
-	since := platform.NoVersion
+	since := store.NoVersion
 	for ctx.Err() == nil {
 		if s.watcher() {
 			since = s.watchOnce(ctx, since)
 			continue
 		}
-		since = platform.NoVersion
+		since = store.NoVersion
 		if time.Since(lastPoll) >= pollEvery {
 			lastPoll = time.Now().Add(rand.N(pollEvery / 4))
 			_ = s.Load(ctx)
@@ -74,19 +71,35 @@
 	}
 }
 
-func (s *Syncer) watchOnce(ctx context.Context, since platform.Version) platform.Version {
-	answer, err := s.store.Watch(ctx, Prefix, since, watchWait)
+func (s *Syncer) watchOnce(ctx context.Context, since store.Version) store.Version {
+	if since == store.NoVersion {
+		if s.Load(ctx) != nil {
+			pause.For(ctx, retryPause)
+			return since
+		}
+		since = s.listed
+	}
+	answer, err := s.store.Watch(ctx, Kind, since, watchWait)
+	if errors.Is(err, store.ErrHistoryGone) {
+		return store.NoVersion
+	}
 	if err != nil {
 		pause.For(ctx, retryPause)
 		return since
 	}
-	s.take(ctx, answer.Objects)
+	var changed []store.Object
+	for _, change := range answer.Changes {
+		if !change.Deleted {
+			changed = append(changed, change.Object)
+		}
+	}
+	s.take(ctx, changed)
 	return max(answer.Version, since)
 }
 
 // take applies accepted objects first: whoever starts late need not accept
 // anything anew.
-func (s *Syncer) take(ctx context.Context, objects []platform.Object) {
+func (s *Syncer) take(ctx context.Context, objects []store.Object) {
 	for _, object := range objects {
 		if strings.HasPrefix(object.Key, AcceptedPrefix) {
 			if accepted, err := DecodeAccepted(object.Value); err == nil {
@@ -101,7 +114,7 @@
 	}
 }
 
-func (s *Syncer) unknown(object platform.Object) bool {
+func (s *Syncer) unknown(object store.Object) bool {
 	f := s.state.Snapshot().Services[strings.TrimPrefix(object.Key, DocumentPrefix)]
 	return f == nil || f.DocumentVersion < object.Version
 }
--- a/pkg/instance/admin.go
+++ b/pkg/instance/admin.go
@@ -155,12 +155,12 @@
 func (i *Instance) showBill(ctx context.Context, c *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, billReadTimeout)
 	defer cancel()
-	objects, err := i.store.List(ctx, bill.Prefix)
+	list, err := i.store.List(ctx, bill.Kind)
 	if err != nil {
 		c.String(consts.StatusServiceUnavailable, err.Error())
 		return
 	}
-	statement, err := bill.ReadStatement(objects)
+	statement, err := bill.ReadStatement(list.Objects)
 	if err != nil {
 		c.String(consts.StatusInternalServerError, err.Error())
 		return
--- a/pkg/instance/duties.go
+++ b/pkg/instance/duties.go
@@ -49,9 +49,9 @@
 		return true // a platform without a document yet is in sync too
 	}
 	for _, seed := range i.settings.Seeds {
-		i.beat(ctx, seed, i.digest())
+		i.gossip.Beat(ctx, seed, i.gossip.Digest())
 	}
-	i.beatAll(ctx)
+	i.gossip.Round(ctx)
 	return len(i.config.Snapshot().Services) > 0
 }
 
@@ -67,8 +67,17 @@
 	i.every(budgetTick, i.syncLedger)
 	i.every(billCopyEvery, func(ctx context.Context) { _ = i.journal.Copy(ctx) })
 	i.every(billFlushEvery, i.flushBills)
-	i.every(listEvery, i.readInstanceList)
-	i.every(registerEvery, func(ctx context.Context) { _ = i.register(ctx) })
+	i.every(listEvery, i.meet)
+}
+
+// meet registers this instance now and then, and reads the list after that: of
+// two instances that start at once, at least one finds the other and tells it by
+// a heartbeat. In the other order both could miss each other until the next list.
+func (i *Instance) meet(ctx context.Context) {
+	if time.Since(i.registered) >= registerEvery && i.register(ctx) == nil {
+		i.registered = time.Now()
+	}
+	i.readInstanceList(ctx)
 }
 
 func (i *Instance) duty(run func(context.Context)) {
@@ -103,8 +112,8 @@
 // heartbeatDuty beats at its pace, and at once when something is to be spread.
 func (i *Instance) heartbeatDuty(ctx context.Context) {
 	for ctx.Err() == nil {
-		i.beatAll(ctx)
-		i.noteMembers()
+		i.gossip.Round(ctx)
+		i.noted.Look(i.table, i.log)
 		timer := time.NewTimer(i.settings.Heartbeat())
 		select {
 		case <-i.nudge.Items():
@@ -191,5 +200,5 @@
 	for ctx.Err() == nil && i.journal.Flush(ctx) != nil {
 		pause.For(ctx, syncRetry)
 	}
-	i.beatAll(ctx)
+	i.gossip.Round(ctx)
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -23,10 +23,11 @@
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/peer"
-	"github.com/lavenderring/lavenderring/pkg/platform"
 	"github.com/lavenderring/lavenderring/pkg/ring"
 	"github.com/lavenderring/lavenderring/pkg/settings"
 	"github.com/lavenderring/lavenderring/pkg/tlsfiles"
+	"github.com/lavenderring/lavenderring/pkg/tokens"
+	"github.com/lavenderring/lavenderring/platform"
 )
 
 // States of an instance's life.
@@ -71,6 +72,7 @@
 	peers   *peer.Client
 	traffic peer.Traffic
 	table   *member.Table
+	gossip  *member.Gossip
 	config  *configsync.State
 	syncer  *configsync.Syncer
 	budgets *budget.Node
@@ -80,7 +82,10 @@
 	entry   *entry.Entry
 	fetches *ring.Ring[fetch]
 	nudge   *ring.Ring[struct{}]
-	noted   map[string]memberNote // touched by the heartbeat duty only
+	noted   member.Notes // touched by the heartbeat duty only
+	// registered is when the store's list last took this instance; touched by the
+	// meeting duty only.
+	registered time.Time
 
 	callers *httpserve.Server
 	admin   *httpserve.Server
@@ -110,7 +115,6 @@
 		metrics:     metrics.NewRegistry(),
 		fetches:     ring.New[fetch](fetchQueue),
 		nudge:       ring.New[struct{}](1),
-		noted:       map[string]memberNote{},
 		storeUp:     true,
 	}
 	i.background, i.end = context.WithCancel(context.Background())
@@ -181,13 +185,21 @@
 		},
 	})
 	i.peers = peer.NewClient(i.table.Address, i.table.Heard, &i.traffic, i.peerClientTLS)
+	i.gossip = &member.Gossip{
+		Table:       i.table,
+		Send:        i.peers.Heartbeat,
+		Generations: i.generations,
+		Newer: func(address string, services []string) {
+			i.fetches.TryPut(fetch{address: address, services: services})
+		},
+	}
 	i.config = configsync.NewState(i.onConfig)
 	i.syncer = configsync.NewSyncer(i.store, i.config, i.log, i.isWatcher, func() { i.nudge.TryPut(struct{}{}) })
 }
 
 func (i *Instance) provisionDuties() {
 	s := i.settings
-	view := fleetView{i.table}
+	view := tokens.FleetView{Table: i.table}
 	cfg := budget.Config{
 		Self:          i.incarnation,
 		Shards:        s.LedgerShards,
@@ -195,11 +207,11 @@
 		MinimumSigned: signedAtLeast,
 	}
 	i.budgets = budget.NewNode(cfg, budget.Deps{
-		Ledger:   ledgerStore{i.store},
+		Ledger:   tokens.LedgerStore{Store: i.store},
 		Peers:    i.peers,
 		Fleet:    view,
 		Prepaid:  prepaidIn(i.config, s.LedgerShards),
-		Observer: budgetObserver{i.log},
+		Observer: tokens.Observer{Log: i.log},
 		Now:      time.Now,
 	})
 	billPeer := func() string { return i.table.Partner("bills/", "") }
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -3,53 +3,30 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
-	"sync"
 
 	"github.com/lavenderring/lavenderring/pkg/configsync"
-	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
-	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
-// instancePrefix is the platform's list of instances.
-const instancePrefix = "instances/"
+// instanceKind is the platform's list of instances.
+const instanceKind = "instances"
 
-// digest is what this instance tells others. It names one other member, drawn
-// anew each time: news of a member spreads in a few rounds, and the platform's
-// list brings it anyway. Naming all cost most of an instance's traffic.
-func (i *Instance) digest() *memberpb.Digest {
-	d := &memberpb.Digest{From: i.table.Self()}
+// generations tells which documents this instance works by.
+func (i *Instance) generations() []*memberpb.ServiceGeneration {
+	var out []*memberpb.ServiceGeneration
 	for _, f := range i.config.Snapshot().Services {
-		d.Generations = append(d.Generations, &memberpb.ServiceGeneration{Service: f.Service, Generation: f.Generation})
+		out = append(out, &memberpb.ServiceGeneration{Service: f.Service, Generation: f.Generation})
 	}
-	if live := i.table.Live(); len(live) > 0 {
-		d.Known = append(d.Known, live[rand.IntN(len(live))])
-	}
-	return d
-}
-
-// takeDigest learns from a digest and reports which services the sender has
-// under a higher generation.
-func (i *Instance) takeDigest(d *memberpb.Digest) (newer []string) {
-	i.table.Learn(d.From, true)
-	for _, m := range d.Known {
-		i.table.Learn(m, false)
-	}
-	for _, g := range d.Generations {
-		if g.Generation > i.config.Generation(g.Service) {
-			newer = append(newer, g.Service)
-		}
-	}
-	return newer
+	return out
 }
 
 // Heartbeat implements the members service.
 func (i *Instance) Heartbeat(_ context.Context, d *memberpb.Digest) (*memberpb.Digest, error) {
-	if newer := i.takeDigest(d); len(newer) > 0 && d.From != nil {
+	if newer := i.gossip.Take(d); len(newer) > 0 && d.From != nil {
 		i.fetches.TryPut(fetch{address: d.From.PeerAddress, services: newer})
 	}
-	return i.digest(), nil
+	return i.gossip.Digest(), nil
 }
 
 // FetchConfig implements the members service.
@@ -83,54 +60,14 @@
 	}
 }
 
-// beatAll sends one round of heartbeats, to all of it at once, so that one peer
-// that does not answer delays no other.
-func (i *Instance) beatAll(ctx context.Context) {
-	digest := i.digest()
-	var round sync.WaitGroup
-	for _, m := range i.table.NextRound() {
-		round.Go(func() { i.beat(ctx, m.PeerAddress, digest) })
-	}
-	round.Wait()
-}
-
-func (i *Instance) beat(ctx context.Context, address string, digest *memberpb.Digest) {
-	reply, err := i.peers.Heartbeat(ctx, address, digest)
-	if err != nil {
-		return
-	}
-	if newer := i.takeDigest(reply); len(newer) > 0 {
-		i.fetchConfig(ctx, fetch{address: address, services: newer})
-	}
-}
-
-// noteMembers logs which members have fallen silent or left since the last look.
-func (i *Instance) noteMembers() {
-	for _, m := range i.table.View() {
-		before := i.noted[m.Incarnation]
-		now := memberNote{silent: m.Silent, left: m.Leaving}
-		fields := eventlog.Fields{"member": m.Incarnation, "domain": m.Domain}
-		if now.silent && !before.silent {
-			i.log.Event(eventlog.MemberSilent, "", fields)
-		}
-		if now.left && !before.left {
-			i.log.Event(eventlog.MemberLeft, "", fields)
-		}
-		i.noted[m.Incarnation] = now
-	}
-}
-
-// memberNote is what was last logged of a member.
-type memberNote struct{ silent, left bool }
-
 // readInstanceList takes in the platform's list. It lags and may miss members;
 // it only makes them known.
 func (i *Instance) readInstanceList(ctx context.Context) {
-	objects, err := i.store.List(ctx, instancePrefix)
+	list, err := i.store.List(ctx, instanceKind)
 	if err != nil {
 		return
 	}
-	for _, object := range objects {
+	for _, object := range list.Objects {
 		var m memberpb.Member
 		if json.Unmarshal(object.Value, &m) == nil {
 			i.table.Learn(&m, false)
@@ -144,9 +81,9 @@
 	if err != nil {
 		return err
 	}
-	return platform.Update(ctx, i.store, instancePrefix+i.settings.Name, func(present []byte) ([]byte, error) {
+	return store.Update(ctx, i.store, instanceKind+"/"+i.settings.Name, func(present []byte) ([]byte, error) {
 		if string(present) == string(value) {
-			return nil, platform.ErrUnchanged
+			return nil, store.ErrUnchanged
 		}
 		return value, nil
 	})
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -202,6 +202,20 @@
 	return out
 }
 
+// Count returns how many instances are known by name, silent ones too but not
+// those that leave.
+func (t *Table) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, incarnation := range t.byName {
+		if e := t.entries[incarnation]; e != nil && !e.member.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
 // NextRound returns the peers that the next round of heartbeats goes to, silent
 // ones too: they may be back. Long silent ones are forgotten here.
 func (t *Table) NextRound() []*memberpb.Member {
--- a/pkg/operator/config.go
+++ b/pkg/operator/config.go
@@ -12,7 +12,8 @@
 
 	"github.com/lavenderring/lavenderring/pkg/configsync"
 	"github.com/lavenderring/lavenderring/pkg/document"
-	"github.com/lavenderring/lavenderring/pkg/platform"
+	"github.com/lavenderring/lavenderring/pkg/store"
+	"github.com/lavenderring/lavenderring/platform"
 )
 
 // Errors told to operators.
@@ -76,36 +77,36 @@
 	return awaitAccepted(ctx, out, client, doc.Service, written)
 }
 
-func expected(ctx context.Context, client *platform.Client, key string, expect *int64) (platform.Version, error) {
+func expected(ctx context.Context, client *platform.Client, key string, expect *int64) (store.Version, error) {
 	if expect != nil {
-		return platform.Version(*expect), nil
+		return store.Version(*expect), nil
 	}
 	object, err := client.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.NoVersion, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return store.NoVersion, nil
 	}
 	return object.Version, err
 }
 
 // put writes the document; a lost answer is settled by reading back.
 func put(
-	ctx context.Context, client *platform.Client, key string, text []byte, version platform.Version,
-) (platform.Version, error) {
+	ctx context.Context, client *platform.Client, key string, text []byte, version store.Version,
+) (store.Version, error) {
 	written, err := client.Put(ctx, key, text, version)
-	if errors.Is(err, platform.ErrUncertain) {
+	if errors.Is(err, store.ErrUncertain) {
 		object, readErr := client.Get(ctx, key)
 		if readErr == nil && string(object.Value) == string(text) {
 			return object.Version, nil
 		}
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		return 0, fmt.Errorf("%w (expected version %d)", ErrEditedMeanwhile, version)
 	}
 	return written, err
 }
 
 func awaitAccepted(
-	ctx context.Context, out io.Writer, client *platform.Client, service string, version platform.Version,
+	ctx context.Context, out io.Writer, client *platform.Client, service string, version store.Version,
 ) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
@@ -120,7 +121,7 @@
 	return fmt.Errorf("document version %d is stored; no instance has accepted it within %v", version, acceptTimeout)
 }
 
-func report(out io.Writer, status configsync.Status, version platform.Version) error {
+func report(out io.Writer, status configsync.Status, version store.Version) error {
 	if status.DocumentVersion > version {
 		_, err := fmt.Fprintf(out, "version %d is stored; version %d has followed it\n", version, status.DocumentVersion)
 		return err
--- a/pkg/platform/update.go
+++ b/pkg/store/update.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -8,12 +8,6 @@
 	"github.com/cenkalti/backoff/v5"
 )
 
-// Store is what the duties need of the platform.
-type Store interface {
-	Get(ctx context.Context, key string) (Object, error)
-	Put(ctx context.Context, key string, value []byte, expect Version) (Version, error)
-}
-
 // Bounds of the retry loop around one conditional update.
 const (
 	updateFirstDelay = 5 * time.Millisecond
@@ -21,46 +15,68 @@
 	updateMaxTries   = 20
 )
 
-// ErrUnchanged is returned by a Change that finds nothing to write, for example
+// ErrUnchanged is returned by a Modify that finds nothing to write, for example
 // its own earlier write whose answer was lost.
 var ErrUnchanged = errors.New("nothing to write")
 
-// Change computes an object's new value from the present one; nil stands for an
+// Modify computes an object's new value from the present one; nil stands for an
 // object that does not exist. It is called again after a conflict or a lost
 // answer, so it must recognise its own earlier write in the value.
-type Change func(value []byte) ([]byte, error)
+type Modify func(value []byte) ([]byte, error)
 
-// Update applies change by conditional writes until one takes effect. It
-// returns nil also when change answers ErrUnchanged, and change's other errors
-// as they are. A write of uncertain fate is settled by reading back: change
+// updater is one update on its way.
+type updater struct {
+	store  Store
+	key    string
+	modify Modify
+	// present is what the answer to a conflict told; nil to read.
+	present *Object
+}
+
+// Update applies modify by conditional writes until one takes effect. It
+// returns nil also when modify answers ErrUnchanged, and modify's other errors
+// as they are. A write of uncertain fate is settled by reading back: modify
 // sees the object as it is and finds its own mark or not.
-func Update(ctx context.Context, store Store, key string, change Change) error {
+func Update(ctx context.Context, s Store, key string, modify Modify) error {
 	policy := backoff.NewExponentialBackOff()
 	policy.InitialInterval = updateFirstDelay
 	policy.MaxInterval = updateMaxDelay
-	attempt := func() (struct{}, error) {
-		return struct{}{}, updateOnce(ctx, store, key, change)
-	}
+	u := &updater{store: s, key: key, modify: modify}
+	attempt := func() (struct{}, error) { return struct{}{}, u.once(ctx) }
 	_, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(policy), backoff.WithMaxTries(updateMaxTries))
 	return err
 }
 
-func updateOnce(ctx context.Context, store Store, key string, change Change) error {
-	object, err := store.Get(ctx, key)
+func (u *updater) once(ctx context.Context) error {
+	object, err := u.read(ctx)
 	if err != nil && !errors.Is(err, ErrNotFound) {
 		return retryable(ctx, err)
 	}
-	value, err := change(object.Value)
+	value, err := u.modify(object.Value)
 	if errors.Is(err, ErrUnchanged) {
 		return nil
 	}
 	if err != nil {
 		return backoff.Permanent(err)
 	}
-	_, err = store.Put(ctx, key, value, object.Version)
+	_, err = u.store.Put(ctx, u.key, value, object.Version)
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		u.present = &conflict.Present
+	}
 	return retryable(ctx, err)
 }
 
+// read returns the object as it stands; what a conflict told is used once.
+func (u *updater) read(ctx context.Context) (Object, error) {
+	if u.present != nil {
+		object := *u.present
+		u.present = nil
+		return object, nil
+	}
+	return u.store.Get(ctx, u.key)
+}
+
 // retryable marks as permanent whatever another try cannot mend in time: an
 // unreachable store is reported at once so that duties can work around it.
 func retryable(ctx context.Context, err error) error {
