--- a/cmd/lavenderring/main.go
+++ b/cmd/lavenderring/main.go
@@ -8,13 +8,18 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/instance"
 	"github.com/lavenderring/lavenderring/pkg/operator"
+	"github.com/lavenderring/lavenderring/pkg/router"
 	"github.com/lavenderring/lavenderring/pkg/settings"
+	"github.com/lavenderring/lavenderring/platform"
 )
 
 // Exit codes.
@@ -27,6 +32,10 @@
 	Settings string `arg:"positional,required" help:"the instance's settings file, TOML"`
 }
 
+type routeArgs struct {
+	Settings string `arg:"positional,env:LAVENDERRING_SETTINGS,required" help:"the instance's settings file, TOML"`
+}
+
 type configCheckArgs struct {
 	File string `arg:"positional,required" help:"a service document, TOML"`
 }
@@ -62,6 +71,7 @@
 
 type args struct {
 	Serve    *serveArgs    `arg:"subcommand:serve" help:"run an instance until it is told to stop (SIGTERM)"`
+	Route    *routeArgs    `arg:"subcommand:route" help:"run an instance on the users' platform until it is told to stop (SIGTERM)"`
 	Config   *configArgs   `arg:"subcommand:config" help:"check, apply or show a service document"`
 	Status   *adminArgs    `arg:"subcommand:status" help:"ask an instance"`
 	Timeline *timelineArgs `arg:"subcommand:timeline" help:"merge event logs into one time line"`
@@ -104,6 +114,8 @@
 	switch {
 	case a.Serve != nil:
 		return serve(ctx, a.Serve.Settings)
+	case a.Route != nil:
+		return route(ctx, a.Route.Settings)
 	case a.Config != nil && a.Config.Check != nil:
 		return operator.Check(os.Stdout, a.Config.Check.File)
 	case a.Config != nil && a.Config.Apply != nil:
@@ -131,3 +143,35 @@
 	}
 	return i.Run(ctx)
 }
+
+// route runs an instance on the users' platform. SIGHUP says that the settings
+// file has changed; what stands in it is where the process stands and listens,
+// which a running one cannot change, so it only checks the file.
+func route(ctx context.Context, path string) error {
+	s, err := settings.LoadRouter(path)
+	if err != nil {
+		return err
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(s.MemoryMB << 20 * memoryPart / 100)
+	}
+	out := eventlog.NewBounded(os.Stdout, time.Now)
+	defer out.Close()
+	r, err := router.New(s, platform.Adapter(), out)
+	if err != nil {
+		return err
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			_, err := settings.LoadRouter(path)
+			r.NoteSettings(err)
+		}
+	}()
+	return r.Run(ctx)
+}
+
+// memoryPart is the part of the allowed memory, in percent, that the collector
+// keeps the heap below: the rest is for stacks, sockets and bursts.
+const memoryPart = 60
--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -9,6 +9,8 @@
 	InstanceReady     Number = 101
 	InstanceDraining  Number = 102
 	InstanceStopped   Number = 103
+	SettingsRead      Number = 104
+	InstanceStatus    Number = 105
 	StoreUnreachable  Number = 110
 	StoreReachable    Number = 111
 	RequestAccepted   Number = 200
@@ -20,6 +22,7 @@
 	AnswerMismatch    Number = 206
 	RequestReplayed   Number = 207
 	CallerGone        Number = 208
+	RequestRepeated   Number = 209
 	ReservationDenied Number = 300
 	RequestBilled     Number = 301
 	UsageAboveBound   Number = 302
@@ -29,6 +32,8 @@
 	GrantReclaimed    Number = 313
 	GrantLost         Number = 314
 	BudgetReduced     Number = 315
+	TokensDrawn       Number = 320
+	TokensBorrowed    Number = 321
 	ClaimTaken        Number = 400
 	ClaimConflict     Number = 401
 	ClaimOutcome      Number = 402
@@ -57,6 +62,8 @@
 	InstanceReady:     {"instance-ready", "the instance serves callers", "none"},
 	InstanceDraining:  {"instance-draining", "a planned stop has begun; running requests finish", "none"},
 	InstanceStopped:   {"instance-stopped", "grants are returned, bills handed over, the process exits", "none"},
+	SettingsRead:      {"settings-read", "the settings file was read again after a signal; a running instance keeps its own", "correct the file if it is not valid"},
+	InstanceStatus:    {"instance-status", "what the instance did since its start, told every few seconds", "none"},
 	StoreUnreachable:  {"store-unreachable", "a platform call failed after calls had succeeded", "see OPERATING, store outage"},
 	StoreReachable:    {"store-reachable", "a platform call succeeded after calls had failed", "none"},
 	RequestAccepted:   {"request-accepted", "a caller's request passed authentication and checks", "none"},
@@ -68,6 +75,7 @@
 	AnswerMismatch:    {"answer-mismatch", "an upstream answered with another request's id; discarded", "inspect the upstream"},
 	RequestReplayed:   {"request-replayed", "a retry got the recorded answer of a request that ran", "none"},
 	CallerGone:        {"caller-gone", "the caller went away; the upstream was cancelled", "none"},
+	RequestRepeated:   {"request-repeated", "an attempt failed and another upstream is asked", "by the step and cause fields"},
 	ReservationDenied: {"reservation-denied", "the account's budget had no tokens to reserve", "top up, or see OPERATING, refusals"},
 	RequestBilled:     {"request-billed", "a request's cost was taken from its reservation", "none"},
 	UsageAboveBound:   {"usage-above-bound", "an upstream reported more tokens than were reserved; billed at the bound", "correct min_bytes_per_token or the engine"},
@@ -77,6 +85,8 @@
 	GrantReclaimed:    {"grant-reclaimed", "a silent holder's unsigned rest went back to the ledger", "see OPERATING, instance crash"},
 	GrantLost:         {"grant-lost", "this instance's grant was reclaimed by its witness", "none; it was thought dead"},
 	BudgetReduced:     {"budget-reduced", "a budget is below what is granted; nothing new is granted", "wait, or raise it"},
+	TokensDrawn:       {"tokens-drawn", "an instance drew tokens of a budget; left is what the ledger still has", "none"},
+	TokensBorrowed:    {"tokens-borrowed", "the store did not answer and a peer lent tokens", "none"},
 	ClaimTaken:        {"claim-taken", "an idempotency key was claimed for one run", "none"},
 	ClaimConflict:     {"claim-conflict", "the key is claimed already", "none"},
 	ClaimOutcome:      {"claim-outcome", "the outcome of a claimed request was recorded", "none"},
--- a/pkg/eventlog/log.go
+++ b/pkg/eventlog/log.go
@@ -11,7 +11,7 @@
 )
 
 // recentEvents bounds the events an instance keeps to be asked for.
-const recentEvents = 4096
+const recentEvents = 1024
 
 // Fields carries an event's typed values by name.
 type Fields = logrus.Fields
@@ -37,6 +37,8 @@
 type Log struct {
 	process string
 	logger  *logrus.Logger
+	// allow is asked before a line is made; nil allows all.
+	allow func() bool
 
 	mu     sync.Mutex
 	seq    uint64
@@ -48,7 +50,11 @@
 	logger := logrus.New()
 	logger.SetOutput(out)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	return &Log{process: process, logger: logger}
+	log := &Log{process: process, logger: logger}
+	if bounded, ok := out.(*Bounded); ok {
+		log.allow = bounded.Allow
+	}
+	return log
 }
 
 // Discard returns a log that keeps events in memory only.
@@ -57,6 +63,9 @@
 // Event writes an event; request may be empty.
 func (l *Log) Event(number Number, request string, fields Fields) {
 	event := l.record(number, request, fields)
+	if l.allow != nil && !l.allow() {
+		return
+	}
 	entry := l.logger.WithTime(event.Time).WithFields(logrus.Fields{
 		"process": event.Process,
 		"seq":     event.Seq,
--- /dev/null
+++ b/pkg/forward/forwarder.go
@@ -0,0 +1,213 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/placement"
+	"github.com/lavenderring/lavenderring/pkg/prepaid"
+	"github.com/lavenderring/lavenderring/pkg/registry"
+	"github.com/lavenderring/lavenderring/pkg/retrylimit"
+	"github.com/lavenderring/lavenderring/pkg/routing"
+)
+
+// Bounds of the pipeline.
+const (
+	// reserveTimeout bounds the search for tokens at other instances and in the
+	// store; what they answer comes in milliseconds, and a request has better
+	// uses for its time than to wait for one that does not answer.
+	reserveTimeout = 400 * time.Millisecond
+	// soonRetry is when a client may come back after a refusal that another
+	// instance or a moment later may not repeat.
+	soonRetry = 150 * time.Millisecond
+	// startRetry is when to come back to an instance without a configuration.
+	startRetry = 500 * time.Millisecond
+)
+
+// Budgets reserves and settles tokens.
+type Budgets interface {
+	Reserve(ctx context.Context, budget string, tokens int64) (*prepaid.Reservation, error)
+	Settle(r *prepaid.Reservation, used int64)
+}
+
+// Deps is what a forwarder works with.
+type Deps struct {
+	// Domain is the instance's failure domain.
+	Domain   string
+	Config   *routing.State
+	Registry *registry.Registry
+	Budgets  Budgets
+	Codec    Codec
+	Conns    *httpconn.Pool
+	Log      *eventlog.Log
+	Metrics  metrics.Registry
+	// Retries bounds what is sent once more; Instances tells how many instances
+	// share the bound.
+	Retries   retrylimit.Settings
+	Instances func() int
+	Now       func() time.Time
+}
+
+// Forwarder serves requests. It is safe for concurrent use.
+type Forwarder struct {
+	Deps
+	meters meters
+
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// service is what an instance keeps of one service.
+type service struct {
+	pool  *placement.Pool
+	limit *retrylimit.Limit
+}
+
+type meters struct {
+	accepted, refused, answered, streamed, unknown, left, repeated, resumed metrics.Counter
+	newConns                                                                metrics.Counter
+	whole, firstEvent, added                                                metrics.Timer
+}
+
+// New returns a forwarder.
+func New(deps Deps) *Forwarder {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, deps.Metrics) }
+	timer := func(name string) metrics.Timer { return metrics.GetOrRegisterTimer(name, deps.Metrics) }
+	return &Forwarder{
+		Deps:     deps,
+		services: map[string]*service{},
+		meters: meters{
+			accepted:   counter("forward.accepted"),
+			refused:    counter("forward.refused"),
+			answered:   counter("forward.answered"),
+			streamed:   counter("forward.streamed"),
+			unknown:    counter("forward.unknown"),
+			left:       counter("forward.clients_left"),
+			repeated:   counter("forward.repeated"),
+			resumed:    counter("forward.resumed"),
+			newConns:   counter("forward.new_connections"),
+			whole:      timer("forward.whole"),
+			firstEvent: timer("forward.first_event"),
+			added:      timer("forward.before_sending"),
+		},
+	}
+}
+
+func (f *Forwarder) service(name string) *service {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.services[name]
+	if s == nil {
+		s = &service{
+			pool:  placement.NewPool(f.Domain, f.Now),
+			limit: retrylimit.New(f.Retries, f.Instances, f.Now),
+		}
+		f.services[name] = s
+	}
+	return s
+}
+
+// Update brings the configuration's services and the registry's upstreams to the
+// pools.
+func (f *Forwarder) Update() {
+	table := f.Config.Table()
+	if table == nil {
+		return
+	}
+	for i := range table.Config.Services {
+		s := &table.Config.Services[i]
+		f.service(s.Name).pool.Update(f.Registry.InService(s.Name), s.Engine != nil)
+	}
+}
+
+// Serve takes one request to its answer; ctx ends when the client has left.
+func (f *Forwarder) Serve(ctx context.Context, r *Request, client Client) {
+	call, refusal := f.admit(ctx, r)
+	if refusal != nil {
+		f.refuse(r, client, refusal)
+		return
+	}
+	call.client = client
+	call.run(ctx)
+}
+
+// admit decides whether the request may be forwarded at all.
+func (f *Forwarder) admit(ctx context.Context, r *Request) (*call, *Refusal) {
+	table := f.Config.Table()
+	if table == nil {
+		return nil, &Refusal{Reason: NoConfiguration, RetryAfter: startRetry}
+	}
+	limits := &table.Config.Limits
+	switch {
+	case limits.HeaderBytes > 0 && r.HeadBytes > limits.HeaderBytes:
+		return nil, &Refusal{Reason: HeadTooLarge}
+	case limits.BodyBytes > 0 && len(r.Body) > limits.BodyBytes:
+		return nil, &Refusal{Reason: BodyTooLarge}
+	}
+	route := table.Route(r.Host, r.Path)
+	if route == nil {
+		return nil, &Refusal{Reason: NoRoute}
+	}
+	c := &call{f: f, r: r, route: route}
+	if table.Config.Keyed && !route.Public {
+		if c.account = table.Account(r.Key); c.account == nil {
+			return nil, &Refusal{Reason: UnknownKey}
+		}
+	}
+	target := table.Service(route.Target(r.ID))
+	if target == nil {
+		return nil, &Refusal{Reason: NoUpstream, RetryAfter: soonRetry}
+	}
+	c.target, c.service = target, f.service(target.Name)
+	c.setDeadline()
+	return c, c.reserve(ctx)
+}
+
+func (f *Forwarder) refuse(r *Request, client Client, refusal *Refusal) {
+	f.meters.refused.Inc(1)
+	fields := eventlog.Fields{"reason": refusal.Reason, "took_ms": f.Now().Sub(r.Arrived).Milliseconds()}
+	if refusal.RetryAfter > 0 {
+		fields["retry_after_ms"] = refusal.RetryAfter.Milliseconds()
+	}
+	if refusal.Step != "" {
+		fields["step"], fields["peer"] = refusal.Step, refusal.Peer
+	}
+	if refusal.Err != nil {
+		fields["cause"] = refusal.Err.Error()
+	}
+	if table := f.Config.Table(); table != nil {
+		fields["config_version"] = table.Config.Version
+	}
+	number := eventlog.RequestRefused
+	if refusal.Reason == Unknown || refusal.Reason == Timeout {
+		number = eventlog.RequestFailed
+		f.meters.unknown.Inc(1)
+	}
+	f.Log.Event(number, r.ID, fields)
+	client.Refuse(refusal)
+}
+
+// reserve sets the request's highest cost aside.
+func (c *call) reserve(ctx context.Context) *Refusal {
+	if c.account == nil || c.account.PrepaidTokens < 0 || !c.r.Costed {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	reservation, err := c.f.Budgets.Reserve(ctx, c.account.Name, c.r.PromptTokens+c.r.MaxOutputTokens)
+	if err == nil {
+		c.reservation = reservation
+		return nil
+	}
+	var short *prepaid.ShortError
+	if errors.As(err, &short) && short.Exhausted {
+		return &Refusal{Reason: Exhausted, Step: "reserve", Err: err}
+	}
+	return &Refusal{Reason: TokensUnsure, RetryAfter: soonRetry, Step: "reserve", Err: err}
+}
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -12,7 +12,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/config"
+	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
@@ -43,6 +43,11 @@
 	TLS *tls.Config
 	// ReadTimeout bounds the reading of one request. Default 30 s.
 	ReadTimeout time.Duration
+	// SenseLeaving ends a request's context when its client closes the
+	// connection.
+	SenseLeaving bool
+	// WrapConn, if not nil, stands before each accepted connection.
+	WrapConn func(net.Conn) net.Conn
 }
 
 // Server is a running HTTP server.
@@ -60,11 +65,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if opts.WrapConn != nil {
+		listener = wrappedListener{Listener: listener, wrap: opts.WrapConn}
+	}
 	readTimeout := opts.ReadTimeout
 	if readTimeout <= 0 {
 		readTimeout = defaultReadTimeout
 	}
-	options := []config.Option{
+	options := []hertzconfig.Option{
+		{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(opts.MaxBodyBytes),
@@ -76,6 +85,10 @@
 		server.WithExitWaitTime(exitWait),
 		server.WithDisablePrintRoute(true),
 		server.WithUseRawPath(true),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithDisableDefaultDate(true),
+		server.WithDisableDefaultContentType(true),
+		server.WithSenseClientDisconnection(opts.SenseLeaving),
 	}
 	if opts.TLS != nil {
 		options = append(options, server.WithTLS(opts.TLS))
@@ -94,6 +107,21 @@
 	}
 }
 
+// wrappedListener puts something before each connection.
+type wrappedListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept implements net.Listener.
+func (l wrappedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(conn), nil
+}
+
 // Take makes a handler that decodes a JSON body and hands it on; a body that is
 // none is answered with 400.
 func Take[T any](take func(T)) app.HandlerFunc {
@@ -115,6 +143,9 @@
 	}()
 }
 
+// StopListening refuses new connections; open ones go on.
+func (s *Server) StopListening() { _ = s.listener.Close() }
+
 // Close stops listening and ends the server.
 func (s *Server) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*exitWait)
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -17,6 +17,7 @@
 	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
 	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 )
 
 // Bounds of the client.
@@ -209,6 +210,26 @@
 	})
 }
 
+// Lend implements prepaid.Peers.
+func (c *Client) Lend(ctx context.Context, incarnation, budget string, need, ahead int64) (int64, error) {
+	req := &prepaidpb.LendRequest{Budget: budget, Need: need, Ahead: ahead}
+	reply, err := to(ctx, c, "lend", incarnation, func(ctx context.Context, conn drpc.Conn) (*prepaidpb.LendReply, error) {
+		return prepaidpb.NewDRPCLoansClient(conn).Lend(ctx, req)
+	})
+	if err != nil {
+		return 0, err
+	}
+	return reply.Tokens, nil
+}
+
+// RecallTokens tells an instance that a budget is short.
+func (c *Client) RecallTokens(ctx context.Context, incarnation, budget string) error {
+	_, err := to(ctx, c, "recall-tokens", incarnation, func(ctx context.Context, conn drpc.Conn) (*prepaidpb.RecallReply, error) {
+		return prepaidpb.NewDRPCLoansClient(conn).Recall(ctx, &prepaidpb.RecallRequest{Budget: budget})
+	})
+	return err
+}
+
 // Heartbeat exchanges digests with the instance at an address.
 func (c *Client) Heartbeat(ctx context.Context, address string, digest *memberpb.Digest) (*memberpb.Digest, error) {
 	return at(ctx, c, "heartbeat", address, heartbeatTimeout,
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -11,13 +11,15 @@
 	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
 	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 )
 
-// Handlers answers the slices' messages.
+// Handlers answers the slices' messages. All but Members may be nil.
 type Handlers struct {
 	Budgets budgetpb.DRPCBudgetsServer
 	Bills   billpb.DRPCBillsServer
 	Members memberpb.DRPCMembersServer
+	Loans   prepaidpb.DRPCLoansServer
 }
 
 // Server answers other instances.
@@ -30,11 +32,20 @@
 // and tlsConfig is nil for plain connections.
 func Listen(address string, handlers Handlers, traffic *Traffic, tlsConfig *tls.Config) (*Server, error) {
 	mux := drpcmux.New()
-	if err := budgetpb.DRPCRegisterBudgets(mux, handlers.Budgets); err != nil {
-		return nil, err
+	if handlers.Budgets != nil {
+		if err := budgetpb.DRPCRegisterBudgets(mux, handlers.Budgets); err != nil {
+			return nil, err
+		}
 	}
-	if err := billpb.DRPCRegisterBills(mux, handlers.Bills); err != nil {
-		return nil, err
+	if handlers.Loans != nil {
+		if err := prepaidpb.DRPCRegisterLoans(mux, handlers.Loans); err != nil {
+			return nil, err
+		}
+	}
+	if handlers.Bills != nil {
+		if err := billpb.DRPCRegisterBills(mux, handlers.Bills); err != nil {
+			return nil, err
+		}
 	}
 	if err := memberpb.DRPCRegisterMembers(mux, handlers.Members); err != nil {
 		return nil, err
--- /dev/null
+++ b/pkg/placement/pool.go
@@ -0,0 +1,331 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lavenderring/lavenderring/pkg/registry"
+)
+
+// What things cost in the choice of an engine, in prompt tokens: the time an
+// engine takes to read one token is the unit.
+const (
+	// waitingCost is a waiting request: about one prompt before this one.
+	waitingCost = 4000
+	// runningCost is a running request, which makes each step a little longer.
+	runningCost = 120
+	// coldFactor multiplies the cost at an engine that has just started.
+	coldFactor = 1.5
+	// otherDomainCost prefers the own failure domain among equals: bytes between
+	// domains cost money, but less than a shared part read again.
+	otherDomainCost = 600
+	// cachedFor is how long a part is taken to stay in an engine's cache after
+	// this instance sent it there.
+	cachedFor = 8 * time.Second
+	// homeCredit is the share of the shared parts that an engine is taken to hold
+	// because all instances send that session there.
+	homeCredit = 0.9
+)
+
+// Costs in the choice of a plain service's upstream, in requests waiting.
+const (
+	// plainOtherDomainCost prefers the own failure domain while it has room.
+	plainOtherDomainCost = 0.3
+	// failingCost is added at an upstream whose every request fails.
+	failingCost = 20
+)
+
+// Want describes a request to be placed.
+type Want struct {
+	// Parts are the prompt's parts; the last belongs to the request alone. Empty
+	// for plain services.
+	Parts []Part
+	// PromptTokens is the whole prompt.
+	PromptTokens int64
+	// Tried names incarnations to pass over.
+	Tried []string
+}
+
+// Part is a part of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int64
+}
+
+// session is the part that decides where requests of one conversation meet: the
+// last one that other requests share.
+func (w *Want) session() uint64 {
+	switch n := len(w.Parts); n {
+	case 0:
+		return 0
+	case 1:
+		return w.Parts[0].ID
+	default:
+		return w.Parts[n-2].ID
+	}
+}
+
+func (w *Want) sharedTokens() int64 {
+	var shared int64
+	for i := 0; i < len(w.Parts)-1; i++ {
+		shared += w.Parts[i].Tokens
+	}
+	return shared
+}
+
+// Pool chooses among the upstreams of one service. It is safe for concurrent use.
+type Pool struct {
+	domain string
+	now    func() time.Time
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	engine bool
+	states map[string]*state
+	list   []*state
+}
+
+// NewPool returns an empty pool for an instance in a failure domain.
+func NewPool(domain string, now func() time.Time) *Pool {
+	return &Pool{
+		domain: domain,
+		now:    now,
+		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		states: map[string]*state{},
+	}
+}
+
+// Update takes over the upstreams in service; engine says that they cache prompts.
+func (p *Pool) Update(upstreams []registry.Upstream, engine bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engine = engine
+	p.list = p.list[:0]
+	present := map[string]bool{}
+	for _, u := range upstreams {
+		s := p.states[u.ID]
+		if s == nil {
+			s = &state{cached: map[uint64]time.Time{}}
+			p.states[u.ID] = s
+		}
+		s.Upstream = u
+		present[u.ID] = true
+		p.list = append(p.list, s)
+	}
+	for id, s := range p.states {
+		if !present[id] && s.inFlight == 0 {
+			delete(p.states, id)
+		}
+	}
+}
+
+// Size returns how many upstreams are in service.
+func (p *Pool) Size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.list)
+}
+
+// Place is a request's place at an upstream until Done.
+type Place struct {
+	registry.Upstream
+	pool    *Pool
+	state   *state
+	started time.Time
+	pending int64
+	done    bool
+}
+
+// Choose returns a place at the upstream of least cost, or nil if there is none.
+func (p *Pool) Choose(want *Want) *Place {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	best := p.pick(want, now, false)
+	if best == nil {
+		// All are avoided: one that may have recovered is better than none.
+		best = p.pick(want, now, true)
+	}
+	if best == nil {
+		return nil
+	}
+	return p.place(best, want, now)
+}
+
+func (p *Pool) pick(want *Want, now time.Time, avoidedToo bool) *state {
+	home := p.home(want)
+	var best *state
+	var least float64
+	if len(p.list) == 0 {
+		return nil
+	}
+	start := p.rng.IntN(len(p.list))
+	for i := range p.list {
+		s := p.list[(start+i)%len(p.list)]
+		if contains(want.Tried, s.ID) || (!avoidedToo && s.avoided(now)) {
+			continue
+		}
+		if cost := p.cost(s, want, s == home, now); best == nil || cost < least {
+			best, least = s, cost
+		}
+	}
+	return best
+}
+
+func contains(ids []string, id string) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// home is the engine where all instances send a session's requests: the winner
+// of rendezvous hashing over the engines in service, on which instances agree
+// without talk.
+func (p *Pool) home(want *Want) *state {
+	session := want.session()
+	if !p.engine || session == 0 {
+		return nil
+	}
+	var best *state
+	var most uint64
+	for _, s := range p.list {
+		score := mix(session ^ xxhash.Sum64String(s.ID))
+		if best == nil || score > most {
+			best, most = s, score
+		}
+	}
+	return best
+}
+
+// mix is the finaliser of MurmurHash3; it spreads the bits of a key.
+func mix(key uint64) uint64 {
+	key ^= key >> 33
+	key *= 0xff51afd7ed558ccd
+	key ^= key >> 33
+	key *= 0xc4ceb9fe1a85ec53
+	return key ^ key>>33
+}
+
+func (p *Pool) cost(s *state, want *Want, home bool, now time.Time) float64 {
+	if !p.engine {
+		cost := s.load(now) + failingCost*s.failing
+		if s.Domain != p.domain {
+			cost += plainOtherDomainCost
+		}
+		return cost
+	}
+	cost := float64(want.PromptTokens) - p.cachedTokens(s, want, home, now)
+	cost += float64(s.pending)
+	cost += runningCost * s.load(now)
+	if !s.reportedAt.IsZero() {
+		fresh := float64(loadHalfLife) / float64(loadHalfLife+now.Sub(s.reportedAt))
+		cost += waitingCost * float64(s.waiting) * fresh
+	}
+	if s.Domain != p.domain {
+		cost += otherDomainCost
+	}
+	if s.SlowFor > 0 {
+		cost *= coldFactor
+	}
+	return cost * (1 + failingCost*s.failing)
+}
+
+// cachedTokens estimates how much of the prompt an engine need not read again:
+// parts in order up to the first that it lacks.
+func (p *Pool) cachedTokens(s *state, want *Want, home bool, now time.Time) float64 {
+	var known int64
+	for i := 0; i < len(want.Parts)-1; i++ {
+		sent, ever := s.cached[want.Parts[i].ID]
+		if !ever || now.Sub(sent) > cachedFor {
+			break
+		}
+		known += want.Parts[i].Tokens
+	}
+	if home {
+		return max(float64(known), homeCredit*float64(want.sharedTokens()))
+	}
+	return float64(known)
+}
+
+func (p *Pool) place(s *state, want *Want, now time.Time) *Place {
+	s.inFlight++
+	s.sinceReport++
+	pending := int64(0)
+	if p.engine {
+		pending = want.PromptTokens - int64(p.cachedTokens(s, want, s == p.home(want), now))
+		s.pending += pending
+		for i := 0; i < len(want.Parts)-1; i++ {
+			s.cached[want.Parts[i].ID] = now
+		}
+		if len(s.cached) > maxCachedParts {
+			s.forgetOld(now)
+		}
+	}
+	return &Place{Upstream: s.Upstream, pool: p, state: s, started: now, pending: pending}
+}
+
+// maxCachedParts bounds the parts remembered of one engine before old ones go.
+const maxCachedParts = 4096
+
+func (s *state) forgetOld(now time.Time) {
+	for id, sent := range s.cached {
+		if now.Sub(sent) > cachedFor {
+			delete(s.cached, id)
+		}
+	}
+}
+
+// Report takes the load that came with an answer's head.
+func (l *Place) Report(running, waiting int) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	s := l.state
+	s.running, s.waiting, s.reportedAt, s.sinceReport = running, waiting, l.pool.now(), 0
+}
+
+// Reading ends: the first event has come.
+func (l *Place) FirstEvent() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.state.pending -= l.pending
+	l.pending = 0
+}
+
+// Result is how a request at an upstream ended.
+type Result int
+
+// The results.
+const (
+	// Succeeded requests count for the upstream.
+	Succeeded Result = iota
+	// Failed ones count against it.
+	Failed
+	// Neutral ones say nothing of it: the client left, or it was full.
+	Neutral
+)
+
+// Done gives the place back; only the first call counts.
+func (l *Place) Done(result Result) {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.done {
+		return
+	}
+	l.done = true
+	s := l.state
+	s.inFlight--
+	s.pending -= l.pending
+	switch result {
+	case Failed:
+		s.failed(p.now())
+	case Succeeded:
+		s.succeeded(p.now().Sub(l.started))
+	}
+}
--- /dev/null
+++ b/pkg/placement/upstream.go
@@ -0,0 +1,86 @@
+// Package placement chooses the upstream of a request: an engine by what its
+// cache holds of the prompt and by expected time to the first event, a plain
+// service's upstream by expected wait. It knows no sockets.
+package placement
+
+import (
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/registry"
+)
+
+// How upstreams are judged.
+const (
+	// loadHalfLife is the age at which a reported load counts half: services
+	// work in tens of milliseconds, so an older report says little.
+	loadHalfLife = 300 * time.Millisecond
+	// smoothing is the weight of the newest sample in smoothed figures.
+	smoothing = 0.1
+	// failuresBeforeAvoiding is how many failures in a row make an upstream
+	// avoided; one can be the request's own fault.
+	failuresBeforeAvoiding = 2
+	// avoidFor is how long an avoided upstream gets nothing, after which one
+	// request tries it again.
+	avoidFor = time.Second
+	// avoidAtMost bounds the time, which doubles with each further failure.
+	avoidAtMost = 4 * time.Second
+)
+
+// state is what one instance knows of one upstream.
+type state struct {
+	registry.Upstream
+	// inFlight is this instance's own requests there, reading those of them
+	// that have had no event yet.
+	inFlight int
+	// pending is the prompt tokens of own requests that have had no event yet.
+	pending int64
+
+	running, waiting int
+	reportedAt       time.Time
+	// sinceReport is how many own requests went there since the report.
+	sinceReport int
+
+	failures   int
+	avoidUntil time.Time
+	// failing is the smoothed share of requests that failed.
+	failing float64
+	// took is the smoothed time to the answer.
+	took time.Duration
+	// cached holds when this instance last sent a prompt part there.
+	cached map[uint64]time.Time
+}
+
+// load estimates the requests at the upstream: the report, faded by age towards
+// what this instance has there itself, and own requests since.
+func (s *state) load(now time.Time) float64 {
+	own := float64(s.inFlight)
+	if s.reportedAt.IsZero() {
+		return own
+	}
+	fresh := float64(loadHalfLife) / float64(loadHalfLife+now.Sub(s.reportedAt))
+	reported := float64(s.running+s.waiting) * fresh
+	return max(own, reported+float64(s.sinceReport))
+}
+
+func (s *state) avoided(now time.Time) bool {
+	return s.failures >= failuresBeforeAvoiding && now.Before(s.avoidUntil)
+}
+
+func (s *state) failed(now time.Time) {
+	s.failing += smoothing * (1 - s.failing)
+	s.failures++
+	pause := avoidFor
+	for n := failuresBeforeAvoiding; n < s.failures && pause < avoidAtMost; n++ {
+		pause *= 2
+	}
+	s.avoidUntil = now.Add(min(pause, avoidAtMost))
+}
+
+func (s *state) succeeded(took time.Duration) {
+	s.failing -= smoothing * s.failing
+	s.failures = 0
+	if s.took == 0 {
+		s.took = took
+	}
+	s.took += time.Duration(smoothing * float64(took-s.took))
+}
--- /dev/null
+++ b/pkg/prepaid/loan.go
@@ -0,0 +1,138 @@
+package prepaid
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// errNoLender means that no peer that answered had tokens to spare.
+var errNoLender = errors.New("no peer had tokens to spare")
+
+// borrow asks several peers at once for a need. What more than one gives is kept.
+func (n *Node) borrow(ctx context.Context, budget string, need int64) error {
+	n.mu.Lock()
+	p := n.purse(budget)
+	need -= p.free
+	ahead := int64(p.perSecond * loanAhead.Seconds())
+	resting := n.Now().Before(p.lendersRest)
+	n.mu.Unlock()
+	if resting {
+		return errNoLender
+	}
+	peers := n.Fleet.Others()
+	if len(peers) > peersAsked {
+		peers = peers[:peersAsked]
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	answers := make(chan error, len(peers))
+	for _, peer := range peers {
+		go func() { answers <- n.borrowFrom(ctx, peer, budget, need, ahead) }()
+	}
+	defer time.AfterFunc(lateLoan, cancel)
+	err := errNoLender
+	for range peers {
+		if err = <-answers; err == nil {
+			return nil
+		}
+	}
+	n.mu.Lock()
+	p.lendersRest = n.Now().Add(lendersRestFor)
+	n.mu.Unlock()
+	return err
+}
+
+// lendersRestFor is how long peers that had nothing, or did not answer, are not
+// asked again for the same budget.
+const lendersRestFor = 300 * time.Millisecond
+
+// lateLoan is how long the other peers' answers are waited for once one has lent:
+// a loan that is cut off on its way is lost.
+const lateLoan = 300 * time.Millisecond
+
+func (n *Node) borrowFrom(ctx context.Context, peer, budget string, need, ahead int64) error {
+	tokens, err := n.Peers.Lend(ctx, peer, budget, need, ahead)
+	if err != nil {
+		return err
+	}
+	if tokens <= 0 {
+		return errNoLender
+	}
+	n.mu.Lock()
+	n.purse(budget).free += tokens
+	n.mu.Unlock()
+	n.Observer.Borrowed(budget, peer, tokens)
+	return nil
+}
+
+// Lend hands tokens over to another instance: the need if it can be met from
+// what is at hand or from the ledger, and up to half of the rest.
+func (n *Node) Lend(ctx context.Context, budget string, need, ahead int64) int64 {
+	if n.Free(budget) < need {
+		if n.drawFor(ctx, budget, need) != nil {
+			return 0 // the asker tries others
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.purse(budget)
+	if need <= 0 || p.free < need || n.stopping {
+		return 0
+	}
+	tokens := need + max(min(ahead, (p.free-need)/2), 0)
+	p.free -= tokens
+	return tokens
+}
+
+// recall tells the other instances that a budget is short, unless that is known
+// already, and reports whether it did.
+func (n *Node) recall(budget string) bool {
+	n.mu.Lock()
+	now := n.Now()
+	p := n.purse(budget)
+	last := n.recalled[budget]
+	known := now.Sub(last) < recallPause
+	if !known {
+		n.recalled[budget] = now
+	}
+	p.scarceUntil, p.dryUntil = now.Add(scarceFor), now.Add(scarceFor)
+	n.mu.Unlock()
+	if known {
+		return false
+	}
+	peers := n.Fleet.Others()
+	if len(peers) > maxRecalled {
+		peers = peers[:maxRecalled]
+	}
+	for _, peer := range peers {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
+			defer cancel()
+			_ = n.Peers.Recall(ctx, peer, budget) // one that is not reached returns at its own next write
+		}()
+	}
+	return len(peers) > 0
+}
+
+// Bounds of a recall.
+const (
+	// maxRecalled bounds the messages of one recall; the rest of a large fleet
+	// learns of the shortage from the ledger.
+	maxRecalled   = 24
+	recallTimeout = 500 * time.Millisecond
+)
+
+// Recalled returns what is not needed of a budget that another instance found
+// short.
+func (n *Node) Recalled(budget string) {
+	n.mu.Lock()
+	p := n.purse(budget)
+	p.scarceUntil = n.Now().Add(scarceFor)
+	p.dryUntil = p.scarceUntil
+	p.giveBack(p.free - p.target(n.ahead, n.Now()))
+	shard := n.ShardOf(budget)
+	if p.counter.Returned > p.written && n.shards[shard].flight == nil {
+		n.begin(shard, "", 0)
+	}
+	n.mu.Unlock()
+}
--- /dev/null
+++ b/pkg/prepaid/node.go
@@ -0,0 +1,246 @@
+package prepaid
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of the ways to tokens.
+const (
+	// denyFor is how long the ledger's word that a budget is short answers for
+	// later requests of the same size or more: with many accounts at their ends,
+	// asking for each request is most of what an instance asks of the store. What
+	// settled requests return has to be found within about a second and a half.
+	denyFor = time.Second
+	// peersAsked is how many peers are asked at once when the store does not
+	// answer; two bear the loss of one.
+	peersAsked = 3
+	// loanAhead is how much of its demand an instance asks peers for beyond the
+	// present need.
+	loanAhead = 2 * time.Second
+	// lowWater is the part of the target below which more is drawn.
+	lowWater = 0.6
+	// aheadPart times the instances is the part of a budget's free tokens that
+	// one draw ahead may take, so that all find some.
+	aheadPart = 2
+	// scarceAhead is how much of its demand an instance keeps of a budget that is
+	// short, so that not every request costs a write. When not even one large
+	// request is left in the ledger it keeps nothing.
+	scarceAhead = 2 * time.Second
+	// recallPause is the least time between two recalls of one budget.
+	recallPause = time.Second
+	// recallWait is how long a request waits for what a recall brings back.
+	recallWait = 40 * time.Millisecond
+)
+
+// Ledger changes one shard by one conditional write. The function may be called
+// several times; what its last call saw is what was written.
+type Ledger interface {
+	Update(ctx context.Context, shard int, change func(*Shard)) error
+}
+
+// Peers carries messages to other instances.
+type Peers interface {
+	// Lend asks an instance for tokens.
+	Lend(ctx context.Context, to, budget string, need, ahead int64) (int64, error)
+	// Recall asks an instance to return what it does not need.
+	Recall(ctx context.Context, to, budget string) error
+}
+
+// Fleet tells which other instances seem to live. Nothing safe depends on it.
+type Fleet interface {
+	// Others returns other instances in a random order.
+	Others() []string
+	// Known returns how many instances are known, this one and silent ones too.
+	Known() int
+}
+
+// Observer is told what the slice decides, for the event log.
+type Observer interface {
+	// Drawn tells what was drawn and what is left in the ledger.
+	Drawn(budget string, tokens, left int64)
+	// Borrowed tells what a peer lent.
+	Borrowed(budget, lender string, tokens int64)
+}
+
+// Config sizes the slice.
+type Config struct {
+	// Self is this instance's incarnation.
+	Self string
+	// Shards is the number of ledger objects.
+	Shards int
+	// Ahead is how much of its demand an instance keeps drawn, to last through an
+	// outage of the store.
+	Ahead time.Duration
+}
+
+// Deps is what a node works with.
+type Deps struct {
+	Ledger   Ledger
+	Peers    Peers
+	Fleet    Fleet
+	Observer Observer
+	// Amounts returns the prepaid amounts in force within a shard.
+	Amounts func(shard int) Amounts
+	// Now paces work and decides nothing about safety.
+	Now func() time.Time
+}
+
+// Node holds one instance's tokens. It is safe for concurrent use.
+type Node struct {
+	Config
+	Deps
+
+	mu       sync.Mutex
+	shards   []shardState
+	ahead    time.Duration // how much of its demand the instance holds
+	purses   map[string]*purse
+	lastTick time.Time
+	recalled map[string]time.Time
+	stopping bool
+}
+
+// NewNode returns a node without tokens.
+func NewNode(cfg Config, deps Deps) *Node {
+	return &Node{
+		Config:   cfg,
+		Deps:     deps,
+		shards:   make([]shardState, cfg.Shards),
+		ahead:    cfg.Ahead,
+		purses:   map[string]*purse{},
+		lastTick: deps.Now(),
+		recalled: map[string]time.Time{},
+	}
+}
+
+// ShardOf returns the shard that holds a budget.
+func (n *Node) ShardOf(budget string) int {
+	return int(xxhash.Sum64String(budget) % uint64(n.Shards))
+}
+
+// Reservation is tokens set aside for one request.
+type Reservation struct {
+	budget string
+	tokens int64
+	done   bool
+}
+
+// ShortError means that tokens could not be had.
+type ShortError struct {
+	Budget string
+	Need   int64
+	// Exhausted says that the ledger was asked and has too few; otherwise it
+	// could not be reached, and neither could a peer that had any.
+	Exhausted bool
+	// Step is "ledger" or "peers"; Err is the cause.
+	Step string
+	Err  error
+}
+
+// Error implements error.
+func (e *ShortError) Error() string {
+	return fmt.Sprintf("budget %s: %d tokens not to be had (%s, exhausted %t): %v",
+		e.Budget, e.Need, e.Step, e.Exhausted, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ShortError) Unwrap() error { return e.Err }
+
+func (n *Node) purse(budget string) *purse {
+	p := n.purses[budget]
+	if p == nil {
+		p = &purse{}
+		n.purses[budget] = p
+	}
+	return p
+}
+
+// tryReserve sets tokens aside from what is at hand.
+func (n *Node) tryReserve(budget string, tokens int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.purse(budget).take(tokens)
+}
+
+// Reserve sets tokens aside for one request: from what is at hand, from the
+// ledger, or, while the store does not answer, from peers. Errors: *ShortError.
+func (n *Node) Reserve(ctx context.Context, budget string, tokens int64) (*Reservation, error) {
+	reservation := &Reservation{budget: budget, tokens: tokens}
+	if n.tryReserve(budget, tokens) {
+		return reservation, nil
+	}
+	if n.deniedLately(budget, tokens) {
+		return nil, &ShortError{Budget: budget, Need: tokens, Exhausted: true, Step: "ledger"}
+	}
+	err := n.drawFor(ctx, budget, tokens)
+	if n.tryReserve(budget, tokens) {
+		return reservation, nil
+	}
+	if err != nil {
+		lendErr := n.borrow(ctx, budget, tokens)
+		if n.tryReserve(budget, tokens) {
+			return reservation, nil
+		}
+		if lendErr != nil {
+			err = fmt.Errorf("%w; peers: %w", err, lendErr)
+		}
+		return nil, &ShortError{Budget: budget, Need: tokens, Step: "peers", Err: err}
+	}
+	return n.reserveScarce(ctx, reservation)
+}
+
+// reserveScarce has the other instances return what they do not need and asks
+// the ledger once more.
+func (n *Node) reserveScarce(ctx context.Context, r *Reservation) (*Reservation, error) {
+	if n.recall(r.budget) {
+		select {
+		case <-time.After(recallWait):
+		case <-ctx.Done():
+		}
+		err := n.drawFor(ctx, r.budget, r.tokens)
+		if n.tryReserve(r.budget, r.tokens) {
+			return r, nil
+		}
+		if err != nil {
+			return nil, &ShortError{Budget: r.budget, Need: r.tokens, Step: "ledger", Err: err}
+		}
+	}
+	n.mu.Lock()
+	p := n.purse(r.budget)
+	p.denied, p.deniedTo, p.deniedBy = r.tokens, n.Now().Add(denyFor), n.Amounts(n.ShardOf(r.budget)).Version
+	n.mu.Unlock()
+	return nil, &ShortError{Budget: r.budget, Need: r.tokens, Exhausted: true, Step: "ledger"}
+}
+
+func (n *Node) deniedLately(budget string, tokens int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.purse(budget)
+	if tokens < p.denied || !n.Now().Before(p.deniedTo) {
+		return false
+	}
+	return p.deniedBy == n.Amounts(n.ShardOf(budget)).Version // a top-up counts at once
+}
+
+// Settle ends a reservation with what was used; the rest is free again. Usage
+// above the reservation is cut to it, since only reserved tokens were drawn.
+func (n *Node) Settle(r *Reservation, used int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r.done {
+		return
+	}
+	r.done = true
+	n.purse(r.budget).settle(r.tokens, min(max(used, 0), r.tokens))
+}
+
+// Free returns the tokens of a budget at hand.
+func (n *Node) Free(budget string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.purse(budget).free
+}
--- /dev/null
+++ b/pkg/prepaid/purse.go
@@ -0,0 +1,135 @@
+package prepaid
+
+import "time"
+
+// How demand is measured.
+const (
+	// demandWindow is the time over which demand is averaged: requests of one
+	// account reach one instance every few seconds and cost up to ten thousand
+	// tokens, so a shorter one takes single requests for a rate.
+	demandWindow = 8 * time.Second
+	// leastWindow is the time over which the first demand is averaged: an instance
+	// that has just started must not take demand for half of what it is.
+	leastWindow = 3 * time.Second
+	// sizeSmoothing is the weight of the newest request in the usual size.
+	sizeSmoothing = 0.1
+	// mostHeldPart bounds what all instances together hold ahead to this part of
+	// what is left of a budget: the loss of all at once strands it.
+	mostHeldPart = 2
+	// scarceFor is how long a budget counts as short after it was found so.
+	scarceFor = 3 * time.Second
+)
+
+// purse is what one instance has of one budget. Invariant: free + reserved +
+// spent + lent + counter.Returned = counter.Drawn + borrowed. Tokens leave free
+// before any message or write says so.
+type purse struct {
+	free     int64
+	reserved int64
+	// counter is what the instance has taken over of its counter in the ledger;
+	// Returned runs ahead of the ledger until a write has succeeded.
+	counter Counter
+	// written is the part of counter.Returned that the ledger has.
+	written int64
+
+	// demand is what was reserved and not given back since the last tick, and
+	// perSecond its average.
+	demand    int64
+	perSecond float64
+	// age is for how long demand has been measured.
+	age time.Duration
+	// usual is the usual size of a reservation; largest the largest lately.
+	usual   float64
+	largest int64
+
+	// most bounds what the instance holds ahead, by what the ledger has.
+	most float64
+	// waiting are the needs of requests that wait for the next write.
+	waiting int64
+
+	// scarceUntil is until when the ledger counts as short of this budget, dryUntil
+	// as having less than one large request takes.
+	scarceUntil, dryUntil time.Time
+	// denied is the smallest need that the ledger could not meet, until deniedTo.
+	denied   int64
+	deniedTo time.Time
+	// deniedBy is the configuration that it was denied under.
+	deniedBy uint64
+	// lendersRest is until when peers are not asked again.
+	lendersRest time.Time
+}
+
+func (p *purse) take(tokens int64) bool {
+	if tokens > p.free {
+		return false
+	}
+	p.free -= tokens
+	p.reserved += tokens
+	p.demand += tokens
+	p.largest = max(p.largest, tokens)
+	if p.usual == 0 {
+		p.usual = float64(tokens)
+	}
+	p.usual += sizeSmoothing * (float64(tokens) - p.usual)
+	return true
+}
+
+func (p *purse) settle(tokens, used int64) {
+	p.reserved -= tokens
+	p.free += tokens - used
+	p.demand -= tokens - used
+}
+
+func (p *purse) tick(interval time.Duration) {
+	rate := float64(p.demand) / interval.Seconds()
+	p.age += interval
+	over := min(max(p.age, leastWindow), demandWindow)
+	weight := min(interval.Seconds()/over.Seconds(), 1)
+	p.perSecond = max(p.perSecond+weight*(rate-p.perSecond), 0)
+	p.demand = 0
+	p.largest -= p.largest / 32
+}
+
+// target is how many free tokens the instance wants to hold: its demand for a
+// time, but at least one usual request once there has been demand.
+func (p *purse) target(ahead time.Duration, now time.Time) int64 {
+	if p.perSecond < 1 || now.Before(p.dryUntil) {
+		return 0
+	}
+	if p.scarce(now) {
+		return int64(max(p.perSecond*scarceAhead.Seconds(), p.usual))
+	}
+	return int64(max(min(p.perSecond*ahead.Seconds(), p.most), p.usual))
+}
+
+// note takes in how much of the budget the ledger has left.
+func (p *purse) note(left int64, instances int, now time.Time) {
+	instances = max(instances, 1)
+	p.most = float64(left) / float64(mostHeldPart*instances)
+	if left < p.largest*int64(instances) {
+		p.scarceUntil = now.Add(scarceFor)
+	}
+	if left < p.largest {
+		p.dryUntil = now.Add(scarceFor)
+	}
+}
+
+func (p *purse) scarce(now time.Time) bool { return now.Before(p.scarceUntil) }
+
+// giveBack takes tokens out of free, to be returned by the next write.
+func (p *purse) giveBack(tokens int64) {
+	tokens = min(tokens, p.free)
+	if tokens > 0 {
+		p.free -= tokens
+		p.counter.Returned += tokens
+	}
+}
+
+// adopt takes over a counter that the ledger shows, and returns what was drawn.
+func (p *purse) adopt(counter Counter) (drawn int64) {
+	drawn = max(counter.Drawn-p.counter.Drawn, 0)
+	p.counter.Drawn += drawn
+	p.free += drawn
+	p.written = max(p.written, counter.Returned)
+	return drawn
+}
--- /dev/null
+++ b/pkg/prepaid/shard.go
@@ -0,0 +1,200 @@
+// Package prepaid decides which tokens of prepaid budgets an instance may spend,
+// where every instance reaches a store that does conditional writes in
+// milliseconds.
+//
+// An instance draws tokens from the ledger before it spends them, one
+// conditional write for all budgets that need some, and returns what it does not
+// need when a budget runs short. Only drawn tokens are spent, so no partition,
+// outage or pause can overspend; what an instance holds when it dies is lost to
+// the budget, which bounds how much it draws ahead.
+package prepaid
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// maxWriters bounds the writers remembered in a shard. Those that have not
+// written for longest go first.
+const maxWriters = 600
+
+// Budget is one prepaid budget in the ledger.
+type Budget struct {
+	// Prepaid is all that was ever prepaid, in tokens.
+	Prepaid int64 `json:"prepaid"`
+	// Granted is what instances have drawn and not returned, spent or not.
+	Granted int64 `json:"granted"`
+}
+
+// Free returns the tokens that may be drawn; negative after a reduction.
+func (b Budget) Free() int64 { return b.Prepaid - b.Granted }
+
+// Counter is what one incarnation has moved of one budget. Both numbers only
+// grow, so a write that is repeated after a lost answer changes nothing, and a
+// writer finds out by reading what became of a write whose answer was lost.
+type Counter struct {
+	Drawn    int64 `json:"drawn"`
+	Returned int64 `json:"returned,omitempty"`
+}
+
+// Writer is one incarnation's part of a shard.
+type Writer struct {
+	// Turn orders the writers by their last writes.
+	Turn     uint64             `json:"turn"`
+	Counters map[string]Counter `json:"counters"`
+}
+
+// Shard is one object of the ledger: many budgets.
+type Shard struct {
+	// Version is the configuration that the prepaid amounts are of.
+	Version uint64            `json:"version"`
+	Budgets map[string]Budget `json:"budgets"`
+	Writers map[string]Writer `json:"writers"`
+	Turn    uint64            `json:"turn"`
+}
+
+// DecodeShard reads a shard; nil is an empty one.
+func DecodeShard(value []byte) (*Shard, error) {
+	s := &Shard{}
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, s); err != nil {
+			return nil, fmt.Errorf("decode ledger shard: %w", err)
+		}
+	}
+	if s.Budgets == nil {
+		s.Budgets = map[string]Budget{}
+	}
+	if s.Writers == nil {
+		s.Writers = map[string]Writer{}
+	}
+	return s, nil
+}
+
+// Encode writes a shard as the value of its object.
+func (s *Shard) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// Amounts are the prepaid amounts of one version of the configuration.
+type Amounts struct {
+	Version uint64
+	Tokens  map[string]int64
+}
+
+// SetPrepaid applies a configuration's amounts unless the shard has those of the
+// same or a newer version: an instance that lags cannot undo a top-up.
+func (s *Shard) SetPrepaid(amounts Amounts) {
+	if amounts.Version <= s.Version {
+		return
+	}
+	s.Version = amounts.Version
+	for id, b := range s.Budgets {
+		if _, declared := amounts.Tokens[id]; !declared {
+			b.Prepaid = 0 // nothing more is drawn on a budget that is gone
+			s.Budgets[id] = b
+		}
+	}
+	for id, tokens := range amounts.Tokens {
+		b := s.Budgets[id]
+		b.Prepaid = tokens
+		s.Budgets[id] = b
+	}
+}
+
+// Wish is what one write wants of one budget, and what the writer knows of it.
+type Wish struct {
+	// Known is what the writer has taken over of its counter. Tokens drawn
+	// beyond it by a write whose answer was lost count towards the need.
+	Known Counter
+	// Returned is all that the writer has ever given back, this time included.
+	Returned int64
+	// Need is drawn whole or not at all; a part of it would serve nobody here
+	// and be missing elsewhere.
+	Need int64
+	// More is what further requests wait for; as much of it as is free is drawn.
+	More int64
+	// Ahead is wanted beyond that, of which at most 1/AheadPart of what is
+	// free is drawn, so that all instances find some.
+	Ahead     int64
+	AheadPart int64
+}
+
+// Apply carries a writer's wishes out. It is computed on the state that the
+// conditional write replaces, and changes nothing if it is applied again.
+func (s *Shard) Apply(writer string, wishes map[string]Wish) {
+	row, known := s.Writers[writer]
+	if row.Counters == nil {
+		row.Counters = map[string]Counter{}
+	}
+	for id, wish := range wishes {
+		counter, moved := row.Counters[id]
+		if !moved {
+			counter = wish.unknown(known)
+		}
+		row.Counters[id] = s.applyOne(id, wish, counter)
+	}
+	s.Turn++
+	row.Turn = s.Turn
+	s.Writers[writer] = row
+	s.prune()
+}
+
+// unknown is the counter of a budget that the shard has none of for the writer.
+// If the shard has forgotten the writer, what open writes of it drew is given up
+// and what they returned is taken for returned: both lose tokens, neither spends
+// any twice.
+func (w Wish) unknown(known bool) Counter {
+	if known || w.Known == (Counter{}) {
+		return Counter{}
+	}
+	return Counter{Drawn: w.Known.Drawn, Returned: w.Returned}
+}
+
+func (s *Shard) applyOne(id string, wish Wish, counter Counter) Counter {
+	b, exists := s.Budgets[id]
+	if !exists {
+		return counter
+	}
+	if back := wish.Returned - counter.Returned; back > 0 {
+		b.Granted -= back
+		counter.Returned = wish.Returned
+	}
+	wish.found(counter.Drawn - wish.Known.Drawn)
+	tokens := wish.draw(b.Free())
+	b.Granted += tokens
+	counter.Drawn += tokens
+	s.Budgets[id] = b
+	return counter
+}
+
+// found takes tokens that an earlier write drew off what is wanted.
+func (w *Wish) found(tokens int64) {
+	rest := max(tokens-w.Need, 0)
+	w.Need = max(w.Need-tokens, 0)
+	w.Ahead = max(w.Ahead-max(rest-w.More, 0), 0)
+	w.More = max(w.More-rest, 0)
+}
+
+func (w *Wish) draw(free int64) int64 {
+	if free <= 0 {
+		return 0
+	}
+	tokens := w.Need
+	if tokens > free {
+		tokens = 0
+	}
+	tokens += min(w.More, free-tokens)
+	return tokens + max(min(w.Ahead, (free-tokens)/max(w.AheadPart, 1)), 0)
+}
+
+// prune forgets the writer that has not written for longest.
+func (s *Shard) prune() {
+	if len(s.Writers) <= maxWriters {
+		return
+	}
+	oldest := ""
+	for name, w := range s.Writers {
+		if oldest == "" || w.Turn < s.Writers[oldest].Turn {
+			oldest = name
+		}
+	}
+	delete(s.Writers, oldest)
+}
--- /dev/null
+++ b/pkg/prepaid/tick.go
@@ -0,0 +1,70 @@
+package prepaid
+
+import (
+	"context"
+	"time"
+)
+
+// returnPart of the largest request is the least surplus of a short budget that
+// is worth a write: less than a request's worth serves few elsewhere.
+const returnPart = 4
+
+// Tick does the work that no request waits for: it draws ahead of demand, returns
+// what is not needed of budgets that are short, and finds out whether a ledger
+// that was away is back. It is called about twice a second.
+func (n *Node) Tick(context.Context) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Now()
+	interval := max(now.Sub(n.lastTick), time.Millisecond)
+	n.lastTick = now
+	due := make([]bool, len(n.shards))
+	for id, p := range n.purses {
+		p.tick(interval)
+		shard := n.ShardOf(id)
+		due[shard] = n.due(p, now) || due[shard] || n.shards[shard].away
+	}
+	for shard := range due {
+		if due[shard] && n.shards[shard].flight == nil {
+			n.begin(shard, "", 0)
+		}
+	}
+}
+
+// due returns tokens of a budget that is short, and reports whether the budget
+// calls for a write.
+func (n *Node) due(p *purse, now time.Time) bool {
+	target := p.target(n.ahead, now)
+	if n.stopping {
+		target = 0
+	}
+	if p.scarce(now) || n.stopping {
+		if surplus := p.free - target; surplus > p.largest/returnPart || n.stopping {
+			p.giveBack(surplus)
+		}
+		return p.counter.Returned > p.written
+	}
+	return float64(p.free) < lowWater*float64(target)
+}
+
+// Stop returns every token that is not set aside and waits until the ledger has
+// them or ctx ends. Requests must have ended.
+func (n *Node) Stop(ctx context.Context) {
+	n.mu.Lock()
+	n.stopping = true
+	n.mu.Unlock()
+	for range 2 { // a write that is on its way has not taken what is returned now
+		n.Tick(ctx)
+		n.awaitAll(ctx)
+	}
+}
+
+func (n *Node) awaitAll(ctx context.Context) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for shard := range n.shards {
+		if f := n.shards[shard].flight; f != nil {
+			_ = n.await(ctx, f) // what could not be returned is lost to the budget
+		}
+	}
+}
--- /dev/null
+++ b/pkg/prepaid/write.go
@@ -0,0 +1,179 @@
+package prepaid
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// writeTimeout bounds one write with its tries. It goes on when the request that
+// began it has given up: what it draws serves the next ones.
+const writeTimeout = 2 * time.Second
+
+// How an outage makes an instance hold more ahead.
+const (
+	// outageMargin times its length is what is held: demand is uneven.
+	outageMargin = 1.5
+	// mostAhead times the setting is the most that is held.
+	mostAhead = 2
+)
+
+// ErrAway means that the ledger did not answer the last write; a tick finds out
+// when it does again, and until then requests do not wait for it.
+var ErrAway = errors.New("ledger does not answer")
+
+// ErrBusy means that other instances' writes were always before this one's: the
+// ledger answers, and another try may succeed.
+var ErrBusy = errors.New("ledger is written by others all the time")
+
+// shardState is an instance's side of one shard. Writes come one at a time, each
+// conditional on the state it was computed on; so once a later one has taken
+// effect an earlier one, whose answer was lost, never can any more.
+type shardState struct {
+	flight *flight
+	away   bool
+	// awaySince is when it was first found away.
+	awaySince time.Time
+}
+
+// flight is a write on its way, which any number of requests wait for.
+type flight struct {
+	done chan struct{}
+	err  error
+}
+
+// drawFor makes need tokens free, drawing them from the ledger with what other
+// requests wait for and some ahead. It returns nil if the ledger answered, also
+// if it had too few.
+func (n *Node) drawFor(ctx context.Context, budget string, need int64) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	shard := n.ShardOf(budget)
+	p := n.purse(budget)
+	p.waiting += need
+	defer func() { p.waiting -= need }()
+	for p.free < need {
+		state := &n.shards[shard]
+		if state.away && state.flight == nil {
+			return ErrAway
+		}
+		own := state.flight == nil
+		if own {
+			n.begin(shard, budget, need)
+		}
+		err := n.await(ctx, state.flight)
+		if err != nil || own {
+			return err
+		}
+	}
+	return nil
+}
+
+// await waits for a flight; n.mu is held and let go meanwhile.
+func (n *Node) await(ctx context.Context, f *flight) error {
+	n.mu.Unlock()
+	defer n.mu.Lock()
+	select {
+	case <-f.done:
+		return f.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// begin starts a write of a shard; n.mu is held and no write is on its way. need
+// is wanted whole of the budget named; others get what is free.
+func (n *Node) begin(shard int, budget string, need int64) {
+	f := &flight{done: make(chan struct{})}
+	n.shards[shard].flight = f
+	wishes := n.wishes(shard, budget, need)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+		defer cancel()
+		f.err = n.write(ctx, shard, wishes)
+		n.mu.Lock()
+		n.shards[shard].flight = nil
+		n.noteAway(shard, f.err != nil && !errors.Is(f.err, ErrBusy))
+		n.mu.Unlock()
+		close(f.done)
+	}()
+}
+
+// noteAway notes whether a ledger answers. An instance that has been without it
+// holds more from then on: what cut it off once may do so again, and a longer
+// outage than the usual one is where requests were refused.
+func (n *Node) noteAway(shard int, away bool) {
+	state := &n.shards[shard]
+	now := n.Now()
+	if away && !state.away {
+		state.awaySince = now
+	}
+	if !away && state.away {
+		lasted := time.Duration(outageMargin * float64(now.Sub(state.awaySince)))
+		n.ahead = min(max(n.ahead, lasted), mostAhead*n.Ahead)
+	}
+	state.away = away
+}
+
+// wishes gathers what is wanted of every budget of a shard; n.mu is held.
+func (n *Node) wishes(shard int, budget string, need int64) map[string]Wish {
+	now := n.Now()
+	known := int64(max(n.Fleet.Known(), 1))
+	out := map[string]Wish{}
+	for id, p := range n.purses {
+		if n.ShardOf(id) != shard {
+			continue
+		}
+		target := p.target(n.ahead, now)
+		wish := Wish{
+			Known:     p.counter,
+			Returned:  p.counter.Returned,
+			More:      max(p.waiting-p.free, 0),
+			Ahead:     max(target-p.free, 0),
+			AheadPart: aheadPart * known,
+		}
+		if id == budget {
+			wish.Need = max(need-p.free, 0)
+			wish.More = max(wish.More-wish.Need, 0)
+		}
+		if wish.Need > 0 && p.perSecond < 1 && !p.scarce(now) {
+			wish.Ahead = need // a first request draws for a second one
+		}
+		if n.stopping {
+			wish.Ahead = 0
+		}
+		out[id] = wish
+	}
+	return out
+}
+
+// write carries wishes out by one conditional write. A failure needs no mending
+// here: what was returned is counted again by the next write, and what a write of
+// unknown fate drew is found by it.
+func (n *Node) write(ctx context.Context, shard int, wishes map[string]Wish) error {
+	var after *Shard
+	err := n.Ledger.Update(ctx, shard, func(s *Shard) {
+		s.SetPrepaid(n.Amounts(shard))
+		s.Apply(n.Self, wishes)
+		after = s
+	})
+	if err == nil {
+		n.adopt(after)
+	}
+	return err
+}
+
+// adopt takes over what a write left in the ledger.
+func (n *Node) adopt(after *Shard) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now, known := n.Now(), n.Fleet.Known()
+	for id, counter := range after.Writers[n.Self].Counters {
+		p := n.purse(id)
+		free := after.Budgets[id].Free()
+		if drawn := p.adopt(counter); drawn > 0 {
+			n.Observer.Drawn(id, drawn, free)
+		}
+		p.note(free, known, now)
+	}
+}
--- /dev/null
+++ b/pkg/registry/entry.go
@@ -0,0 +1,22 @@
+// Package registry holds which upstreams are in service, as the store lists them.
+package registry
+
+import "time"
+
+// Upstream is one incarnation of an upstream.
+type Upstream struct {
+	// ID names the incarnation; an upstream that starts again has another.
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Address is its IP address and port; after it has gone the address may
+	// belong to an upstream of another service.
+	Address string `json:"address"`
+	// Domain is its failure domain.
+	Domain string `json:"domain"`
+	// Slots is how many requests it runs at once.
+	Slots int `json:"slots"`
+	// Leaving upstreams finish what runs and take nothing new.
+	Leaving bool `json:"leaving"`
+	// SlowFor is how much longer the upstream is slow after its start.
+	SlowFor time.Duration `json:"slow_for"`
+}
--- /dev/null
+++ b/pkg/registry/registry.go
@@ -0,0 +1,188 @@
+package registry
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// lapseHold is how long an entry that vanished is kept while the store has only
+// just come back: entries of live upstreams that lapsed in an outage are written
+// again within about two seconds of its return.
+const lapseHold = 2200 * time.Millisecond
+
+// Registry is the list of upstreams. It is safe for concurrent use.
+type Registry struct {
+	now func() time.Time
+
+	mu sync.Mutex
+	// version is the store's version that the entries are of; 0 before the first
+	// whole list.
+	version uint64
+	entries map[string]Upstream
+	// vanished holds until when an entry that vanished after an outage is kept.
+	vanished map[string]time.Time
+	// returned is when the store last came back from an outage.
+	returned time.Time
+	out      bool
+	byName   map[string][]Upstream // in-service upstreams by service, by id
+}
+
+// New returns an empty registry.
+func New(now func() time.Time) *Registry {
+	return &Registry{
+		now:      now,
+		entries:  map[string]Upstream{},
+		vanished: map[string]time.Time{},
+		byName:   map[string][]Upstream{},
+	}
+}
+
+// StoreOut notes that the store does not answer.
+func (r *Registry) StoreOut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out = true
+}
+
+// StoreBack notes that the store answers again.
+func (r *Registry) StoreBack() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.out {
+		r.out = false
+		r.returned = r.now()
+	}
+}
+
+// Replace takes a whole list of a version in; entries that it lacks have
+// vanished. An older list than the present one is passed over: a peer's may lag,
+// and would bring upstreams back that have left.
+func (r *Registry) Replace(list []Upstream, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if version < r.version {
+		return
+	}
+	r.version = version
+	present := map[string]bool{}
+	for _, u := range list {
+		present[u.ID] = true
+		r.put(u)
+	}
+	for id := range r.entries {
+		if !present[id] {
+			r.vanish(id)
+		}
+	}
+	r.index()
+}
+
+// Put takes one entry in.
+func (r *Registry) Put(u Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.put(u)
+	r.index()
+}
+
+func (r *Registry) put(u Upstream) {
+	r.entries[u.ID] = u
+	delete(r.vanished, u.ID)
+}
+
+// Remove takes one entry out.
+func (r *Registry) Remove(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.vanish(id)
+	r.index()
+}
+
+// vanish removes an entry, or keeps it for a while if it may only have lapsed
+// because the store was away: else all upstreams would be given up at once at
+// the end of each outage, and every request refused.
+func (r *Registry) vanish(id string) {
+	entry, known := r.entries[id]
+	if !known {
+		return
+	}
+	if until, waits := r.vanished[id]; waits && r.now().Before(until) {
+		return
+	}
+	recent := r.out || r.now().Sub(r.returned) < lapseHold
+	if recent && !r.returned.IsZero() && !entry.Leaving && r.vanished[id].IsZero() {
+		r.vanished[id] = r.returned.Add(lapseHold)
+		return
+	}
+	delete(r.entries, id)
+	delete(r.vanished, id)
+}
+
+// Expire removes the entries whose time to come back is over, and returns the
+// addresses that no entry names any more.
+func (r *Registry) Expire() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var gone []string
+	for id, until := range r.vanished {
+		if r.now().Before(until) {
+			continue
+		}
+		gone = append(gone, r.entries[id].Address)
+		delete(r.entries, id)
+		delete(r.vanished, id)
+	}
+	if len(gone) > 0 {
+		r.index()
+	}
+	return gone
+}
+
+func (r *Registry) index() {
+	byName := map[string][]Upstream{}
+	for _, u := range r.entries {
+		if !u.Leaving {
+			byName[u.Service] = append(byName[u.Service], u)
+		}
+	}
+	for _, list := range byName {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	r.byName = byName
+}
+
+// InService returns a service's upstreams that take requests, ordered by id. The
+// slice must not be changed.
+func (r *Registry) InService(service string) []Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byName[service]
+}
+
+// Reached notes that every change up to a version has been taken in.
+func (r *Registry) Reached(version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = max(r.version, version)
+}
+
+// All returns every entry and their version, for a peer that the store does not
+// answer.
+func (r *Registry) All() ([]Upstream, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]Upstream, 0, len(r.entries))
+	for _, u := range r.entries {
+		all = append(all, u)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all, r.version
+}
+
+// Synced reports that a whole list has been read once.
+func (r *Registry) Synced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version > 0
+}
--- /dev/null
+++ b/pkg/router/admin.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/rcrowley/go-metrics"
+)
+
+// percentiles are shown of each timer.
+var percentiles = []float64{0.5, 0.9, 0.99}
+
+func (r *Router) adminRoutes() {
+	r.ready.GET(r.platform.ReadyPath, r.isReady)
+	r.admin.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(consts.StatusOK) })
+	r.admin.GET("/metrics", r.showMetrics)
+}
+
+func (r *Router) isReady(_ context.Context, c *app.RequestContext) {
+	if r.State() != stateReady {
+		c.SetStatusCode(consts.StatusServiceUnavailable)
+		return
+	}
+	c.SetStatusCode(consts.StatusOK)
+}
+
+// showMetrics writes counters, gauges and timers as text, one value a line.
+// Times are in milliseconds.
+func (r *Router) showMetrics(_ context.Context, c *app.RequestContext) {
+	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, r.metrics).Update(value) }
+	gauge("requests.active", r.door.Active())
+	gauge("members.live", int64(len(r.table.Live())))
+	if table := r.config.Table(); table != nil {
+		gauge("config.version", int64(table.Config.Version))
+	}
+	for name, value := range r.platform.StoreCalls(r.store) {
+		gauge("store."+name, value)
+	}
+	gauge("peers.bytes_in", r.traffic.In.Load())
+	gauge("peers.bytes_out", r.traffic.Out.Load())
+	var lines []string
+	r.metrics.Each(func(name string, metric any) { lines = append(lines, describe(name, metric)...) })
+	sort.Strings(lines)
+	c.String(consts.StatusOK, strings.Join(lines, "\n")+"\n")
+}
+
+func describe(name string, metric any) []string {
+	label := strings.ReplaceAll(name, ".", "_")
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s %d", label, m.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d", label, m.Value())}
+	case metrics.Timer:
+		t := m.Snapshot()
+		lines := []string{fmt.Sprintf("%s_count %d", label, t.Count())}
+		for i, value := range t.Percentiles(percentiles) {
+			lines = append(lines, fmt.Sprintf("%s_ms{quantile=\"%g\"} %.3f", label, percentiles[i], value/1e6))
+		}
+		return lines
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/router/duties.go
@@ -0,0 +1,176 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/pause"
+	"github.com/lavenderring/lavenderring/pkg/routing"
+)
+
+// Pace of the duties.
+const (
+	// tokenTick is the pace of drawing ahead and of returning.
+	tokenTick = 500 * time.Millisecond
+	// housekeeping is the pace of closing idle connections and of giving up
+	// upstreams that did not come back.
+	housekeeping = 200 * time.Millisecond
+	// statusEvery is how often an instance tells what it did.
+	statusEvery = 10 * time.Second
+	// syncCheck is how often a starting instance looks whether it may serve.
+	syncCheck = 20 * time.Millisecond
+	// registerSpread spreads the first writes of instances that start together.
+	registerSpread = time.Second
+	// registerEvery is how often a missing registration is tried again.
+	registerRetry = 2 * time.Second
+)
+
+// Bounds of a planned stop.
+const (
+	// unreadyFor is how long a stopping instance takes connections: the balancer
+	// asks each second and turns away after two answers.
+	unreadyFor = 3500 * time.Millisecond
+	// handOver is the part of the time to stop that is kept for the return of
+	// tokens.
+	handOver = 700 * time.Millisecond
+	// drainCheck is how often the requests in progress are counted.
+	drainCheck = 20 * time.Millisecond
+)
+
+// Run serves until ctx ends, then stops in an orderly way: unready at once,
+// requests in progress finish, tokens go back.
+func (r *Router) Run(ctx context.Context) error {
+	r.admin.Serve()
+	r.ready.Serve()
+	r.door.Serve()
+	r.startDuties()
+	if r.awaitSync(ctx) {
+		r.fire(triggerSynced)
+		<-ctx.Done()
+	}
+	r.stop()
+	return nil
+}
+
+// awaitSync waits for a configuration and the upstreams; it reports false if ctx
+// ended first.
+func (r *Router) awaitSync(ctx context.Context) bool {
+	for r.config.Table() == nil || !r.registry.Synced() {
+		if !pause.For(ctx, syncCheck) {
+			return false
+		}
+	}
+	return true
+}
+
+// startDuties starts a goroutine for each duty.
+func (r *Router) startDuties() {
+	bad := func(err error) {
+		r.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"cause": err.Error()})
+	}
+	config := r.platform.Config(r.store, r.applyConfig, bad)
+	upstreams := r.platform.Upstreams(r.store, r.registry, r.forward.Update, bad)
+	r.duty(func(ctx context.Context) { _ = r.server.Serve(ctx) })
+	r.duty(func(ctx context.Context) { config(ctx, r.lostStore, func() {}) })
+	r.duty(func(ctx context.Context) { upstreams(ctx, r.lostUpstreams, r.registry.StoreBack) })
+	r.duty(r.meet)
+	r.every(heartbeat, r.heartbeats)
+	r.every(tokenTick, r.tokens.Tick)
+	r.every(housekeeping, r.housekeep)
+	r.every(statusEvery, r.tellStatus)
+}
+
+func (r *Router) duty(run func(context.Context)) {
+	r.duties.Add(1)
+	go func() {
+		defer r.duties.Done()
+		run(r.background)
+	}()
+}
+
+// every runs a duty again and again with a pause before each.
+func (r *Router) every(interval time.Duration, run func(context.Context)) {
+	r.duty(func(ctx context.Context) {
+		for pause.For(ctx, interval) {
+			run(ctx)
+		}
+	})
+}
+
+// applyConfig brings a configuration into force, if it is newer.
+func (r *Router) applyConfig(config *routing.Config) {
+	if !r.config.Apply(config, time.Now()) {
+		return
+	}
+	r.forward.Update()
+	r.log.Event(eventlog.ConfigInForce, "", eventlog.Fields{
+		"version": config.Version, "routes": len(config.Routes), "accounts": len(config.Accounts),
+	})
+}
+
+func (r *Router) housekeep(context.Context) {
+	r.conns.Sweep()
+	if gone := r.registry.Expire(); len(gone) > 0 {
+		for _, address := range gone {
+			r.conns.Forget(address)
+		}
+		r.forward.Update()
+	}
+}
+
+// tellStatus logs counters, so that the log alone shows a process's course.
+func (r *Router) tellStatus(context.Context) {
+	fields := eventlog.Fields{"active": r.door.Active(), "members": len(r.table.Live())}
+	for name, value := range r.platform.StoreCalls(r.store) {
+		fields["store_"+name] = value
+	}
+	if table := r.config.Table(); table != nil {
+		fields["config_version"] = table.Config.Version
+	}
+	r.log.Event(eventlog.InstanceStatus, "", fields)
+}
+
+func (r *Router) heartbeats(ctx context.Context) {
+	r.gossip.Round(ctx)
+	r.noted.Look(r.table, r.log)
+}
+
+// meet makes this instance known and learns of the others, from the seeds and
+// from the store's list; after that heartbeats do.
+func (r *Router) meet(ctx context.Context) {
+	for _, seed := range r.settings.Seeds {
+		if seed != r.settings.PeerAddress {
+			r.gossip.Beat(ctx, seed, r.gossip.Digest())
+		}
+	}
+	pause.For(ctx, rand.N(registerSpread))
+	for ctx.Err() == nil && !r.register(ctx) {
+		pause.For(ctx, registerRetry)
+	}
+}
+
+// stop ends the instance in the time that it has.
+func (r *Router) stop() {
+	began := time.Now()
+	r.fire(triggerStop)
+	r.door.Drain()
+	r.table.MarkLeaving()
+	deadline := began.Add(r.settings.Grace() - handOver)
+	for time.Now().Before(deadline) {
+		if r.door.Active() == 0 && time.Since(began) >= unreadyFor {
+			break
+		}
+		pause.For(context.Background(), drainCheck)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOver)
+	defer cancel()
+	r.tokens.Stop(ctx)
+	r.door.Close()
+	r.end()
+	r.fire(triggerDone)
+	r.ready.Close()
+	r.admin.Close()
+	r.peers.Close()
+}
--- /dev/null
+++ b/pkg/router/members.go
@@ -0,0 +1,153 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+	"github.com/lavenderring/lavenderring/pkg/registry"
+	"github.com/lavenderring/lavenderring/pkg/routing"
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
+
+// memberKind is the kind of the instances' own entries in the store.
+const memberKind = "instances"
+
+// What instances tell each other the versions of, and hand on to those that the
+// store does not answer.
+const (
+	shareRouting   = "routing"
+	shareUpstreams = "upstreams"
+)
+
+// generations tells the versions of what this instance has.
+func (r *Router) generations() []*memberpb.ServiceGeneration {
+	table := r.config.Table()
+	if table == nil {
+		return nil
+	}
+	return []*memberpb.ServiceGeneration{{Service: shareRouting, Generation: table.Config.Version}}
+}
+
+// Heartbeat implements the members service.
+func (r *Router) Heartbeat(_ context.Context, d *memberpb.Digest) (*memberpb.Digest, error) {
+	if newer := r.gossip.Take(d); len(newer) > 0 && d.From != nil {
+		go r.fetchNewer(d.From.PeerAddress, newer)
+	}
+	return r.gossip.Digest(), nil
+}
+
+// sharedUpstreams is a copy of the registry on its way to a peer.
+type sharedUpstreams struct {
+	Version   uint64              `json:"version"`
+	Upstreams []registry.Upstream `json:"upstreams"`
+}
+
+// FetchConfig implements the members service.
+func (r *Router) FetchConfig(_ context.Context, req *memberpb.FetchConfigRequest) (*memberpb.Config, error) {
+	table := r.config.Table()
+	switch {
+	case req.Service == shareRouting && table != nil:
+		value, err := json.Marshal(table.Config)
+		return &memberpb.Config{Service: req.Service, Generation: table.Config.Version, Accepted: value}, err
+	case req.Service == shareUpstreams && r.registry.Synced():
+		upstreams, version := r.registry.All()
+		value, err := json.Marshal(sharedUpstreams{Version: version, Upstreams: upstreams})
+		return &memberpb.Config{Service: req.Service, Generation: version, Accepted: value}, err
+	}
+	return &memberpb.Config{Service: req.Service}, nil
+}
+
+// fetchNewer takes from a peer what it has under a higher version. A machine
+// that the store does not answer must follow changes all the same.
+func (r *Router) fetchNewer(address string, names []string) {
+	for _, name := range names {
+		r.fetch(r.background, address, name)
+	}
+}
+
+func (r *Router) fetch(ctx context.Context, address, name string) {
+	reply, err := r.peers.FetchConfig(ctx, address, name)
+	if err != nil || len(reply.Accepted) == 0 {
+		return // the next heartbeat tells of it again
+	}
+	if err := r.takeShared(name, reply.Accepted); err != nil {
+		r.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"peer": address, "cause": err.Error()})
+	}
+}
+
+func (r *Router) takeShared(name string, value []byte) error {
+	switch name {
+	case shareRouting:
+		var config routing.Config
+		if err := json.Unmarshal(value, &config); err != nil {
+			return fmt.Errorf("decode peer's configuration: %w", err)
+		}
+		r.applyConfig(&config)
+	case shareUpstreams:
+		var shared sharedUpstreams
+		if err := json.Unmarshal(value, &shared); err != nil {
+			return fmt.Errorf("decode peer's upstreams: %w", err)
+		}
+		r.registry.Replace(shared.Upstreams, shared.Version)
+		r.forward.Update()
+	}
+	return nil
+}
+
+// lostStore asks the peers for what the store does not give.
+func (r *Router) lostStore(error) {
+	if r.config.Table() == nil {
+		r.askPeers(shareRouting)
+	}
+}
+
+// lostUpstreams asks the peers for the upstreams.
+func (r *Router) lostUpstreams(error) {
+	r.registry.StoreOut()
+	r.askPeers(shareUpstreams)
+}
+
+// askPeers fetches from one peer after the other until one had something.
+func (r *Router) askPeers(name string) {
+	for _, m := range r.table.Live() {
+		if m.Incarnation == r.incarnation {
+			continue
+		}
+		reply, err := r.peers.FetchConfig(r.background, m.PeerAddress, name)
+		if err != nil || len(reply.Accepted) == 0 {
+			continue
+		}
+		if err := r.takeShared(name, reply.Accepted); err != nil {
+			r.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"peer": m.PeerAddress, "cause": err.Error()})
+			continue
+		}
+		return
+	}
+}
+
+// register writes this instance into the store's list and takes the list in. It
+// reports whether both succeeded.
+func (r *Router) register(ctx context.Context) bool {
+	value, err := json.Marshal(r.table.Self())
+	if err != nil {
+		return true // cannot be written now or later
+	}
+	err = store.Update(ctx, r.store, memberKind+"/"+r.settings.Name, func([]byte) ([]byte, error) { return value, nil })
+	if err != nil {
+		return false
+	}
+	list, err := r.store.List(ctx, memberKind)
+	if err != nil {
+		return false
+	}
+	for _, object := range list.Objects {
+		var m memberpb.Member
+		if json.Unmarshal(object.Value, &m) == nil {
+			r.table.Learn(&m, false)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,270 @@
+// Package router puts the duties of one instance on the users' platform together
+// into one process.
+package router
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/qmuntal/stateless"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lavenderring/lavenderring/pkg/door"
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/forward"
+	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/httpserve"
+	"github.com/lavenderring/lavenderring/pkg/member"
+	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+	"github.com/lavenderring/lavenderring/pkg/peer"
+	"github.com/lavenderring/lavenderring/pkg/prepaid"
+	"github.com/lavenderring/lavenderring/pkg/registry"
+	"github.com/lavenderring/lavenderring/pkg/retrylimit"
+	"github.com/lavenderring/lavenderring/pkg/routing"
+	"github.com/lavenderring/lavenderring/pkg/settings"
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
+
+// States of an instance's life.
+const (
+	stateStarting = "starting"
+	stateReady    = "ready"
+	stateDraining = "draining"
+	stateStopped  = "stopped"
+)
+
+// Triggers between them.
+const (
+	triggerSynced = "synced"
+	triggerStop   = "stop"
+	triggerDone   = "done"
+)
+
+// Bounds of an instance.
+const (
+	// heartbeat is the time between two rounds of heartbeats.
+	heartbeat = time.Second
+	// peerSilent is how long a peer may be silent before others work around it.
+	peerSilent = 3 * time.Second
+	// readTimeout bounds the reading of one client's request.
+	readTimeout = 10 * time.Second
+	// maxAdminBody bounds a body sent to operators' paths, which take none.
+	maxAdminBody = 64 << 10
+)
+
+// Platform is what the adapter to the platform provides.
+type Platform struct {
+	// NewStore returns a client of the store at an address; onState is told
+	// whether it answers.
+	NewStore func(address string, onState func(error)) store.Watcher
+	// Config and Upstreams follow the two kinds and keep the copies up to date.
+	Config    func(s store.Watcher, take func(*routing.Config), bad func(error)) Follow
+	Upstreams func(s store.Watcher, r *registry.Registry, changed func(), bad func(error)) Follow
+	// StoreCalls tells the calls that a client has made, by kind.
+	StoreCalls func(s store.Watcher) map[string]int64
+	Codec      forward.Codec
+	Format     door.Format
+	ReadyPath  string
+}
+
+// Follow follows a kind until its context ends; lost is told of failed calls,
+// found of the first that succeeds again.
+type Follow func(ctx context.Context, lost func(error), found func())
+
+// Router is one running instance.
+type Router struct {
+	settings    *settings.Router
+	platform    Platform
+	incarnation string
+	log         *eventlog.Log
+	metrics     metrics.Registry
+	life        *stateless.StateMachine
+
+	store    store.Watcher
+	config   routing.State
+	registry *registry.Registry
+	peers    *peer.Client
+	traffic  peer.Traffic
+	table    *member.Table
+	gossip   *member.Gossip
+	tokens   *prepaid.Node
+	conns    *httpconn.Pool
+	forward  *forward.Forwarder
+
+	door   *door.Door
+	ready  *httpserve.Server
+	admin  *httpserve.Server
+	server *peer.Server
+
+	storeMu sync.Mutex
+	storeUp bool
+
+	noted member.Notes
+
+	background context.Context
+	end        context.CancelFunc
+	duties     sync.WaitGroup
+}
+
+// New provisions an instance: everything is made and bound, nothing runs.
+func New(s *settings.Router, p Platform, logOut io.Writer) (*Router, error) {
+	r := &Router{
+		settings:    s,
+		platform:    p,
+		incarnation: s.Name + "-" + ulid.Make().String(),
+		log:         eventlog.New(s.Name, logOut),
+		metrics:     metrics.NewRegistry(),
+		registry:    registry.New(time.Now),
+		conns:       httpconn.NewPool(time.Now),
+		storeUp:     true,
+	}
+	r.background, r.end = context.WithCancel(context.Background())
+	r.life = r.newLife()
+	r.store = p.NewStore(s.StoreAddress, r.noteStore)
+	r.provisionFleet()
+	r.provisionForward()
+	if err := r.bind(); err != nil {
+		r.end()
+		return nil, err
+	}
+	r.log.Event(eventlog.InstanceStarting, "", eventlog.Fields{"incarnation": r.incarnation, "domain": s.Domain})
+	return r, nil
+}
+
+func (r *Router) newLife() *stateless.StateMachine {
+	note := func(number eventlog.Number) func(context.Context, ...any) error {
+		return func(context.Context, ...any) error {
+			r.log.Event(number, "", nil)
+			return nil
+		}
+	}
+	life := stateless.NewStateMachine(stateStarting)
+	life.Configure(stateStarting).Permit(triggerSynced, stateReady).Permit(triggerStop, stateDraining)
+	life.Configure(stateReady).OnEntry(note(eventlog.InstanceReady)).Permit(triggerStop, stateDraining)
+	life.Configure(stateDraining).OnEntry(note(eventlog.InstanceDraining)).Permit(triggerDone, stateStopped)
+	life.Configure(stateStopped).OnEntry(note(eventlog.InstanceStopped))
+	return life
+}
+
+func (r *Router) provisionFleet() {
+	s := r.settings
+	r.table = member.NewTable(member.Config{
+		Self: &memberpb.Member{
+			Incarnation: r.incarnation,
+			Name:        s.Name,
+			Region:      s.Region,
+			Domain:      s.Domain,
+			PeerAddress: s.PeerAddress,
+		},
+		Silent:    peerSilent,
+		Heartbeat: heartbeat,
+		Fanout:    member.DefaultFanout,
+		Now:       time.Now,
+		Joined: func(m *memberpb.Member) {
+			r.log.Event(eventlog.MemberJoined, "", eventlog.Fields{"member": m.Incarnation, "domain": m.Domain})
+		},
+	})
+	r.peers = peer.NewClient(r.table.Address, r.table.Heard, &r.traffic, nil)
+	r.gossip = &member.Gossip{
+		Table:       r.table,
+		Send:        r.peers.Heartbeat,
+		Generations: r.generations,
+		Newer:       r.fetchNewer,
+	}
+	cfg := prepaid.Config{
+		Self:   r.incarnation,
+		Shards: s.LedgerShards,
+		Ahead:  time.Duration(s.AheadSeconds) * time.Second,
+	}
+	r.tokens = prepaid.NewNode(cfg, prepaid.Deps{
+		Ledger:   newLedger(r.store, s.LedgerShards),
+		Peers:    lenders{r.peers},
+		Fleet:    fleetView{r.table},
+		Observer: tokenLog{r.log},
+		Amounts:  r.amounts,
+		Now:      time.Now,
+	})
+}
+
+func (r *Router) provisionForward() {
+	r.forward = forward.New(forward.Deps{
+		Domain:   r.settings.Domain,
+		Config:   &r.config,
+		Registry: r.registry,
+		Budgets:  r.tokens,
+		Codec:    r.platform.Codec,
+		Conns:    r.conns,
+		Log:      r.log,
+		Metrics:  r.metrics,
+		Retries: retrylimit.Settings{
+			Ratio:  r.settings.RetryRatio,
+			Extra:  r.settings.RetryExtra,
+			Window: r.settings.RetryWindow(),
+		},
+		Instances: func() int { return len(r.table.Live()) },
+		Now:       time.Now,
+	})
+}
+
+func (r *Router) bind() error {
+	s := r.settings
+	var err error
+	handlers := peer.Handlers{Members: r, Loans: loans{r.tokens}}
+	if r.server, err = peer.Listen(s.PeerAddress, handlers, &r.traffic, nil); err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	r.door, err = door.Listen(door.Options{
+		Address:     s.ClientAddress,
+		ReadTimeout: readTimeout,
+		Format:      r.platform.Format,
+		Pipeline:    r.forward,
+	})
+	if err != nil {
+		return fmt.Errorf("listen for clients: %w", err)
+	}
+	if r.ready, err = httpserve.Listen(httpserve.Options{Address: s.ReadyAddress, MaxBodyBytes: maxAdminBody}); err != nil {
+		return fmt.Errorf("listen for the balancer: %w", err)
+	}
+	if r.admin, err = httpserve.Listen(httpserve.Options{Address: s.AdminAddress, MaxBodyBytes: maxAdminBody}); err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	r.adminRoutes()
+	return nil
+}
+
+// NoteSettings logs that the settings file was read again; err is what is wrong
+// with it. The instance goes on with what it was started with.
+func (r *Router) NoteSettings(err error) {
+	fields := eventlog.Fields{"valid": err == nil}
+	if err != nil {
+		fields["cause"] = err.Error()
+	}
+	r.log.Event(eventlog.SettingsRead, "", fields)
+}
+
+// noteStore logs when the store goes away and comes back.
+func (r *Router) noteStore(err error) {
+	r.storeMu.Lock()
+	defer r.storeMu.Unlock()
+	up := err == nil
+	if up == r.storeUp {
+		return
+	}
+	r.storeUp = up
+	if up {
+		r.log.Event(eventlog.StoreReachable, "", nil)
+		return
+	}
+	r.log.Event(eventlog.StoreUnreachable, "", eventlog.Fields{"cause": err.Error()})
+}
+
+// fire moves the instance's life on. Run fires each trigger once and in order, so
+// none is refused.
+func (r *Router) fire(trigger string) { _ = r.life.Fire(trigger) }
+
+// State returns the state of the instance's life.
+func (r *Router) State() string { return r.life.MustState().(string) }
--- /dev/null
+++ b/pkg/router/tokens.go
@@ -0,0 +1,170 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/member"
+	"github.com/lavenderring/lavenderring/pkg/pause"
+	"github.com/lavenderring/lavenderring/pkg/peer"
+	"github.com/lavenderring/lavenderring/pkg/prepaid"
+	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
+
+// ledgerKind is the kind of the ledger's objects.
+const ledgerKind = "ledgers"
+
+// Bounds of one change of the ledger.
+const (
+	// ledgerTries bounds the tries against other instances' writes.
+	ledgerTries = 12
+	// ledgerPause is the longest pause between two tries; it grows to this.
+	ledgerPause = 16 * time.Millisecond
+)
+
+// ledger keeps the newest known state of each shard, so that a change usually
+// takes one call: the write itself, whose conflict tells the present state.
+type ledger struct {
+	store  store.Store
+	shards []shardCache
+}
+
+type shardCache struct {
+	mu     sync.Mutex
+	known  bool
+	object store.Object
+}
+
+func newLedger(s store.Store, shards int) *ledger {
+	return &ledger{store: s, shards: make([]shardCache, shards)}
+}
+
+// Update implements prepaid.Ledger.
+func (l *ledger) Update(ctx context.Context, shard int, change func(*prepaid.Shard)) error {
+	cache := &l.shards[shard]
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	key := fmt.Sprintf("%s/%04d", ledgerKind, shard)
+	var err error
+	for try := range ledgerTries {
+		if try > 0 && !pause.For(ctx, rand.N(min(time.Millisecond<<try, ledgerPause))) {
+			return errors.Join(ctx.Err(), err)
+		}
+		if err = l.tryUpdate(ctx, key, cache, change); err == nil {
+			return nil
+		}
+		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUncertain) {
+			cache.known = false
+			return err
+		}
+	}
+	return errors.Join(prepaid.ErrBusy, err)
+}
+
+func (l *ledger) tryUpdate(ctx context.Context, key string, cache *shardCache, change func(*prepaid.Shard)) error {
+	if !cache.known {
+		object, err := l.store.Get(ctx, key)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			return err
+		}
+		cache.object, cache.known = object, true
+	}
+	state, err := prepaid.DecodeShard(cache.object.Value)
+	if err != nil {
+		return err
+	}
+	change(state)
+	value, err := state.Encode()
+	if err != nil {
+		return err
+	}
+	version, err := l.store.Put(ctx, key, value, cache.object.Version)
+	if err != nil {
+		var conflict *store.ConflictError
+		cache.known = errors.As(err, &conflict)
+		if cache.known {
+			cache.object = conflict.Present
+		}
+		return err
+	}
+	cache.object = store.Object{Key: key, Version: version, Value: value}
+	return nil
+}
+
+// lenders implements prepaid.Peers.
+type lenders struct{ client *peer.Client }
+
+func (l lenders) Lend(ctx context.Context, to, budget string, need, ahead int64) (int64, error) {
+	return l.client.Lend(ctx, to, budget, need, ahead)
+}
+
+func (l lenders) Recall(ctx context.Context, to, budget string) error {
+	return l.client.RecallTokens(ctx, to, budget)
+}
+
+// fleetView implements prepaid.Fleet.
+type fleetView struct{ table *member.Table }
+
+func (v fleetView) Others() []string {
+	self := v.table.Self().Incarnation
+	var others []string
+	for _, m := range v.table.Live() {
+		if m.Incarnation != self {
+			others = append(others, m.Incarnation)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others
+}
+
+func (v fleetView) Known() int { return v.table.Count() }
+
+// tokenLog implements prepaid.Observer.
+type tokenLog struct{ log *eventlog.Log }
+
+func (o tokenLog) Drawn(budget string, tokens, free int64) {
+	o.log.Event(eventlog.TokensDrawn, "", eventlog.Fields{"budget": budget, "tokens": tokens, "left": free})
+}
+
+func (o tokenLog) Borrowed(budget, lender string, tokens int64) {
+	o.log.Event(eventlog.TokensBorrowed, "", eventlog.Fields{"budget": budget, "lender": lender, "tokens": tokens})
+}
+
+// loans answers other instances.
+type loans struct{ node *prepaid.Node }
+
+// loanTimeout bounds the work for another instance's request.
+const loanTimeout = 300 * time.Millisecond
+
+func (l loans) Lend(ctx context.Context, req *prepaidpb.LendRequest) (*prepaidpb.LendReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
+	defer cancel()
+	return &prepaidpb.LendReply{Tokens: l.node.Lend(ctx, req.Budget, req.Need, req.Ahead)}, nil
+}
+
+func (l loans) Recall(_ context.Context, req *prepaidpb.RecallRequest) (*prepaidpb.RecallReply, error) {
+	l.node.Recalled(req.Budget)
+	return &prepaidpb.RecallReply{}, nil
+}
+
+// amounts returns what the configuration in force prepaid within a shard.
+func (r *Router) amounts(shard int) prepaid.Amounts {
+	table := r.config.Table()
+	if table == nil {
+		return prepaid.Amounts{}
+	}
+	amounts := prepaid.Amounts{Version: table.Config.Version, Tokens: map[string]int64{}}
+	for i := range table.Config.Accounts {
+		account := &table.Config.Accounts[i]
+		if account.PrepaidTokens >= 0 && r.tokens.ShardOf(account.Name) == shard {
+			amounts.Tokens[account.Name] = account.PrepaidTokens
+		}
+	}
+	return amounts
+}
--- /dev/null
+++ b/pkg/settings/router.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+)
+
+// Router is what one instance on the users' platform is started with.
+type Router struct {
+	// Name identifies the instance; a restarted instance keeps it.
+	Name string `toml:"name"`
+	// Region and Domain are where it stands; Domain is its failure domain.
+	Region string `toml:"region"`
+	Domain string `toml:"domain"`
+	// ClientAddress is the IP address and port where clients are served.
+	ClientAddress string `toml:"client_address"`
+	// ReadyAddress is where the balancer asks whether the instance is ready.
+	ReadyAddress string `toml:"ready_address"`
+	// PeerAddress is the IP address and port for other instances.
+	PeerAddress string `toml:"peer_address"`
+	// AdminAddress is where metrics, health and recent events are shown.
+	AdminAddress string `toml:"admin_address"`
+	// StoreAddress is the platform's store.
+	StoreAddress string `toml:"store_address"`
+	// Seeds lists peer addresses of other instances, for one that starts while
+	// the store is away. Default none.
+	Seeds []string `toml:"seeds"`
+	// LedgerShards is the number of ledger objects; the same at all instances
+	// and never changed on a store in use. Default 4: each is written by every
+	// instance, and fewer objects make more writes collide when budgets run short.
+	LedgerShards int `toml:"ledger_shards"`
+	// RetryRatio, RetryExtra and RetryWindowSeconds bound what all instances
+	// together send to a service beyond each request's first sending. Defaults
+	// 0.2, 50 and 10 s.
+	RetryRatio         float64 `toml:"retry_ratio"`
+	RetryExtra         float64 `toml:"retry_extra"`
+	RetryWindowSeconds float64 `toml:"retry_window_seconds"`
+	// GraceSeconds is how long after the signal to stop the process is killed.
+	// Default 8.
+	GraceSeconds float64 `toml:"grace_seconds"`
+	// MemoryMB is the memory that the process may use; 0 for no bound. Default 0.
+	MemoryMB int64 `toml:"memory_mb"`
+	// AheadSeconds is how many seconds of an account's demand the instance keeps
+	// allocated for it, to last through an outage. Default 8.
+	AheadSeconds int64 `toml:"ahead_seconds"`
+}
+
+// LoadRouter reads and checks a settings file. The error is an *InvalidError
+// that names every fault, or the file system's.
+func LoadRouter(path string) (*Router, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return ParseRouter(path, text)
+}
+
+// ParseRouter checks the text of a settings file; path is used in errors only.
+func ParseRouter(path string, text []byte) (*Router, error) {
+	r := &Router{
+		LedgerShards:       4,
+		RetryRatio:         0.2,
+		RetryExtra:         50,
+		RetryWindowSeconds: 10,
+		GraceSeconds:       8,
+		AheadSeconds:       8,
+	}
+	if err := decode(path, text, r); err != nil {
+		return nil, err
+	}
+	if faults := r.check(path); len(faults) > 0 {
+		return nil, &InvalidError{Faults: faults}
+	}
+	return r, nil
+}
+
+func (r *Router) check(path string) []Fault {
+	c := &checker{path: path}
+	c.require(r.Name != "" && !strings.ContainsAny(r.Name, "/ "), "name", r.Name, "a name without slash or blank")
+	c.require(r.Region != "", "region", r.Region, "a region's name")
+	c.require(r.Domain != "", "domain", r.Domain, "a failure domain's name")
+	c.address("client_address", r.ClientAddress)
+	c.address("ready_address", r.ReadyAddress)
+	c.address("peer_address", r.PeerAddress)
+	c.address("admin_address", r.AdminAddress)
+	c.address("store_address", r.StoreAddress)
+	for i, seed := range r.Seeds {
+		c.address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	c.between("ledger_shards", int64(r.LedgerShards), 1, 4096)
+	c.require(r.RetryRatio >= 0 && r.RetryRatio <= 1, "retry_ratio", r.RetryRatio, "0 to 1")
+	c.require(r.RetryExtra >= 0, "retry_extra", r.RetryExtra, "0 or more")
+	c.require(r.RetryWindowSeconds > 0, "retry_window_seconds", r.RetryWindowSeconds, "more than 0")
+	c.require(r.GraceSeconds > 1, "grace_seconds", r.GraceSeconds, "more than 1")
+	c.between("memory_mb", r.MemoryMB, 0, 1<<20)
+	c.between("ahead_seconds", r.AheadSeconds, 1, 600)
+	return c.faults
+}
+
+// Grace returns how long after the signal to stop the process is killed.
+func (r *Router) Grace() time.Duration { return seconds(r.GraceSeconds) }
+
+// RetryWindow returns the span of the bound on repeated requests.
+func (r *Router) RetryWindow() time.Duration { return seconds(r.RetryWindowSeconds) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -118,9 +118,8 @@
 // Parse checks the text of a settings file; path is used in errors only.
 func Parse(path string, text []byte) (*Settings, error) {
 	s := defaults()
-	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := decoder.Decode(s); err != nil {
-		return nil, &InvalidError{Faults: decodeFaults(path, err)}
+	if err := decode(path, text, s); err != nil {
+		return nil, err
 	}
 	if faults := s.check(path); len(faults) > 0 {
 		return nil, &InvalidError{Faults: faults}
@@ -128,6 +127,14 @@
 	return s, nil
 }
 
+func decode(path string, text []byte, into any) error {
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return &InvalidError{Faults: decodeFaults(path, err)}
+	}
+	return nil
+}
+
 func decodeFaults(path string, err error) []Fault {
 	var strict *toml.StrictMissingError
 	if !errors.As(err, &strict) {
@@ -155,20 +162,30 @@
 	}
 }
 
-func (s *Settings) check(path string) []Fault {
-	var faults []Fault
-	require := func(ok bool, key string, value any, allowed string) {
-		if !ok {
-			faults = append(faults, Fault{File: path, Key: key, Value: fmt.Sprint(value), Allowed: allowed})
-		}
-	}
-	address := func(key, value string) {
-		_, err := netip.ParseAddrPort(value)
-		require(err == nil, key, value, "an IP address and port")
-	}
-	between := func(key string, value, low, high int64) {
-		require(value >= low && value <= high, key, value, fmt.Sprintf("%d to %d", low, high))
+// checker gathers the faults of one file.
+type checker struct {
+	path   string
+	faults []Fault
+}
+
+func (c *checker) require(ok bool, key string, value any, allowed string) {
+	if !ok {
+		c.faults = append(c.faults, Fault{File: c.path, Key: key, Value: fmt.Sprint(value), Allowed: allowed})
 	}
+}
+
+func (c *checker) address(key, value string) {
+	_, err := netip.ParseAddrPort(value)
+	c.require(err == nil, key, value, "an IP address and port")
+}
+
+func (c *checker) between(key string, value, low, high int64) {
+	c.require(value >= low && value <= high, key, value, fmt.Sprintf("%d to %d", low, high))
+}
+
+func (s *Settings) check(path string) []Fault {
+	c := &checker{path: path}
+	require, address, between := c.require, c.address, c.between
 	require(s.Name != "" && !strings.ContainsAny(s.Name, "/ "), "name", s.Name, "a name without slash or blank")
 	require(s.Domain != "", "domain", s.Domain, "a failure domain's name")
 	require(s.Region != "", "region", s.Region, "a region's name")
@@ -198,7 +215,7 @@
 	require(caller == TLSFiles{} || callerWhole, "caller_tls", caller, "certificate and key, or none of them")
 	hashed := s.AdminTokenSHA256 == "" || len(s.AdminTokenSHA256) == 64
 	require(hashed, "admin_token_sha256", s.AdminTokenSHA256, "64 hexadecimal digits, or empty")
-	return faults
+	return c.faults
 }
 
 // StoreTimeout returns the bound on one platform call.
