--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -23,7 +23,7 @@
 	// present need.
 	loanAhead = 2 * time.Second
 	// lowWater is the part of the target below which more is drawn.
-	lowWater = 0.6
+	lowWater = 0.8
 	// aheadPart times the instances is the part of a budget's free tokens that
 	// one draw ahead may take, so that all find some.
 	aheadPart = 2
--- /dev/null
+++ b/pkg/prepaid/node_test.go
@@ -0,0 +1,164 @@
+package prepaid_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/prepaid"
+)
+
+const account = "account-0"
+
+// spend reserves and settles one request whole, and reports whether it was let in.
+func spend(t *testing.T, m *member, tokens int64) bool {
+	t.Helper()
+	r, err := m.Reserve(t.Context(), account, tokens)
+	if err != nil {
+		return false
+	}
+	m.Settle(r, tokens)
+	return true
+}
+
+// tick lets every instance do its regular work and time pass.
+func (f *fleet) tick() {
+	f.advance(500 * time.Millisecond)
+	for _, m := range f.nodes {
+		if !m.dead {
+			m.Tick(context.Background())
+		}
+	}
+	synctest.Wait()
+}
+
+// One account's callers reach all instances until nothing is left. Tokens lie at
+// several instances then; the callers get all but a few hundredths of what was
+// prepaid, because what an instance does not need goes back when it runs short.
+func TestNearlyAllIsServedToTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const all = 100_000
+		f := newFleet(1, 5, map[string]int64{account: all})
+		served := int64(0)
+		for step := range 600 {
+			m := f.nodes[step%len(f.nodes)]
+			if spend(t, m, 400) {
+				served += 400
+			}
+			if step%4 == 0 {
+				f.tick()
+			}
+		}
+		if served < all*97/100 {
+			t.Errorf("%d of %d tokens were served", served, all)
+		}
+	})
+}
+
+// All instances are cut off from the store and from each other for seven seconds
+// while their callers go on as before. Almost all are served, from what was drawn
+// ahead, and refused ones are told that the store is away, not that it is over.
+func TestCutOffInstancesGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2, 4, map[string]int64{account: 10_000_000})
+		load := func(steps int) (served, refused int) {
+			for range steps {
+				for _, m := range f.nodes {
+					if spend(t, m, 300) {
+						served++
+					} else {
+						refused++
+					}
+				}
+				f.tick()
+			}
+			return served, refused
+		}
+		load(20)
+		for _, m := range f.nodes {
+			m.cut = true
+		}
+		served, refused := load(14)
+		if refused > served/20 {
+			t.Errorf("%d served, %d refused while cut off", served, refused)
+		}
+		load(20) // until nothing is at hand
+		_, err := f.nodes[0].Reserve(t.Context(), account, 300)
+		var short *prepaid.ShortError
+		if !errors.As(err, &short) || short.Exhausted {
+			t.Errorf("refused with %v", err)
+		}
+	})
+}
+
+// The store does not answer one instance; the others reach it. A caller of that
+// instance is served with tokens that another instance lends.
+func TestPeersLendWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, 3, map[string]int64{account: 1_000_000})
+		alone := f.nodes[0]
+		turnedAway := errors.New("turned away")
+		lone := prepaid.NewNode(prepaid.Config{Self: "lone", Shards: 1, Ahead: time.Second}, prepaid.Deps{
+			Ledger:   refusing{turnedAway},
+			Peers:    alone,
+			Fleet:    alone,
+			Observer: alone,
+			Amounts:  func(int) prepaid.Amounts { return f.amounts },
+			Now:      f.clock,
+		})
+		r, err := lone.Reserve(t.Context(), account, 500)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lone.Settle(r, 500)
+	})
+}
+
+type refusing struct{ err error }
+
+func (r refusing) Update(context.Context, int, func(*prepaid.Shard)) error { return r.err }
+
+// An account is used up. Its callers are refused for good, at once and without a
+// call to the store for each; a top-up lets the next one in.
+func TestExhaustedUntilToppedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4, 2, map[string]int64{account: 1000})
+		if !spend(t, f.nodes[0], 1000) {
+			t.Fatal("the first was refused")
+		}
+		_, err := f.nodes[0].Reserve(t.Context(), account, 300)
+		var short *prepaid.ShortError
+		if !errors.As(err, &short) || !short.Exhausted {
+			t.Errorf("refused with %v", err)
+		}
+		before := f.version
+		for range 20 {
+			spend(t, f.nodes[0], 300)
+		}
+		if f.version != before {
+			t.Errorf("%d writes for refusals that were known", f.version-before)
+		}
+		f.amounts = prepaid.Amounts{Version: 2, Tokens: map[string]int64{account: 2000}}
+		if !spend(t, f.nodes[0], 300) {
+			t.Error("refused after the top-up")
+		}
+	})
+}
+
+// A planned stop returns what is not spent: another instance serves with it.
+func TestStopReturnsTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(5, 2, map[string]int64{account: 1000})
+		r, err := f.nodes[0].Reserve(t.Context(), account, 900)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.nodes[0].Settle(r, 100)
+		f.nodes[0].Stop(t.Context())
+		if !spend(t, f.nodes[1], 900) {
+			t.Error("the returned tokens were not to be had")
+		}
+	})
+}
--- /dev/null
+++ b/pkg/prepaid/safety_test.go
@@ -0,0 +1,173 @@
+package prepaid_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/lavenderring/lavenderring/pkg/prepaid"
+)
+
+// Sizes of one random history.
+const (
+	historySteps   = 250
+	historyPrepaid = 20_000
+	largestRequest = 900
+)
+
+type openRequest struct {
+	by          *member
+	budget      string
+	tokens      int64
+	reservation *prepaid.Reservation
+}
+
+// history plays random requests and faults and keeps what was spent.
+type history struct {
+	fleet   *fleet
+	open    []openRequest
+	spent   map[string]int64
+	allowed map[string]int64
+}
+
+func budgetName(n int) string { return fmt.Sprintf("account-%d", n) }
+
+func newHistory(seed uint64) *history {
+	tokens := map[string]int64{budgetName(0): historyPrepaid, budgetName(1): historyPrepaid / 4}
+	h := &history{fleet: newFleet(seed, 4, tokens), spent: map[string]int64{}, allowed: map[string]int64{}}
+	for id, amount := range tokens {
+		h.allowed[id] = amount
+	}
+	h.fleet.lose = 0.2
+	return h
+}
+
+func (h *history) step() {
+	rng := h.fleet.rng
+	h.fleet.advance(time.Duration(rng.IntN(300)) * time.Millisecond)
+	switch n := rng.IntN(100); {
+	case n < 45:
+		h.reserve()
+	case n < 70:
+		h.settle()
+	case n < 84:
+		h.member().Tick(context.Background())
+	case n < 87:
+		h.fleet.down = !h.fleet.down
+	case n < 91:
+		m := h.member()
+		m.cut = !m.cut
+	case n < 93:
+		h.crash()
+	case n < 95:
+		h.topUp()
+	case n < 97:
+		h.fleet.land()
+	default:
+		h.member().Recalled(budgetName(rng.IntN(2)))
+	}
+	synctest.Wait()
+}
+
+func (h *history) member() *member { return h.fleet.nodes[h.fleet.rng.IntN(len(h.fleet.nodes))] }
+
+func (h *history) reserve() {
+	m := h.member()
+	if m.dead {
+		return
+	}
+	budget := budgetName(h.fleet.rng.IntN(2))
+	tokens := 1 + h.fleet.rng.Int64N(largestRequest)
+	r, err := m.Reserve(context.Background(), budget, tokens)
+	if err == nil {
+		h.open = append(h.open, openRequest{by: m, budget: budget, tokens: tokens, reservation: r})
+	}
+}
+
+// settle ends a request; its upstream counted anything up to its bound.
+func (h *history) settle() {
+	if len(h.open) == 0 {
+		return
+	}
+	i := h.fleet.rng.IntN(len(h.open))
+	r := h.open[i]
+	h.open = append(h.open[:i], h.open[i+1:]...)
+	used := h.fleet.rng.Int64N(r.tokens + 1)
+	h.spent[r.budget] += used
+	if !r.by.dead {
+		r.by.Settle(r.reservation, used)
+	}
+}
+
+// crash kills an instance; what it has running is spent to the last token. Another
+// takes its place.
+func (h *history) crash() {
+	m := h.member()
+	if m.dead || len(h.fleet.nodes) > 12 {
+		return
+	}
+	m.dead = true
+	h.fleet.join()
+}
+
+func (h *history) topUp() {
+	id := budgetName(h.fleet.rng.IntN(2))
+	tokens := map[string]int64{}
+	for other, amount := range h.fleet.amounts.Tokens {
+		tokens[other] = amount
+	}
+	tokens[id] += 500
+	h.allowed[id] += 500
+	h.fleet.amounts = prepaid.Amounts{Version: h.fleet.amounts.Version + 1, Tokens: tokens}
+}
+
+// overspent returns a budget that was spent beyond what was prepaid, requests that
+// run counted at their most; empty if none was.
+func (h *history) overspent() string {
+	sums := map[string]int64{}
+	for id, tokens := range h.spent {
+		sums[id] = tokens
+	}
+	for _, r := range h.open {
+		sums[r.budget] += r.tokens
+	}
+	for id, sum := range sums {
+		if sum > h.allowed[id] {
+			return fmt.Sprintf("%s: %d of %d", id, sum, h.allowed[id])
+		}
+	}
+	return ""
+}
+
+func playHistory(seed uint64) (failure string) {
+	h := newHistory(seed)
+	for range historySteps {
+		h.step()
+		if failure = h.overspent(); failure != "" {
+			return failure
+		}
+	}
+	return ""
+}
+
+// Instances draw, lend and return tokens while the ledger loses answers and takes
+// writes late, is away, instances are cut off and die, and operators top up. No
+// caller ever gets more than was prepaid: what is spent left the ledger, durably,
+// before; and what a lost answer, a late write or a death does to it only loses.
+func TestNeverMoreThanPrepaid(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(11)
+	parameters.MinSuccessfulTests = 120
+	properties := gopter.NewProperties(parameters)
+	properties.Property("spent and running stay within prepaid", prop.ForAll(func(seed uint64) string {
+		failure := ""
+		synctest.Test(t, func(*testing.T) { failure = playHistory(seed) })
+		return failure
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
