A loan whose asker has given up is taken all the same

Cause: a request without tokens asked three peers at once within its own time; when one had lent, or the request gave up, the other calls were cancelled and what they had lent was lost. With the store turning two instances away for nine seconds an account lost 1.0 of 4.2 million tokens (drawn against billed, from the log), and its callers were told it was exhausted. Change: peers are asked one after the other, in calls that outlive the request; late answers are taken. Test: TestLateLoanServesTheNextCaller. What a request was billed is logged.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -98,6 +98,7 @@
 		used += min(c.events*c.target.Engine.TokensPerEvent, c.r.MaxOutputTokens)
 	}
 	c.f.Budgets.Settle(c.reservation, used)
+	c.f.Log.Event(eventlog.RequestBilled, c.r.ID, eventlog.Fields{"budget": c.account.Name, "tokens": used, "events": c.events})
 }
 
 func (c *call) clientLeft() {
--- a/pkg/prepaid/loan.go
+++ b/pkg/prepaid/loan.go
@@ -9,7 +9,7 @@
 // errNoLender means that no peer that answered had tokens to spare.
 var errNoLender = errors.New("no peer had tokens to spare")
 
-// borrow asks several peers at once for a need. What more than one gives is kept.
+// borrow asks peers for a need, one after the other: each that is asked may lend.
 func (n *Node) borrow(ctx context.Context, budget string, need int64) error {
 	n.mu.Lock()
 	p := n.purse(budget)
@@ -21,36 +21,41 @@
 		return errNoLender
 	}
 	peers := n.Fleet.Others()
-	if len(peers) > peersAsked {
-		peers = peers[:peersAsked]
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	answers := make(chan error, len(peers))
-	for _, peer := range peers {
-		go func() { answers <- n.borrowFrom(ctx, peer, budget, need, ahead) }()
-	}
-	defer time.AfterFunc(lateLoan, cancel)
-	err := errNoLender
-	for range peers {
-		if err = <-answers; err == nil {
-			return nil
+	for _, peer := range peers[:min(peersAsked, len(peers))] {
+		answer := make(chan error, 1)
+		go func() { answer <- n.borrowFrom(peer, budget, need, ahead) }()
+		select {
+		case err := <-answer:
+			if err == nil {
+				return nil
+			}
+		case <-time.After(lenderPatience):
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
 	n.mu.Lock()
 	p.lendersRest = n.Now().Add(lendersRestFor)
 	n.mu.Unlock()
-	return err
+	return errNoLender
 }
 
 // lendersRestFor is how long peers that had nothing, or did not answer, are not
 // asked again for the same budget.
 const lendersRestFor = 300 * time.Millisecond
 
-// lateLoan is how long the other peers' answers are waited for once one has lent:
-// a loan that is cut off on its way is lost.
-const lateLoan = 300 * time.Millisecond
+// Bounds of one question to a peer.
+const (
+	// lenderPatience is how long a peer is waited for before the next is asked.
+	lenderPatience = 120 * time.Millisecond
+	// loanTimeout bounds the question itself. It goes on when the request that
+	// asked has given up: tokens whose answer nobody takes are lost to the budget.
+	loanTimeout = time.Second
+)
 
-func (n *Node) borrowFrom(ctx context.Context, peer, budget string, need, ahead int64) error {
+func (n *Node) borrowFrom(peer, budget string, need, ahead int64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), loanTimeout)
+	defer cancel()
 	tokens, err := n.Peers.Lend(ctx, peer, budget, need, ahead)
 	if err != nil {
 		return err
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -16,8 +16,7 @@
 	// asking for each request is most of what an instance asks of the store. What
 	// settled requests return has to be found within about a second and a half.
 	denyFor = time.Second
-	// peersAsked is how many peers are asked at once when the store does not
-	// answer; two bear the loss of one.
+	// peersAsked is how many peers are asked when the store does not answer.
 	peersAsked = 3
 	// loanAhead is how much of its demand an instance asks peers for beyond the
 	// present need.
--- a/pkg/prepaid/node_test.go
+++ b/pkg/prepaid/node_test.go
@@ -162,3 +162,47 @@
 		}
 	})
 }
+
+// The store does not answer an instance, and the peer it asks first answers late,
+// when the caller that needed the tokens has been refused. The tokens are not
+// lost: the next caller is served with them.
+func TestLateLoanServesTheNextCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6, 2, map[string]int64{account: 100_000})
+		lone := prepaid.NewNode(prepaid.Config{Self: "lone", Shards: 1, Ahead: time.Second}, prepaid.Deps{
+			Ledger:   refusing{errLost},
+			Peers:    &slowLender{member: f.nodes[0], delay: 300 * time.Millisecond},
+			Fleet:    f.nodes[0],
+			Observer: f.nodes[0],
+			Amounts:  func(int) prepaid.Amounts { return f.amounts },
+			Now:      f.clock,
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		if _, err := lone.Reserve(ctx, account, 500); err == nil {
+			t.Fatal("the first was served")
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if _, err := lone.Reserve(t.Context(), account, 500); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// slowLender answers late, unless it is told to stop.
+type slowLender struct {
+	*member
+	delay time.Duration
+}
+
+// Lend implements prepaid.Peers.
+func (s *slowLender) Lend(ctx context.Context, to, budget string, need, ahead int64) (int64, error) {
+	tokens := s.fleet.find(to).Node.Lend(ctx, budget, need, ahead)
+	select {
+	case <-time.After(s.delay):
+		return tokens, nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
