--- a/pkg/settings/router.go
+++ b/pkg/settings/router.go
@@ -65,7 +65,7 @@
 		RetryExtra:         50,
 		RetryWindowSeconds: 10,
 		GraceSeconds:       8,
-		AheadSeconds:       8,
+		AheadSeconds:       12,
 	}
 	if err := decode(path, text, r); err != nil {
 		return nil, err
