A write that does not answer within 200 ms is not waited for, peers are asked

Change: a request waits 200 ms for a write, does not wait for an older one, and asks peers in the rest.

--- a/pkg/prepaid/tick.go
+++ b/pkg/prepaid/tick.go
@@ -63,8 +63,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for shard := range n.shards {
-		if f := n.shards[shard].flight; f != nil {
-			_ = n.await(ctx, f) // what could not be returned is lost to the budget
+		for n.shards[shard].flight != nil && ctx.Err() == nil {
+			_ = n.await(ctx, n.shards[shard].flight) // what could not be returned is lost to the budget
 		}
 	}
 }
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -38,10 +38,16 @@
 
 // flight is a write on its way, which any number of requests wait for.
 type flight struct {
-	done chan struct{}
-	err  error
+	done  chan struct{}
+	err   error
+	began time.Time
 }
 
+// ledgerPatience is how long a request waits for a write: the store answers in a
+// few milliseconds, a slow one in a few hundred. One that has not answered by then
+// may not answer at all, and peers are asked while there is time.
+const ledgerPatience = 200 * time.Millisecond
+
 // drawFor makes need tokens free, drawing them from the ledger with what other
 // requests wait for and some ahead. It returns nil if the ledger answered, also
 // if it had too few.
@@ -54,7 +60,8 @@
 	defer func() { p.waiting -= need }()
 	for p.free < need {
 		state := &n.shards[shard]
-		if state.away && state.flight == nil {
+		late := state.flight != nil && n.Now().Sub(state.flight.began) >= ledgerPatience
+		if late || (state.away && state.flight == nil) {
 			return ErrAway
 		}
 		own := state.flight == nil
@@ -73,9 +80,13 @@
 func (n *Node) await(ctx context.Context, f *flight) error {
 	n.mu.Unlock()
 	defer n.mu.Lock()
+	patience := time.NewTimer(ledgerPatience)
+	defer patience.Stop()
 	select {
 	case <-f.done:
 		return f.err
+	case <-patience.C:
+		return ErrAway
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -84,7 +95,7 @@
 // begin starts a write of a shard; n.mu is held and no write is on its way. need
 // is wanted whole of the budget named; others get what is free.
 func (n *Node) begin(shard int, budget string, need int64) {
-	f := &flight{done: make(chan struct{})}
+	f := &flight{done: make(chan struct{}), began: n.Now()}
 	n.shards[shard].flight = f
 	wishes := n.wishes(shard, budget, need)
 	go func() {
