--- /dev/null
+++ b/pkg/routing/table_test.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func testConfig(version uint64) *Config {
+	return &Config{
+		Version: version,
+		Keyed:   true,
+		Routes: []Route{
+			{Name: "all", Host: "h.example", Prefix: "/", Targets: []Target{{Service: "s", Weight: 1}}},
+			{Name: "jobs", Host: "h.example", Prefix: "/jobs/", Targets: []Target{{Service: "t", Weight: 90}, {Service: "u", Weight: 10}}},
+		},
+		Accounts: []Account{{Name: "crew", Keys: []string{"k1", "k2"}}},
+	}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	table := NewTable(testConfig(1), time.Time{})
+	cases := []struct{ description, host, path, route string }{
+		{"the longer prefix", "h.example", "/jobs/7", "jobs"},
+		{"the shorter one", "h.example", "/job", "all"},
+		{"a host with a port", "h.example:80", "/jobs/7", "jobs"},
+		{"a host in capitals", "H.Example", "/jobs/7", "jobs"},
+		{"another host", "g.example", "/jobs/7", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.description, func(t *testing.T) {
+			name := ""
+			if route := table.Route(c.host, c.path); route != nil {
+				name = route.Name
+			}
+			if name != c.route {
+				t.Errorf("got %q", name)
+			}
+		})
+	}
+}
+
+// All attempts of a request go to one service of a split, and the shares hold.
+func TestSplitBySendingAndWeight(t *testing.T) {
+	route := NewTable(testConfig(1), time.Time{}).Route("h.example", "/jobs/7")
+	counts := map[string]int{}
+	for n := range 10_000 {
+		id := fmt.Sprint(n)
+		if route.Target(id) != route.Target(id) {
+			t.Fatal("one request has two services")
+		}
+		counts[route.Target(id)]++
+	}
+	if counts["t"] < 8_800 || counts["t"] > 9_200 {
+		t.Errorf("shares are %v", counts)
+	}
+}
+
+// Stale reads, peers and late watches bring older versions at any time. None of
+// them moves an instance back: callers would be refused what is allowed.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	var state State
+	for _, version := range []uint64{3, 2, 7, 7, 5, 9, 1} {
+		state.Apply(testConfig(version), time.Time{})
+	}
+	if got := state.Table().Config.Version; got != 9 {
+		t.Errorf("in force is %d", got)
+	}
+	if state.Apply(testConfig(9), time.Time{}) {
+		t.Error("the same version counts as new")
+	}
+}
