--- /dev/null
+++ b/test/route_harness_test.go
@@ -0,0 +1,237 @@
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/store"
+	"github.com/lavenderring/lavenderring/platform"
+	"github.com/lavenderring/lavenderring/platform/standin"
+)
+
+// routed is a fleet on the users' platform: the store's stand-in, upstreams, and
+// instances as processes of their own.
+type routed struct {
+	t         testing.TB
+	store     *standin.Server
+	client    *platform.Client
+	address   string
+	plain     []*standin.Upstream
+	engines   []*standin.Upstream
+	instances []*routedInstance
+	version   int
+	prepaid   int64
+	// without names routes that the configuration leaves out.
+	without map[string]bool
+}
+
+type routedInstance struct {
+	*process
+	clients, ready, peers, settings string
+}
+
+// Figures of the fleet's configuration.
+const (
+	routedHost   = "fleet.example"
+	routedKey    = "key-of-crew"
+	streamEvents = 6
+	// streamTokens is what one stream costs at most: its prompt, and events of one
+	// token each.
+	promptTokens, outputTokens = 100, 20
+)
+
+func newRouted(t testing.TB, instances int, prepaid int64) *routed {
+	t.Helper()
+	f := &routed{t: t, address: freeAddress(), prepaid: prepaid, without: map[string]bool{}}
+	var err error
+	f.store, err = standin.Start(f.address)
+	f.must(err)
+	t.Cleanup(f.store.Close)
+	f.client = platform.NewClient(f.address, 5*time.Second, nil)
+	for n := range 3 {
+		f.plain = append(f.plain, f.startUpstream(fmt.Sprintf("p%d", n), "jobs", 0, n))
+		f.engines = append(f.engines, f.startUpstream(fmt.Sprintf("e%d", n), "models", streamEvents, n))
+	}
+	f.configure()
+	for n := range instances {
+		f.instances = append(f.instances, f.startInstance(n))
+	}
+	for _, i := range f.instances {
+		f.awaitRouted("ready", func() bool { return i.isReady() })
+	}
+	return f
+}
+
+func (f *routed) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *routed) awaitRouted(what string, done func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(giveUpAfter); !done(); time.Sleep(lookAgain) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("gave up waiting for %s", what)
+		}
+	}
+}
+
+func (f *routed) startUpstream(id, service string, events, domain int) *standin.Upstream {
+	u, err := standin.StartUpstream(id, freeAddress(), events)
+	f.must(err)
+	f.t.Cleanup(u.Close)
+	_, err = f.client.Put(f.t.Context(), "servers/"+id, u.Entry(service, domainOf(domain), false), store.NoVersion)
+	f.must(err)
+	return u
+}
+
+// configure writes the configuration under the next version.
+func (f *routed) configure() {
+	f.t.Helper()
+	f.version++
+	var routes []map[string]any
+	add := func(name, kind, service string, attempts int, resumable bool) {
+		if f.without[name] {
+			return
+		}
+		routes = append(routes, map[string]any{
+			"name": name, "host": routedHost, "path_prefix": "/" + name + "/", "type": kind, "timeout_ms": 3000,
+			"slo_ms": 400, "gap_slo_ms": 400, "priority": 0, "service": service, "max_attempts": attempts, "resumable": resumable,
+		})
+	}
+	add("once", "unsafe", "jobs", 1, false)
+	add("safe", "safe", "jobs", 2, false)
+	add("stream", "streaming", "models", 1, false)
+	add("resumable", "streaming", "models", 2, true)
+	value, err := json.Marshal(map[string]any{
+		"version": f.version, "routes": routes,
+		"services": []map[string]any{
+			{"name": "jobs", "max_connections": 100},
+			{"name": "models", "max_connections": 100, "engine": map[string]any{"slots": 64, "kv_capacity": 100000, "stride": 1}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "crew", "api_keys": []string{routedKey}, "prepaid": f.prepaid}},
+	})
+	f.must(err)
+	present, _ := f.client.Get(f.t.Context(), "config/main") // none at first
+	_, err = f.client.Put(f.t.Context(), "config/main", value, present.Version)
+	f.must(err)
+}
+
+func (f *routed) startInstance(n int) *routedInstance {
+	i := &routedInstance{clients: freeAddress(), ready: freeAddress(), peers: freeAddress()}
+	text := fmt.Sprintf(`name = "edge-%d"
+region = "r"
+domain = %q
+client_address = %q
+ready_address = %q
+peer_address = %q
+admin_address = %q
+store_address = %q
+grace_seconds = 6.0
+`, n, domainOf(n), i.clients, i.ready, i.peers, freeAddress(), f.address)
+	i.settings = filepath.Join(f.t.TempDir(), fmt.Sprintf("edge-%d.toml", n))
+	f.must(os.WriteFile(i.settings, []byte(text), 0o600))
+	i.process = f.run(i)
+	return i
+}
+
+func (f *routed) run(i *routedInstance) *process {
+	log, err := os.Create(i.settings + ".log")
+	f.must(err)
+	f.t.Cleanup(func() { tellRace(f.t, log.Name()) })
+	return start(f.t, log, "lavenderring", "route", i.settings)
+}
+
+func (i *routedInstance) isReady() bool {
+	resp, err := http.Get("http://" + i.ready + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+// sending is a client's request, and what became of it.
+type sending struct {
+	status     int
+	body       string
+	header     http.Header
+	err        error
+	retryAfter string
+}
+
+// send sends one request on a connection of its own and reads the whole answer.
+func (f *routed) send(i *routedInstance, id, route, body string) sending {
+	f.t.Helper()
+	names := platform.UpstreamHeaders
+	req, err := http.NewRequest(http.MethodPost, "http://"+i.clients+"/"+route+"/x?q=%2F", bytes.NewBufferString(body))
+	f.must(err)
+	req.Host = routedHost
+	req.Header.Set("Authorization", "Bearer "+routedKey)
+	req.Header.Set(names.RequestID, id)
+	req.Header.Set(names.Deadline, "2500")
+	req.Header.Set(names.Tokens, fmt.Sprintf("%d,%d", promptTokens, outputTokens))
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return sending{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	read, err := io.ReadAll(resp.Body)
+	return sending{
+		status: resp.StatusCode, body: string(read), header: resp.Header, err: err,
+		retryAfter: resp.Header.Get("Retry-After"),
+	}
+}
+
+// raw sends bytes as they are and returns what comes back until the connection
+// ends or falls silent.
+func raw(t testing.TB, address, text string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = conn.Write([]byte(text))
+	_ = conn.SetReadDeadline(time.Now().Add(700 * time.Millisecond))
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
+// runsOf returns the runs of one sending at all upstreams.
+func (f *routed) runsOf(id string) []standin.Run {
+	var runs []standin.Run
+	for _, u := range append(append([]*standin.Upstream{}, f.plain...), f.engines...) {
+		for _, run := range u.Runs() {
+			if run.ID == id {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+func (f *routed) allFaults(upstreams []*standin.Upstream, faults standin.UpstreamFaults) {
+	for _, u := range upstreams {
+		u.SetFaults(faults)
+	}
+}
+
+func (f *routed) appendSettings(i *routedInstance, text string) {
+	present, err := os.ReadFile(i.settings)
+	f.must(err)
+	f.must(os.WriteFile(i.settings, append(present, text...), 0o600))
+}
--- /dev/null
+++ b/test/route_test.go
@@ -0,0 +1,310 @@
+package test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lavenderring/lavenderring/platform"
+	"github.com/lavenderring/lavenderring/platform/standin"
+)
+
+func streamBody(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// A client's request of each kind goes through an instance to an upstream and
+// back: every byte as it was sent, the system's own headers set, the key kept.
+func TestEachKindIsServedWhole(t *testing.T) {
+	f := newRouted(t, 2, 1_000_000)
+	for n, route := range []string{"once", "safe", "stream", "resumable"} {
+		id := fmt.Sprintf("id-%d", n)
+		a := f.send(f.instances[n%2], id, route, "body of "+id)
+		runs := f.runsOf(id)
+		if a.err != nil || a.status != http.StatusOK || len(runs) != 1 {
+			t.Fatalf("%s: got %+v, %d runs", route, a, len(runs))
+		}
+		run := runs[0]
+		if run.Target != "/"+route+"/x?q=%2F" || run.Body != "body of "+id || run.Account != "crew" || run.Wait > 2500 {
+			t.Errorf("%s: upstream got %+v", route, run)
+		}
+		if _, told := run.Header["Authorization"]; told {
+			t.Errorf("%s: the key was passed on", route)
+		}
+		if a.header.Get(platform.UpstreamHeaders.Seal) == "" || a.header.Get(platform.UpstreamHeaders.RequestID) != id {
+			t.Errorf("%s: answer's head is %v", route, a.header)
+		}
+		if route == "stream" && a.body != streamBody(1, streamEvents) {
+			t.Errorf("stream is %q", a.body)
+		}
+	}
+}
+
+// Upstreams fail each request in one way. What may be repeated is answered by
+// another upstream; what may not runs once at most, and its client is told "not
+// run" only where no upstream ran it.
+func TestFailuresByKind(t *testing.T) {
+	f := newRouted(t, 1, 1_000_000)
+	cases := []struct {
+		description, route string
+		faults             standin.UpstreamFaults
+		status, runs       int
+	}{
+		{"an idempotent one whose answer is lost", "safe", standin.UpstreamFaults{Drop: 1}, http.StatusBadGateway, 2},
+		{"one to run once whose answer is lost", "once", standin.UpstreamFaults{Drop: 1}, http.StatusBadGateway, 1},
+		{"one to run once that is refused", "once", standin.UpstreamFaults{Refuse: 1}, http.StatusServiceUnavailable, 0},
+		{"one to run once that fails", "once", standin.UpstreamFaults{Fail: 1}, http.StatusInternalServerError, 1},
+		{"one with another's answer", "once", standin.UpstreamFaults{WrongID: 1}, http.StatusBadGateway, 1},
+		{"a stream whose answer is lost", "stream", standin.UpstreamFaults{Drop: 1}, http.StatusBadGateway, 1},
+	}
+	for n, c := range cases {
+		t.Run(c.description, func(t *testing.T) {
+			f.allFaults(f.plain, c.faults)
+			f.allFaults(f.engines, c.faults)
+			id := fmt.Sprintf("case-%d", n)
+			a := f.send(f.instances[0], id, c.route, "x")
+			if runs := f.runsOf(id); a.status != c.status || len(runs) != c.runs {
+				t.Errorf("got %d, %d runs", a.status, len(runs))
+			}
+			if a.status == http.StatusServiceUnavailable && a.retryAfter == "" {
+				t.Error("a refusal does not tell when to come back")
+			}
+		})
+	}
+}
+
+// One upstream drops an idempotent request; its client gets the answer of another.
+func TestIdempotentRequestIsRepeatedElsewhere(t *testing.T) {
+	f := newRouted(t, 1, 1_000_000)
+	f.plain[0].SetFaults(standin.UpstreamFaults{Drop: 100})
+	for n := range 12 {
+		id := fmt.Sprintf("id-%d", n)
+		if a := f.send(f.instances[0], id, "safe", "x"); a.status != http.StatusOK {
+			t.Errorf("%s got %d %s", id, a.status, a.body)
+		}
+	}
+}
+
+// Engines break streams off within an event. A resumable one goes on at another
+// engine behind the last whole event, without a gap or a piece twice; the client
+// of any other sees that its answer is not whole.
+func TestBrokenStreams(t *testing.T) {
+	f := newRouted(t, 1, 1_000_000)
+	f.allFaults(f.engines, standin.UpstreamFaults{CutAfter: 3})
+	a := f.send(f.instances[0], "whole", "resumable", "x")
+	if a.err != nil || a.body != streamBody(1, streamEvents) {
+		t.Errorf("resumed to %q, %v", a.body, a.err)
+	}
+	a = f.send(f.instances[0], "cut", "stream", "x")
+	if a.err == nil || a.body != streamBody(1, 3) {
+		t.Errorf("a broken stream looks whole: %q", a.body)
+	}
+	if runs := f.runsOf("cut"); len(runs) != 1 {
+		t.Errorf("it ran %d times", len(runs))
+	}
+}
+
+// An upstream sends an answer that nobody asked for behind a whole one. Nobody
+// gets it: the connection is not used again.
+func TestAnswerTooManyReachesNobody(t *testing.T) {
+	f := newRouted(t, 1, 1_000_000)
+	f.allFaults(f.plain, standin.UpstreamFaults{Extra: 10})
+	for n := range 20 {
+		id := fmt.Sprintf("id-%d", n)
+		a := f.send(f.instances[0], id, "once", "x")
+		if a.status == http.StatusOK && !strings.HasSuffix(a.body, " to "+id) {
+			t.Errorf("%s got %q", id, a.body)
+		}
+	}
+}
+
+// A client sends a request that two readers would end at different places, with
+// another request hidden in it. It is refused, and the hidden one never runs.
+func TestHiddenRequestNeverRuns(t *testing.T) {
+	f := newRouted(t, 1, 1_000_000)
+	names := platform.UpstreamHeaders
+	hidden := "POST /once/y HTTP/1.1\r\nHost: " + routedHost + "\r\nAuthorization: Bearer " + routedKey + "\r\n" +
+		names.RequestID + ": hidden\r\nContent-Length: 0\r\n\r\n"
+	framings := []string{
+		fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n", len(hidden)+5),
+		fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n", len(hidden)),
+		fmt.Sprintf("Content-Length: 0\nX: y\r\nContent-Length: %d\r\n", len(hidden)),
+		"Transfer-Encoding: xchunked\r\n",
+	}
+	for n, framing := range framings {
+		text := fmt.Sprintf("POST /once/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: seen-%d\r\n%s\r\n0\r\n\r\n%s",
+			routedHost, routedKey, names.RequestID, n, framing, hidden)
+		answer := raw(t, f.instances[0].clients, text)
+		if strings.Count(answer, "HTTP/1.1") != 1 || !strings.HasPrefix(answer, "HTTP/1.1 400") {
+			t.Errorf("%q is answered with %q", framing, answer)
+		}
+	}
+	if runs := f.runsOf("hidden"); len(runs) != 0 {
+		t.Errorf("the hidden request ran %d times", len(runs))
+	}
+}
+
+// A client leaves in the middle of its stream. The engine is told so at once: it
+// would work on for nobody.
+func TestLeavingClientStopsTheEngine(t *testing.T) {
+	f := newRouted(t, 1, 1_000_000)
+	f.allFaults(f.engines, standin.UpstreamFaults{Delay: 150 * time.Millisecond})
+	names := platform.UpstreamHeaders
+	raw(t, f.instances[0].clients, fmt.Sprintf(
+		"POST /stream/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: gone\r\nContent-Length: 0\r\n\r\n",
+		routedHost, routedKey, names.RequestID)) // leaves after 0.7 s
+	f.awaitRouted("the engine's end", func() bool {
+		runs := f.runsOf("gone")
+		return len(runs) == 1 && runs[0].Cancelled
+	})
+}
+
+// An operator drops a route and adds it again, an upstream says that it leaves.
+// Every instance follows: a dropped route is not found, and nothing new goes to
+// the leaving upstream.
+func TestChangesReachEveryInstance(t *testing.T) {
+	f := newRouted(t, 3, 1_000_000)
+	status := func(i *routedInstance) int { return f.send(i, "probe", "safe", "x").status }
+	for _, dropped := range []bool{true, false} {
+		f.without["safe"] = dropped
+		f.configure()
+		want := http.StatusOK
+		if dropped {
+			want = http.StatusNotFound
+		}
+		for _, i := range f.instances {
+			f.awaitRouted("the change", func() bool { return status(i) == want })
+		}
+	}
+	leaving := f.plain[0]
+	object, err := f.client.Get(t.Context(), "servers/p0")
+	f.must(err)
+	_, err = f.client.Put(t.Context(), "servers/p0", leaving.Entry("jobs", domainOf(0), true), object.Version)
+	f.must(err)
+	time.Sleep(time.Second)
+	before := len(leaving.Runs())
+	for n := range 30 {
+		f.send(f.instances[n%3], fmt.Sprintf("late-%d", n), "safe", "x")
+	}
+	if got := len(leaving.Runs()) - before; got != 0 {
+		t.Errorf("%d requests went to the leaving upstream", got)
+	}
+}
+
+// The store turns everybody away. An instance that starts meanwhile gets the
+// configuration and the upstreams from another and serves.
+func TestInstanceStartsWhileTheStoreIsAway(t *testing.T) {
+	f := newRouted(t, 2, 1_000_000)
+	f.send(f.instances[0], "before", "safe", "x")
+	f.store.SetFaults(standin.Faults{Outage: true})
+	f.instances[1].kill()
+	text := fmt.Sprintf("seeds = [%q]\n", f.instances[0].peers)
+	f.appendSettings(f.instances[1], text)
+	f.instances[1].process = f.run(f.instances[1])
+	f.awaitRouted("ready", func() bool { return f.instances[1].isReady() })
+	if a := f.send(f.instances[1], "during", "once", "x"); a.status != http.StatusOK && a.status != http.StatusServiceUnavailable {
+		t.Errorf("got %d %s", a.status, a.body)
+	}
+}
+
+// Many clients of one account send at once through three instances, and instances
+// are killed. What the engines ran for it never costs more than was prepaid, and
+// at the end the clients are refused for good.
+func TestPrepaidHoldsAcrossKills(t *testing.T) {
+	const streams = 60
+	f := newRouted(t, 3, streams*(promptTokens+streamEvents))
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	for n := range 120 {
+		clients.Go(func() {
+			a := f.send(f.instances[n%3], fmt.Sprintf("s-%d", n), "stream", "x")
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[a.status]++
+		})
+		if n%40 == 39 {
+			i := f.instances[n/40%3]
+			i.kill()
+			i.process = f.run(i)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	clients.Wait()
+	cost := int64(0)
+	for _, engine := range f.engines {
+		for _, run := range engine.Runs() {
+			cost += promptTokens + int64(run.Events)
+		}
+	}
+	if cost > f.prepaid {
+		t.Errorf("%d tokens of %d prepaid were spent; answers: %v", cost, f.prepaid, statuses)
+	}
+	if statuses[http.StatusOK] < streams/3 {
+		t.Errorf("few were served: %v", statuses)
+	}
+}
+
+// Instances are stopped one after the other, as at a release, while clients go on
+// and keep their connections. No request that was read is lost.
+func TestPlannedStopsLoseNothing(t *testing.T) {
+	f := newRouted(t, 3, 10_000_000)
+	f.allFaults(f.engines, standin.UpstreamFaults{Delay: 50 * time.Millisecond})
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for c := range 3 {
+		clients.Go(func() { f.keepSending(c, stop) })
+	}
+	f.instances[0].signal(syscall.SIGTERM)
+	f.awaitRouted("unready", func() bool { return !f.instances[0].isReady() })
+	f.instances[1].signal(syscall.SIGHUP)
+	if err := f.instances[0].cmd.Wait(); err != nil {
+		t.Errorf("the stopped instance ended with %v", err)
+	}
+	close(stop)
+	clients.Wait()
+}
+
+// keepSending sends one request after the other on kept connections and complains
+// of each that was read and got no whole answer.
+func (f *routed) keepSending(c int, stop chan struct{}) {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		id := fmt.Sprintf("c%d-%d", c, n)
+		req, err := http.NewRequest(http.MethodPost, "http://"+f.instances[c].clients+"/stream/x", nil)
+		if err != nil {
+			f.t.Error(err)
+			return
+		}
+		req.Host = routedHost
+		req.Header.Set("Authorization", "Bearer "+routedKey)
+		req.Header.Set(platform.UpstreamHeaders.RequestID, id)
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			if len(f.runsOf(id)) > 0 {
+				f.t.Errorf("%s ran and its connection ended: %v", id, err)
+			}
+			return // the instance has gone; clients go elsewhere
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || (resp.StatusCode == http.StatusOK && string(body) != streamBody(1, streamEvents)) {
+			f.t.Errorf("%s got %d %q, %v", id, resp.StatusCode, body, err)
+		}
+	}
+}
