Changes of the store gathered for 100 ms

Cause: 22 upstreams that register one after the other made each instance's watch return 25 times before the first request. Change: a follower that got changes waits 100 ms before it asks again.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -18,6 +18,10 @@
 	// store allows no longer one. A connection that went silent meanwhile is
 	// found by the kernel's probes, not by this.
 	watchWait = 30 * time.Second
+	// gather is the pause after a change: changes come in groups (upstreams that
+	// start together, one version after the other), and each watch that returns is
+	// a call. It delays a change by a twentieth of the time that it may take.
+	gather = 100 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed call, which
 	// doubles in between: short enough to be up to date within a second of the
 	// store's return, long enough to bound the calls to one that refuses.
@@ -84,5 +88,8 @@
 		return since, err
 	}
 	f.Copy.Apply(changes)
+	if len(changes.Changes) > 0 {
+		pause.For(ctx, gather)
+	}
 	return max(changes.Version, since), nil
 }
