A budget found short stays short until the ledger is seen again

A budget counted as short for three seconds only, after which each drew its last crumbs and returned them; and a refusal answered for later requests of its own size only. Change: short and dry stand until a write sees the ledger again or a top-up; what any write saw of a budget answers for a second to every request that needs more.

--- a/pkg/prepaid/loan.go
+++ b/pkg/prepaid/loan.go
@@ -100,7 +100,7 @@
 	if !known {
 		n.recalled[budget] = now
 	}
-	p.scarceUntil, p.dryUntil = now.Add(scarceFor), now.Add(scarceFor)
+	p.scarce, p.dry = true, true
 	n.mu.Unlock()
 	if known {
 		return false
@@ -132,9 +132,8 @@
 func (n *Node) Recalled(budget string) {
 	n.mu.Lock()
 	p := n.purse(budget)
-	p.scarceUntil = n.Now().Add(scarceFor)
-	p.dryUntil = p.scarceUntil
-	p.giveBack(p.free - p.target(n.ahead, n.Now()))
+	p.scarce, p.dry = true, true
+	p.giveBack(p.free - p.target(n.ahead))
 	shard := n.ShardOf(budget)
 	if p.counter.Returned > p.written && n.shards[shard].flight == nil {
 		n.begin(shard, "", 0)
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -11,10 +11,10 @@
 
 // Bounds of the ways to tokens.
 const (
-	// denyFor is how long the ledger's word that a budget is short answers for
-	// later requests of the same size or more: with many accounts at their ends,
-	// asking for each request is most of what an instance asks of the store. What
-	// settled requests return has to be found within about a second and a half.
+	// denyFor is how long what the ledger had left answers for requests that need
+	// more: with many accounts at their ends, asking for each request is most of
+	// what an instance asks of the store. What settled requests return has to be
+	// found within about a second and a half.
 	denyFor = time.Second
 	// peersAsked is how many peers are asked when the store does not answer.
 	peersAsked = 3
@@ -30,8 +30,9 @@
 	// short, so that not every request costs a write. When not even one large
 	// request is left in the ledger it keeps nothing.
 	scarceAhead = 2 * time.Second
-	// recallPause is the least time between two recalls of one budget.
-	recallPause = time.Second
+	// recallPause is the least time between two recalls of one budget: others keep
+	// nothing of it from the first on.
+	recallPause = 3 * time.Second
 	// recallWait is how long a request waits for what a recall brings back.
 	recallWait = 40 * time.Millisecond
 )
@@ -172,7 +173,7 @@
 	if n.tryReserve(budget, tokens) {
 		return reservation, nil
 	}
-	if n.deniedLately(budget, tokens) {
+	if n.knownShort(budget, tokens) {
 		return nil, &ShortError{Budget: budget, Need: tokens, Exhausted: true, Step: "ledger"}
 	}
 	err := n.drawFor(ctx, budget, tokens)
@@ -208,21 +209,22 @@
 			return nil, &ShortError{Budget: r.budget, Need: r.tokens, Step: "ledger", Err: err}
 		}
 	}
-	n.mu.Lock()
-	p := n.purse(r.budget)
-	p.denied, p.deniedTo, p.deniedBy = r.tokens, n.Now().Add(denyFor), n.Amounts(n.ShardOf(r.budget)).Version
-	n.mu.Unlock()
 	return nil, &ShortError{Budget: r.budget, Need: r.tokens, Exhausted: true, Step: "ledger"}
 }
 
-func (n *Node) deniedLately(budget string, tokens int64) bool {
+// knownShort reports that the ledger had too few tokens for a request a moment
+// ago, and that the others have been asked to return theirs: another write would
+// only say so again. Any write of the same shard renews what is known.
+func (n *Node) knownShort(budget string, tokens int64) bool {
+	amounts := n.Amounts(n.ShardOf(budget))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.purse(budget)
-	if tokens < p.denied || !n.Now().Before(p.deniedTo) {
-		return false
-	}
-	return p.deniedBy == n.Amounts(n.ShardOf(budget)).Version // a top-up counts at once
+	p.toppedUp(amounts.Tokens[budget])
+	now := n.Now()
+	recalled := now.Sub(n.recalled[budget]) < recallPause
+	seen := now.Sub(p.seenAt) < denyFor
+	return recalled && seen && tokens-p.free > p.left
 }
 
 // Settle ends a reservation with what was used; the rest is free again. Usage
--- a/pkg/prepaid/purse.go
+++ b/pkg/prepaid/purse.go
@@ -16,8 +16,6 @@
 	// mostHeldPart bounds what all instances together hold ahead to this part of
 	// what is left of a budget: the loss of all at once strands it.
 	mostHeldPart = 2
-	// scarceFor is how long a budget counts as short after it was found so.
-	scarceFor = 3 * time.Second
 )
 
 // purse is what one instance has of one budget. Invariant: free + reserved +
@@ -47,14 +45,16 @@
 	// waiting are the needs of requests that wait for the next write.
 	waiting int64
 
-	// scarceUntil is until when the ledger counts as short of this budget, dryUntil
-	// as having less than one large request takes.
-	scarceUntil, dryUntil time.Time
-	// denied is the smallest need that the ledger could not meet, until deniedTo.
-	denied   int64
-	deniedTo time.Time
-	// deniedBy is the configuration that it was denied under.
-	deniedBy uint64
+	// scarce says that the ledger had less than a large request for each instance
+	// when it was last seen, dry that it had less than one. They stand until the
+	// ledger is seen again or the account is topped up: to look again only because
+	// time has passed would draw the last crumbs to and fro.
+	scarce, dry bool
+	// prepaid is what was prepaid when the ledger was last seen.
+	prepaid int64
+	// left is what the ledger had when it was last seen, at seenAt.
+	left   int64
+	seenAt time.Time
 	// lendersRest is until when peers are not asked again.
 	lendersRest time.Time
 }
@@ -92,29 +92,33 @@
 
 // target is how many free tokens the instance wants to hold: its demand for a
 // time, but at least one usual request once there has been demand.
-func (p *purse) target(ahead time.Duration, now time.Time) int64 {
-	if p.perSecond < 1 || now.Before(p.dryUntil) {
+func (p *purse) target(ahead time.Duration) int64 {
+	if p.perSecond < 1 || p.dry {
 		return 0
 	}
-	if p.scarce(now) {
+	if p.scarce {
 		return int64(max(p.perSecond*scarceAhead.Seconds(), p.usual))
 	}
 	return int64(max(min(p.perSecond*ahead.Seconds(), p.most), p.usual))
 }
 
-// note takes in how much of the budget the ledger has left.
-func (p *purse) note(left int64, instances int, now time.Time) {
+// note takes in how the budget stands in the ledger.
+func (p *purse) note(b Budget, instances int, now time.Time) {
 	instances = max(instances, 1)
+	left := b.Free()
+	p.left, p.seenAt = left, now
+	p.prepaid = b.Prepaid
 	p.most = float64(left) / float64(mostHeldPart*instances)
-	if left < p.largest*int64(instances) {
-		p.scarceUntil = now.Add(scarceFor)
-	}
-	if left < p.largest {
-		p.dryUntil = now.Add(scarceFor)
-	}
+	p.scarce = left < p.largest*int64(instances)
+	p.dry = left < p.largest
 }
 
-func (p *purse) scarce(now time.Time) bool { return now.Before(p.scarceUntil) }
+// toppedUp forgets that the budget was short if more is prepaid now.
+func (p *purse) toppedUp(prepaid int64) {
+	if prepaid > p.prepaid {
+		p.scarce, p.dry, p.seenAt = false, false, time.Time{}
+	}
+}
 
 // giveBack takes tokens out of free, to be returned by the next write.
 func (p *purse) giveBack(tokens int64) {
--- a/pkg/prepaid/tick.go
+++ b/pkg/prepaid/tick.go
@@ -19,10 +19,15 @@
 	interval := max(now.Sub(n.lastTick), time.Millisecond)
 	n.lastTick = now
 	due := make([]bool, len(n.shards))
+	amounts := make([]Amounts, len(n.shards))
+	for shard := range amounts {
+		amounts[shard] = n.Amounts(shard)
+	}
 	for id, p := range n.purses {
 		p.tick(interval)
 		shard := n.ShardOf(id)
-		due[shard] = n.due(p, now) || due[shard] || n.shards[shard].away
+		p.toppedUp(amounts[shard].Tokens[id])
+		due[shard] = n.due(p) || due[shard] || n.shards[shard].away
 	}
 	for shard := range due {
 		if due[shard] && n.shards[shard].flight == nil {
@@ -33,12 +38,12 @@
 
 // due returns tokens of a budget that is short, and reports whether the budget
 // calls for a write.
-func (n *Node) due(p *purse, now time.Time) bool {
-	target := p.target(n.ahead, now)
+func (n *Node) due(p *purse) bool {
+	target := p.target(n.ahead)
 	if n.stopping {
 		target = 0
 	}
-	if p.scarce(now) || n.stopping {
+	if p.scarce || n.stopping {
 		if surplus := p.free - target; surplus > p.largest/returnPart || n.stopping {
 			p.giveBack(surplus)
 		}
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -128,14 +128,13 @@
 
 // wishes gathers what is wanted of every budget of a shard; n.mu is held.
 func (n *Node) wishes(shard int, budget string, need int64) map[string]Wish {
-	now := n.Now()
 	known := int64(max(n.Fleet.Known(), 1))
 	out := map[string]Wish{}
 	for id, p := range n.purses {
 		if n.ShardOf(id) != shard {
 			continue
 		}
-		target := p.target(n.ahead, now)
+		target := p.target(n.ahead)
 		wish := Wish{
 			Known:     p.counter,
 			Returned:  p.counter.Returned,
@@ -147,7 +146,7 @@
 			wish.Need = max(need-p.free, 0)
 			wish.More = max(wish.More-wish.Need, 0)
 		}
-		if wish.Need > 0 && p.perSecond < 1 && !p.scarce(now) {
+		if wish.Need > 0 && p.perSecond < 1 && !p.scarce {
 			wish.Ahead = need // a first request draws for a second one
 		}
 		if n.stopping {
@@ -181,10 +180,9 @@
 	now, known := n.Now(), n.Fleet.Known()
 	for id, counter := range after.Writers[n.Self].Counters {
 		p := n.purse(id)
-		free := after.Budgets[id].Free()
 		if drawn := p.adopt(counter); drawn > 0 {
-			n.Observer.Drawn(id, drawn, free)
+			n.Observer.Drawn(id, drawn, after.Budgets[id].Free())
 		}
-		p.note(free, known, now)
+		p.note(after.Budgets[id], known, now)
 	}
 }
