--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -108,7 +108,7 @@
 	for _, u := range upstreams {
 		s := p.states[u.ID]
 		if s == nil {
-			s = &state{cached: map[uint64]time.Time{}}
+			s = &state{cached: map[uint64]time.Time{}, hash: xxhash.Sum64String(u.ID)}
 			p.states[u.ID] = s
 		}
 		s.Upstream = u
@@ -195,7 +195,7 @@
 	var best *state
 	var most uint64
 	for _, s := range p.list {
-		score := mix(session ^ xxhash.Sum64String(s.ID))
+		score := mix(session ^ s.hash)
 		if best == nil || score > most {
 			best, most = s, score
 		}
@@ -214,7 +214,7 @@
 
 func (p *Pool) cost(s *state, want *Want, home bool, now time.Time) float64 {
 	if !p.engine {
-		cost := s.load(now) + failingCost*s.failing
+		cost := s.load(now) + failingCost*s.failingNow(now)
 		if s.Domain != p.domain {
 			cost += plainOtherDomainCost
 		}
@@ -233,7 +233,7 @@
 	if s.SlowFor > 0 {
 		cost *= coldFactor
 	}
-	return cost * (1 + failingCost*s.failing)
+	return cost * (1 + failingCost*s.failingNow(now))
 }
 
 // cachedTokens estimates how much of the prompt an engine need not read again:
@@ -326,6 +326,6 @@
 	case Failed:
 		s.failed(p.now())
 	case Succeeded:
-		s.succeeded(p.now().Sub(l.started))
+		s.succeeded(p.now().Sub(l.started), p.now())
 	}
 }
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/registry"
@@ -16,6 +17,10 @@
 	loadHalfLife = 300 * time.Millisecond
 	// smoothing is the weight of the newest sample in smoothed figures.
 	smoothing = 0.1
+	// failingHalfLife is the age at which a share of failures counts half, and
+	// leastFailing the share that is none.
+	failingHalfLife = 2 * time.Second
+	leastFailing    = 0.02
 	// failuresBeforeAvoiding is how many failures in a row make an upstream
 	// avoided; one can be the request's own fault.
 	failuresBeforeAvoiding = 2
@@ -42,8 +47,11 @@
 
 	failures   int
 	avoidUntil time.Time
-	// failing is the smoothed share of requests that failed.
-	failing float64
+	// failing is the smoothed share of requests that failed, as of failingAt.
+	failing   float64
+	failingAt time.Time
+	// hash is of the incarnation's id.
+	hash uint64
 	// took is the smoothed time to the answer.
 	took time.Duration
 	// cached holds when this instance last sent a prompt part there.
@@ -66,8 +74,23 @@
 	return s.failures >= failuresBeforeAvoiding && now.Before(s.avoidUntil)
 }
 
+// failingNow is the share of failures, faded by age: an upstream that gets nothing
+// because it failed has no other way to show that it has recovered.
+func (s *state) failingNow(now time.Time) float64 {
+	if s.failing == 0 {
+		return 0
+	}
+	halvings := float64(now.Sub(s.failingAt)) / float64(failingHalfLife)
+	if faded := s.failing * math.Exp2(-halvings); faded >= leastFailing {
+		return faded
+	}
+	return 0
+}
+
 func (s *state) failed(now time.Time) {
+	s.failing = s.failingNow(now)
 	s.failing += smoothing * (1 - s.failing)
+	s.failingAt = now
 	s.failures++
 	pause := avoidFor
 	for n := failuresBeforeAvoiding; n < s.failures && pause < avoidAtMost; n++ {
@@ -76,8 +99,9 @@
 	s.avoidUntil = now.Add(min(pause, avoidAtMost))
 }
 
-func (s *state) succeeded(took time.Duration) {
-	s.failing -= smoothing * s.failing
+func (s *state) succeeded(took time.Duration, now time.Time) {
+	s.failing = s.failingNow(now) * (1 - smoothing)
+	s.failingAt = now
 	s.failures = 0
 	if s.took == 0 {
 		s.took = took
