Clients come back two seconds after a refusal in an outage

Cause: in a cut, refused clients were asked back after 150 ms, when the next instance was cut off as well; they used their one return up and were refused again. Change: an instance that reaches neither ledger nor lender says two seconds; clients honour a third of their remaining time at most.

--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -26,6 +26,10 @@
 	// soonRetry is when a client may come back after a refusal that another
 	// instance or a moment later may not repeat.
 	soonRetry = 150 * time.Millisecond
+	// outageRetry is when to come back to an instance that reaches neither the
+	// ledger nor a lender: outages and cuts last seconds, and clients honour a third
+	// of the time that they have left at most.
+	outageRetry = 2 * time.Second
 	// startRetry is when to come back to an instance without a configuration.
 	startRetry = 500 * time.Millisecond
 )
@@ -209,5 +213,5 @@
 	if errors.As(err, &short) && short.Exhausted {
 		return &Refusal{Reason: Exhausted, Step: "reserve", Err: err}
 	}
-	return &Refusal{Reason: TokensUnsure, RetryAfter: soonRetry, Step: "reserve", Err: err}
+	return &Refusal{Reason: TokensUnsure, RetryAfter: outageRetry, Step: "reserve", Err: err}
 }
