--- a/pkg/instance/admin.go
+++ b/pkg/instance/admin.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderring/lavenderring/pkg/budget"
 	"github.com/lavenderring/lavenderring/pkg/document"
 	"github.com/lavenderring/lavenderring/pkg/ledger"
+	"github.com/lavenderring/lavenderring/pkg/life"
 	"github.com/lavenderring/lavenderring/pkg/member"
 )
 
@@ -64,11 +65,11 @@
 }
 
 func (i *Instance) ready(_ context.Context, c *app.RequestContext) {
-	if i.State() != stateReady {
+	if i.State() != life.Ready {
 		c.String(consts.StatusServiceUnavailable, i.State())
 		return
 	}
-	c.String(consts.StatusOK, stateReady)
+	c.String(consts.StatusOK, life.Ready)
 }
 
 func (i *Instance) showMetrics(_ context.Context, c *app.RequestContext) {
@@ -94,9 +95,7 @@
 		Members:     i.table.View(),
 		Grants:      i.budgets.Holder().View(),
 	}
-	i.storeMu.Lock()
-	status.StoreUp = i.storeUp
-	i.storeMu.Unlock()
+	status.StoreUp = i.tie.Up()
 	for _, f := range i.config.Snapshot().Services {
 		status.Generations[f.Service] = f.Generation
 	}
--- a/pkg/instance/duties.go
+++ b/pkg/instance/duties.go
@@ -25,7 +25,7 @@
 	i.startDuties()
 	if i.sync(ctx) {
 		i.callers.Serve()
-		i.fire(triggerSynced)
+		i.life.Synced()
 		<-ctx.Done()
 	}
 	return i.stop()
@@ -170,7 +170,7 @@
 }
 
 func (i *Instance) stop() error {
-	i.fire(triggerStop)
+	i.life.Stop()
 	i.table.MarkLeaving()
 	i.nudge.TryPut(struct{}{})
 	pause.For(context.Background(), i.settings.DrainDelay())
@@ -181,7 +181,7 @@
 	i.handOver()
 	i.end()
 	i.duties.Wait()
-	i.fire(triggerDone)
+	i.life.Done()
 	i.admin.Close()
 	i.peers.Close()
 	return err
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/qmuntal/stateless"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/lavenderring/lavenderring/pkg/bill"
@@ -20,6 +19,7 @@
 	"github.com/lavenderring/lavenderring/pkg/entry"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpserve"
+	"github.com/lavenderring/lavenderring/pkg/life"
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/peer"
@@ -30,21 +30,6 @@
 	"github.com/lavenderring/lavenderring/platform"
 )
 
-// States of an instance's life.
-const (
-	stateStarting = "starting"
-	stateReady    = "ready"
-	stateDraining = "draining"
-	stateStopped  = "stopped"
-)
-
-// Triggers between them.
-const (
-	triggerSynced = "synced"
-	triggerStop   = "stop"
-	triggerDone   = "done"
-)
-
 // Bounds of the stop.
 const (
 	// drainTimeout bounds the wait for requests in progress at a planned stop;
@@ -66,7 +51,7 @@
 	incarnation string
 	log         *eventlog.Log
 	metrics     metrics.Registry
-	life        *stateless.StateMachine
+	life        *life.Life
 
 	store   *platform.Client
 	peers   *peer.Client
@@ -93,8 +78,7 @@
 
 	callerTLS, peerServerTLS, peerClientTLS *tls.Config // nil for plain connections
 
-	storeMu sync.Mutex
-	storeUp bool
+	tie *life.StoreTie
 
 	// syncedGenerations is touched by the ledger sync duty only.
 	syncedGenerations uint64
@@ -115,10 +99,10 @@
 		metrics:     metrics.NewRegistry(),
 		fetches:     ring.New[fetch](fetchQueue),
 		nudge:       ring.New[struct{}](1),
-		storeUp:     true,
 	}
 	i.background, i.end = context.WithCancel(context.Background())
-	i.life = i.newLife()
+	i.life = life.New(i.log)
+	i.tie = life.NewStoreTie(i.log)
 	if err := i.provisionTLS(); err != nil {
 		return nil, err
 	}
@@ -132,28 +116,6 @@
 	return i, nil
 }
 
-func (i *Instance) newLife() *stateless.StateMachine {
-	life := stateless.NewStateMachine(stateStarting)
-	life.Configure(stateStarting).Permit(triggerSynced, stateReady).Permit(triggerStop, stateDraining)
-	life.Configure(stateReady).
-		OnEntry(func(context.Context, ...any) error {
-			i.log.Event(eventlog.InstanceReady, "", nil)
-			return nil
-		}).
-		Permit(triggerStop, stateDraining)
-	life.Configure(stateDraining).
-		OnEntry(func(context.Context, ...any) error {
-			i.log.Event(eventlog.InstanceDraining, "", nil)
-			return nil
-		}).
-		Permit(triggerDone, stateStopped)
-	life.Configure(stateStopped).OnEntry(func(context.Context, ...any) error {
-		i.log.Event(eventlog.InstanceStopped, "", nil)
-		return nil
-	})
-	return life
-}
-
 func (i *Instance) provisionTLS() error {
 	var err error
 	if files := i.settings.CallerTLS; files != (settings.TLSFiles{}) {
@@ -167,7 +129,7 @@
 
 func (i *Instance) provisionFleet() {
 	s := i.settings
-	i.store = platform.NewClient(s.PlatformAddress, s.StoreTimeout(), i.noteStore)
+	i.store = platform.NewClient(s.PlatformAddress, s.StoreTimeout(), i.tie.Note)
 	i.table = member.NewTable(member.Config{
 		Self: &memberpb.Member{
 			Incarnation: i.incarnation,
@@ -261,22 +223,6 @@
 	i.entry.ApplyConfig(f)
 }
 
-// noteStore logs when the platform goes away and comes back.
-func (i *Instance) noteStore(err error) {
-	i.storeMu.Lock()
-	defer i.storeMu.Unlock()
-	up := err == nil
-	if up == i.storeUp {
-		return
-	}
-	i.storeUp = up
-	if up {
-		i.log.Event(eventlog.StoreReachable, "", nil)
-		return
-	}
-	i.log.Event(eventlog.StoreUnreachable, "", eventlog.Fields{"cause": err.Error()})
-}
-
 // isWatcher tells whether this instance is the one of its failure domain that
 // watches the store. Two may think so for a while; that costs a call.
 func (i *Instance) isWatcher() bool {
@@ -288,9 +234,5 @@
 	return false
 }
 
-// fire moves the instance's life on. Run fires each trigger once and in order, so
-// none is refused.
-func (i *Instance) fire(trigger string) { _ = i.life.Fire(trigger) }
-
 // State returns the state of the instance's life.
-func (i *Instance) State() string { return i.life.MustState().(string) }
+func (i *Instance) State() string { return i.life.State() }
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -9,6 +9,8 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/lavenderring/lavenderring/pkg/life"
 )
 
 // percentiles are shown of each timer.
@@ -21,7 +23,7 @@
 }
 
 func (r *Router) isReady(_ context.Context, c *app.RequestContext) {
-	if r.State() != stateReady {
+	if r.State() != life.Ready {
 		c.SetStatusCode(consts.StatusServiceUnavailable)
 		return
 	}
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -47,7 +47,7 @@
 	r.door.Serve()
 	r.startDuties()
 	if r.awaitSync(ctx) {
-		r.fire(triggerSynced)
+		r.life.Synced()
 		<-ctx.Done()
 	}
 	r.stop()
@@ -154,7 +154,7 @@
 // stop ends the instance in the time that it has.
 func (r *Router) stop() {
 	began := time.Now()
-	r.fire(triggerStop)
+	r.life.Stop()
 	r.door.Drain()
 	r.table.MarkLeaving()
 	deadline := began.Add(r.settings.Grace() - handOver)
@@ -169,7 +169,7 @@
 	r.tokens.Stop(ctx)
 	r.door.Close()
 	r.end()
-	r.fire(triggerDone)
+	r.life.Done()
 	r.ready.Close()
 	r.admin.Close()
 	r.peers.Close()
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/qmuntal/stateless"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/lavenderring/lavenderring/pkg/door"
@@ -18,6 +17,7 @@
 	"github.com/lavenderring/lavenderring/pkg/forward"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/httpserve"
+	"github.com/lavenderring/lavenderring/pkg/life"
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/peer"
@@ -29,21 +29,6 @@
 	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
-// States of an instance's life.
-const (
-	stateStarting = "starting"
-	stateReady    = "ready"
-	stateDraining = "draining"
-	stateStopped  = "stopped"
-)
-
-// Triggers between them.
-const (
-	triggerSynced = "synced"
-	triggerStop   = "stop"
-	triggerDone   = "done"
-)
-
 // Bounds of an instance.
 const (
 	// heartbeat is the time between two rounds of heartbeats.
@@ -82,7 +67,7 @@
 	incarnation string
 	log         *eventlog.Log
 	metrics     metrics.Registry
-	life        *stateless.StateMachine
+	life        *life.Life
 
 	store    store.Watcher
 	config   routing.State
@@ -100,8 +85,7 @@
 	admin  *httpserve.Server
 	server *peer.Server
 
-	storeMu sync.Mutex
-	storeUp bool
+	tie *life.StoreTie
 
 	noted member.Notes
 
@@ -120,11 +104,11 @@
 		metrics:     metrics.NewRegistry(),
 		registry:    registry.New(time.Now),
 		conns:       httpconn.NewPool(time.Now),
-		storeUp:     true,
 	}
 	r.background, r.end = context.WithCancel(context.Background())
-	r.life = r.newLife()
-	r.store = p.NewStore(s.StoreAddress, r.noteStore)
+	r.life = life.New(r.log)
+	r.tie = life.NewStoreTie(r.log)
+	r.store = p.NewStore(s.StoreAddress, r.tie.Note)
 	r.provisionFleet()
 	r.provisionForward()
 	if err := r.bind(); err != nil {
@@ -135,21 +119,6 @@
 	return r, nil
 }
 
-func (r *Router) newLife() *stateless.StateMachine {
-	note := func(number eventlog.Number) func(context.Context, ...any) error {
-		return func(context.Context, ...any) error {
-			r.log.Event(number, "", nil)
-			return nil
-		}
-	}
-	life := stateless.NewStateMachine(stateStarting)
-	life.Configure(stateStarting).Permit(triggerSynced, stateReady).Permit(triggerStop, stateDraining)
-	life.Configure(stateReady).OnEntry(note(eventlog.InstanceReady)).Permit(triggerStop, stateDraining)
-	life.Configure(stateDraining).OnEntry(note(eventlog.InstanceDraining)).Permit(triggerDone, stateStopped)
-	life.Configure(stateStopped).OnEntry(note(eventlog.InstanceStopped))
-	return life
-}
-
 func (r *Router) provisionFleet() {
 	s := r.settings
 	r.table = member.NewTable(member.Config{
@@ -246,25 +215,5 @@
 	r.log.Event(eventlog.SettingsRead, "", fields)
 }
 
-// noteStore logs when the store goes away and comes back.
-func (r *Router) noteStore(err error) {
-	r.storeMu.Lock()
-	defer r.storeMu.Unlock()
-	up := err == nil
-	if up == r.storeUp {
-		return
-	}
-	r.storeUp = up
-	if up {
-		r.log.Event(eventlog.StoreReachable, "", nil)
-		return
-	}
-	r.log.Event(eventlog.StoreUnreachable, "", eventlog.Fields{"cause": err.Error()})
-}
-
-// fire moves the instance's life on. Run fires each trigger once and in order, so
-// none is refused.
-func (r *Router) fire(trigger string) { _ = r.life.Fire(trigger) }
-
 // State returns the state of the instance's life.
-func (r *Router) State() string { return r.life.MustState().(string) }
+func (r *Router) State() string { return r.life.State() }
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -45,11 +45,11 @@
 	route := NewTable(testConfig(1), time.Time{}).Route("h.example", "/jobs/7")
 	counts := map[string]int{}
 	for n := range 10_000 {
-		id := fmt.Sprint(n)
-		if route.Target(id) != route.Target(id) {
-			t.Fatal("one request has two services")
+		first := route.Target(fmt.Sprint(n))
+		if again := route.Target(fmt.Sprint(n)); again != first {
+			t.Fatalf("one request has two services: %s and %s", first, again)
 		}
-		counts[route.Target(id)]++
+		counts[first]++
 	}
 	if counts["t"] < 8_800 || counts["t"] > 9_200 {
 		t.Errorf("shares are %v", counts)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -284,10 +284,16 @@
 
 func (f *fleet) await(what string, done func() bool) {
 	f.t.Helper()
+	await(f.t, what, done)
+}
+
+// await looks again and again until something is done.
+func await(t testing.TB, what string, done func() bool) {
+	t.Helper()
 	deadline := time.Now().Add(giveUpAfter)
 	for !done() {
 		if time.Now().After(deadline) {
-			f.t.Fatalf("gave up waiting for %s", what)
+			t.Fatalf("gave up waiting for %s", what)
 		}
 		time.Sleep(lookAgain)
 	}
--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -79,11 +79,7 @@
 
 func (f *routed) awaitRouted(what string, done func() bool) {
 	f.t.Helper()
-	for deadline := time.Now().Add(giveUpAfter); !done(); time.Sleep(lookAgain) {
-		if time.Now().After(deadline) {
-			f.t.Fatalf("gave up waiting for %s", what)
-		}
-	}
+	await(f.t, what, done)
 }
 
 func (f *routed) startUpstream(id, service string, events, domain int) *standin.Upstream {
