--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -47,7 +47,7 @@
 // answer has been delivered.
 func (c *call) attempt(ctx context.Context) *failure {
 	if c.remaining() <= leastAttemptTime {
-		return &failure{step: "choose", err: errNoTime, notRun: true, final: true}
+		return &failure{step: "choose", err: errNoTime, final: true}
 	}
 	place, failed := c.choose()
 	if failed != nil {
@@ -136,11 +136,11 @@
 	}
 	most := a.c.target.MaxConnections
 	if most > 0 && a.c.f.Conns.Open(address) >= max(most/max(a.c.f.Instances(), 1), 1) {
-		return &failure{step: "dial", peer: address, err: errConnections, notRun: true, full: true}
+		return &failure{step: "dial", peer: address, err: errConnections, full: true}
 	}
 	conn, err := httpconn.Dial(ctx, address, min(dialTimeout, a.c.remaining()))
 	if err != nil {
-		return &failure{step: "dial", peer: address, err: err, notRun: true}
+		return &failure{step: "dial", peer: address, err: err}
 	}
 	a.c.f.meters.newConns.Inc(1)
 	a.c.f.Conns.Opened(address)
@@ -220,7 +220,7 @@
 		// The upstream's word that it did not run: what earlier attempts did stands.
 		a.c.mayHaveRun = a.c.ranBefore
 		full := head.Status == http.StatusServiceUnavailable || head.Status == http.StatusTooManyRequests
-		return &failure{step: "status", peer: peer, err: errRefused, notRun: true, full: full}
+		return &failure{step: "status", peer: peer, err: errRefused, full: full}
 	case head.ID != "" && head.ID != a.c.r.ID:
 		a.c.f.Log.Event(eventlog.AnswerMismatch, a.c.r.ID, eventlog.Fields{"upstream": a.place.ID, "answer_to": head.ID})
 		return a.unknown("head", errMismatch)
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -115,8 +115,6 @@
 type failure struct {
 	step, peer string
 	err        error
-	// notRun says that the attempt certainly did not run.
-	notRun bool
 	// full says that the upstream refused for its load.
 	full bool
 	// final forbids another attempt.
@@ -217,7 +215,7 @@
 		return place, nil
 	}
 	if len(c.tried) == 0 {
-		return nil, &failure{step: "choose", err: errNoUpstream, notRun: true, final: true}
+		return nil, &failure{step: "choose", err: errNoUpstream, final: true}
 	}
-	return nil, &failure{step: "choose", err: errAllTried, notRun: true, final: true}
+	return nil, &failure{step: "choose", err: errAllTried, final: true}
 }
--- a/pkg/prepaid/purse.go
+++ b/pkg/prepaid/purse.go
@@ -47,8 +47,9 @@
 
 	// scarce says that the ledger had less than a large request for each instance
 	// when it was last seen, dry that it had less than one. They stand until the
-	// ledger is seen again or the account is topped up: to look again only because
-	// time has passed would draw the last crumbs to and fro.
+	// ledger is seen again or the account is topped up: if they
+	// ended by time, each instance would draw the last tokens and return them again
+	// and again.
 	scarce, dry bool
 	// prepaid is what was prepaid when the ledger was last seen.
 	prepaid int64
