An aborted answer waits until nothing reads from its connection any more

Cause (race detector, TestBrokenStreams, once in a run beside other work): when an answer cannot be ended the HTTP library gives the connection's buffers away while the reader that senses a client's leaving may still fill them; bytes of one client could land in another's request. Seen in a stand-in; the door aborts streams the same way.

--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -115,7 +115,7 @@
 func (d *Door) handle(ctx context.Context, c *app.RequestContext) {
 	d.active.Add(1)
 	defer d.active.Add(-1)
-	w := &writer{c: c, door: d}
+	w := &writer{ctx: ctx, c: c, door: d}
 	if err := checkFraming(c.Request.Header.RawHeaders()); err != nil {
 		c.SetConnectionClose()
 		w.Refuse(&forward.Refusal{Reason: forward.Malformed, Step: "framing", Err: err})
@@ -131,6 +131,8 @@
 // writer writes one answer. It implements forward.Client and, for streams, the
 // library's response writer.
 type writer struct {
+	// ctx is the handler's; it ends when the client has left.
+	ctx     context.Context
 	c       *app.RequestContext
 	door    *Door
 	aborted bool
--- a/pkg/door/stream.go
+++ b/pkg/door/stream.go
@@ -4,6 +4,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"github.com/lavenderring/lavenderring/pkg/forward"
+	"github.com/lavenderring/lavenderring/pkg/httpserve"
 )
 
 // streamWriter stands between the library and its chunked writer, so that an
@@ -29,7 +30,11 @@
 	if s.w.aborted {
 		return errAborted
 	}
-	return s.chunks.Finalize()
+	err := s.chunks.Finalize()
+	if err != nil {
+		s.w.Abort()
+	}
+	return err
 }
 
 // Begin implements forward.Client.
@@ -52,5 +57,5 @@
 // Abort implements forward.Client.
 func (w *writer) Abort() {
 	w.aborted = true
-	_ = w.c.GetConn().Close()
+	httpserve.Abort(w.ctx, w.c)
 }
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -122,6 +122,23 @@
 	return l.wrap(conn), nil
 }
 
+// abortWait bounds the wait for the library's reader. It ends at once when the
+// connection closes; it has ended before if the client sent more bytes.
+const abortWait = 100 * time.Millisecond
+
+// Abort closes a request's connection and waits until the library has stopped
+// reading from it; ctx is the handler's, of a server that senses clients' leaving.
+// When an answer cannot be ended the library gives the connection's buffers away
+// while its reader may still fill them: bytes of one client would land in another's
+// request. The reader ends ctx as its last act.
+func Abort(ctx context.Context, c *app.RequestContext) {
+	_ = c.GetConn().Close()
+	select {
+	case <-ctx.Done():
+	case <-time.After(abortWait):
+	}
+}
+
 // Take makes a handler that decodes a JSON body and hands it on; a body that is
 // none is answered with 400.
 func Take[T any](take func(T)) app.HandlerFunc {
