A stopping instance refuses late requests that might outlast it

Change: 2.5 s after the signal requests whose time limit lies behind the end are refused as not run. Test: TestLateRequestIsNotBegunAndCutOff, which fails without.

--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -30,6 +31,9 @@
 	// ledger nor a lender: outages and cuts last seconds, and clients honour a third
 	// of the time that they have left at most.
 	outageRetry = 2 * time.Second
+	// lateAfter is how long after a planned stop has begun requests of any length
+	// are still taken: the balancer has turned away by then.
+	lateAfter = 2500 * time.Millisecond
 	// startRetry is when to come back to an instance without a configuration.
 	startRetry = 500 * time.Millisecond
 )
@@ -63,10 +67,28 @@
 	Deps
 	meters meters
 
+	// stop is nil until a planned stop begins.
+	stop atomic.Pointer[plannedStop]
+
 	mu       sync.Mutex
 	services map[string]*service
 }
 
+// plannedStop is when a planned stop began and when it ends.
+type plannedStop struct{ began, ends time.Time }
+
+// StopBy says that the instance ends at a time. Requests that come late and might
+// last longer are refused from now on: cut off in the middle, a client would not
+// know whether they ran.
+func (f *Forwarder) StopBy(ends time.Time) { f.stop.Store(&plannedStop{began: f.Now(), ends: ends}) }
+
+// endsBefore reports that the instance may end before a request does that came
+// long after its stop began.
+func (f *Forwarder) endsBefore(deadline time.Time) bool {
+	stop := f.stop.Load()
+	return stop != nil && f.Now().Sub(stop.began) > lateAfter && deadline.After(stop.ends)
+}
+
 // service is what an instance keeps of one service.
 type service struct {
 	pool  *placement.Pool
@@ -170,6 +192,9 @@
 	}
 	c.target, c.service = target, f.service(target.Name)
 	c.setDeadline()
+	if f.endsBefore(c.deadline) {
+		return nil, &Refusal{Reason: Stopping, RetryAfter: soonRetry}
+	}
 	return c, c.reserve(ctx)
 }
 
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -22,6 +22,8 @@
 	NoUpstream      Reason = "no-upstream"
 	Overloaded      Reason = "overloaded"
 	NotRunTimeout   Reason = "not-run-in-time"
+	// Stopping means that the instance ends before the request might.
+	Stopping Reason = "instance-stopping"
 	// Unknown means that an attempt failed and may have run.
 	Unknown Reason = "outcome-unknown"
 	// Timeout means that time ran out on an attempt that may have run.
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -155,9 +155,10 @@
 func (r *Router) stop() {
 	began := time.Now()
 	r.life.Stop()
+	deadline := began.Add(r.settings.Grace() - handOver)
+	r.forward.StopBy(deadline)
 	r.door.Drain()
 	r.table.MarkLeaving()
-	deadline := began.Add(r.settings.Grace() - handOver)
 	for time.Now().Before(deadline) {
 		if r.door.Active() == 0 && time.Since(began) >= unreadyFor {
 			break
--- a/test/route_test.go
+++ b/test/route_test.go
@@ -274,6 +274,21 @@
 	clients.Wait()
 }
 
+// An instance has been told to stop three seconds ago, and a client that still has
+// a connection sends a stream that would last longer than the instance. It is told
+// "not run" and to come back, which it can do elsewhere; it is not cut off in the
+// middle of an answer.
+func TestLateRequestIsNotBegunAndCutOff(t *testing.T) {
+	f := newRouted(t, 1, 1_000_000)
+	f.allFaults(f.engines, standin.UpstreamFaults{Delay: 450 * time.Millisecond})
+	f.instances[0].signal(syscall.SIGTERM)
+	time.Sleep(3 * time.Second)
+	a := f.send(f.instances[0], "late", "stream", "x")
+	if a.status != http.StatusServiceUnavailable || a.retryAfter == "" || len(f.runsOf("late")) != 0 {
+		t.Errorf("got %+v, %d runs", a, len(f.runsOf("late")))
+	}
+}
+
 // keepSending sends one request after the other on kept connections and complains
 // of each that was read and got no whole answer.
 func (f *routed) keepSending(c int, stop chan struct{}) {
