A stopping instance passes nothing on in its last moment

Change: requests read after that look are refused as not run, and answers have 100 ms to leave before connections are closed.

--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -21,6 +21,10 @@
 // maxBodyBytes bounds a body before the configuration's own limit is looked at.
 const maxBodyBytes = 16 << 20
 
+// closedRetry is when a client may come back that reached an instance in its last
+// moment: at once, since the balancer sends it elsewhere.
+const closedRetry = 50 * time.Millisecond
+
 // Format is the platform's way to write requests and refusals.
 type Format interface {
 	DecodeRequest(h *protocol.RequestHeader, body []byte, now time.Time) *forward.Request
@@ -47,6 +51,7 @@
 	opts     Options
 	server   *httpserve.Server
 	draining atomic.Bool
+	closing  atomic.Bool
 	active   atomic.Int64
 
 	mu    sync.Mutex
@@ -77,6 +82,12 @@
 // Drain makes every answer from now on the last of its connection.
 func (d *Door) Drain() { d.draining.Store(true) }
 
+// Refuse ends the taking of requests: those that are read from now on are refused as
+// not run. When Active then returns 0, nothing is passed on any more. Without it a
+// request that is read between the last look at Active and Close would be passed on
+// and its connection closed.
+func (d *Door) Refuse() { d.closing.Store(true) }
+
 // Active returns how many requests are in progress.
 func (d *Door) Active() int64 { return d.active.Load() }
 
@@ -116,6 +127,10 @@
 	d.active.Add(1)
 	defer d.active.Add(-1)
 	w := &writer{ctx: ctx, c: c, door: d}
+	if d.closing.Load() { // looked at after the request was counted in
+		w.Refuse(&forward.Refusal{Reason: forward.Stopping, RetryAfter: closedRetry})
+		return
+	}
 	if err := checkFraming(c.Request.Header.RawHeaders()); err != nil {
 		c.SetConnectionClose()
 		w.Refuse(&forward.Refusal{Reason: forward.Malformed, Step: "framing", Err: err})
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -35,6 +35,9 @@
 	// handOver is the part of the time to stop that is kept for the return of
 	// tokens.
 	handOver = 700 * time.Millisecond
+	// lastAnswers is the time that answers have to leave after their handlers have
+	// returned, before connections are closed.
+	lastAnswers = 100 * time.Millisecond
 	// drainCheck is how often the requests in progress are counted.
 	drainCheck = 20 * time.Millisecond
 )
@@ -165,9 +168,14 @@
 		}
 		pause.For(context.Background(), drainCheck)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), handOver)
+	r.door.Refuse()
+	for r.door.Active() > 0 && time.Now().Before(deadline) {
+		pause.For(context.Background(), drainCheck)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOver-lastAnswers)
 	defer cancel()
 	r.tokens.Stop(ctx)
+	pause.For(context.Background(), lastAnswers)
 	r.door.Close()
 	r.end()
 	r.life.Done()
