--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -134,7 +134,6 @@
 	registry.Upstream
 	pool    *Pool
 	state   *state
-	started time.Time
 	pending int64
 	done    bool
 }
@@ -267,7 +266,7 @@
 			s.forgetOld(now)
 		}
 	}
-	return &Place{Upstream: s.Upstream, pool: p, state: s, started: now, pending: pending}
+	return &Place{Upstream: s.Upstream, pool: p, state: s, pending: pending}
 }
 
 // maxCachedParts bounds the parts remembered of one engine before old ones go.
@@ -326,6 +325,6 @@
 	case Failed:
 		s.failed(p.now())
 	case Succeeded:
-		s.succeeded(p.now().Sub(l.started), p.now())
+		s.succeeded(p.now())
 	}
 }
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -52,8 +52,6 @@
 	failingAt time.Time
 	// hash is of the incarnation's id.
 	hash uint64
-	// took is the smoothed time to the answer.
-	took time.Duration
 	// cached holds when this instance last sent a prompt part there.
 	cached map[uint64]time.Time
 }
@@ -99,12 +97,8 @@
 	s.avoidUntil = now.Add(min(pause, avoidAtMost))
 }
 
-func (s *state) succeeded(took time.Duration, now time.Time) {
+func (s *state) succeeded(now time.Time) {
 	s.failing = s.failingNow(now) * (1 - smoothing)
 	s.failingAt = now
 	s.failures = 0
-	if s.took == 0 {
-		s.took = took
-	}
-	s.took += time.Duration(smoothing * float64(took-s.took))
 }
--- a/pkg/router/members.go
+++ b/pkg/router/members.go
@@ -60,22 +60,26 @@
 	return &memberpb.Config{Service: req.Service}, nil
 }
 
-// fetchNewer takes from a peer what it has under a higher version. A machine
+// fetchNewer takes from a peer what it has under a higher version. An instance
 // that the store does not answer must follow changes all the same.
 func (r *Router) fetchNewer(address string, names []string) {
 	for _, name := range names {
-		r.fetch(r.background, address, name)
+		r.fetch(address, name) // if it fails, the next heartbeat tells of it again
 	}
 }
 
-func (r *Router) fetch(ctx context.Context, address, name string) {
-	reply, err := r.peers.FetchConfig(ctx, address, name)
+// fetch takes one thing from the instance at an address, and reports whether it
+// had it.
+func (r *Router) fetch(address, name string) bool {
+	reply, err := r.peers.FetchConfig(r.background, address, name)
 	if err != nil || len(reply.Accepted) == 0 {
-		return // the next heartbeat tells of it again
+		return false
 	}
 	if err := r.takeShared(name, reply.Accepted); err != nil {
 		r.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"peer": address, "cause": err.Error()})
+		return false
 	}
+	return true
 }
 
 func (r *Router) takeShared(name string, value []byte) error {
@@ -113,18 +117,9 @@
 // askPeers fetches from one peer after the other until one had something.
 func (r *Router) askPeers(name string) {
 	for _, m := range r.table.Live() {
-		if m.Incarnation == r.incarnation {
-			continue
-		}
-		reply, err := r.peers.FetchConfig(r.background, m.PeerAddress, name)
-		if err != nil || len(reply.Accepted) == 0 {
-			continue
-		}
-		if err := r.takeShared(name, reply.Accepted); err != nil {
-			r.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"peer": m.PeerAddress, "cause": err.Error()})
-			continue
+		if m.Incarnation != r.incarnation && r.fetch(m.PeerAddress, name) {
+			return
 		}
-		return
 	}
 }
 
