Callers are not told that an account is exhausted when others took its tokens; no lasting rush to the ledger

Cause: tokens that a write brought for one request were taken by others that woke with it or came meanwhile, and a second failure counted as exhausted. Now they are taken before the lock is let go, newcomers leave alone what others wait for, and exhausted is said only if the ledger has too few. TestTokensTakenByOthersAreNotExhaustion fails without that. Now one that is no candidate writes once a second at most. Third: a drawer replaced at its address was asked under its old name, and what it dealt out could be taken in again under the new one. It declines now; the test names the failure. An instance reads the list of instances at its start, to know the fleet's size.

--- a/pkg/prepaid/drawer.go
+++ b/pkg/prepaid/drawer.go
@@ -52,6 +52,12 @@
 
 // Refill takes an asker's report of its demand and deals tokens out to it.
 func (n *Node) Refill(ctx context.Context, req *prepaidpb.RefillRequest) *prepaidpb.RefillReply {
+	if req.Drawer != n.Self {
+		// The process that was asked has been replaced at its address. Totals are between
+		// two incarnations: an asker that took this one's in under the old name would take
+		// the same tokens in again under the new one.
+		return &prepaidpb.RefillReply{Declined: true}
+	}
 	if len(req.Demands) == 0 {
 		return &prepaidpb.RefillReply{}
 	}
@@ -60,59 +66,58 @@
 	if a == nil {
 		return &prepaidpb.RefillReply{Declined: true}
 	}
-	exhausted := map[string]bool{}
-	for _, d := range req.Demands {
-		if d.Need <= 0 {
-			continue
-		}
-		err := n.obtain(ctx, d.Budget, d.Need)
-		var short *ShortError
-		exhausted[d.Budget] = errors.As(err, &short) && short.Exhausted
-		if err != nil && !exhausted[d.Budget] && !errors.Is(err, errReturning) {
+	var short *ShortError
+	waiting := neededIn(req)
+	if waiting != nil {
+		err := n.findForAsker(ctx, waiting.Budget, waiting.Need)
+		if errors.As(err, &short) && !short.Exhausted && !errors.Is(err, errTooFew) {
 			return &prepaidpb.RefillReply{Declined: true} // another drawer may reach the ledger
 		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if waiting != nil && short == nil {
+		a.budgets[waiting.Budget].granted += waiting.Need
+	}
 	reply := &prepaidpb.RefillReply{}
 	for _, d := range req.Demands {
 		supply := n.supply(a, d, shard)
-		supply.Exhausted = exhausted[d.Budget]
+		supply.Exhausted = d == waiting && short != nil && short.Exhausted
 		reply.Supplies = append(reply.Supplies, supply)
 	}
-	if !onlyNeed(req) {
+	if waiting == nil {
 		n.supplyUnasked(a, shard, reply)
 	}
 	return reply
 }
 
-// onlyNeed reports that a request waits for the answer, so that it should be short.
-func onlyNeed(req *prepaidpb.RefillRequest) bool {
-	return len(req.Demands) == 1 && req.Demands[0].Need > 0
+// neededIn returns the demand that a request waits for; a report has one at most.
+func neededIn(req *prepaidpb.RefillRequest) *prepaidpb.Demand {
+	for _, d := range req.Demands {
+		if d.Need > 0 {
+			return d
+		}
+	}
+	return nil
 }
 
-// obtain makes need tokens of a budget free at this instance, from the ledger and, if
-// that is short, from what the others give back. Errors: *ShortError.
-func (n *Node) obtain(ctx context.Context, budget string, need int64) error {
-	if n.Free(budget) >= need {
+// findForAsker takes tokens out of what is free at this instance, having them drawn
+// first if there are too few. Errors: *ShortError.
+func (n *Node) findForAsker(ctx context.Context, budget string, need int64) error {
+	if n.tryFirst(budget, need) {
 		return nil
 	}
 	if n.knownShort(budget, need) {
-		return &ShortError{Budget: budget, Need: need, Exhausted: true, Step: "ledger"}
-	}
-	if err := n.drawFor(ctx, budget, need); err != nil {
-		return &ShortError{Budget: budget, Need: need, Step: "ledger", Err: err}
+		return &ShortError{Budget: budget, Need: need, Exhausted: true, Step: "ledger", Err: errTooFew}
 	}
-	if n.Free(budget) >= need {
-		return nil
-	}
-	if err := n.drawReturned(ctx, budget, need); err != nil {
-		return err
-	}
-	if n.Free(budget) >= need {
+	found, err := n.withdraw(ctx, budget, need)
+	switch {
+	case found:
 		return nil
+	case err != nil:
+		return &ShortError{Budget: budget, Need: need, Step: "ledger", Err: err}
 	}
-	return &ShortError{Budget: budget, Need: need, Exhausted: n.recallSettled(budget), Step: "ledger", Err: errReturning}
+	return n.findReturned(ctx, budget, need)
 }
 
 // hear takes a report of a shard in; nil if this instance stops.
@@ -158,10 +163,8 @@
 	p := n.purse(d.Budget)
 	keep := n.keepOf(p, d, shard)
 	free := d.Free
-	if d.Need > 0 && p.free >= d.Need {
-		p.free -= d.Need
-		b.granted += d.Need
-		free = 0 // the waiting request takes what the asker has, and the need
+	if d.Need > 0 {
+		free = 0 // the waiting request takes what the asker has
 	}
 	if wanted := keep - free; wanted > 0 {
 		ahead := min(wanted, p.free/2)
--- a/pkg/prepaid/drawer_test.go
+++ b/pkg/prepaid/drawer_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
+	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 )
 
 // playLoad has every instance serve one request of 300 tokens in each of some half
@@ -115,3 +116,22 @@
 		}
 	})
 }
+
+// A drawer is replaced at its address. An instance that has not heard of it asks under
+// the old name and gets nothing: tokens dealt out there would be taken in once more under
+// the new name, and callers could spend more than was prepaid.
+func TestReplacedDrawerDeclines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(11, 2, map[string]int64{account: 100_000})
+		req := &prepaidpb.RefillRequest{
+			Asker: "i1", Drawer: "i0-before", Demands: []*prepaidpb.Demand{{Budget: account, Need: 500}},
+		}
+		if reply := f.nodes[0].Refill(t.Context(), req); !reply.Declined || len(reply.Supplies) > 0 {
+			t.Errorf("dealt out to %v", reply)
+		}
+		req.Drawer = "i0"
+		if reply := f.nodes[0].Refill(t.Context(), req); reply.Declined || reply.Supplies[0].Granted < 500 {
+			t.Errorf("declined the right name: %v", reply)
+		}
+	})
+}
--- a/pkg/prepaid/loan.go
+++ b/pkg/prepaid/loan.go
@@ -73,20 +73,24 @@
 // Lend hands tokens over to another instance: the need if it can be met from
 // what is at hand or from the ledger, and up to half of the rest.
 func (n *Node) Lend(ctx context.Context, budget string, need, ahead int64) int64 {
-	if n.Free(budget) < need {
-		if n.drawFor(ctx, budget, need) != nil {
-			return 0 // the asker tries others
-		}
+	if need <= 0 || n.stops() {
+		return 0
+	}
+	if found, err := n.withdraw(ctx, budget, need); err != nil || !found {
+		return 0 // the asker tries others
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.purse(budget)
-	if need <= 0 || p.free < need || n.stopping {
-		return 0
-	}
-	tokens := need + max(min(ahead, (p.free-need)/2), 0)
-	p.free -= tokens
-	p.demand += tokens // so that this instance holds enough for those that ask it
+	more := max(min(ahead, p.free/2), 0)
+	p.free -= more
+	p.demand += need + more // so that this instance holds enough for those that ask it
 	p.largest = max(p.largest, need)
-	return tokens
+	return need + more
+}
+
+func (n *Node) stops() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stopping
 }
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -180,73 +180,104 @@
 	return p
 }
 
-// tryReserve sets tokens aside from what is at hand.
-func (n *Node) tryReserve(budget string, tokens int64) bool {
+// tryFirst takes tokens from what is at hand and nobody waits for: tokens that a write
+// brought for others would be missing for them.
+func (n *Node) tryFirst(budget string, tokens int64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.purse(budget).take(tokens)
+	p := n.purse(budget)
+	return tokens <= p.free-p.waiting && p.remove(tokens)
+}
+
+// tryRemove takes tokens from what is at hand.
+func (n *Node) tryRemove(budget string, tokens int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.purse(budget).remove(tokens)
 }
 
 // Reserve sets tokens aside for one request: from what is at hand, from the
 // ledger, or, while the store does not answer, from peers. Errors: *ShortError.
 func (n *Node) Reserve(ctx context.Context, budget string, tokens int64) (*Reservation, error) {
-	reservation := &Reservation{budget: budget, tokens: tokens}
-	if n.tryReserve(budget, tokens) {
-		return reservation, nil
+	if err := n.find(ctx, budget, tokens); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.purse(budget).reserve(tokens)
+	return &Reservation{budget: budget, tokens: tokens}, nil
+}
+
+// find takes tokens out of what is free, having them brought here first if there are
+// too few. Errors: *ShortError.
+func (n *Node) find(ctx context.Context, budget string, tokens int64) error {
+	if n.tryFirst(budget, tokens) {
+		return nil
 	}
 	if n.knownShort(budget, tokens) {
-		return nil, &ShortError{Budget: budget, Need: tokens, Exhausted: true, Step: "ledger"}
+		return &ShortError{Budget: budget, Need: tokens, Exhausted: true, Step: "ledger", Err: errTooFew}
 	}
 	answered, exhausted := n.askDrawers(ctx, budget, tokens)
-	if n.tryReserve(budget, tokens) {
-		return reservation, nil
+	if n.tryRemove(budget, tokens) {
+		return nil
 	}
 	if answered {
-		return nil, &ShortError{Budget: budget, Need: tokens, Exhausted: exhausted, Step: "drawer", Err: errReturning}
-	}
-	err := n.drawFor(ctx, budget, tokens)
-	if n.tryReserve(budget, tokens) {
-		return reservation, nil
+		return &ShortError{Budget: budget, Need: tokens, Exhausted: exhausted, Step: "drawer", Err: errTooFew}
 	}
-	if err != nil {
-		lendErr := n.borrow(ctx, budget, tokens)
-		if n.tryReserve(budget, tokens) {
-			return reservation, nil
-		}
-		if lendErr != nil {
-			err = fmt.Errorf("%w; peers: %w", err, lendErr)
-		}
-		return nil, &ShortError{Budget: budget, Need: tokens, Step: "peers", Err: err}
-	}
-	return n.reserveScarce(ctx, reservation)
+	return n.findSelf(ctx, budget, tokens)
 }
 
-// reserveScarce has the other instances return what they do not need and asks
-// the ledger once more.
-func (n *Node) reserveScarce(ctx context.Context, r *Reservation) (*Reservation, error) {
-	err := n.drawReturned(ctx, r.budget, r.tokens)
-	if n.tryReserve(r.budget, r.tokens) {
-		return r, nil
+// findSelf is find without a drawer: from the ledger, or from peers.
+func (n *Node) findSelf(ctx context.Context, budget string, tokens int64) error {
+	err := ErrAway
+	if n.mayDrawNow(n.ShardOf(budget)) {
+		var found bool
+		if found, err = n.withdraw(ctx, budget, tokens); found {
+			return nil
+		}
 	}
-	if err != nil {
-		return nil, err
+	if err == nil {
+		return n.findReturned(ctx, budget, tokens)
+	}
+	lendErr := n.borrow(ctx, budget, tokens)
+	if n.tryRemove(budget, tokens) {
+		return nil
 	}
-	return nil, &ShortError{Budget: r.budget, Need: r.tokens, Exhausted: n.recallSettled(r.budget), Step: "ledger"}
+	if lendErr != nil {
+		err = fmt.Errorf("%w; peers: %w", err, lendErr)
+	}
+	return &ShortError{Budget: budget, Need: tokens, Step: "peers", Err: err}
 }
 
-// drawReturned has the others return what they do not need of a budget and draws it.
-func (n *Node) drawReturned(ctx context.Context, budget string, need int64) error {
+// findReturned has the others return what they do not need of a budget and asks the
+// ledger once more.
+func (n *Node) findReturned(ctx context.Context, budget string, tokens int64) error {
 	if !n.recall(budget) {
-		return nil
+		return n.shortOf(budget, tokens)
 	}
 	select {
 	case <-time.After(recallWait):
 	case <-ctx.Done():
 	}
-	if err := n.drawFor(ctx, budget, need); err != nil {
-		return &ShortError{Budget: budget, Need: need, Step: "ledger", Err: err}
+	found, err := n.withdraw(ctx, budget, tokens)
+	switch {
+	case found:
+		return nil
+	case err != nil:
+		return &ShortError{Budget: budget, Need: tokens, Step: "ledger", Err: err}
 	}
-	return nil
+	return n.shortOf(budget, tokens)
+}
+
+// shortOf tells why tokens could not be had of a ledger that answers. That a budget is
+// exhausted is final for the caller, so it is said only if the ledger has too few and
+// the others have given back what they hold: what was drawn for one request may have
+// been taken by others.
+func (n *Node) shortOf(budget string, need int64) *ShortError {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	exhausted := n.purse(budget).tooFew(need) && n.settled(budget, n.Now())
+	return &ShortError{Budget: budget, Need: need, Exhausted: exhausted, Step: "ledger", Err: errTooFew}
 }
 
 // knownShort reports that the ledger had too few tokens for a request a moment
@@ -261,7 +292,7 @@
 	now := n.Now()
 	recalled := now.Sub(n.recalls[budget].last) < recallPause
 	seen := now.Sub(p.seenAt) < denyFor
-	return recalled && n.settled(budget, now) && seen && tokens-p.free > p.left
+	return recalled && n.settled(budget, now) && seen && p.tooFew(tokens)
 }
 
 // Settle ends a reservation with what was used; the rest is free again. Usage
--- a/pkg/prepaid/node_test.go
+++ b/pkg/prepaid/node_test.go
@@ -206,3 +206,42 @@
 		return 0, ctx.Err()
 	}
 }
+
+// slowLedger takes a few milliseconds for each change, as the store does.
+type slowLedger struct{ *member }
+
+// Update implements prepaid.Ledger.
+func (l slowLedger) Update(ctx context.Context, shard int, change func(*prepaid.Shard)) error {
+	time.Sleep(2 * time.Millisecond)
+	err := l.member.Update(ctx, shard, change)
+	time.Sleep(2 * time.Millisecond)
+	return err
+}
+
+// Many callers of an account with plenty of tokens reach one instance while its first
+// draw is on its way. What was drawn for one is taken by another that came later. None
+// is told that the account is exhausted, which is final: the ledger has enough.
+func TestTokensTakenByOthersAreNotExhaustion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(12, 1, map[string]int64{account: 1 << 40})
+		node := prepaid.NewNode(prepaid.Config{Self: "slow", Shards: 1, Ahead: time.Second}, prepaid.Deps{
+			Ledger:   slowLedger{f.nodes[0]},
+			Peers:    f.nodes[0],
+			Fleet:    f.nodes[0],
+			Observer: f.nodes[0],
+			Amounts:  func(int) prepaid.Amounts { return f.amounts },
+			Now:      time.Now,
+		})
+		for n := range 200 {
+			go func() {
+				time.Sleep(time.Duration(n) * 100 * time.Microsecond)
+				_, err := node.Reserve(t.Context(), account, int64(100+n%7*40))
+				if err != nil {
+					t.Errorf("request %d: %v", n, err)
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
--- a/pkg/prepaid/purse.go
+++ b/pkg/prepaid/purse.go
@@ -69,11 +69,17 @@
 	lendersRest time.Time
 }
 
-func (p *purse) take(tokens int64) bool {
+// remove takes tokens out of what is free, if there are as many.
+func (p *purse) remove(tokens int64) bool {
 	if tokens > p.free {
 		return false
 	}
 	p.free -= tokens
+	return true
+}
+
+// reserve notes that tokens, which were removed, are set aside for a request.
+func (p *purse) reserve(tokens int64) {
 	p.reserved += tokens
 	p.demand += tokens
 	p.largest = max(p.largest, tokens)
@@ -81,7 +87,6 @@
 		p.usual = float64(tokens)
 	}
 	p.usual += sizeSmoothing * (float64(tokens) - p.usual)
-	return true
 }
 
 func (p *purse) settle(tokens, used int64) {
--- a/pkg/prepaid/recall.go
+++ b/pkg/prepaid/recall.go
@@ -19,15 +19,9 @@
 	n.recalls[budget] = times
 }
 
-// recallSettled reports that what a recall could bring back has come back.
-func (n *Node) recallSettled(budget string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.settled(budget, n.Now())
-}
-
-// settled is recallSettled with n.mu held. Where each instance draws for itself it
-// returns by a write of its own before the recall's wait is over.
+// settled reports that what a recall of a budget could bring back has come back; n.mu
+// is held. Where each instance draws for itself it returns by a write of its own before
+// the recall's wait is over.
 func (n *Node) settled(budget string, now time.Time) bool {
 	if len(n.Fleet.Drawers(n.ShardOf(budget))) == 0 {
 		return true
--- a/pkg/prepaid/refill.go
+++ b/pkg/prepaid/refill.go
@@ -31,9 +31,9 @@
 // errDeclined means that a drawer stops or does not reach the ledger.
 var errDeclined = errors.New("drawer declined")
 
-// errReturning means that the ledger is short and that others have been asked to give
-// back what they hold.
-var errReturning = errors.New("ledger is short, others are giving back")
+// errTooFew means that the ledger answered and has too few tokens. Unless the budget is
+// said to be exhausted, others have been asked to give back what they hold.
+var errTooFew = errors.New("too few tokens in the ledger")
 
 // drawer is what an instance keeps of one drawer that it asks.
 type drawer struct {
@@ -160,7 +160,7 @@
 	go func() {
 		callCtx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		req := &prepaidpb.RefillRequest{Asker: n.Self, Demands: demands}
+		req := &prepaidpb.RefillRequest{Asker: n.Self, Drawer: name, Demands: demands}
 		reply, err := n.Peers.Refill(callCtx, name, req)
 		if err == nil && reply.Declined {
 			err = errDeclined
--- a/pkg/prepaid/tick.go
+++ b/pkg/prepaid/tick.go
@@ -71,6 +71,31 @@
 	return rand.N(strangerTries) == 0
 }
 
+// mayDrawNow reports whether this instance, for which no drawer answers, writes to the
+// ledger for a request that waits. One that is no candidate does so once in a while: when
+// the drawers found the ledger too busy and all others wrote themselves, that kept it
+// busy, and a day's last twenty seconds were spent so.
+func (n *Node) mayDrawNow(shard int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	candidates := n.Fleet.Drawers(shard)
+	if len(candidates) == 0 || slices.Contains(candidates, n.Self) {
+		return true
+	}
+	state := &n.shards[shard]
+	now := n.Now()
+	if state.flight == nil && now.Before(state.strangerAt) {
+		return false
+	}
+	state.strangerAt = now.Add(strangerPause)
+	return true
+}
+
+// strangerPause is the least time between two writes that an instance which is no
+// candidate for drawing makes for requests: 73 instances make 70 of them a second of
+// one ledger object at most, a quarter of what it takes at 4 ms each.
+const strangerPause = time.Second
+
 // strangerTries is in how many ticks, on average, an instance that is no candidate for
 // drawing writes to the ledger without a request that waits.
 const strangerTries = 20
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -38,6 +38,8 @@
 	// there are, this one included.
 	askers     map[string]*asker
 	domainSize int
+	// strangerAt is when an instance that is no candidate may write for a request.
+	strangerAt time.Time
 	// awaySince is when it was first found away.
 	awaySince time.Time
 }
@@ -54,34 +56,46 @@
 // may not answer at all, and peers are asked while there is time.
 const ledgerPatience = 200 * time.Millisecond
 
-// drawFor makes need tokens free, drawing them from the ledger with what other
-// requests wait for and some ahead. It returns nil if the ledger answered, also
-// if it had too few.
-func (n *Node) drawFor(ctx context.Context, budget string, need int64) error {
+// drawTries bounds the writes for one request. Requests that come while a write is on
+// its way may take what it brings before the one that it was for; a second write takes
+// the needs of all that wait then.
+const drawTries = 4
+
+// withdraw takes need tokens out of what is free, drawing them from the ledger with
+// what other requests wait for and some ahead. They are taken before the lock is let
+// go, or others that woke with this one would take them. It reports false without an
+// error if the ledger answered and has too few.
+func (n *Node) withdraw(ctx context.Context, budget string, need int64) (bool, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	shard := n.ShardOf(budget)
 	p := n.purse(budget)
 	p.waiting += need
 	defer func() { p.waiting -= need }()
-	for p.free < need {
+	for writes := 0; !p.remove(need); {
+		if writes == drawTries || (writes > 0 && p.tooFew(need)) {
+			return false, nil
+		}
 		state := &n.shards[shard]
 		late := state.flight != nil && n.Now().Sub(state.flight.began) >= ledgerPatience
 		if late || (state.away && state.flight == nil) {
-			return ErrAway
+			return false, ErrAway
 		}
-		own := state.flight == nil
-		if own {
+		if state.flight == nil {
 			n.begin(shard, budget, need)
+			writes++
 		}
-		err := n.await(ctx, state.flight)
-		if err != nil || own {
-			return err
+		if err := n.await(ctx, state.flight); err != nil {
+			return false, err
 		}
 	}
-	return nil
+	return true, nil
 }
 
+// tooFew reports that the ledger, when it was last seen, had too few tokens for a need
+// beyond what is at hand.
+func (p *purse) tooFew(need int64) bool { return need-p.free > p.left }
+
 // await waits for a flight; n.mu is held and let go meanwhile.
 func (n *Node) await(ctx context.Context, f *flight) error {
 	n.mu.Unlock()
@@ -143,20 +157,19 @@
 		target := n.targetOf(p, shard)
 		p.owed = 0
 		wish := Wish{
-			Known:     p.counter,
-			Returned:  p.counter.Returned,
-			More:      max(p.waiting-p.free, 0),
-			Ahead:     max(target-p.free, 0),
+			Known:    p.counter,
+			Returned: p.counter.Returned,
+			More:     max(p.waiting-p.free, 0),
+			// As much again as is waited for is wanted for those that come while the
+			// write is on its way.
+			Ahead:     max(target-p.free, p.waiting),
 			AheadPart: aheadPart * sharers,
 		}
 		if id == budget {
 			wish.Need = max(need-p.free, 0)
 			wish.More = max(wish.More-wish.Need, 0)
 		}
-		if wish.Need > 0 && p.perSecond < 1 && !p.scarce {
-			wish.Ahead = need // a first request draws for a second one
-		}
-		if n.stopping {
+		if n.stopping || p.dry {
 			wish.Ahead = 0
 		}
 		out[id] = wish
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -143,6 +143,9 @@
 // meet makes this instance known and learns of the others, from the seeds and
 // from the store's list; after that heartbeats do.
 func (r *Router) meet(ctx context.Context) {
+	// At once, so that an instance which starts in a large fleet takes it for one: else
+	// all that start together after a power loss write to the ledger for themselves.
+	r.learnListed(ctx)
 	for _, seed := range r.settings.Seeds {
 		if seed != r.settings.PeerAddress {
 			r.gossip.Beat(ctx, seed, r.gossip.Digest())
--- a/pkg/router/members.go
+++ b/pkg/router/members.go
@@ -131,18 +131,22 @@
 		return true // cannot be written now or later
 	}
 	err = store.Update(ctx, r.store, memberKind+"/"+r.settings.Name, func([]byte) ([]byte, error) { return value, nil })
-	if err != nil {
-		return false
-	}
+	return err == nil && r.learnListed(ctx)
+}
+
+// learnListed takes in the store's list of instances, and reports whether it could.
+func (r *Router) learnListed(ctx context.Context) bool {
 	list, err := r.store.List(ctx, memberKind)
 	if err != nil {
 		return false
 	}
 	for _, object := range list.Objects {
 		var m memberpb.Member
-		if json.Unmarshal(object.Value, &m) == nil {
-			r.table.Learn(&m, false)
+		if err := json.Unmarshal(object.Value, &m); err != nil {
+			r.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"peer": object.Key, "cause": err.Error()})
+			continue
 		}
+		r.table.Learn(&m, false)
 	}
 	return true
 }
