--- a/pkg/prepaid/drawer_test.go
+++ b/pkg/prepaid/drawer_test.go
@@ -126,11 +126,11 @@
 		req := &prepaidpb.RefillRequest{
 			Asker: "i1", Drawer: "i0-before", Demands: []*prepaidpb.Demand{{Budget: account, Need: 500}},
 		}
-		if reply := f.nodes[0].Refill(t.Context(), req); !reply.Declined || len(reply.Supplies) > 0 {
+		if reply := f.nodes[0].Node.Refill(t.Context(), req); !reply.Declined || len(reply.Supplies) > 0 {
 			t.Errorf("dealt out to %v", reply)
 		}
 		req.Drawer = "i0"
-		if reply := f.nodes[0].Refill(t.Context(), req); reply.Declined || reply.Supplies[0].Granted < 500 {
+		if reply := f.nodes[0].Node.Refill(t.Context(), req); reply.Declined || reply.Supplies[0].Granted < 500 {
 			t.Errorf("declined the right name: %v", reply)
 		}
 	})
