Few tries for instances that do not draw; a drawer does not write for what it just saw short

Cause: after a power loss of all 73 instances accounts are short, and each instance that no drawer served wrote for itself with twelve tries each; a drawer wrote for each request of a short account until a recall had settled.

--- a/pkg/prepaid/fake_test.go
+++ b/pkg/prepaid/fake_test.go
@@ -109,7 +109,7 @@
 
 // Update implements prepaid.Ledger: as the real one it reads, changes, writes
 // under a condition, and tries again after a conflict or a lost answer.
-func (m *member) Update(_ context.Context, _ int, change func(*prepaid.Shard)) error {
+func (m *member) Update(_ context.Context, _, _ int, change func(*prepaid.Shard)) error {
 	f := m.fleet
 	for range 4 {
 		f.mu.Lock()
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -43,10 +43,11 @@
 	recallSettles = 1200 * time.Millisecond
 )
 
-// Ledger changes one shard by one conditional write. The function may be called
-// several times; what its last call saw is what was written.
+// Ledger changes one shard by one conditional write, in so many tries against other
+// instances' writes. The function may be called several times; what its last call saw
+// is what was written.
 type Ledger interface {
-	Update(ctx context.Context, shard int, change func(*Shard)) error
+	Update(ctx context.Context, shard, tries int, change func(*Shard)) error
 }
 
 // Peers carries messages to other instances.
--- a/pkg/prepaid/tick.go
+++ b/pkg/prepaid/tick.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -64,8 +63,7 @@
 // day of 73 instances that took half of the day's calls. So one that is no candidate
 // tries only now and then, for the case that none of the candidates lives; n.mu is held.
 func (n *Node) mayDraw(shard int) bool {
-	candidates := n.Fleet.Drawers(shard)
-	if n.stopping || len(candidates) == 0 || slices.Contains(candidates, n.Self) {
+	if n.stopping || !n.isStranger(shard) {
 		return true
 	}
 	return rand.N(strangerTries) == 0
@@ -78,8 +76,7 @@
 func (n *Node) mayDrawNow(shard int) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	candidates := n.Fleet.Drawers(shard)
-	if len(candidates) == 0 || slices.Contains(candidates, n.Self) {
+	if !n.isStranger(shard) {
 		return true
 	}
 	state := &n.shards[shard]
@@ -92,9 +89,9 @@
 }
 
 // strangerPause is the least time between two writes that an instance which is no
-// candidate for drawing makes for requests: 73 instances make 70 of them a second of
-// one ledger object at most, a quarter of what it takes at 4 ms each.
-const strangerPause = time.Second
+// candidate for drawing makes for requests: 73 instances make 50 tries a second of one
+// ledger object at most, a fifth of what it takes at 4 ms each.
+const strangerPause = 3 * time.Second
 
 // strangerTries is in how many ticks, on average, an instance that is no candidate for
 // drawing writes to the ledger without a request that waits.
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -73,7 +74,7 @@
 	p.waiting += need
 	defer func() { p.waiting -= need }()
 	for writes := 0; !p.remove(need); {
-		if writes == drawTries || (writes > 0 && p.tooFew(need)) {
+		if writes == drawTries || (writes > 0 && p.tooFew(need)) || n.justSeenShort(p, shard, need) {
 			return false, nil
 		}
 		state := &n.shards[shard]
@@ -92,6 +93,17 @@
 	return true, nil
 }
 
+// seenPause is how long a drawer takes the ledger's word that a budget has too few for a
+// need: what askers give back comes with their reports, twice a second, and a write for
+// each request would keep the ledger busy.
+const seenPause = 200 * time.Millisecond
+
+// justSeenShort reports that a drawer has seen a moment ago that the ledger has too few
+// for a need; n.mu is held.
+func (n *Node) justSeenShort(p *purse, shard int, need int64) bool {
+	return n.drawsForDomain(shard) && p.tooFew(need) && n.Now().Sub(p.seenAt) < seenPause
+}
+
 // tooFew reports that the ledger, when it was last seen, had too few tokens for a need
 // beyond what is at hand.
 func (p *purse) tooFew(need int64) bool { return need-p.free > p.left }
@@ -183,7 +195,7 @@
 func (n *Node) write(ctx context.Context, shard int, wishes map[string]Wish) error {
 	demand := n.domainDemand(shard)
 	var after *Shard
-	err := n.Ledger.Update(ctx, shard, func(s *Shard) {
+	err := n.Ledger.Update(ctx, shard, n.triesFor(shard), func(s *Shard) {
 		s.SetPrepaid(n.Amounts(shard))
 		s.Apply(n.Self, wishes)
 		if len(demand) > 0 {
@@ -197,6 +209,28 @@
 	return err
 }
 
+// Tries of one write against other instances' writes.
+const (
+	// writerTries is for one that is among the few that write to a shard.
+	writerTries = 12
+	// strangerWriteTries is for one that is not, in a large fleet: all of the others
+	// may be trying too, and each try keeps the drawers from theirs.
+	strangerWriteTries = 2
+)
+
+func (n *Node) triesFor(shard int) int {
+	if n.isStranger(shard) {
+		return strangerWriteTries
+	}
+	return writerTries
+}
+
+// isStranger reports that others draw a shard for this instance's domain.
+func (n *Node) isStranger(shard int) bool {
+	candidates := n.Fleet.Drawers(shard)
+	return len(candidates) > 0 && !slices.Contains(candidates, n.Self)
+}
+
 // adopt takes over what a write left in the ledger.
 func (n *Node) adopt(shard int, after *Shard) {
 	n.mu.Lock()
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -23,8 +23,6 @@
 
 // Bounds of one change of the ledger.
 const (
-	// ledgerTries bounds the tries against other instances' writes.
-	ledgerTries = 12
 	// ledgerPause is the longest pause between two tries; it grows to this.
 	ledgerPause = 16 * time.Millisecond
 )
@@ -47,13 +45,13 @@
 }
 
 // Update implements prepaid.Ledger.
-func (l *ledger) Update(ctx context.Context, shard int, change func(*prepaid.Shard)) error {
+func (l *ledger) Update(ctx context.Context, shard, tries int, change func(*prepaid.Shard)) error {
 	cache := &l.shards[shard]
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
 	key := shardKey(shard)
 	var err error
-	for try := range ledgerTries {
+	for try := range tries {
 		if try > 0 && !pause.For(ctx, rand.N(min(time.Millisecond<<try, ledgerPause))) {
 			return errors.Join(ctx.Err(), err)
 		}
