Instances that do not know the others yet leave the store alone; a replaced drawer names itself

Cause: after a power loss of all 73 instances the store was throttled by writes of instances that took themselves for one of a few, and its list of instances, which would have told them better, was throttled with them. An asker learned of a drawer's new incarnation seconds later, by heartbeats. The new test counts 520 tries without the safeguard where 240 are allowed.

--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -113,6 +113,23 @@
 	return joined
 }
 
+// Succeeded notes that a process answers at an incarnation's address that replaced it.
+func (t *Table) Succeeded(incarnation, successor string) {
+	t.mu.Lock()
+	e := t.entries[incarnation]
+	t.mu.Unlock()
+	if e == nil {
+		return
+	}
+	t.Learn(&memberpb.Member{
+		Incarnation: successor,
+		Name:        e.member.Name,
+		Region:      e.member.Region,
+		Domain:      e.member.Domain,
+		PeerAddress: e.member.PeerAddress,
+	}, true)
+}
+
 // Heard notes a sign of life of an incarnation.
 func (t *Table) Heard(incarnation string) {
 	t.mu.Lock()
--- a/pkg/prepaid/drawer.go
+++ b/pkg/prepaid/drawer.go
@@ -56,7 +56,7 @@
 		// The process that was asked has been replaced at its address. Totals are between
 		// two incarnations: an asker that took this one's in under the old name would take
 		// the same tokens in again under the new one.
-		return &prepaidpb.RefillReply{Declined: true}
+		return &prepaidpb.RefillReply{Declined: true, Successor: n.Self}
 	}
 	if len(req.Demands) == 0 {
 		return &prepaidpb.RefillReply{}
--- a/pkg/prepaid/drawer_test.go
+++ b/pkg/prepaid/drawer_test.go
@@ -135,3 +135,24 @@
 		}
 	})
 }
+
+// All instances of a large fleet start anew under load, while the store does not answer
+// yet, so that they do not know each other. Their callers are refused; the store sees few
+// tries, or it would be too busy to tell them of each other when it is back.
+func TestFleetThatStartsUnderLoadLeavesTheStoreAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances, steps = 40, 12
+		f := newFleet(13, instances, map[string]int64{account: 10_000_000})
+		f.unknown, f.down = true, true
+		f.playLoad(t, steps)
+		if most := instances * steps / 2; f.tries > most {
+			t.Errorf("%d tries in %d half seconds, %d allowed", f.tries, steps, most)
+		}
+		f.unknown, f.down = false, false
+		f.drawers = []string{"i0", "i1"}
+		f.playLoad(t, 10)
+		if _, refused := f.playLoad(t, 4); refused > 0 {
+			t.Errorf("%d refused after the store's return", refused)
+		}
+	})
+}
--- a/pkg/prepaid/fake_test.go
+++ b/pkg/prepaid/fake_test.go
@@ -30,6 +30,10 @@
 	amounts prepaid.Amounts
 	// drawers names who draws for all, the best first; each draws itself without.
 	drawers []string
+	// unknown says that instances do not know each other yet; tries counts their tries to
+	// write.
+	unknown bool
+	tries   int
 	// down makes the ledger refuse, lose is the chance that an answer is lost.
 	down bool
 	lose float64
@@ -109,10 +113,11 @@
 
 // Update implements prepaid.Ledger: as the real one it reads, changes, writes
 // under a condition, and tries again after a conflict or a lost answer.
-func (m *member) Update(_ context.Context, _, _ int, change func(*prepaid.Shard)) error {
+func (m *member) Update(_ context.Context, _, tries int, change func(*prepaid.Shard)) error {
 	f := m.fleet
-	for range 4 {
+	for range min(tries, 4) {
 		f.mu.Lock()
+		f.tries++
 		away := f.down || m.cut || m.dead
 		value, version := f.shard, f.version
 		f.mu.Unlock()
@@ -195,6 +200,9 @@
 	return names
 }
 
+// Joined implements prepaid.Fleet.
+func (m *member) Joined() bool { return !m.fleet.unknown }
+
 // Known implements prepaid.Fleet.
 func (m *member) Known() int { return len(m.fleet.nodes) }
 
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -64,6 +64,9 @@
 type Fleet interface {
 	// Others returns other instances in a random order.
 	Others() []string
+	// Joined reports whether the others are known. Until then this instance takes itself
+	// for one of many that write to the ledger.
+	Joined() bool
 	// Known returns how many instances are known, this one and silent ones too.
 	Known() int
 	// Drawers returns the instances that may draw a shard's budgets for the failure
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -225,8 +225,14 @@
 	return writerTries
 }
 
-// isStranger reports that others draw a shard for this instance's domain.
+// isStranger reports that others draw a shard for this instance's domain. One that does
+// not know the others yet counts as such: after a power loss of all 73 instances of a
+// large fleet each took itself for one of a few, and their tries kept the store too busy
+// to tell them of each other.
 func (n *Node) isStranger(shard int) bool {
+	if !n.Fleet.Joined() {
+		return true
+	}
 	candidates := n.Fleet.Drawers(shard)
 	return len(candidates) > 0 && !slices.Contains(candidates, n.Self)
 }
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -23,6 +23,9 @@
 	syncCheck = 20 * time.Millisecond
 	// registerSpread spreads the first writes of instances that start together.
 	registerSpread = time.Second
+	// listRetry is how often a starting instance tries to read the list of the others.
+	// Until it has, it draws next to no tokens.
+	listRetry = 250 * time.Millisecond
 	// registerEvery is how often a missing registration is tried again.
 	registerRetry = 2 * time.Second
 )
@@ -143,14 +146,13 @@
 // meet makes this instance known and learns of the others, from the seeds and
 // from the store's list; after that heartbeats do.
 func (r *Router) meet(ctx context.Context) {
-	// At once, so that an instance which starts in a large fleet takes it for one: else
-	// all that start together after a power loss write to the ledger for themselves.
-	r.learnListed(ctx)
 	for _, seed := range r.settings.Seeds {
 		if seed != r.settings.PeerAddress {
 			r.gossip.Beat(ctx, seed, r.gossip.Digest())
 		}
 	}
+	for !r.learnListed(ctx) && pause.For(ctx, listRetry/2+rand.N(listRetry)) {
+	}
 	pause.For(ctx, rand.N(registerSpread))
 	for ctx.Err() == nil && !r.register(ctx) {
 		pause.For(ctx, registerRetry)
--- a/pkg/router/members.go
+++ b/pkg/router/members.go
@@ -148,5 +148,6 @@
 		}
 		r.table.Learn(&m, false)
 	}
+	r.listed.Store(true)
 	return true
 }
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -86,6 +87,8 @@
 	server *peer.Server
 
 	tie *life.StoreTie
+	// listed says that the store's list of instances has been taken in.
+	listed atomic.Bool
 
 	noted member.Notes
 
@@ -152,8 +155,8 @@
 	}
 	r.tokens = prepaid.NewNode(cfg, prepaid.Deps{
 		Ledger:   newLedger(r.store, s.LedgerShards),
-		Peers:    lenders{r.peers},
-		Fleet:    fleetView{r.table},
+		Peers:    lenders{client: r.peers, table: r.table},
+		Fleet:    fleetView{table: r.table, listed: &r.listed},
 		Observer: tokenLog{r.log},
 		Amounts:  r.amounts,
 		Now:      time.Now,
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
@@ -97,7 +98,10 @@
 }
 
 // lenders implements prepaid.Peers.
-type lenders struct{ client *peer.Client }
+type lenders struct {
+	client *peer.Client
+	table  *member.Table
+}
 
 func (l lenders) Lend(ctx context.Context, to, budget string, need, ahead int64) (int64, error) {
 	return l.client.Lend(ctx, to, budget, need, ahead)
@@ -106,7 +110,12 @@
 func (l lenders) Refill(
 	ctx context.Context, to string, req *prepaidpb.RefillRequest,
 ) (*prepaidpb.RefillReply, error) {
-	return l.client.Refill(ctx, to, req)
+	reply, err := l.client.Refill(ctx, to, req)
+	if err == nil && reply.Successor != "" {
+		// Heartbeats would tell of it seconds later, in a large fleet.
+		l.table.Succeeded(to, reply.Successor)
+	}
+	return reply, err
 }
 
 func (l lenders) Recall(ctx context.Context, to, budget string) error {
@@ -114,7 +123,14 @@
 }
 
 // fleetView implements prepaid.Fleet.
-type fleetView struct{ table *member.Table }
+type fleetView struct {
+	table *member.Table
+	// listed says that the store's list of instances has been taken in.
+	listed *atomic.Bool
+}
+
+// Joined implements prepaid.Fleet.
+func (v fleetView) Joined() bool { return v.listed.Load() }
 
 func (v fleetView) Others() []string {
 	self := v.table.Self().Incarnation
