--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -39,8 +39,6 @@
 	// there are, this one included.
 	askers     map[string]*asker
 	domainSize int
-	// landed is when the last write ended.
-	landed time.Time
 	// strangerAt is when an instance that is no candidate may write for a request.
 	strangerAt time.Time
 	// awaySince is when it was first found away.
@@ -131,39 +129,19 @@
 func (n *Node) begin(shard int, budget string, need int64) {
 	f := &flight{done: make(chan struct{}), began: n.Now()}
 	n.shards[shard].flight = f
-	wait := n.paceOf(shard)
+	wishes := n.wishes(shard, budget, need)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 		defer cancel()
-		time.Sleep(wait)
-		n.mu.Lock()
-		wishes := n.wishes(shard, budget, need)
-		n.mu.Unlock()
 		f.err = n.write(ctx, shard, wishes)
 		n.mu.Lock()
 		n.shards[shard].flight = nil
-		n.shards[shard].landed = n.Now()
 		n.noteAway(shard, f.err != nil && !errors.Is(f.err, ErrBusy))
 		n.mu.Unlock()
 		close(f.done)
 	}()
 }
 
-// writePace is the least time between two writes of one that draws for its domain.
-// While accounts are short each request needs a write; without a pace twelve drawers
-// kept the store at its limit, and were throttled. It is an eighth of the time in which
-// the first event of a stream is to come.
-const writePace = 50 * time.Millisecond
-
-// paceOf is how long a write waits, so that it takes the needs of more requests; n.mu
-// is held.
-func (n *Node) paceOf(shard int) time.Duration {
-	if !n.drawsForDomain(shard) {
-		return 0
-	}
-	return max(writePace-n.Now().Sub(n.shards[shard].landed), 0)
-}
-
 // noteAway notes whether a ledger answers. An instance that has been without it
 // holds more from then on: what cut it off once may do so again, and a longer
 // outage than the usual one is where requests were refused.
