--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -51,7 +51,7 @@
 try answer-id pkg/upstream/stream.go 's/s\.resp\.Header\.Get\(chat\.HeaderRequestID\) != s\.id/false/; s/out\.Response\.ID != s\.id/false/' test TestCrossedAnswerNeverReachesTheCaller
 try drain-waits pkg/entry/entry.go 's/\t\te\.running\.Wait\(\)\n//' test TestPlannedStopCutsNothing
 try replaced-drawer-declines pkg/prepaid/drawer.go 's/if req\.Drawer != n\.Self \{/if false {/' pkg/prepaid TestReplacedDrawerDeclines
-try exhausted-only-if-too-few pkg/prepaid/write.go 's/\(writes > 0 && p\.tooFew\(need\)\)/writes > 0/' pkg/prepaid TestTokensTakenByOthersAreNotExhaustion
+try exhausted-only-if-too-few pkg/prepaid/write.go 's/\(writes > 0 && p\.tooFew\(need\)\)/writes > 0/; s/max\(target-p\.free, p\.waiting\)/target*0/; s/max\(p\.waiting-p\.free, 0\)/0/' pkg/prepaid TestTokensTakenByOthersAreNotExhaustion
 try strangers-try-little pkg/prepaid/write.go 's/if !n\.Fleet\.Joined\(\) \{/if false {/' pkg/prepaid TestFleetThatStartsUnderLoadLeavesTheStoreAlone
 try unknown-totals-given-up pkg/prepaid/drawer.go 's/&askerBudget\{returned: d\.Returned\}/&askerBudget{}/' pkg/prepaid TestForgottenTotalsAreGivenUp
 exit $status
