--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/routing"
 	"github.com/lavenderring/lavenderring/pkg/store"
 	"github.com/lavenderring/lavenderring/platform"
 	"github.com/lavenderring/lavenderring/platform/standin"
@@ -95,29 +95,33 @@
 func (f *routed) configure() {
 	f.t.Helper()
 	f.version++
-	var routes []map[string]any
-	add := func(name, kind, service string, attempts int, resumable bool) {
+	config := &routing.Config{
+		Version: uint64(f.version),
+		Keyed:   true,
+		Services: []routing.Service{
+			{Name: "jobs", MaxConnections: 100},
+			{Name: "models", MaxConnections: 100, Engine: &routing.Engine{Slots: 64, MemoryTokens: 100000, TokensPerEvent: 1}},
+		},
+		Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Accounts: []routing.Account{
+			{Name: "crew", Keys: []string{routedKey}, Priority: -1, PrepaidTokens: f.prepaid},
+		},
+	}
+	add := func(name string, kind routing.Kind, service string, attempts int, resumable bool) {
 		if f.without[name] {
 			return
 		}
-		routes = append(routes, map[string]any{
-			"name": name, "host": routedHost, "path_prefix": "/" + name + "/", "type": kind, "timeout_ms": 3000,
-			"slo_ms": 400, "gap_slo_ms": 400, "priority": 0, "service": service, "max_attempts": attempts, "resumable": resumable,
+		config.Routes = append(config.Routes, routing.Route{
+			Name: name, Host: routedHost, Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second,
+			Objective: 400 * time.Millisecond, Pause: 400 * time.Millisecond, MaxAttempts: attempts, Resumable: resumable,
+			Targets: []routing.Target{{Service: service, Weight: 1}},
 		})
 	}
-	add("once", "unsafe", "jobs", 1, false)
-	add("safe", "safe", "jobs", 2, false)
-	add("stream", "streaming", "models", 1, false)
-	add("resumable", "streaming", "models", 2, true)
-	value, err := json.Marshal(map[string]any{
-		"version": f.version, "routes": routes,
-		"services": []map[string]any{
-			{"name": "jobs", "max_connections": 100},
-			{"name": "models", "max_connections": 100, "engine": map[string]any{"slots": 64, "kv_capacity": 100000, "stride": 1}},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "crew", "api_keys": []string{routedKey}, "prepaid": f.prepaid}},
-	})
+	add("once", routing.Once, "jobs", 1, false)
+	add("safe", routing.Idempotent, "jobs", 2, false)
+	add("stream", routing.Stream, "models", 1, false)
+	add("resumable", routing.Stream, "models", 2, true)
+	value, err := platform.EncodeConfig(config)
 	f.must(err)
 	present, _ := f.client.Get(f.t.Context(), "config/main") // none at first
 	_, err = f.client.Put(f.t.Context(), "config/main", value, present.Version)
