--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -139,8 +138,6 @@
 	}
 	for shard := range n.shards {
 		n.shards[shard].askers = map[string]*asker{}
-		// Spread over the pause, or all that start together would write together.
-		n.shards[shard].strangerAt = deps.Now().Add(rand.N(strangerPause))
 	}
 	return n
 }
