--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -34,6 +34,7 @@
 	BudgetReduced     Number = 315
 	TokensDrawn       Number = 320
 	TokensBorrowed    Number = 321
+	DrawerResting     Number = 322
 	ClaimTaken        Number = 400
 	ClaimConflict     Number = 401
 	ClaimOutcome      Number = 402
@@ -86,7 +87,8 @@
 	GrantLost:         {"grant-lost", "this instance's grant was reclaimed by its witness", "none; it was thought dead"},
 	BudgetReduced:     {"budget-reduced", "a budget is below what is granted; nothing new is granted", "wait, or raise it"},
 	TokensDrawn:       {"tokens-drawn", "an instance drew tokens of a budget; left is what the ledger still has", "none"},
-	TokensBorrowed:    {"tokens-borrowed", "the store did not answer and a peer lent tokens", "none"},
+	TokensBorrowed:    {"tokens-borrowed", "a peer lent tokens while the store did not answer, or the drawer dealt them out", "none"},
+	DrawerResting:     {"drawer-resting", "the instance that draws tokens for this one did not answer or declined; another is asked for a time", "none, or see the drawer's own log at that time"},
 	ClaimTaken:        {"claim-taken", "an idempotency key was claimed for one run", "none"},
 	ClaimConflict:     {"claim-conflict", "the key is claimed already", "none"},
 	ClaimOutcome:      {"claim-outcome", "the outcome of a claimed request was recorded", "none"},
--- a/pkg/prepaid/fake_test.go
+++ b/pkg/prepaid/fake_test.go
@@ -232,3 +232,6 @@
 
 // Borrowed implements prepaid.Observer.
 func (m *member) Borrowed(string, string, int64) {}
+
+// Resting implements prepaid.Observer.
+func (m *member) Resting(string, time.Duration, error) {}
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -83,6 +83,8 @@
 	Drawn(budget string, tokens, left int64)
 	// Borrowed tells what a peer lent.
 	Borrowed(budget, lender string, tokens int64)
+	// Resting tells that a drawer is passed over for a time, and why.
+	Resting(drawer string, rest time.Duration, cause error)
 }
 
 // Config sizes the slice.
--- a/pkg/prepaid/refill.go
+++ b/pkg/prepaid/refill.go
@@ -116,7 +116,7 @@
 	}
 	n.mu.Unlock()
 	if len(demands) > 0 {
-		_, _ = n.refill(context.Background(), name, demands, refillTimeout) // a failure makes the drawer rest
+		_, _ = n.refill(context.Background(), name, demands, refillTimeout) // takeIn tells of a failure and has the drawer rest
 	}
 	n.mu.Lock()
 	n.shards[shard].reporting = false
@@ -185,6 +185,7 @@
 	if err != nil {
 		d.rest = min(max(2*d.rest, drawerRest), drawerLongRest)
 		d.restUntil = now.Add(d.rest)
+		n.Observer.Resting(name, d.rest, err)
 		return
 	}
 	d.rest = 0
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -190,6 +190,12 @@
 	o.log.Event(eventlog.TokensBorrowed, "", eventlog.Fields{"budget": budget, "lender": lender, "tokens": tokens})
 }
 
+func (o tokenLog) Resting(drawer string, rest time.Duration, cause error) {
+	o.log.Event(eventlog.DrawerResting, "", eventlog.Fields{
+		"peer": drawer, "rest_ms": rest.Milliseconds(), "cause": cause.Error(),
+	})
+}
+
 // loans answers other instances.
 type loans struct{ node *prepaid.Node }
 
