A member is read under the table's lock; one way to disturb a relay

Found by reading the change: Succeeded read an entry's member after the lock was let go, while others may replace it when the member leaves. No run showed it. The soak set and lifted a relay's faults in two places that did the same. A comment said live where known is meant. Checked: vet, linter, race tests of members and budgets, the seeded soak, kills and a start without the store.

--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -115,18 +115,21 @@
 
 // Succeeded notes that a process answers at an incarnation's address that replaced it.
 func (t *Table) Succeeded(incarnation, successor string) {
+	var before *memberpb.Member // replaced, never changed, by others that learn
 	t.mu.Lock()
-	e := t.entries[incarnation]
+	if e := t.entries[incarnation]; e != nil {
+		before = e.member
+	}
 	t.mu.Unlock()
-	if e == nil {
+	if before == nil {
 		return
 	}
 	t.Learn(&memberpb.Member{
 		Incarnation: successor,
-		Name:        e.member.Name,
-		Region:      e.member.Region,
-		Domain:      e.member.Domain,
-		PeerAddress: e.member.PeerAddress,
+		Name:        before.Name,
+		Region:      before.Region,
+		Domain:      before.Domain,
+		PeerAddress: before.PeerAddress,
 	}, true)
 }
 
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -155,8 +155,8 @@
 // that may draw a shard: the first, and others for when it does not answer.
 const drawerCandidates = 4
 
-// Drawers implements prepaid.Fleet: the first live instances of the own failure domain
-// in the shard's order, on which all of the domain agree without talk.
+// Drawers implements prepaid.Fleet: the first known instances of the own failure domain
+// in the shard's order, silent ones too, on which all of the domain agree without talk.
 func (v fleetView) Drawers(shard int) []string {
 	if v.table.Count() <= directDrawers {
 		return nil
--- a/pkg/soak/strike.go
+++ b/pkg/soak/strike.go
@@ -37,13 +37,16 @@
 	r.strikeStore(ctx, f)
 }
 
+// disturb sets a relay's faults for a time.
+func disturb(ctx context.Context, l *relay.Relay, faults relay.Faults, lasts time.Duration) {
+	l.SetFaults(faults)
+	pause.For(ctx, lasts)
+	l.SetFaults(relay.Faults{})
+}
+
 // strikeInstance reports whether the fault is one of an instance.
 func (r *run) strikeInstance(ctx context.Context, f Fault, i *instance) bool {
-	link := func(l *relay.Relay, faults relay.Faults) {
-		l.SetFaults(faults)
-		pause.For(ctx, f.For)
-		l.SetFaults(relay.Faults{})
-	}
+	link := func(l *relay.Relay, faults relay.Faults) { disturb(ctx, l, faults, f.For) }
 	switch f.Kind {
 	case Kill:
 		r.restart(i, func() { i.signal(syscall.SIGKILL) }, f.For/2)
@@ -90,11 +93,7 @@
 // strikeUpstream reports whether the fault is one of an upstream.
 func (r *run) strikeUpstream(ctx context.Context, f Fault) bool {
 	u := r.fleet.upstream(f.Target)
-	link := func(faults relay.Faults) {
-		u.relay.SetFaults(faults)
-		pause.For(ctx, f.For)
-		u.relay.SetFaults(relay.Faults{})
-	}
+	link := func(faults relay.Faults) { disturb(ctx, u.relay, faults, f.For) }
 	answers := func(faults standin.UpstreamFaults) {
 		faults.Delay = workTime
 		u.SetFaults(faults)
