An upstream that starts again under its id begins anew; faulty entries name no upstream

Cause: a restart under the same id kept cached parts, failures and kept connections of the process before. An entry that another program wrote was in service if it had any state but one, whatever else it lacked; one unreadable object hid its whole page of a list.

--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -107,10 +107,16 @@
 	present := map[string]bool{}
 	for _, u := range upstreams {
 		s := p.states[u.ID]
-		if s == nil {
+		if s == nil || s.Born != u.Born {
+			// One that starts again under its id has nothing cached, owes nothing for the
+			// failures before, and knows none of the requests in flight: their places
+			// keep the state of the incarnation that they are at.
 			s = &state{cached: map[uint64]time.Time{}, hash: xxhash.Sum64String(u.ID)}
 			p.states[u.ID] = s
 		}
+		if s.SlowFor != u.SlowFor || s.slowUntil.IsZero() {
+			s.slowUntil = p.now().Add(u.SlowFor)
+		}
 		s.Upstream = u
 		present[u.ID] = true
 		p.list = append(p.list, s)
@@ -229,7 +235,7 @@
 	if s.Domain != p.domain {
 		cost += otherDomainCost
 	}
-	if s.SlowFor > 0 {
+	if now.Before(s.slowUntil) {
 		cost *= coldFactor
 	}
 	return cost * (1 + failingCost*s.failingNow(now))
--- a/pkg/placement/pool_test.go
+++ b/pkg/placement/pool_test.go
@@ -157,3 +157,39 @@
 		p.Choose(want).Done(Succeeded)
 	}
 }
+
+// An engine starts again under its id. It holds no conversation's history any more, and the
+// failures of the process before say nothing of it.
+func TestRestartedUpstreamBeginsWithNothing(t *testing.T) {
+	list := engines(2, "a")
+	p, _ := newTestPool(true, list)
+	for range 6 {
+		place := p.Choose(conversation(42, 500))
+		p.Choose(&Want{Tried: []string{place.ID}}).Done(Failed)
+		place.Done(Succeeded)
+	}
+	for i := range list {
+		list[i].Born = 7
+	}
+	p.Update(list, true)
+	for id, s := range p.states {
+		if len(s.cached) > 0 || s.failures > 0 || s.failing > 0 || s.inFlight > 0 {
+			t.Errorf("%s is remembered: %+v", id, s)
+		}
+	}
+}
+
+// Requests are under way at an engine when it starts again under its id. Their end, which
+// comes later, says nothing of the new process.
+func TestEndOfARequestAtTheProcessBefore(t *testing.T) {
+	list := engines(1, "a")
+	p, _ := newTestPool(true, list)
+	before := p.Choose(conversation(42, 500))
+	list[0].Born = 7
+	p.Update(list, true)
+	before.Report(64, 100)
+	before.Done(Failed)
+	if s := p.states["e00"]; s.failures != 0 || s.inFlight != 0 || s.pending != 0 || s.waiting != 0 {
+		t.Errorf("the new process is charged: %+v", s)
+	}
+}
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -40,6 +40,9 @@
 	// pending is the prompt tokens of own requests that have had no event yet.
 	pending int64
 
+	// slowUntil is until when the upstream is slow after its start.
+	slowUntil time.Time
+
 	running, waiting int
 	reportedAt       time.Time
 	// sinceReport is how many own requests went there since the report.
--- a/pkg/registry/entry.go
+++ b/pkg/registry/entry.go
@@ -5,8 +5,12 @@
 
 // Upstream is one incarnation of an upstream.
 type Upstream struct {
-	// ID names the incarnation; an upstream that starts again has another.
-	ID      string `json:"id"`
+	// ID names the upstream. One that starts again may keep it.
+	ID string `json:"id"`
+	// Born is the Unix millisecond of its start, by its own clock; 0 if it is not told.
+	// Another figure under the same ID is another incarnation, which holds and knows
+	// nothing of what the one before did.
+	Born    int64  `json:"born,omitempty"`
 	Service string `json:"service"`
 	// Address is its IP address and port; after it has gone the address may
 	// belong to an upstream of another service.
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -26,6 +26,8 @@
 	returned time.Time
 	out      bool
 	byName   map[string][]Upstream // in-service upstreams by service, by id
+	// restarted holds the addresses of upstreams that started again under their id.
+	restarted []string
 }
 
 // New returns an empty registry.
@@ -87,6 +89,9 @@
 }
 
 func (r *Registry) put(u Upstream) {
+	if before, known := r.entries[u.ID]; known && before.Born != u.Born {
+		r.restarted = append(r.restarted, before.Address)
+	}
 	r.entries[u.ID] = u
 	delete(r.vanished, u.ID)
 }
@@ -99,6 +104,26 @@
 	r.index()
 }
 
+// Discard takes an entry out at once that names no upstream to use any more. It did not
+// lapse, so it is not kept after an outage either.
+func (r *Registry) Discard(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.entries, id)
+	delete(r.vanished, id)
+	r.index()
+}
+
+// TakeRestarted returns, once, the addresses of upstreams that started again under their
+// id: connections to them lead nowhere.
+func (r *Registry) TakeRestarted() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	addresses := r.restarted
+	r.restarted = nil
+	return addresses
+}
+
 // vanish removes an entry, or keeps it for a while if it may only have lapsed
 // because the store was away: else all upstreams would be given up at once at
 // the end of each outage, and every request refused.
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -62,3 +62,30 @@
 		}
 	}
 }
+
+// An upstream that was leaving starts again under its id. Its new entry is in service, and
+// the connections to the process before are given up, once.
+func TestRestartedUpstreamIsANewOne(t *testing.T) {
+	r, _ := newTestRegistry()
+	r.Put(Upstream{ID: "a", Service: "s", Address: "1", Born: 10, Leaving: true})
+	r.TakeRestarted()
+	r.Put(Upstream{ID: "a", Service: "s", Address: "1", Born: 20})
+	if got := r.TakeRestarted(); len(got) != 1 || got[0] != "1" {
+		t.Errorf("restarted at %v", got)
+	}
+	if len(r.InService("s")) != 2 || len(r.TakeRestarted()) != 0 {
+		t.Errorf("in service: %v", r.InService("s"))
+	}
+}
+
+// An entry turns unusable just after the store came back from an outage, when entries that
+// vanish are kept for a while. This one did not vanish: it is out at once.
+func TestDiscardedEntryIsNotKeptAfterAnOutage(t *testing.T) {
+	r, _ := newTestRegistry()
+	r.StoreOut()
+	r.StoreBack()
+	r.Discard("a")
+	if left := r.InService("s"); len(left) != 1 || left[0].ID != "b" {
+		t.Errorf("in service: %v", left)
+	}
+}
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -77,7 +77,7 @@
 		r.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"cause": err.Error()})
 	}
 	config := r.platform.Config(r.store, r.applyConfig, bad)
-	upstreams := r.platform.Upstreams(r.store, r.registry, r.forward.Update, bad)
+	upstreams := r.platform.Upstreams(r.store, r.registry, r.upstreamsChanged, bad)
 	r.duty(func(ctx context.Context) { _ = r.server.Serve(ctx) })
 	r.duty(func(ctx context.Context) { config(ctx, r.lostStore, func() {}) })
 	r.duty(func(ctx context.Context) { upstreams(ctx, r.lostUpstreams, r.registry.StoreBack) })
@@ -116,6 +116,14 @@
 	})
 }
 
+// upstreamsChanged brings the registry's upstreams to the pools.
+func (r *Router) upstreamsChanged() {
+	for _, address := range r.registry.TakeRestarted() {
+		r.conns.Forget(address)
+	}
+	r.forward.Update()
+}
+
 func (r *Router) housekeep(context.Context) {
 	r.conns.Sweep()
 	if gone := r.registry.Expire(); len(gone) > 0 {
--- a/pkg/router/members.go
+++ b/pkg/router/members.go
@@ -96,7 +96,7 @@
 			return fmt.Errorf("decode peer's upstreams: %w", err)
 		}
 		r.registry.Replace(shared.Upstreams, shared.Version)
-		r.forward.Update()
+		r.upstreamsChanged()
 	}
 	return nil
 }
--- a/test/route_test.go
+++ b/test/route_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/store"
 	"github.com/lavenderring/lavenderring/platform"
 	"github.com/lavenderring/lavenderring/platform/standin"
 )
@@ -323,3 +324,65 @@
 		}
 	}
 }
+
+// Another program writes into the list of upstreams: an entry of an upstream in service
+// loses a field, others name states and addresses that are none. Clients go on being
+// served by the upstreams that are left, and nothing goes where such an entry points.
+func TestUnusableEntriesNameNoUpstream(t *testing.T) {
+	f := newRouted(t, 1, 1_000_000)
+	object, err := f.client.Get(t.Context(), "servers/p0")
+	f.must(err)
+	_, err = f.client.Put(t.Context(), "servers/p0", []byte(`{"service":"jobs","address":7}`), object.Version)
+	f.must(err)
+	for id, spec := range map[string]string{
+		"forged-0": `{"service":"jobs","address":"` + f.plain[0].Address + `","state":"ready"}`,
+		"forged-1": `"\u0000\u0001 not an entry"`,
+		"forged-2": `[1,2,3]`,
+	} {
+		_, err := f.client.Put(t.Context(), "servers/"+id, []byte(spec), store.NoVersion)
+		f.must(err)
+	}
+	time.Sleep(time.Second)
+	before := len(f.plain[0].Runs())
+	for n := range 20 {
+		if a := f.send(f.instances[0], fmt.Sprintf("after-%d", n), "once", "x"); a.status != http.StatusOK {
+			t.Errorf("request %d: got %d %s", n, a.status, a.body)
+		}
+	}
+	if got := len(f.plain[0].Runs()) - before; got != 0 {
+		t.Errorf("%d requests went where an unusable entry points", got)
+	}
+}
+
+// An upstream that failed every request is replaced by a sound process at its address,
+// which registers under the same id with another time of start. What was held against
+// the process before does not hold against this one: it gets its share at once.
+func TestUpstreamStartedAgainUnderItsIDBeginsAnew(t *testing.T) {
+	f := newRouted(t, 1, 1_000_000)
+	failing := f.plain[0]
+	failing.SetFaults(standin.UpstreamFaults{Drop: 1000})
+	for n := range 40 {
+		f.send(f.instances[0], fmt.Sprintf("before-%d", n), "safe", "x")
+	}
+	failing.Close()
+	again, err := standin.StartUpstream(failing.ID, failing.Address, 0)
+	f.must(err)
+	t.Cleanup(again.Close)
+	again.Born = time.Now().UnixMilli()
+	object, err := f.client.Get(t.Context(), "servers/"+failing.ID)
+	f.must(err)
+	_, err = f.client.Put(t.Context(), object.Key, again.Entry("jobs", domainOf(0), false), object.Version)
+	f.must(err)
+	f.awaitRouted("a request at the new process", func() bool {
+		f.send(f.instances[0], "probe", "safe", "x")
+		return len(again.Runs()) > 0
+	})
+	for n := range 30 {
+		if a := f.send(f.instances[0], fmt.Sprintf("after-%d", n), "once", "x"); a.status != http.StatusOK {
+			t.Errorf("request %d: got %d %s", n, a.status, a.body)
+		}
+	}
+	if got := len(again.Runs()); got < 5 {
+		t.Errorf("the new process got %d of 30 requests", got)
+	}
+}
