Long prompts keep to engines of their own, and are not sent twice while they are read

Change: instances learn the rate at which engines read from answers, tell each other with heartbeats, and keep prompts that take over half of their objective to read to as large a part of the engines as their part of the reading. They are not sent again while they are read. A drawer refills what instances lack in steps of two seconds of demand.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -107,6 +107,7 @@
 	a.c.f.meters.added.Update(a.c.f.Now().Sub(a.c.r.Arrived))
 	a.c.f.Log.Event(eventlog.RequestDispatched, a.c.r.ID, eventlog.Fields{
 		"upstream": a.place.ID, "address": a.place.Address, "domain": a.place.Domain, "sent": a.c.sent + 1,
+		"prompt_tokens": a.c.r.PromptTokens, "long": a.place.Long,
 	})
 	a.conn.SetDeadline(a.headDeadline())
 	a.send()
@@ -159,6 +160,11 @@
 	if c.route.Kind == routing.Stream {
 		patience = silenceFactor * c.route.Objective
 	}
+	if a.place.Long {
+		// Its engine is reading it still, and another would take as long again: the client
+		// leaves before that, and both readings are billed to nobody's use.
+		return c.deadline
+	}
 	if early := c.f.Now().Add(patience); early.Before(c.deadline) {
 		return early
 	}
--- a/pkg/member/gossip.go
+++ b/pkg/member/gossip.go
@@ -15,6 +15,10 @@
 	Send func(ctx context.Context, address string, digest *memberpb.Digest) (*memberpb.Digest, error)
 	// Generations tells what this instance has, by name.
 	Generations func() []*memberpb.ServiceGeneration
+	// Readings tells what this instance has learned of the engines, Learned is told of
+	// what another has. Both may be nil.
+	Readings func() []*memberpb.Reading
+	Learned  func(from string, readings []*memberpb.Reading)
 	// Newer is told of what the instance at an address has under a higher
 	// generation than this one.
 	Newer func(address string, names []string)
@@ -25,6 +29,9 @@
 // list brings it anyway. Naming all cost most of an instance's traffic.
 func (g *Gossip) Digest() *memberpb.Digest {
 	d := &memberpb.Digest{From: g.Table.Self(), Generations: g.Generations()}
+	if g.Readings != nil {
+		d.Readings = g.Readings()
+	}
 	if live := g.Table.Live(); len(live) > 0 {
 		d.Known = append(d.Known, live[rand.IntN(len(live))])
 	}
@@ -38,6 +45,9 @@
 	for _, m := range d.Known {
 		g.Table.Learn(m, false)
 	}
+	if g.Learned != nil && d.From != nil && len(d.Readings) > 0 {
+		g.Learned(d.From.Name, d.Readings)
+	}
 	own := map[string]uint64{}
 	for _, generation := range g.Generations() {
 		own[generation.Service] = generation.Generation
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -45,6 +45,8 @@
 	Parts []Part
 	// PromptTokens is the whole prompt.
 	PromptTokens int64
+	// Objective is the time to the first event that its client expects; 0 if none is named.
+	Objective time.Duration
 	// Tried names incarnations to pass over.
 	Tried []string
 }
@@ -84,8 +86,10 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	engine bool
-	states map[string]*state
-	list   []*state
+	// readings is what is known of how the engines read prompts.
+	readings readings
+	states   map[string]*state
+	list     []*state
 }
 
 // NewPool returns an empty pool for an instance in a failure domain.
@@ -126,6 +130,7 @@
 			delete(p.states, id)
 		}
 	}
+	p.rankEngines()
 }
 
 // Size returns how many upstreams are in service.
@@ -138,9 +143,13 @@
 // Place is a request's place at an upstream until Done.
 type Place struct {
 	registry.Upstream
-	pool    *Pool
-	state   *state
+	pool  *Pool
+	state *state
+	// Long says that the prompt is one of those that take long to read.
+	Long bool
+
 	pending int64
+	sentAt  time.Time
 	done    bool
 }
 
@@ -149,19 +158,52 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	best := p.pick(want, now, false)
+	choice := p.newChoice(want, now)
+	best := choice.pick(false)
 	if best == nil {
 		// All are avoided: one that may have recovered is better than none.
-		best = p.pick(want, now, true)
+		best = choice.pick(true)
 	}
 	if best == nil {
 		return nil
 	}
-	return p.place(best, want, now)
+	if p.engine {
+		p.readings.add(want.PromptTokens, choice.long, choice.most)
+	}
+	place := p.place(best, want, choice.home == best, now)
+	place.Long = choice.long
+	return place
+}
+
+// choice is one request's choice among the upstreams.
+type choice struct {
+	*Pool
+	want *Want
+	now  time.Time
+	// long says that the request belongs to the engines for long prompts, of which there
+	// are so many.
+	long  bool
+	apart int
+	// most is the largest prompt that is not long; 0 while that is not known.
+	most float64
+	home *state
+}
+
+func (p *Pool) newChoice(want *Want, now time.Time) *choice {
+	c := &choice{Pool: p, want: want, now: now}
+	if p.engine {
+		c.long, c.most = p.isLong(want)
+		c.apart = p.readings.apart(len(p.list))
+		c.home = c.findHome()
+	}
+	return c
 }
 
-func (p *Pool) pick(want *Want, now time.Time, avoidedToo bool) *state {
-	home := p.home(want)
+// misplaced reports that an engine is not of the part that the request belongs to.
+func (c *choice) misplaced(s *state) bool { return c.apart > 0 && (s.rank < c.apart) != c.long }
+
+func (c *choice) pick(avoidedToo bool) *state {
+	p, want, now := c.Pool, c.want, c.now
 	var best *state
 	var least float64
 	if len(p.list) == 0 {
@@ -173,7 +215,11 @@
 		if contains(want.Tried, s.ID) || (!avoidedToo && s.avoided(now)) {
 			continue
 		}
-		if cost := p.cost(s, want, s == home, now); best == nil || cost < least {
+		cost := p.cost(s, want, s == c.home, now)
+		if c.misplaced(s) {
+			cost += apartCost
+		}
+		if best == nil || cost < least {
 			best, least = s, cost
 		}
 	}
@@ -189,17 +235,20 @@
 	return false
 }
 
-// home is the engine where all instances send a session's requests: the winner
-// of rendezvous hashing over the engines in service, on which instances agree
+// findHome returns the engine where all instances send a session's requests: the winner
+// of rendezvous hashing over the engines of the request's part, on which instances agree
 // without talk.
-func (p *Pool) home(want *Want) *state {
-	session := want.session()
-	if !p.engine || session == 0 {
+func (c *choice) findHome() *state {
+	session := c.want.session()
+	if session == 0 {
 		return nil
 	}
 	var best *state
 	var most uint64
-	for _, s := range p.list {
+	for _, s := range c.list {
+		if c.misplaced(s) {
+			continue
+		}
 		score := mix(session ^ s.hash)
 		if best == nil || score > most {
 			best, most = s, score
@@ -258,12 +307,12 @@
 	return float64(known)
 }
 
-func (p *Pool) place(s *state, want *Want, now time.Time) *Place {
+func (p *Pool) place(s *state, want *Want, home bool, now time.Time) *Place {
 	s.inFlight++
 	s.sinceReport++
 	pending := int64(0)
 	if p.engine {
-		pending = want.PromptTokens - int64(p.cachedTokens(s, want, s == p.home(want), now))
+		pending = want.PromptTokens - int64(p.cachedTokens(s, want, home, now))
 		s.pending += pending
 		for i := 0; i < len(want.Parts)-1; i++ {
 			s.cached[want.Parts[i].ID] = now
@@ -272,7 +321,7 @@
 			s.forgetOld(now)
 		}
 	}
-	return &Place{Upstream: s.Upstream, pool: p, state: s, pending: pending}
+	return &Place{Upstream: s.Upstream, pool: p, state: s, pending: pending, sentAt: now}
 }
 
 // maxCachedParts bounds the parts remembered of one engine before old ones go.
@@ -298,6 +347,9 @@
 func (l *Place) FirstEvent() {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
+	if l.pending > 0 {
+		l.pool.readings.rate.observe(l.pending, l.pool.now().Sub(l.sentAt))
+	}
 	l.state.pending -= l.pending
 	l.pending = 0
 }
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -55,6 +55,8 @@
 	failingAt time.Time
 	// hash is of the incarnation's id.
 	hash uint64
+	// rank is its place in the order in which engines are given to long prompts.
+	rank int
 	// cached holds when this instance last sent a prompt part there.
 	cached map[uint64]time.Time
 }
--- a/pkg/prepaid/drawer.go
+++ b/pkg/prepaid/drawer.go
@@ -28,6 +28,11 @@
 	// with one instance.
 	poolAhead = time.Second
 	poolPart  = 4
+	// refillAtOnce is how much of the askers' demand one write draws for what they lack.
+	// After a cut they lack all at once; drawn at once it lay at one instance until their
+	// next reports, and the power loss of that instance then took a quarter of what some
+	// accounts had prepaid.
+	refillAtOnce = 2 * time.Second
 	// keptForOthers is the part of the pool, as a divisor, that one report leaves.
 	keptForOthers = 4
 	// usualPart is the part of what is left of a budget, as a divisor, that one usual
@@ -286,5 +291,6 @@
 	}
 	own := p.perSecond * ahead.Seconds()
 	pool := p.drawnPerSecond * min(ahead/poolPart, poolAhead).Seconds()
-	return int64(own+pool) + p.owed
+	owed := min(p.owed, int64(p.drawnPerSecond*refillAtOnce.Seconds()))
+	return int64(own+pool) + owed
 }
--- a/pkg/router/members.go
+++ b/pkg/router/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/registry"
 	"github.com/lavenderring/lavenderring/pkg/routing"
 	"github.com/lavenderring/lavenderring/pkg/store"
@@ -31,6 +32,33 @@
 	return []*memberpb.ServiceGeneration{{Service: shareRouting, Generation: table.Config.Version}}
 }
 
+// readings tells what this instance has learned of the engines.
+func (r *Router) readings() []*memberpb.Reading {
+	var out []*memberpb.Reading
+	for service, reading := range r.forward.Readings() {
+		out = append(out, &memberpb.Reading{
+			Service:         service,
+			TokensPerSecond: reading.TokensPerSecond,
+			Answers:         reading.Answers,
+			AllTokens:       reading.All,
+			LongTokens:      reading.Long,
+		})
+	}
+	return out
+}
+
+// learned takes in what another instance has learned.
+func (r *Router) learned(from string, readings []*memberpb.Reading) {
+	for _, m := range readings {
+		r.forward.Learn(from, m.Service, placement.Reading{
+			TokensPerSecond: m.TokensPerSecond,
+			Answers:         m.Answers,
+			All:             m.AllTokens,
+			Long:            m.LongTokens,
+		})
+	}
+}
+
 // Heartbeat implements the members service.
 func (r *Router) Heartbeat(_ context.Context, d *memberpb.Digest) (*memberpb.Digest, error) {
 	if newer := r.gossip.Take(d); len(newer) > 0 && d.From != nil {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -146,6 +146,8 @@
 		Send:        r.peers.Heartbeat,
 		Generations: r.generations,
 		Newer:       r.fetchNewer,
+		Readings:    r.readings,
+		Learned:     r.learned,
 	}
 	cfg := prepaid.Config{
 		Self:   r.incarnation,
