--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -209,7 +209,10 @@
 
 // choose finds a place for the next attempt.
 func (c *call) choose() (*placement.Place, *failure) {
-	want := &placement.Want{PromptTokens: c.r.PromptTokens, Objective: c.route.Objective, Tried: c.tried}
+	want := &placement.Want{PromptTokens: c.r.PromptTokens, Pause: c.route.Pause, Tried: c.tried}
+	if c.target.Engine != nil {
+		want.TokensPerEvent = c.target.Engine.TokensPerEvent
+	}
 	for _, part := range c.r.Prompt {
 		want.Parts = append(want.Parts, placement.Part(part))
 	}
--- a/pkg/placement/longprompt.go
+++ b/pkg/placement/longprompt.go
@@ -20,12 +20,15 @@
 // of the gain back).
 
 const (
-	// longShare is the share of a route's objective that reading a prompt takes, at an
-	// engine with nothing else to do, from which on the prompt counts as long. At half of
-	// it a request is on time beside others more often than not only if it is read at
-	// once, which an engine of few streams does. Thresholds of 20,000, 26,000 and 33,000
-	// tokens were played; objectives of a second put 0.5 between the first two.
-	longShare = 0.5
+	// longSteps is how many of the steps that streams are allowed the reading of a prompt
+	// takes, from which on it counts as long. A step may take the allowed pause divided by
+	// the tokens in an event; chunks get slower along a prompt, and from about this many on
+	// the later ones take longer than that. With 64 tokens read in a millisecond, events of
+	// five tokens and pauses of 300 ms these are prompts of 23,000 tokens. Thresholds of
+	// 20,000, 26,000 and 33,000 were played; measured against the time to the first event
+	// instead, all prompts of a deployment with shorter objectives counted as long, and its
+	// score fell from 0.95 to 0.57.
+	longSteps = 9
 	// mostApart is the part of the engines, as a divisor, that long prompts may have.
 	mostApart = 4
 	// apartCost keeps long prompts and others apart, in prompt tokens: either goes to the
@@ -114,15 +117,14 @@
 }
 
 // apart is how many of so many engines long prompts have: as large a part as they have of
-// all reading, rounded up, so that both parts are about equally busy: where long prompts wait
-// for each other the largest requests are served worst.
+// all reading, so that both parts are about equally busy.
 func (r *readings) apart(engines int) int {
 	all := r.all + r.othersAll
 	if all <= 0 || r.perSecond() == 0 {
 		return 0
 	}
 	share := (r.long + r.othersLong) / all
-	return min(int(math.Ceil(float64(engines)*share)), engines/mostApart)
+	return min(int(math.Round(float64(engines)*share)), engines/mostApart)
 }
 
 // Reading returns what this instance has learned, to be told to others.
@@ -140,11 +142,14 @@
 	p.readings.learn(from, reading, p.now())
 }
 
-// isLong reports whether a prompt takes so long to read that it belongs to the engines for
-// long prompts.
-func (p *Pool) isLong(want *Want) (long bool, most float64) {
-	most = p.readings.perSecond() * longShare * want.Objective.Seconds()
-	return most > 0 && float64(want.PromptTokens) > most, most
+// longest returns the size from which on a prompt holds other streams up; 0 while that is not
+// known.
+func (p *Pool) longest(want *Want) float64 {
+	if want.TokensPerEvent <= 0 {
+		return 0
+	}
+	step := want.Pause.Seconds() / float64(want.TokensPerEvent)
+	return p.readings.perSecond() * longSteps * step
 }
 
 // rankEngines puts the engines in the order in which they are given to long prompts, on
--- a/pkg/placement/longprompt_test.go
+++ b/pkg/placement/longprompt_test.go
@@ -125,7 +125,7 @@
 		want.PromptTokens += part.Tokens
 	}
 	if l.apart {
-		want.Objective = k.objective
+		want.Pause, want.TokensPerEvent = k.pause, engineFigures.Stride
 	}
 	instance := max(l.rng.IntN(10)-6, 0)
 	l.run(k, want, l.pools[instance%loadInstances].Choose(want))
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -45,8 +45,10 @@
 	Parts []Part
 	// PromptTokens is the whole prompt.
 	PromptTokens int64
-	// Objective is the time to the first event that its client expects; 0 if none is named.
-	Objective time.Duration
+	// Pause is the longest pause between two events that its client allows, TokensPerEvent
+	// the tokens in one; 0 if they are not known.
+	Pause          time.Duration
+	TokensPerEvent int64
 	// Tried names incarnations to pass over.
 	Tried []string
 }
@@ -192,7 +194,8 @@
 func (p *Pool) newChoice(want *Want, now time.Time) *choice {
 	c := &choice{Pool: p, want: want, now: now}
 	if p.engine {
-		c.long, c.most = p.isLong(want)
+		c.most = p.longest(want)
+		c.long = c.most > 0 && float64(want.PromptTokens) > c.most
 		c.apart = p.readings.apart(len(p.list))
 		c.home = c.findHome()
 	}
