--- a/pkg/prepaid/drawer_test.go
+++ b/pkg/prepaid/drawer_test.go
@@ -196,6 +196,21 @@
 	})
 }
 
+// reserveMany reserves 4,000 tokens for each of so many requests at an instance, half a
+// second apart.
+func (f *fleet) reserveMany(t *testing.T, m *member, requests int) (reserved []*prepaid.Reservation) {
+	t.Helper()
+	for range requests {
+		r, err := m.Reserve(t.Context(), account, 4000, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reserved = append(reserved, r)
+		f.tick()
+	}
+	return reserved
+}
+
 // A drawer stops while an instance that it draws for has much reserved, which is then
 // hardly used. The instance's reports are declined; what it would have given back stays
 // there to be spent or given back to the next drawer.
@@ -204,15 +219,7 @@
 		const all, open = 400_000, 40
 		f := newFleet(15, 3, map[string]int64{account: all})
 		f.drawers = []string{"i0", "i1"}
-		var reserved []*prepaid.Reservation
-		for range open {
-			r, err := f.nodes[2].Reserve(t.Context(), account, 4000, true)
-			if err != nil {
-				t.Fatal(err)
-			}
-			reserved = append(reserved, r)
-			f.tick()
-		}
+		reserved := f.reserveMany(t, f.nodes[2], open)
 		f.nodes[0].Stop(t.Context())
 		for _, r := range reserved {
 			f.nodes[2].Settle(r, 0)
@@ -238,15 +245,7 @@
 		const all, open = 400_000, 40
 		f := newFleet(16, 3, map[string]int64{account: all})
 		f.drawers = []string{"i0", "i1"}
-		var reserved []*prepaid.Reservation
-		for range open {
-			r, err := f.nodes[2].Reserve(t.Context(), account, 4000, true)
-			if err != nil {
-				t.Fatal(err)
-			}
-			reserved = append(reserved, r)
-			f.tick()
-		}
+		reserved := f.reserveMany(t, f.nodes[2], open)
 		for _, r := range reserved {
 			f.nodes[2].Settle(r, 0)
 		}
--- a/pkg/prepaid/purse.go
+++ b/pkg/prepaid/purse.go
@@ -46,11 +46,10 @@
 	// waiting are the needs of requests that wait for the next write.
 	waiting int64
 
-	// scarce says that the ledger had less than a large request for each instance
-	// when it was last seen, dry that it had less than one. They stand until the
-	// ledger is seen again or the account is topped up: if they
-	// ended by time, each instance would draw the last tokens and return them again
-	// and again.
+	// scarce says that the ledger had less than a large request for each instance that
+	// draws when it was last seen, dry that it had less than one. They stand until the
+	// ledger is seen again or the account is topped up: if they ended by time, each
+	// instance would draw the last tokens and return them again and again.
 	scarce, dry bool
 	// prepaid is what was prepaid when the ledger was last seen.
 	prepaid int64
--- a/pkg/settings/router.go
+++ b/pkg/settings/router.go
@@ -42,8 +42,8 @@
 	GraceSeconds float64 `toml:"grace_seconds"`
 	// MemoryMB is the memory that the process may use; 0 for no bound. Default 0.
 	MemoryMB int64 `toml:"memory_mb"`
-	// AheadSeconds is how many seconds of an account's demand the instance keeps
-	// allocated for it, to last through an outage. Default 8.
+	// AheadSeconds is how many seconds of an account's demand the instance holds at most,
+	// to last through an outage. Default 12.
 	AheadSeconds int64 `toml:"ahead_seconds"`
 }
 
