--- a/pkg/prepaid/tick.go
+++ b/pkg/prepaid/tick.go
@@ -121,7 +121,7 @@
 }
 
 // lastsWhole times what is held ahead is how long a budget has to last at its present demand
-// for that to be held in full. At 4, a calm day's first cut was not outlasted (worth 0.602 to
+// for that to be held in full. At 4, a calm day's first cut was not outlasted (worth 0.574 to
 // 0.515) and days with a loss of all gained nothing.
 const lastsWhole = 2.5
 
