Random histories wait for what a step began before they draw again

The race detector saw two goroutines draw from the histories' generator: the step that stops an instance settled requests while others still reported.

--- a/pkg/prepaid/safety_test.go
+++ b/pkg/prepaid/safety_test.go
@@ -119,6 +119,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		m.Stop(ctx)
 		cancel()
+		synctest.Wait()
 		h.others(m)
 	}
 	m.dead = true
@@ -132,8 +133,8 @@
 		if m := h.member(); m != stopping && !m.dead {
 			m.Tick(context.Background())
 		}
-		h.settle()
 		synctest.Wait()
+		h.settle()
 	}
 }
 
