Age of each copy in metrics and status; a failed watch leaves a log line

The log could not tell a watch that waits in vain from one that fails or a change that is not taken in: failed watches were swallowed, and nothing told how old a copy was. Event 112, copy_routing_age_ms and copy_upstreams_age_ms do.

--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -13,6 +13,7 @@
 	InstanceStatus    Number = 105
 	StoreUnreachable  Number = 110
 	StoreReachable    Number = 111
+	WatchFailed       Number = 112
 	RequestAccepted   Number = 200
 	RequestRefused    Number = 201
 	RequestDispatched Number = 202
@@ -67,6 +68,7 @@
 	InstanceStatus:    {"instance-status", "what the instance did since its start, told every few seconds", "none"},
 	StoreUnreachable:  {"store-unreachable", "a platform call failed after calls had succeeded", "see OPERATING, store outage"},
 	StoreReachable:    {"store-reachable", "a platform call succeeded after calls had failed", "none"},
+	WatchFailed:       {"watch-failed", "a call that follows the configuration or the upstreams failed; age_ms tells for how long nothing has confirmed the copy", "see OPERATIONS, a change came late"},
 	RequestAccepted:   {"request-accepted", "a caller's request passed authentication and checks", "none"},
 	RequestRefused:    {"request-refused", "the request was refused and did not run", "by the reason field"},
 	RequestDispatched: {"request-dispatched", "the request was handed to an upstream", "none"},
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/pause"
@@ -47,6 +48,24 @@
 	// Lost is told of each failed call, Found of the first that succeeds after.
 	Lost  func(err error)
 	Found func()
+
+	// confirmed is when the copy was last known to be complete.
+	confirmed atomic.Pointer[time.Time]
+}
+
+// Age returns for how long nothing has confirmed that the copy is complete; false before
+// it has been read once.
+func (f *Follower) Age() (time.Duration, bool) {
+	confirmed := f.confirmed.Load()
+	if confirmed == nil {
+		return 0, false
+	}
+	return time.Since(*confirmed), true
+}
+
+func (f *Follower) confirm() {
+	now := time.Now()
+	f.confirmed.Store(&now)
 }
 
 // Run follows until ctx ends.
@@ -57,6 +76,7 @@
 	for ctx.Err() == nil {
 		next, err := f.once(ctx, since)
 		if err == nil {
+			f.confirm()
 			if failing {
 				f.Found()
 			}
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -42,6 +42,9 @@
 	for name, value := range r.platform.StoreCalls(r.store) {
 		gauge("store."+name, value)
 	}
+	for name, age := range r.copyAges() {
+		gauge("copy."+name+"_age_ms", age)
+	}
 	gauge("peers.bytes_in", r.traffic.In.Load())
 	gauge("peers.bytes_out", r.traffic.Out.Load())
 	var lines []string
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -73,14 +73,10 @@
 
 // startDuties starts a goroutine for each duty.
 func (r *Router) startDuties() {
-	bad := func(err error) {
-		r.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"cause": err.Error()})
-	}
-	config := r.platform.Config(r.store, r.applyConfig, bad)
-	upstreams := r.platform.Upstreams(r.store, r.registry, r.upstreamsChanged, bad)
 	r.duty(func(ctx context.Context) { _ = r.server.Serve(ctx) })
-	r.duty(func(ctx context.Context) { config(ctx, r.lostStore, func() {}) })
-	r.duty(func(ctx context.Context) { upstreams(ctx, r.lostUpstreams, r.registry.StoreBack) })
+	for _, copied := range r.copies {
+		r.duty(copied.Run)
+	}
 	r.duty(r.meet)
 	r.every(heartbeat, r.heartbeats)
 	r.every(tokenTick, r.tokens.Tick)
@@ -140,6 +136,9 @@
 	for name, value := range r.platform.StoreCalls(r.store) {
 		fields["store_"+name] = value
 	}
+	for name, age := range r.copyAges() {
+		fields[name+"_age_ms"] = age
+	}
 	if table := r.config.Table(); table != nil {
 		fields["config_version"] = table.Config.Version
 	}
--- a/pkg/router/members.go
+++ b/pkg/router/members.go
@@ -129,19 +129,6 @@
 	return nil
 }
 
-// lostStore asks the peers for what the store does not give.
-func (r *Router) lostStore(error) {
-	if r.config.Table() == nil {
-		r.askPeers(shareRouting)
-	}
-}
-
-// lostUpstreams asks the peers for the upstreams.
-func (r *Router) lostUpstreams(error) {
-	r.registry.StoreOut()
-	r.askPeers(shareUpstreams)
-}
-
 // askPeers fetches from one peer after the other until one had something.
 func (r *Router) askPeers(name string) {
 	for _, m := range r.table.Live() {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -15,6 +15,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/door"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/follow"
 	"github.com/lavenderring/lavenderring/pkg/forward"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/httpserve"
@@ -47,9 +48,9 @@
 	// NewStore returns a client of the store at an address; onState is told
 	// whether it answers.
 	NewStore func(address string, onState func(error)) store.Watcher
-	// Config and Upstreams follow the two kinds and keep the copies up to date.
-	Config    func(s store.Watcher, take func(*routing.Config), bad func(error)) Follow
-	Upstreams func(s store.Watcher, r *registry.Registry, changed func(), bad func(error)) Follow
+	// Config and Upstreams return followers of the two kinds.
+	Config    func(s store.Watcher, take func(*routing.Config), bad func(error)) *follow.Follower
+	Upstreams func(s store.Watcher, r *registry.Registry, changed func(), bad func(error)) *follow.Follower
 	// StoreCalls tells the calls that a client has made, by kind.
 	StoreCalls func(s store.Watcher) map[string]int64
 	Codec      forward.Codec
@@ -57,10 +58,6 @@
 	ReadyPath  string
 }
 
-// Follow follows a kind until its context ends; lost is told of failed calls,
-// found of the first that succeeds again.
-type Follow func(ctx context.Context, lost func(error), found func())
-
 // Router is one running instance.
 type Router struct {
 	settings    *settings.Router
@@ -87,6 +84,9 @@
 	server *peer.Server
 
 	tie *life.StoreTie
+	// copies are the followers of the configuration and of the upstreams, by what the
+	// instances call the two.
+	copies map[string]*follow.Follower
 	// listed says that the store's list of instances has been taken in.
 	listed atomic.Bool
 
@@ -114,6 +114,7 @@
 	r.store = p.NewStore(s.StoreAddress, r.tie.Note)
 	r.provisionFleet()
 	r.provisionForward()
+	r.provisionCopies()
 	if err := r.bind(); err != nil {
 		r.end()
 		return nil, err
