Failing tests: lost answers of watches leave a dropped route in force for 30 s

Virtual time, three cases of when the answer is lost: the copy is behind 3 s after the outage at all three. Three processes before a store that lost its watches' answers: a dropped route is served, and a leaving upstream gets work, for 30.2 s after the store is well again.

--- /dev/null
+++ b/pkg/follow/lost_test.go
@@ -0,0 +1,172 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
+
+// Figures of the stores in these tests.
+const (
+	// answerTime is how long a healthy store takes to answer.
+	answerTime = 4 * time.Millisecond
+	// clientPatience is how long past a watch's wait the store's client waits.
+	clientPatience = time.Second
+	// longestStaleness is how old a copy may be while the store answers, and
+	// settleTime how long after an outage this holds again: the bounds that the
+	// users' deployments set.
+	longestStaleness = 2 * time.Second
+	settleTime       = 3 * time.Second
+)
+
+// lossyStore is a store of one kind in virtual time. While it loses answers it takes
+// every call and answers none, also later; connections stand all the while.
+type lossyStore struct {
+	store.Store
+	mu       sync.Mutex
+	revision store.Version
+	losing   bool
+	changed  chan struct{}
+	calls    int
+}
+
+func newLossyStore() *lossyStore { return &lossyStore{revision: 1, changed: make(chan struct{})} }
+
+func (s *lossyStore) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *lossyStore) loseAnswers(losing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losing = losing
+}
+
+func (s *lossyStore) state() (revision store.Version, changed chan struct{}, losing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, s.changed, s.losing
+}
+
+// lost waits for an answer that does not come.
+func lost(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+clientPatience)
+	defer cancel()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// List implements store.Watcher.
+func (s *lossyStore) List(ctx context.Context, _ string) (store.Listing, error) {
+	time.Sleep(answerTime)
+	revision, _, losing := s.state()
+	if losing {
+		return store.Listing{}, lost(ctx, 0)
+	}
+	return store.Listing{Version: revision}, nil
+}
+
+// Watch implements store.Watcher.
+func (s *lossyStore) Watch(ctx context.Context, _ string, since store.Version, wait time.Duration) (store.Changes, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	time.Sleep(answerTime)
+	_, _, swallowed := s.state()
+	deadline := time.After(wait)
+	for {
+		revision, changed, losing := s.state()
+		if swallowed || (losing && revision > since) {
+			return store.Changes{}, lost(ctx, wait)
+		}
+		if revision > since {
+			return store.Changes{Version: revision, Changes: []store.Change{{Object: store.Object{Version: revision}}}}, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return store.Changes{Version: revision}, nil
+		case <-ctx.Done():
+			return store.Changes{}, ctx.Err()
+		}
+	}
+}
+
+// newest keeps the newest version that a copy has seen.
+type newest struct {
+	mu      sync.Mutex
+	version store.Version
+}
+
+func (n *newest) Replace(list store.Listing)  { n.reach(list.Version) }
+func (n *newest) Apply(changes store.Changes) { n.reach(changes.Version) }
+
+func (n *newest) reach(version store.Version) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.version = max(n.version, version)
+}
+
+func (n *newest) get() store.Version {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.version
+}
+
+// A caller is still served by a route that was dropped 2.6 s before, and work still goes
+// to an upstream that has left. The store had lost its answers for six seconds; a watch
+// sent into that time, or one that a change ended meanwhile, is never answered. Its
+// connection stands and is probed in vain, so the follower waited for it for 32 s,
+// twenty of them after the store was back. Proof: it sends no other call until then.
+func TestLostAnswerHidesNoChange(t *testing.T) {
+	cases := []struct {
+		description string
+		// before is when the last change before the outage was made; the next watch
+		// follows 0.3 s later.
+		before time.Duration
+		// during is when a change is made within the outage; 0 for none.
+		during time.Duration
+	}{
+		{"the watch is sent into the outage", 4900 * time.Millisecond, 0},
+		{"the watch is answered within the outage", 2 * time.Second, 6 * time.Second},
+		{"both", 4900 * time.Millisecond, 6 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.description, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, copied := newLossyStore(), &newest{}
+				f := &Follower{Store: s, Kind: "k", Copy: copied, Lost: func(error) {}, Found: func() {}}
+				ctx, cancel := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				running.Go(func() { f.Run(ctx) })
+				began := time.Now()
+				at := func(moment time.Duration, do func()) {
+					time.Sleep(time.Until(began.Add(moment)))
+					do()
+				}
+				at(c.before, s.change)
+				at(5*time.Second, func() { s.loseAnswers(true) })
+				if c.during > 0 {
+					at(c.during, s.change)
+				}
+				at(11*time.Second, func() { s.loseAnswers(false) })
+				at(11*time.Second+settleTime-longestStaleness, s.change)
+				at(11*time.Second+settleTime, func() {
+					if want, _, _ := s.state(); copied.get() != want {
+						t.Errorf("the copy is at version %d of %d, %v after the outage", copied.get(), want, settleTime)
+					}
+				})
+				cancel()
+				running.Wait()
+			})
+		})
+	}
+}
--- a/test/route_test.go
+++ b/test/route_test.go
@@ -201,6 +201,40 @@
 	}
 }
 
+// Callers are served by a route that was dropped, and an upstream that leaves gets work.
+// The store lost the answers to its watches while both changed and is well since; each
+// instance waits for an answer that does not come, on a connection that stands. Proof: no
+// process takes in either change until its watch ends by itself, after 32 s; half of that is
+// what a busy machine may take here.
+func TestLostWatchAnswersHideNoChange(t *testing.T) {
+	const inForceWithin = 16 * time.Second
+	f := newRouted(t, 3, 1_000_000)
+	f.store.SetFaults(standin.Faults{LoseWatches: true})
+	f.without["safe"] = true
+	f.configure()
+	leaving := f.plain[0]
+	object, err := f.client.Get(t.Context(), "servers/p0")
+	f.must(err)
+	_, err = f.client.Put(t.Context(), "servers/p0", leaving.Entry("jobs", domainOf(0), true), object.Version)
+	f.must(err)
+	time.Sleep(2 * time.Second)
+	f.store.SetFaults(standin.Faults{})
+	began := time.Now()
+	for n, i := range f.instances {
+		f.awaitRouted("the dropped route", func() bool { return f.send(i, "probe", "safe", "x").status == http.StatusNotFound })
+		f.awaitRouted("the leaving upstream", func() bool {
+			before := len(leaving.Runs())
+			for k := range 12 {
+				f.send(i, fmt.Sprintf("late-%d-%d", n, k), "once", "x")
+			}
+			return len(leaving.Runs()) == before
+		})
+	}
+	if took := time.Since(began); took > inForceWithin {
+		t.Errorf("the changes took %v to be in force", took)
+	}
+}
+
 // The store turns everybody away. An instance that starts meanwhile gets the
 // configuration and the upstreams from another and serves.
 func TestInstanceStartsWhileTheStoreIsAway(t *testing.T) {
