Few instances watch the store closely and tell the others; a watch in doubt is sent anew

Cause: an answer that is lost leaves a connection that stands, and a watch of 30 s was waited for to its end. Change: the first instance of a region (rendezvous order, the next ones take over by patience) watches with waits of 0.7 s and tells the others the version of the last change. A copy that lacks what is told of, or that nobody confirms, is asked for anew at once. A close watch may be 1 s late, the client's bound of every call.

After: at most 2 s old from 3 s after each outage on, at 1, 9 and 73 instances, with the first instances killed, three words in ten lost, a slow store (36 histories). Without what others tell of a change, a copy whose watch was lost unnoticed is old until the patience is over (test fails).

--- /dev/null
+++ b/pkg/follow/fleet_test.go
@@ -0,0 +1,252 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
+
+// silentAfter is how long the others of a fleet rank an instance that has died.
+const silentAfter = 3 * time.Second
+
+// fleetOfCopies is a fleet whose instances follow one store in virtual time.
+type fleetOfCopies struct {
+	store     *lossyStore
+	members   []*copyMember
+	loseWords float64
+	running   sync.WaitGroup
+}
+
+// link is one instance's way to the store, which may be silent for it alone.
+type link struct {
+	*lossyStore
+	silent atomic.Bool
+}
+
+// Watch implements store.Watcher.
+func (l *link) Watch(ctx context.Context, kind string, since store.Version, wait time.Duration) (store.Changes, error) {
+	if l.silent.Load() {
+		return store.Changes{}, lost(ctx, wait)
+	}
+	return l.lossyStore.Watch(ctx, kind, since, wait)
+}
+
+type copyMember struct {
+	fleet  *fleetOfCopies
+	place  int
+	link   *link
+	copied *newest
+	follow *Follower
+	teller *Teller
+	stop   context.CancelFunc
+	// diedAt is when it was killed; nil while it lives.
+	diedAt atomic.Pointer[time.Time]
+}
+
+func startFleet(ctx context.Context, h history) *fleetOfCopies {
+	fleet := &fleetOfCopies{store: newLossyStore(), loseWords: h.loseWords}
+	fleet.store.answerTime = h.answerTime
+	for place := range h.size {
+		fleet.members = append(fleet.members, newCopyMember(fleet, place))
+	}
+	for _, m := range fleet.members {
+		m.start(ctx)
+	}
+	return fleet
+}
+
+func newCopyMember(fleet *fleetOfCopies, place int) *copyMember {
+	m := &copyMember{fleet: fleet, place: place, link: &link{lossyStore: fleet.store}, copied: &newest{}}
+	m.follow = &Follower{Store: m.link, Kind: "k", Copy: m.copied}
+	m.teller = NewTeller(fmt.Sprint(place), map[string]*Follower{"k": m.follow}, m)
+	return m
+}
+
+func (m *copyMember) start(ctx context.Context) {
+	ctx, m.stop = context.WithCancel(ctx)
+	m.fleet.running.Go(func() { m.follow.Run(ctx) })
+	m.fleet.running.Go(func() { m.teller.Run(ctx) })
+}
+
+func (m *copyMember) kill() {
+	now := time.Now()
+	m.diedAt.Store(&now)
+	m.stop()
+}
+
+func (m *copyMember) dead() bool { return m.diedAt.Load() != nil }
+
+// Rank implements Peers: the first places come first, the dead ones for a while too.
+func (m *copyMember) Rank() int {
+	rank := 0
+	for _, other := range m.fleet.members[:m.place] {
+		if died := other.diedAt.Load(); died == nil || time.Since(*died) < silentAfter {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Addresses implements Peers.
+func (m *copyMember) Addresses() []string {
+	var addresses []string
+	for _, other := range m.fleet.members {
+		if other != m {
+			addresses = append(addresses, fmt.Sprint(other.place))
+		}
+	}
+	return addresses
+}
+
+// Confirm implements Peers.
+func (m *copyMember) Confirm(_ context.Context, address string, word *followpb.Confirmation) {
+	if rand.Float64() < m.fleet.loseWords {
+		return
+	}
+	time.Sleep(2 * time.Millisecond)
+	var place int
+	_, _ = fmt.Sscan(address, &place)
+	if other := m.fleet.members[place]; !other.dead() {
+		other.teller.Hear(word)
+	}
+}
+
+// behind returns how many live copies lack a version.
+func (f *fleetOfCopies) behind(version store.Version) int {
+	count := 0
+	for _, m := range f.members {
+		if !m.dead() && m.copied.get() < version {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *fleetOfCopies) end() {
+	for _, m := range f.members {
+		m.stop()
+	}
+	f.running.Wait()
+}
+
+// A store loses its answers again and again, for a moment or for seconds, while changes are
+// made at any time; the instances that tell the others die. A dropped route or a leaving
+// upstream must not be used 2 s after its change: from 3 s after each outage on every live
+// copy has every change that is 2 s old, whatever fell together.
+func TestCopiesAreNeverOldOnceTheStoreAnswers(t *testing.T) {
+	cases := []struct {
+		description string
+		history
+	}{
+		{"nine instances", history{size: 9, answerTime: answerTime}},
+		{"seventy-three instances", history{size: 73, answerTime: answerTime}},
+		{"the first dies in each outage", history{size: 9, answerTime: answerTime, kills: true}},
+		{"three words in ten are lost", history{size: 9, answerTime: answerTime, loseWords: 0.3}},
+		{"a slow store", history{size: 9, answerTime: slowAnswerTime}},
+		{"one instance", history{size: 1, answerTime: answerTime}},
+	}
+	for _, c := range cases {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("%s, seed %d", c.description, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { checkStaleness(t, c.history, seed) })
+			})
+		}
+	}
+}
+
+// history is what happens to a fleet.
+type history struct {
+	size       int
+	answerTime time.Duration
+	// kills says that the first live instance dies in each outage.
+	kills bool
+	// loseWords is the share of words between instances that do not arrive.
+	loseWords float64
+}
+
+func checkStaleness(t *testing.T, h history, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, uint64(h.size)))
+	fleet := startFleet(t.Context(), h)
+	defer fleet.end()
+	time.Sleep(silentAfter)
+	for round := range 8 {
+		time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+		outage := time.Duration(50+random.IntN(4000)) * time.Millisecond
+		fleet.store.change()
+		time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
+		fleet.store.loseAnswers(true)
+		if h.kills && round < h.size-1 {
+			fleet.members[round].kill()
+		}
+		time.Sleep(outage / 2)
+		fleet.store.change()
+		time.Sleep(outage / 2)
+		fleet.store.loseAnswers(false)
+		time.Sleep(time.Duration(random.Int64N(int64(settleTime - longestStaleness))))
+		fleet.store.change()
+		time.Sleep(longestStaleness)
+		version, _, _ := fleet.store.state()
+		time.Sleep(settleTime - longestStaleness)
+		if late := fleet.behind(version); late > 0 {
+			t.Errorf("round %d: %d copies lack a change, %v after an outage of %v", round, late, settleTime, outage)
+		}
+	}
+}
+
+// What it costs the store to know that no answer was lost must not grow with the fleet: one
+// instance asks for all, the others' watches wait for long.
+func TestCallsOfACalmFleetDoNotGrowWithIt(t *testing.T) {
+	const calm = 100 * time.Second
+	for _, size := range []int{1, 9, 73, 300} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := startFleet(t.Context(), history{size: size, answerTime: answerTime})
+				defer fleet.end()
+				time.Sleep(calm)
+				// One close watch, and the long ones of all with some turns at the start.
+				most := int(calm/closeWait) + size*int(calm/longWait+2)
+				if calls := fleet.store.count(); calls > most {
+					t.Errorf("%d watches in %v, more than %d", calls, calm, most)
+				} else {
+					t.Logf("%d instances: %d watches in %v", size, calls, calm)
+				}
+			})
+		})
+	}
+}
+
+// A route is dropped on a calm day and served on at some instances for more than two seconds.
+// Long before, the store was silent for them for a moment, and the watches that they sent then
+// wait in vain. Nothing shows it: the first instance rightly confirms that nothing has changed.
+// Only that it tells of a change that they do not see does.
+func TestChangeLongAfterAnUnnoticedSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := startFleet(t.Context(), history{size: 9, answerTime: answerTime})
+		defer fleet.end()
+		time.Sleep(silentAfter)
+		fleet.store.change()
+		silence := func(silent bool) {
+			for _, m := range fleet.members[1:] {
+				m.link.silent.Store(silent)
+			}
+		}
+		silence(true)
+		time.Sleep(2 * gather)
+		silence(false)
+		time.Sleep(10 * time.Second)
+		fleet.store.change()
+		version, _, _ := fleet.store.state()
+		time.Sleep(longestStaleness / 2)
+		if late := fleet.behind(version); late > 0 {
+			t.Errorf("%d copies lack a change of %v ago", late, longestStaleness/2)
+		}
+	})
+}
--- a/pkg/follow/lost_test.go
+++ b/pkg/follow/lost_test.go
@@ -12,8 +12,9 @@
 
 // Figures of the stores in these tests.
 const (
-	// answerTime is how long a healthy store takes to answer.
-	answerTime = 4 * time.Millisecond
+	// answerTime is how long a healthy store takes to answer, slowAnswerTime a slow one.
+	answerTime     = 4 * time.Millisecond
+	slowAnswerTime = 250 * time.Millisecond
 	// clientPatience is how long past a watch's wait the store's client waits.
 	clientPatience = time.Second
 	// longestStaleness is how old a copy may be while the store answers, and
@@ -27,14 +28,17 @@
 // every call and answers none, also later; connections stand all the while.
 type lossyStore struct {
 	store.Store
-	mu       sync.Mutex
-	revision store.Version
-	losing   bool
-	changed  chan struct{}
-	calls    int
+	answerTime time.Duration
+	mu         sync.Mutex
+	revision   store.Version
+	losing     bool
+	changed    chan struct{}
+	calls      int
 }
 
-func newLossyStore() *lossyStore { return &lossyStore{revision: 1, changed: make(chan struct{})} }
+func newLossyStore() *lossyStore {
+	return &lossyStore{answerTime: answerTime, revision: 1, changed: make(chan struct{})}
+}
 
 func (s *lossyStore) change() {
 	s.mu.Lock()
@@ -66,7 +70,7 @@
 
 // List implements store.Watcher.
 func (s *lossyStore) List(ctx context.Context, _ string) (store.Listing, error) {
-	time.Sleep(answerTime)
+	time.Sleep(s.answerTime)
 	revision, _, losing := s.state()
 	if losing {
 		return store.Listing{}, lost(ctx, 0)
@@ -79,7 +83,7 @@
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
-	time.Sleep(answerTime)
+	time.Sleep(s.answerTime)
 	_, _, swallowed := s.state()
 	deadline := time.After(wait)
 	for {
@@ -170,3 +174,9 @@
 		})
 	}
 }
+
+func (s *lossyStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
--- a/pkg/member/ranking.go
+++ b/pkg/member/ranking.go
@@ -115,6 +115,22 @@
 	return ranked[:min(most, len(ranked))]
 }
 
+// RankInRegion returns how many live members of the own region come before this instance
+// in a key's order; a member that leaves, or has just gone silent, is none. Instances that
+// know different members may disagree for a moment.
+func (t *Table) RankInRegion(key string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := score(key, t.self)
+	rank := 0
+	for _, m := range t.live() {
+		if t.distance(m) <= sameRegion && score(key, m) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Partner returns the live member of another failure domain that this instance
 // should trust its records to, the same region first, other than the incarnation
 // named; empty if there is none.
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
 	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
+	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 )
@@ -25,7 +26,7 @@
 	// callTimeout bounds one call; what is asked is answered from memory or by
 	// one write to the store.
 	callTimeout = 2 * time.Second
-	// heartbeatTimeout bounds a heartbeat.
+	// heartbeatTimeout bounds a heartbeat and a word on the copies of the store.
 	heartbeatTimeout = 500 * time.Millisecond
 	// dialTimeout bounds a connection's set-up.
 	dialTimeout = 500 * time.Millisecond
@@ -247,6 +248,15 @@
 		})
 }
 
+// Confirm tells the instance at an address what was read from the store.
+func (c *Client) Confirm(ctx context.Context, address string, word *followpb.Confirmation) error {
+	_, err := at(ctx, c, "confirm", address, heartbeatTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*followpb.ConfirmReply, error) {
+			return followpb.NewDRPCCopiesClient(conn).Confirm(ctx, word)
+		})
+	return err
+}
+
 // FetchConfig reads a service's accepted document from the instance at an address.
 func (c *Client) FetchConfig(ctx context.Context, address, service string) (*memberpb.Config, error) {
 	return at(ctx, c, "fetch-config", address, callTimeout,
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/bill/billpb"
 	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
+	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 )
@@ -20,6 +21,7 @@
 	Bills   billpb.DRPCBillsServer
 	Members memberpb.DRPCMembersServer
 	Loans   prepaidpb.DRPCLoansServer
+	Copies  followpb.DRPCCopiesServer
 }
 
 // Server answers other instances.
@@ -42,6 +44,11 @@
 			return nil, err
 		}
 	}
+	if handlers.Copies != nil {
+		if err := followpb.DRPCRegisterCopies(mux, handlers.Copies); err != nil {
+			return nil, err
+		}
+	}
 	if handlers.Bills != nil {
 		if err := billpb.DRPCRegisterBills(mux, handlers.Bills); err != nil {
 			return nil, err
--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -1,8 +1,14 @@
 package router
 
 import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/follow"
+	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 )
 
 // provisionCopies makes the followers of the configuration and of the upstreams.
@@ -12,11 +18,49 @@
 	}
 	config := r.platform.Config(r.store, r.applyConfig, bad)
 	config.Lost = r.lostConfig
-	config.Found = func() {}
 	upstreams := r.platform.Upstreams(r.store, r.registry, r.upstreamsChanged, bad)
 	upstreams.Lost = r.lostUpstreams
 	upstreams.Found = r.registry.StoreBack
 	r.copies = map[string]*follow.Follower{shareRouting: config, shareUpstreams: upstreams}
+	for name, copied := range r.copies {
+		copied.Renewed = func(doubt follow.Doubt, waited time.Duration) {
+			r.log.Event(eventlog.WatchRenewed, "", eventlog.Fields{
+				"copy": name, "doubt": doubt, "waited_ms": waited.Milliseconds(),
+			})
+		}
+	}
+	r.teller = follow.NewTeller(r.incarnation, r.copies, copyPeers{r})
+}
+
+// copyPeers are the other instances of the region. It implements follow.Peers.
+type copyPeers struct{ r *Router }
+
+// Rank implements follow.Peers.
+func (p copyPeers) Rank() int { return p.r.table.RankInRegion(follow.RankKey) }
+
+// Addresses implements follow.Peers.
+func (p copyPeers) Addresses() []string {
+	var addresses []string
+	for _, m := range p.r.table.Live() {
+		if m.Incarnation != p.r.incarnation && m.Region == p.r.settings.Region {
+			addresses = append(addresses, m.PeerAddress)
+		}
+	}
+	return addresses
+}
+
+// Confirm implements follow.Peers. Who does not answer is told of by the heartbeats.
+func (p copyPeers) Confirm(ctx context.Context, address string, word *followpb.Confirmation) {
+	if err := p.r.peers.Confirm(ctx, address, word); err != nil {
+		metrics.GetOrRegisterCounter("copies.words_lost", p.r.metrics).Inc(1)
+	}
+}
+
+// Confirm implements the copies service.
+func (r *Router) Confirm(_ context.Context, word *followpb.Confirmation) (*followpb.ConfirmReply, error) {
+	r.table.Heard(word.From)
+	r.teller.Hear(word)
+	return &followpb.ConfirmReply{}, nil
 }
 
 // lostConfig asks the peers for the configuration that the store does not give.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -87,6 +87,7 @@
 	// copies are the followers of the configuration and of the upstreams, by what the
 	// instances call the two.
 	copies map[string]*follow.Follower
+	teller *follow.Teller
 	// listed says that the store's list of instances has been taken in.
 	listed atomic.Bool
 
@@ -190,7 +191,7 @@
 func (r *Router) bind() error {
 	s := r.settings
 	var err error
-	handlers := peer.Handlers{Members: r, Loans: loans{r.tokens}}
+	handlers := peer.Handlers{Members: r, Loans: loans{r.tokens}, Copies: r}
 	if r.server, err = peer.Listen(s.PeerAddress, handlers, &r.traffic, nil); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
