--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -19,10 +19,10 @@
 
 // fleetOfCopies is a fleet whose instances follow one store in virtual time.
 type fleetOfCopies struct {
-	store     *lossyStore
-	members   []*copyMember
-	loseWords float64
-	running   sync.WaitGroup
+	store        *lossyStore
+	members      []*copyMember
+	loseMessages float64
+	running      sync.WaitGroup
 }
 
 // link is one instance's way to the store, which may be silent for it alone.
@@ -40,19 +40,19 @@
 }
 
 type copyMember struct {
-	fleet  *fleetOfCopies
-	place  int
-	link   *link
-	copied *newest
-	follow *Follower
-	teller *Teller
-	stop   context.CancelFunc
+	fleet     *fleetOfCopies
+	place     int
+	link      *link
+	copied    *newest
+	follow    *Follower
+	publisher *Publisher
+	stop      context.CancelFunc
 	// diedAt is when it was killed; nil while it lives.
 	diedAt atomic.Pointer[time.Time]
 }
 
 func startFleet(ctx context.Context, h history) *fleetOfCopies {
-	fleet := &fleetOfCopies{store: newLossyStore(), loseWords: h.loseWords}
+	fleet := &fleetOfCopies{store: newLossyStore(), loseMessages: h.loseMessages}
 	fleet.store.answerTime = h.answerTime
 	for place := range h.size {
 		fleet.members = append(fleet.members, newCopyMember(fleet, place))
@@ -66,14 +66,14 @@
 func newCopyMember(fleet *fleetOfCopies, place int) *copyMember {
 	m := &copyMember{fleet: fleet, place: place, link: &link{lossyStore: fleet.store}, copied: &newest{}}
 	m.follow = &Follower{Store: m.link, Kind: "k", Copy: m.copied}
-	m.teller = NewTeller(fmt.Sprint(place), map[string]*Follower{"k": m.follow}, m)
+	m.publisher = NewPublisher(fmt.Sprint(place), map[string]*Follower{"k": m.follow}, m)
 	return m
 }
 
 func (m *copyMember) start(ctx context.Context) {
 	ctx, m.stop = context.WithCancel(ctx)
 	m.fleet.running.Go(func() { m.follow.Run(ctx) })
-	m.fleet.running.Go(func() { m.teller.Run(ctx) })
+	m.fleet.running.Go(func() { m.publisher.Run(ctx) })
 }
 
 func (m *copyMember) kill() {
@@ -107,15 +107,15 @@
 }
 
 // Confirm implements Peers.
-func (m *copyMember) Confirm(_ context.Context, address string, word *followpb.Confirmation) {
-	if rand.Float64() < m.fleet.loseWords {
+func (m *copyMember) Confirm(_ context.Context, address string, confirmation *followpb.Confirmation) {
+	if rand.Float64() < m.fleet.loseMessages {
 		return
 	}
 	time.Sleep(2 * time.Millisecond)
 	var place int
 	_, _ = fmt.Sscan(address, &place)
 	if other := m.fleet.members[place]; !other.dead() {
-		other.teller.Hear(word)
+		other.publisher.Take(confirmation)
 	}
 }
 
@@ -138,7 +138,7 @@
 }
 
 // A store loses its answers again and again, for a moment or for seconds, while changes are
-// made at any time; the instances that tell the others die. A dropped route or a leaving
+// made at any time; the instances that publish die. A dropped route or a leaving
 // upstream must not be used 2 s after its change: from 3 s after each outage on every live
 // copy has every change that is 2 s old, whatever fell together.
 func TestCopiesAreNeverOldOnceTheStoreAnswers(t *testing.T) {
@@ -149,7 +149,7 @@
 		{"nine instances", history{size: 9, answerTime: answerTime}},
 		{"seventy-three instances", history{size: 73, answerTime: answerTime}},
 		{"the first dies in each outage", history{size: 9, answerTime: answerTime, kills: true}},
-		{"three words in ten are lost", history{size: 9, answerTime: answerTime, loseWords: 0.3}},
+		{"three confirmations in ten are lost", history{size: 9, answerTime: answerTime, loseMessages: 0.3}},
 		{"a slow store", history{size: 9, answerTime: slowAnswerTime}},
 		{"one instance", history{size: 1, answerTime: answerTime}},
 	}
@@ -168,8 +168,8 @@
 	answerTime time.Duration
 	// kills says that the first live instance dies in each outage.
 	kills bool
-	// loseWords is the share of words between instances that do not arrive.
-	loseWords float64
+	// loseMessages is the share of confirmations that do not arrive.
+	loseMessages float64
 }
 
 func checkStaleness(t *testing.T, h history, seed uint64) {
@@ -211,8 +211,8 @@
 				fleet := startFleet(t.Context(), history{size: size, answerTime: answerTime})
 				defer fleet.end()
 				time.Sleep(calm)
-				// One close watch, and the long ones of all with some turns at the start.
-				most := int(calm/closeWait) + size*int(calm/longWait+2)
+				// One short watch, and the long ones of all with some turns at the start.
+				most := int(calm/shortWait) + size*int(calm/longWait+2)
 				if calls := fleet.store.count(); calls > most {
 					t.Errorf("%d watches in %v, more than %d", calls, calm, most)
 				} else {
@@ -226,7 +226,7 @@
 // A route is dropped on a calm day and served on at some instances for more than two seconds.
 // Long before, the store was silent for them for a moment, and the watches that they sent then
 // wait in vain. Nothing shows it: the first instance rightly confirms that nothing has changed.
-// Only that it tells of a change that they do not see does.
+// Only its publishing a change that they do not see does.
 func TestChangeLongAfterAnUnnoticedSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := startFleet(t.Context(), history{size: 9, answerTime: answerTime})
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -1,13 +1,13 @@
 // Package follow keeps a copy of one kind of objects of the store up to date, by one list
-// and then by watches, and keeps it known that the copy is complete.
+// and then by watches, and keeps it confirmed that the copy is complete.
 //
 // A watch that waits says nothing of whether its answer can still come. An answer that is
 // lost on the way leaves a connection that stands and is acknowledged by the other end's
-// kernel, so no probe finds it; the copy would be old until the wait is over. So a few
-// instances watch closely, with waits so short that a lost answer is noticed within the
-// time that a change may take, and tell the others what they read (Teller). An instance
-// whose own watch missed what they tell of, or that hears nothing of them, gives its watch
-// up and asks the store itself. What it costs the store does not grow with the fleet.
+// kernel, so no probe finds it; the copy would be old until the wait is over. So the first
+// instance of a region sends short watches, whose loss is noticed within the time that a
+// change may take, and publishes what they say to the others (Publisher). An instance whose
+// own long watch missed a change that is published, or that gets no confirmation, abandons
+// the watch and asks the store itself. What this costs the store does not grow with the fleet.
 package follow
 
 import (
@@ -22,16 +22,16 @@
 
 // Pace of a follower.
 const (
-	// longWait is how long a watch waits whose copy others confirm; each that returns is
-	// a call, and the store allows no longer one.
+	// longWait is how long a watch waits whose copy is confirmed by another instance; each
+	// that returns is a call, and the store allows no longer one.
 	longWait = 30 * time.Second
-	// closeWait is how long a watch waits that confirms the copy by itself. A change may
+	// shortWait is how long a watch waits that confirms the copy by itself. A change may
 	// take 2 s to be in force and an outage 3 s to be over with (the bounds of the users'
-	// deployments). A close watch sent just before the end of an outage is given up by the
+	// deployments). A short watch sent just before the end of an outage is given up by the
 	// store's client 1 s after its wait; with the pause after it and behindLimit at the
-	// others, that is 2.1 s. Shorter waits leave more room and cost more calls: this one
-	// takes 1.4 a second for each kind, of one instance.
-	closeWait = 700 * time.Millisecond
+	// other instances, that is 2.1 s. A shorter wait leaves more room and costs more calls:
+	// this one takes 1.4 a second for each kind, at one instance.
+	shortWait = 700 * time.Millisecond
 	// gather is the pause after a change: changes come in groups (upstreams that
 	// start together, one version after the other), and each watch that returns is
 	// a call. The first change after a quiet time is not delayed, a later one by less
@@ -59,19 +59,18 @@
 	Store store.Watcher
 	Kind  string
 	Copy  Copy
-	// Patience returns how long the word of others may be missing before this instance
-	// watches closely itself; nil or 0 for always closely.
-	Patience func() time.Duration
+	// ConfirmTimeout returns how long confirmations by other instances may be missing
+	// before this one sends short watches; nil or 0 for always.
+	ConfirmTimeout func() time.Duration
 	// Lost is told of each failed call, Found of the first that succeeds after, Renewed of
-	// each watch that was given up in doubt. Each may be nil.
+	// each watch that was abandoned after a time. Each may be nil.
 	Lost    func(err error)
 	Found   func()
-	Renewed func(doubt Doubt, waited time.Duration)
-	// Answered is told of each answered call; news says that it brought a change. It may
-	// be nil.
-	Answered func(news bool)
+	Renewed func(reason Reason, waited time.Duration)
+	// Answered is told of each answered call, and whether it brought a change. It may be nil.
+	Answered func(changed bool)
 
-	known known
+	fresh freshness
 }
 
 // Run follows until ctx ends.
@@ -81,7 +80,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := f.once(ctx)
-		var doubt Doubt
+		var abandoned *AbandonedError
 		switch {
 		case err == nil:
 			if failing && f.Found != nil {
@@ -89,10 +88,12 @@
 			}
 			wait, failing = firstPause, false
 		case ctx.Err() != nil:
-		case errors.As(err, &doubt):
-			f.renewed(doubt, time.Since(began))
+		case errors.As(err, &abandoned):
+			if f.Renewed != nil {
+				f.Renewed(abandoned.Reason, time.Since(began))
+			}
 		case errors.Is(err, store.ErrHistoryGone):
-			f.known.forget() // changes were missed: the list is read anew
+			f.fresh.forget() // changes were missed: the list is read anew
 		default:
 			failing = true
 			if f.Lost != nil {
@@ -105,15 +106,9 @@
 	}
 }
 
-func (f *Follower) renewed(doubt Doubt, waited time.Duration) {
-	if f.Renewed != nil {
-		f.Renewed(doubt, waited)
-	}
-}
-
 // once reads the list, or what changed since.
 func (f *Follower) once(ctx context.Context) error {
-	since := f.known.upTo()
+	since := f.fresh.upTo()
 	if since == store.NoVersion {
 		return f.list(ctx)
 	}
@@ -121,11 +116,11 @@
 	if err != nil {
 		return err
 	}
-	news := len(changes.Changes) > 0
 	f.Copy.Apply(changes)
-	f.known.reach(changes.Version, lastChange(changes))
-	f.answered(news)
-	if news {
+	f.fresh.reach(changes.Version, lastChange(changes))
+	changed := len(changes.Changes) > 0
+	f.answered(changed)
+	if changed {
 		pause.For(ctx, gather)
 	}
 	return nil
@@ -138,30 +133,30 @@
 	}
 	f.Copy.Replace(list)
 	// A list does not show what was deleted, so anything may have changed up to it.
-	f.known.reach(list.Version, list.Version)
+	f.fresh.reach(list.Version, list.Version)
 	f.answered(true)
 	return nil
 }
 
-func (f *Follower) answered(news bool) {
+func (f *Follower) answered(changed bool) {
 	if f.Answered != nil {
-		f.Answered(news)
+		f.Answered(changed)
 	}
 }
 
-// watch waits for changes: closely, or for long and only as long as the copy is not in
-// doubt. Errors: Doubt if the watch was given up; those of the store.
+// watch waits for changes: shortly, or for long and only as long as the copy is confirmed.
+// Errors: *AbandonedError; those of the store.
 func (f *Follower) watch(ctx context.Context, since store.Version) (store.Changes, error) {
-	if f.Closely() {
-		return f.Store.Watch(ctx, f.Kind, since, closeWait)
+	if f.WatchesShort() {
+		return f.Store.Watch(ctx, f.Kind, since, shortWait)
 	}
-	ctx, giveUp := context.WithCancelCause(ctx)
-	defer giveUp(nil)
-	go f.guard(ctx, giveUp)
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	go f.guard(ctx, abandon)
 	changes, err := f.Store.Watch(ctx, f.Kind, since, longWait)
-	var doubt Doubt
-	if err != nil && errors.As(context.Cause(ctx), &doubt) {
-		return store.Changes{}, doubt
+	var abandoned *AbandonedError
+	if err != nil && errors.As(context.Cause(ctx), &abandoned) {
+		return store.Changes{}, abandoned
 	}
 	return changes, err
 }
--- /dev/null
+++ b/pkg/follow/freshness.go
@@ -0,0 +1,120 @@
+package follow
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
+
+// freshness is what is known of a copy's completeness. It is safe for concurrent use.
+type freshness struct {
+	mu sync.Mutex
+	// since is the version up to which the copy has everything.
+	since store.Version
+	// changed is the version of the last known change, or a later one up to since.
+	changed store.Version
+	// read is when an own call was last answered, confirmed the time of the latest reading
+	// by which another instance confirmed the copy.
+	read, confirmed time.Time
+	// published is the last change that another instance published, missedSince when this
+	// copy first lacked it.
+	published   store.Version
+	missedSince time.Time
+	// lacks wakes the guard of a watch.
+	lacks chan struct{}
+}
+
+func (s *freshness) upTo() store.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.since
+}
+
+// forget makes the next call read the whole list.
+func (s *freshness) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.since = store.NoVersion
+}
+
+// reach notes an answered call.
+func (s *freshness) reach(since, changed store.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.since = max(s.since, since)
+	s.changed = max(s.changed, changed)
+	s.read = time.Now()
+}
+
+// confirm notes what another instance read. A version that this copy has reached confirms it
+// as of the time of that reading, also if the other has not seen this copy's last change yet;
+// a later one shows that it lacks something.
+func (s *freshness) confirm(lastChange store.Version, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if lastChange <= s.since {
+		if at := time.Now().Add(-age); at.After(s.confirmed) {
+			s.confirmed = at
+		}
+		return
+	}
+	if s.published <= s.since {
+		s.missedSince = time.Now()
+	}
+	s.published = max(s.published, lastChange)
+	select {
+	case s.wake() <- struct{}{}:
+	default: // it will look anyway
+	}
+}
+
+// trusted returns for how long the copy may still be trusted without another answer, and
+// for what reason not longer.
+func (s *freshness) trusted(timeout time.Duration) (Reason, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unconfirmed := timeout - time.Since(s.confirmed)
+	if s.published <= s.since {
+		return Unconfirmed, unconfirmed
+	}
+	behind := behindLimit - time.Since(s.missedSince)
+	if behind <= unconfirmed {
+		return Behind, behind
+	}
+	return Unconfirmed, unconfirmed
+}
+
+// lacking returns a channel that receives when the copy may lack a change.
+func (s *freshness) lacking() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wake()
+}
+
+// wake returns the channel; s.mu is held.
+func (s *freshness) wake() chan struct{} {
+	if s.lacks == nil {
+		s.lacks = make(chan struct{}, 1)
+	}
+	return s.lacks
+}
+
+func (s *freshness) age() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.read.IsZero() {
+		return 0, false
+	}
+	last := s.read
+	if s.confirmed.After(last) {
+		last = s.confirmed
+	}
+	return time.Since(last), true
+}
+
+func (s *freshness) lastChange() (store.Version, time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed, time.Since(s.read), !s.read.IsZero()
+}
--- a/pkg/follow/lost_test.go
+++ b/pkg/follow/lost_test.go
@@ -15,8 +15,8 @@
 	// answerTime is how long a healthy store takes to answer, slowAnswerTime a slow one.
 	answerTime     = 4 * time.Millisecond
 	slowAnswerTime = 250 * time.Millisecond
-	// clientPatience is how long past a watch's wait the store's client waits.
-	clientPatience = time.Second
+	// clientTimeout is how long past a watch's wait the store's client waits.
+	clientTimeout = time.Second
 	// longestStaleness is how old a copy may be while the store answers, and
 	// settleTime how long after an outage this holds again: the bounds that the
 	// users' deployments set.
@@ -62,7 +62,7 @@
 
 // lost waits for an answer that does not come.
 func lost(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+clientPatience)
+	ctx, cancel := context.WithTimeout(ctx, wait+clientTimeout)
 	defer cancel()
 	<-ctx.Done()
 	return ctx.Err()
--- /dev/null
+++ b/pkg/follow/publisher.go
@@ -0,0 +1,136 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
+
+// RankKey is what the live instances of a region are ranked for (rendezvous hashing): the
+// first sends short watches and publishes what they say.
+const RankKey = "copies"
+
+// Who sends short watches when. Confirmations come at most publishEvery apart and are up to
+// shortWait old, so 1.4 s may pass between two readings that confirm a copy; one that is lost
+// on the way costs some calls too many.
+const (
+	// publishEvery is the longest time between two confirmations by one instance.
+	publishEvery = 700 * time.Millisecond
+	// firstTimeout is how long the instance of the second rank goes unconfirmed before it
+	// takes the first one's place, rankTimeout how much longer each further rank does, so
+	// that one steps in and not all of a fleet.
+	firstTimeout = 1600 * time.Millisecond
+	rankTimeout  = 300 * time.Millisecond
+	// publishers is how many ranks publish. The rest only look after themselves: in an
+	// outage all send short watches, and all publishing to all would be messages by the
+	// square of the fleet. With the last timeout, 2.2 s, an instance that lost its
+	// publishers in an outage is up to date within the 3 s that one may take to be over with.
+	publishers = 3
+)
+
+// ConfirmTimeout returns how long an instance of a rank may go unconfirmed.
+func ConfirmTimeout(rank int) time.Duration {
+	if rank <= 0 {
+		return 0
+	}
+	return firstTimeout + time.Duration(min(rank, publishers)-1)*rankTimeout
+}
+
+// Publisher publishes what the short watches of this instance say to the others, and takes
+// in what they publish. It is made by NewPublisher.
+type Publisher struct {
+	self      string
+	followers map[string]*Follower
+	peers     Peers
+	changed   chan struct{}
+}
+
+// Peers are the other instances, as a publisher needs them.
+type Peers interface {
+	// Rank returns this instance's rank among those of its region; 0 is the first.
+	Rank() int
+	// Addresses returns where the others of the region are reached.
+	Addresses() []string
+	// Confirm sends a confirmation to one of them; it returns within a bounded time, and
+	// is not repeated if it fails, since the next one comes soon.
+	Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation)
+}
+
+// NewPublisher returns the publisher of an incarnation and joins the followers to it, by the
+// names that the instances use for what they follow.
+func NewPublisher(self string, followers map[string]*Follower, peers Peers) *Publisher {
+	p := &Publisher{self: self, followers: followers, peers: peers, changed: make(chan struct{}, 1)}
+	for _, follower := range followers {
+		follower.ConfirmTimeout = func() time.Duration { return ConfirmTimeout(peers.Rank()) }
+		follower.Answered = p.answered
+	}
+	return p
+}
+
+// answered makes a change known at once: a copy whose watch lost its answer learns of it
+// from the publication.
+func (p *Publisher) answered(changed bool) {
+	if !changed {
+		return
+	}
+	select {
+	case p.changed <- struct{}{}:
+	default: // a publication is due anyway
+	}
+}
+
+// Run publishes until ctx ends.
+func (p *Publisher) Run(ctx context.Context) {
+	tick := time.NewTicker(publishEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-p.changed:
+			tick.Reset(publishEvery)
+		case <-ctx.Done():
+			return
+		}
+		if confirmation := p.confirmation(); confirmation != nil {
+			p.publish(ctx, confirmation)
+		}
+	}
+}
+
+// confirmation returns what this instance has to publish; nil for nothing. Copies that it
+// watches for long are confirmed by another, and what was read too long ago confirms none.
+func (p *Publisher) confirmation() *followpb.Confirmation {
+	if p.peers.Rank() >= publishers {
+		return nil
+	}
+	var states []*followpb.CopyState
+	for name, follower := range p.followers {
+		version, age, read := follower.LastChange()
+		if read && age < ConfirmTimeout(publishers) && follower.WatchesShort() {
+			states = append(states, &followpb.CopyState{Name: name, LastChange: uint64(version), AgeMs: age.Milliseconds()})
+		}
+	}
+	if len(states) == 0 {
+		return nil
+	}
+	return &followpb.Confirmation{From: p.self, Copies: states}
+}
+
+// publish sends a confirmation to all at once and waits for none: one that does not answer
+// delays neither the others nor the next confirmation.
+func (p *Publisher) publish(ctx context.Context, confirmation *followpb.Confirmation) {
+	for _, address := range p.peers.Addresses() {
+		go p.peers.Confirm(ctx, address, confirmation)
+	}
+}
+
+// Take takes in another instance's confirmation.
+func (p *Publisher) Take(confirmation *followpb.Confirmation) {
+	for _, state := range confirmation.Copies {
+		if follower := p.followers[state.Name]; follower != nil {
+			follower.Confirm(store.Version(state.LastChange), time.Duration(state.AgeMs)*time.Millisecond)
+		}
+	}
+}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -26,7 +26,7 @@
 	// callTimeout bounds one call; what is asked is answered from memory or by
 	// one write to the store.
 	callTimeout = 2 * time.Second
-	// heartbeatTimeout bounds a heartbeat and a word on the copies of the store.
+	// heartbeatTimeout bounds a heartbeat and a confirmation of copies of the store.
 	heartbeatTimeout = 500 * time.Millisecond
 	// dialTimeout bounds a connection's set-up.
 	dialTimeout = 500 * time.Millisecond
@@ -249,10 +249,10 @@
 }
 
 // Confirm tells the instance at an address what was read from the store.
-func (c *Client) Confirm(ctx context.Context, address string, word *followpb.Confirmation) error {
+func (c *Client) Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation) error {
 	_, err := at(ctx, c, "confirm", address, heartbeatTimeout,
 		func(ctx context.Context, conn drpc.Conn) (*followpb.ConfirmReply, error) {
-			return followpb.NewDRPCCopiesClient(conn).Confirm(ctx, word)
+			return followpb.NewDRPCCopiesClient(conn).Confirm(ctx, confirmation)
 		})
 	return err
 }
--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -23,13 +23,13 @@
 	upstreams.Found = r.registry.StoreBack
 	r.copies = map[string]*follow.Follower{shareRouting: config, shareUpstreams: upstreams}
 	for name, copied := range r.copies {
-		copied.Renewed = func(doubt follow.Doubt, waited time.Duration) {
+		copied.Renewed = func(reason follow.Reason, waited time.Duration) {
 			r.log.Event(eventlog.WatchRenewed, "", eventlog.Fields{
-				"copy": name, "doubt": doubt, "waited_ms": waited.Milliseconds(),
+				"copy": name, "reason": reason, "waited_ms": waited.Milliseconds(),
 			})
 		}
 	}
-	r.teller = follow.NewTeller(r.incarnation, r.copies, copyPeers{r})
+	r.publisher = follow.NewPublisher(r.incarnation, r.copies, copyPeers{r})
 }
 
 // copyPeers are the other instances of the region. It implements follow.Peers.
@@ -50,16 +50,16 @@
 }
 
 // Confirm implements follow.Peers. Who does not answer is told of by the heartbeats.
-func (p copyPeers) Confirm(ctx context.Context, address string, word *followpb.Confirmation) {
-	if err := p.r.peers.Confirm(ctx, address, word); err != nil {
-		metrics.GetOrRegisterCounter("copies.words_lost", p.r.metrics).Inc(1)
+func (p copyPeers) Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation) {
+	if err := p.r.peers.Confirm(ctx, address, confirmation); err != nil {
+		metrics.GetOrRegisterCounter("copies.confirmations_lost", p.r.metrics).Inc(1)
 	}
 }
 
 // Confirm implements the copies service.
-func (r *Router) Confirm(_ context.Context, word *followpb.Confirmation) (*followpb.ConfirmReply, error) {
-	r.table.Heard(word.From)
-	r.teller.Hear(word)
+func (r *Router) Confirm(_ context.Context, confirmation *followpb.Confirmation) (*followpb.ConfirmReply, error) {
+	r.table.Heard(confirmation.From)
+	r.publisher.Take(confirmation)
 	return &followpb.ConfirmReply{}, nil
 }
 
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -77,7 +77,7 @@
 	for _, copied := range r.copies {
 		r.duty(copied.Run)
 	}
-	r.duty(r.teller.Run)
+	r.duty(r.publisher.Run)
 	r.duty(r.meet)
 	r.every(heartbeat, r.heartbeats)
 	r.every(tokenTick, r.tokens.Tick)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -86,8 +86,8 @@
 	tie *life.StoreTie
 	// copies are the followers of the configuration and of the upstreams, by what the
 	// instances call the two.
-	copies map[string]*follow.Follower
-	teller *follow.Teller
+	copies    map[string]*follow.Follower
+	publisher *follow.Publisher
 	// listed says that the store's list of instances has been taken in.
 	listed atomic.Bool
 
