--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -58,5 +58,10 @@
 try declined-is-free-again pkg/prepaid/refill.go 's/n\.purse\(id\)\.free \+= d\.returned\[id\] - d\.confirmed\[id\]//' pkg/prepaid TestDeclinedReportsLoseNothing
 try doubtful-stays-returned pkg/prepaid/refill.go 's/d\.confirmed\[id\] = sent\.Returned \/\//\/\//' pkg/prepaid TestDoubtfulReturnIsNotFreeAgain
 try restarted-is-another pkg/placement/pool.go 's/ \|\| s\.Born != u\.Born//' pkg/placement TestRestartedUpstreamBeginsWithNothing
+try short-watches pkg/follow/follow.go 's/shortWait = 700 \* time\.Millisecond/shortWait = 30 * time.Second/' pkg/follow TestLostAnswerHidesNoChange
+try copies-are-guarded pkg/follow/follow.go 's/\tgo f\.guard\(ctx, abandon\)\n//' pkg/follow TestCopiesAreNeverOldOnceTheStoreAnswers
+try published-change-is-awaited pkg/follow/freshness.go 's/if s\.published <= s\.since \{\n\t\treturn/if true {\n\t\treturn/' pkg/follow TestChangeLongAfterAnUnnoticedSilence
+try confirmations-are-sent pkg/follow/publisher.go 's/\t\tgo p\.peers\.Confirm\(ctx, address, confirmation\)/\t\t_ = address/' pkg/follow TestCallsOfACalmFleetDoNotGrowWithIt
+try documents-are-watched-shortly pkg/configsync/syncer.go 's/watchWait = 2 \* time/watchWait = 20 * time/' pkg/configsync TestLostWatchHidesNoDocument
 try faulty-entry-is-out platform/copies.go 's/c\.Registry\.Discard\(id\)\n\t\treturn/return/' platform TestFaultyEntriesAreToldOnceAndTheOthersHold
 exit $status
