A call to the store is bounded by silence, not by size; an answer on its way is not abandoned

Change: the client's bound runs to an answer's head, the link's own delay added, and from then on to each part; the guard lets go once the answer has begun. Tests fail before.

--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
@@ -29,6 +30,8 @@
 type link struct {
 	*lossyStore
 	silent atomic.Bool
+	// transferTime is how many nanoseconds an answer with changes takes on this link.
+	transferTime atomic.Int64
 }
 
 // Watch implements store.Watcher.
@@ -36,7 +39,13 @@
 	if l.silent.Load() {
 		return store.Changes{}, lost(ctx, wait)
 	}
-	return l.lossyStore.Watch(ctx, kind, since, wait)
+	changes, err := l.lossyStore.Watch(ctx, kind, since, wait)
+	if err == nil && len(changes.Changes) > 0 {
+		store.AnswerBegun(ctx)
+		pause.For(ctx, time.Duration(l.transferTime.Load()))
+		err = ctx.Err()
+	}
+	return changes, err
 }
 
 type copyMember struct {
@@ -250,3 +259,31 @@
 		}
 	})
 }
+
+// The configuration has grown large, and some instances' links are slow: an answer takes them a
+// second and a half, while the first instance has it at once and publishes the change. They are
+// behind, but their answers are on the way; abandoned, each would start over, and on a full link
+// never get through.
+func TestAnswerOnItsWayIsNotAbandoned(t *testing.T) {
+	const transfer = 1500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		fleet := startFleet(t.Context(), history{size: 9, answerTime: answerTime})
+		defer fleet.end()
+		for _, m := range fleet.members[1:] {
+			m.link.transferTime.Store(int64(transfer))
+		}
+		time.Sleep(silentAfter)
+		before := fleet.store.count()
+		fleet.store.change()
+		version, _, _ := fleet.store.state()
+		time.Sleep(transfer + 100*time.Millisecond)
+		if late := fleet.behind(version); late > 0 {
+			t.Errorf("%d copies lack the change once its answer has been transferred", late)
+		}
+		// The first instance's short watches of this time, and one watch of each other's.
+		const most = 4 + 8
+		if calls := fleet.store.count() - before; calls > most {
+			t.Errorf("%d watches for one change, more than %d", calls, most)
+		}
+	})
+}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -152,8 +152,12 @@
 	}
 	ctx, abandon := context.WithCancelCause(ctx)
 	defer abandon(nil)
-	go f.guard(ctx, abandon)
-	changes, err := f.Store.Watch(ctx, f.Kind, since, longWait)
+	// Once an answer has begun it is not lost. On a link of 10 Mbit/s that is full, a
+	// large configuration takes seconds; abandoned for being behind it would start over.
+	guarded, answerBegun := context.WithCancel(ctx)
+	defer answerBegun()
+	go f.guard(guarded, abandon)
+	changes, err := f.Store.Watch(store.WithAnswerBegun(ctx, answerBegun), f.Kind, since, longWait)
 	var abandoned *AbandonedError
 	if err != nil && errors.As(context.Cause(ctx), &abandoned) {
 		return store.Changes{}, abandoned
--- a/pkg/httpconn/httpconn.go
+++ b/pkg/httpconn/httpconn.go
@@ -54,7 +54,10 @@
 // Conn is one connection. Only Close may be called concurrently with others.
 type Conn struct {
 	// Peer is the address that was dialled.
-	Peer   string
+	Peer string
+	// DialTook is how long the connection took to be set up, one round trip.
+	DialTook time.Duration
+
 	tcp    *net.TCPConn
 	reader *bufio.Reader
 	// idleSince is when the connection was kept; idleFor how long it may be.
@@ -83,6 +86,7 @@
 // *Error with step "dial".
 func Dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	began := time.Now()
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, &Error{Step: "dial", Peer: address, Err: err}
@@ -92,7 +96,7 @@
 		_ = conn.Close()
 		return nil, &Error{Step: "dial", Peer: address, Err: errors.New("not a TCP connection")}
 	}
-	return &Conn{Peer: address, tcp: tcp, reader: bufio.NewReaderSize(tcp, readBufferBytes)}, nil
+	return &Conn{Peer: address, DialTook: time.Since(began), tcp: tcp, reader: bufio.NewReaderSize(tcp, readBufferBytes)}, nil
 }
 
 // Send writes a whole request. Errors: *Error with step "send".
