Drawers are asked again as soon as the store answers after an outage

Cause: in a cut of all, drawers decline or do not answer, and are passed over for up to 4 s more after it; meanwhile each of 73 instances writes to the ledger itself, where four writes of five meet another's (1,490 of 1,801 in ten seconds). Change: the store's first answer after an outage ends all rests.

--- a/pkg/prepaid/drawer_test.go
+++ b/pkg/prepaid/drawer_test.go
@@ -99,6 +99,35 @@
 	})
 }
 
+// All instances of a large fleet are cut off for eight seconds and use up what they hold.
+// Callers are refused for seconds more, though all are connected again: the drawers have
+// failed so often that they are passed over, and each instance writes to the ledger itself,
+// where most writes meet another's. The store's first answer ends that.
+func TestDrawersAreAskedAgainOnceTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(11, 20, map[string]int64{account: 2_000_000})
+		f.drawers = []string{"i0", "i1"}
+		cut := func(cut bool) {
+			for _, m := range f.nodes {
+				m.cut = cut
+			}
+		}
+		f.playLoad(t, 20)
+		cut(true)
+		f.playLoad(t, 24)
+		cut(false)
+		for _, m := range f.nodes {
+			m.StoreBack()
+		}
+		f.playLoad(t, 1) // the drawers find the ledger again
+		_, refused := f.playLoad(t, 6)
+		s, err := prepaid.DecodeShard(f.shard)
+		if err != nil || refused > 0 || len(s.Writers) > len(f.drawers) {
+			t.Errorf("%d refused, %d instances wrote, %v", refused, len(s.Writers), err)
+		}
+	})
+}
+
 // Answers of the drawer are lost, and reports too. What they carried is told again by
 // the next ones: nearly all that was prepaid is served in the end.
 func TestLostAnswersOfADrawerLoseNothing(t *testing.T) {
--- a/pkg/prepaid/refill.go
+++ b/pkg/prepaid/refill.go
@@ -213,6 +213,18 @@
 	}
 }
 
+// StoreBack says that the store answers this instance again after an outage. Drawers that
+// declined or did not answer meanwhile are asked again at once: they are back as well. Else
+// they rest for up to drawerLongRest more, and all instances write to the ledger themselves:
+// on four days of large fleets (63 to 81 instances) that was 8 to 18 % of the store calls.
+func (n *Node) StoreBack() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range n.drawers {
+		d.rest, d.restUntil = 0, time.Time{}
+	}
+}
+
 func (n *Node) takeSupply(d *drawer, name string, supply *prepaidpb.Supply, now time.Time) {
 	p := n.purse(supply.Budget)
 	tokens := supply.Granted - d.granted[supply.Budget]
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -112,7 +112,7 @@
 	r.background, r.end = context.WithCancel(context.Background())
 	r.life = life.New(r.log)
 	r.tie = life.NewStoreTie(r.log)
-	r.store = p.NewStore(s.StoreAddress, r.tie.Note)
+	r.store = p.NewStore(s.StoreAddress, r.noteStore)
 	r.provisionFleet()
 	r.provisionForward()
 	r.provisionCopies()
@@ -124,6 +124,15 @@
 	return r, nil
 }
 
+// noteStore notes whether the store answered a call.
+func (r *Router) noteStore(err error) {
+	wasUp := r.tie.Up()
+	r.tie.Note(err)
+	if err == nil && !wasUp {
+		r.tokens.StoreBack()
+	}
+}
+
 func (r *Router) provisionFleet() {
 	s := r.settings
 	r.table = member.NewTable(member.Config{
