--- a/pkg/soak/plan.go
+++ b/pkg/soak/plan.go
@@ -38,6 +38,7 @@
 	Slow            Kind = "slow"             // the store is slow
 	WritesLost      Kind = "writes-lost"      // writes take effect unanswered
 	WritesLate      Kind = "writes-late"      // writes take effect later, unanswered
+	WatchesLost     Kind = "watches-lost"     // watches are never answered, their connections stand
 	HistoryGone     Kind = "history-gone"     // watches have to list anew
 	Change          Kind = "change"           // a route goes or comes back, an account is topped up
 )
@@ -51,7 +52,7 @@
 	Kill, Pause, Stop, Stop, Reload, StoreReset, StoreSilence, StoreHold, StoreDelay, ClientReset,
 	UpstreamReset, UpstreamSilence, UpstreamHold, UpstreamDelay, AnswersLost, AnswersRefused, AnswersFailed,
 	AnswersCrossed, AnswersExtra, StreamsCut, Replaced, Replaced, Outage, Throttle, Slow, WritesLost, WritesLate,
-	HistoryGone, Change, Change,
+	WatchesLost, HistoryGone, Change, Change,
 }
 
 // Fault is one fault of a plan.
--- a/pkg/soak/strike.go
+++ b/pkg/soak/strike.go
@@ -167,6 +167,8 @@
 		faults.LoseAnswers = struckWrites
 	case WritesLate:
 		faults.LateWrites, faults.LateMillis = struckWrites, lateMillis
+	case WatchesLost:
+		faults.LoseWatches = true
 	case HistoryGone:
 		r.fleet.store.ForgetHistory()
 		return
