--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -61,7 +61,7 @@
 try a-third-is-held pkg/prepaid/tick.go 's/heldPart = 3/heldPart = 5/' pkg/prepaid TestAccountThatLastsOutlastsACut
 try restarted-is-another pkg/placement/pool.go 's/ \|\| s\.Born != u\.Born//' pkg/placement TestRestartedUpstreamBeginsWithNothing
 try short-watches pkg/follow/follow.go 's/shortWait = 700 \* time\.Millisecond/shortWait = 30 * time.Second/' pkg/follow TestLostAnswerHidesNoChange
-try copies-are-guarded pkg/follow/follow.go 's/\tgo f\.guard\(ctx, abandon\)\n//' pkg/follow TestCopiesAreNeverOldOnceTheStoreAnswers
+try copies-are-guarded pkg/follow/follow.go 's/go f\.guard\(guarded, abandon\)/_ = guarded/' pkg/follow TestCopiesAreNeverOldOnceTheStoreAnswers
 try published-change-is-awaited pkg/follow/freshness.go 's/if s\.published <= s\.since \{\n\t\treturn/if true {\n\t\treturn/' pkg/follow TestChangeLongAfterAnUnnoticedSilence
 try confirmations-are-sent pkg/follow/publisher.go 's/\t\tgo p\.peers\.Confirm\(ctx, address, confirmation\)/\t\t_ = address/' pkg/follow TestCallsOfACalmFleetDoNotGrowWithIt
 try documents-are-watched-shortly pkg/configsync/syncer.go 's/watchWait = 2 \* time/watchWait = 20 * time/' pkg/configsync TestLostWatchHidesNoDocument
