--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -46,6 +46,7 @@
 	MemberJoined      Number = 600
 	MemberSilent      Number = 601
 	MemberLeft        Number = 602
+	MembersUnknown    Number = 603
 	UpstreamFailing   Number = 610
 )
 
@@ -99,8 +100,9 @@
 	ConfigAccepted:    {"config-accepted", "a document was validated and accepted under a new generation", "none"},
 	ConfigRejected:    {"config-rejected", "a document is invalid; the one accepted before stays in force", "correct the document"},
 	ConfigInForce:     {"config-in-force", "this instance works by the generation named", "none"},
-	MemberJoined:      {"member-joined", "another instance was heard of", "none"},
-	MemberSilent:      {"member-silent", "another instance has not answered for the bound", "see OPERATING, instance crash"},
-	MemberLeft:        {"member-left", "another instance said that it leaves", "none"},
+	MemberJoined:      {"member-joined", "other instances were heard of; count tells how many, members names some", "none"},
+	MemberSilent:      {"member-silent", "other instances answered nobody that probed them and did not refute it; count tells how many, members names some", "see OPERATING, instance crash"},
+	MemberLeft:        {"member-left", "other instances said that they leave; count tells how many, members names some", "none"},
+	MembersUnknown:    {"members-unknown", "a step in which this instance meets the others failed; it is tried again", "none, or see OPERATING, store outage"},
 	UpstreamFailing:   {"upstream-failing", "an upstream failed several times in a row and is passed over", "inspect the upstream"},
 }
--- a/pkg/instance/duties.go
+++ b/pkg/instance/duties.go
@@ -49,7 +49,7 @@
 		return true // a platform without a document yet is in sync too
 	}
 	for _, seed := range i.settings.Seeds {
-		i.gossip.Beat(ctx, seed, i.gossip.Digest())
+		_ = i.gossip.Join(ctx, seed) // the next round tries again
 	}
 	i.gossip.Round(ctx)
 	return len(i.config.Snapshot().Services) > 0
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -142,9 +142,6 @@
 		Heartbeat: s.Heartbeat(),
 		Fanout:    member.DefaultFanout,
 		Now:       time.Now,
-		Joined: func(m *memberpb.Member) {
-			i.log.Event(eventlog.MemberJoined, "", eventlog.Fields{"member": m.Incarnation, "domain": m.Domain})
-		},
 	})
 	i.peers = peer.NewClient(i.table.Address, i.table.Heard, &i.traffic, i.peerClientTLS)
 	i.gossip = &member.Gossip{
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -23,10 +23,16 @@
 
 // Heartbeat implements the members service.
 func (i *Instance) Heartbeat(_ context.Context, d *memberpb.Digest) (*memberpb.Digest, error) {
-	if newer := i.gossip.Take(d); len(newer) > 0 && d.From != nil {
+	reply, newer := i.gossip.Answer(d)
+	if len(newer) > 0 && d.From != nil {
 		i.fetches.TryPut(fetch{address: d.From.PeerAddress, services: newer})
 	}
-	return i.gossip.Digest(), nil
+	return reply, nil
+}
+
+// Probe implements the members service.
+func (i *Instance) Probe(ctx context.Context, req *memberpb.ProbeRequest) (*memberpb.ProbeReply, error) {
+	return &memberpb.ProbeReply{Answered: i.gossip.Answers(ctx, req.Incarnation, req.Address)}, nil
 }
 
 // FetchConfig implements the members service.
--- a/pkg/member/gossip.go
+++ b/pkg/member/gossip.go
@@ -2,17 +2,25 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 )
 
+// compareAfter is how many answers in a row may show another table before this instance asks
+// for a whole one, and how many must show the same before it takes its own for whole. News that
+// is on its way makes tables differ for a moment, and a table of 300 is 25 kB; of many that
+// start at once some agree while they know next to nobody.
+const compareAfter = 3
+
 // Gossip exchanges digests with the other instances.
 type Gossip struct {
 	Table *Table
 	// Send makes one exchange with the instance at an address.
 	Send func(ctx context.Context, address string, digest *memberpb.Digest) (*memberpb.Digest, error)
+	// Probe has the instance at an address probe another member; needed by Run only.
+	Probe func(ctx context.Context, address string, suspect *memberpb.Member) (answered bool, err error)
 	// Generations tells what this instance has, by name.
 	Generations func() []*memberpb.ServiceGeneration
 	// Readings tells what this instance has learned of the engines, Learned is told of
@@ -22,25 +30,50 @@
 	// Newer is told of what the instance at an address has under a higher
 	// generation than this one.
 	Newer func(address string, names []string)
+
+	// differing and equal count answers in a row that showed another table, or the same.
+	differing, equal atomic.Int32
+	// agreed says that compareAfter answers in a row have shown the same table.
+	agreed atomic.Bool
 }
 
-// Digest is what this instance tells others. It names one other member, drawn
-// anew each time: news of a member spreads in a few rounds, and the platform's
-// list brings it anyway. Naming all cost most of an instance's traffic.
-func (g *Gossip) Digest() *memberpb.Digest {
-	d := &memberpb.Digest{From: g.Table.Self(), Generations: g.Generations()}
+// Digest is what this instance tells a member, by its incarnation; empty for one that is not
+// known yet.
+func (g *Gossip) Digest(to string) *memberpb.Digest {
+	d := &memberpb.Digest{
+		From:        g.Table.Self(),
+		Generations: g.Generations(),
+		Known:       g.Table.NewsFor(to),
+		TableHash:   g.Table.Hash(),
+	}
 	if g.Readings != nil {
 		d.Readings = g.Readings()
 	}
-	if live := g.Table.Live(); len(live) > 0 {
-		d.Known = append(d.Known, live[rand.IntN(len(live))])
-	}
 	return d
 }
 
+// withTable adds the whole table and asks for the other's.
+func (g *Gossip) withTable(d *memberpb.Digest) *memberpb.Digest {
+	d.WantTable = true
+	d.Table = g.Table.Whole()
+	return d
+}
+
+// Answer takes a digest in and returns what goes back, and what the sender has under a higher
+// generation.
+func (g *Gossip) Answer(d *memberpb.Digest) (reply *memberpb.Digest, newer []string) {
+	newer = g.Take(d)
+	reply = g.Digest(d.GetFrom().GetIncarnation())
+	if d.WantTable {
+		reply.Table = g.Table.Whole()
+	}
+	return reply, newer
+}
+
 // Take learns from a digest and reports what the sender has under a higher
 // generation.
 func (g *Gossip) Take(d *memberpb.Digest) (newer []string) {
+	g.Table.LearnWhole(d.Table)
 	g.Table.Learn(d.From, true)
 	for _, m := range d.Known {
 		g.Table.Learn(m, false)
@@ -63,21 +96,77 @@
 // Round sends one round of heartbeats, to all of it at once, so that one peer
 // that does not answer delays no other.
 func (g *Gossip) Round(ctx context.Context) {
-	digest := g.Digest()
 	var round sync.WaitGroup
 	for _, m := range g.Table.NextRound() {
-		round.Go(func() { g.Beat(ctx, m.PeerAddress, digest) })
+		round.Go(func() { _ = g.Beat(ctx, m.Incarnation, m.PeerAddress) }) // the table notes who has not been heard of
 	}
 	round.Wait()
 }
 
-// Beat exchanges digests with one address.
-func (g *Gossip) Beat(ctx context.Context, address string, digest *memberpb.Digest) {
+// Beat exchanges digests with a member at an address.
+func (g *Gossip) Beat(ctx context.Context, incarnation, address string) error {
+	return g.exchange(ctx, address, g.heartbeat(incarnation))
+}
+
+// heartbeat is the digest of a heartbeat to a member.
+func (g *Gossip) heartbeat(to string) *memberpb.Digest {
+	digest := g.Digest(to)
+	if !g.agreed.Load() {
+		// Of hundreds that start at once each knows some: whole tables double what is
+		// known with each exchange, news alone took twice as long.
+		return g.withTable(digest)
+	}
+	if g.differing.Load() >= compareAfter && g.Table.wantsWhole() {
+		g.differing.Store(0)
+		digest = g.withTable(digest)
+	}
+	return digest
+}
+
+// Join makes this instance known at an address and learns whom that instance knows.
+func (g *Gossip) Join(ctx context.Context, address string) error {
+	return g.exchange(ctx, address, g.withTable(g.Digest("")))
+}
+
+// Agreed reports whether other instances have shown the same table as this one's: until then
+// it may not know most of the others.
+func (g *Gossip) Agreed() bool { return g.agreed.Load() }
+
+// Answers reports whether a member answers this instance, for another one that got no answer.
+func (g *Gossip) Answers(ctx context.Context, incarnation, address string) bool {
+	reply, err := g.Send(ctx, address, g.Digest(incarnation))
+	if err != nil {
+		return false // that is what was asked
+	}
+	g.takeReply(address, reply)
+	return reply.GetFrom().GetIncarnation() == incarnation
+}
+
+func (g *Gossip) exchange(ctx context.Context, address string, digest *memberpb.Digest) error {
 	reply, err := g.Send(ctx, address, digest)
 	if err != nil {
-		return // the table notes who has not been heard of
+		return err
 	}
+	g.takeReply(address, reply)
+	return nil
+}
+
+func (g *Gossip) takeReply(address string, reply *memberpb.Digest) {
 	if newer := g.Take(reply); len(newer) > 0 {
 		g.Newer(address, newer)
 	}
+	g.compare(reply.TableHash)
+}
+
+// compare notes whether another instance's table is the same.
+func (g *Gossip) compare(hash uint64) {
+	if hash == g.Table.Hash() {
+		g.differing.Store(0)
+		if g.equal.Add(1) >= compareAfter {
+			g.agreed.Store(true)
+		}
+		return
+	}
+	g.equal.Store(0)
+	g.differing.Add(1)
 }
--- a/pkg/member/ranking.go
+++ b/pkg/member/ranking.go
@@ -108,7 +108,7 @@
 		if replaced || e.member.Leaving || t.distance(e.member) > within {
 			continue
 		}
-		if incarnation == t.identity.Incarnation || t.now().Sub(e.heard) <= rankedSilence {
+		if incarnation == t.identity.Incarnation || t.stillRanked(e) {
 			ranked = append(ranked, e.member)
 		}
 	}
@@ -116,6 +116,15 @@
 	return ranked[:min(most, len(ranked))]
 }
 
+// stillRanked reports whether a member keeps its place though it may be silent. Members that
+// all take for silent need no such time: a cut makes nobody say so.
+func (t *Table) stillRanked(e *entry) bool {
+	if t.bound == 0 {
+		return !t.statedSilent(e)
+	}
+	return t.now().Sub(e.heard) <= rankedSilence
+}
+
 // RankInRegion returns how many live members of the own region come before this instance
 // in a key's order; a member that leaves, or has just gone silent, is none. Instances that
 // know different members may disagree for a moment.
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -18,8 +18,12 @@
 
 // entry is one incarnation of an instance.
 type entry struct {
+	// member is the newest that is known of it; replaced, never changed.
 	member *memberpb.Member
-	heard  time.Time
+	// heard is the last sign of life, stated when its state was learned.
+	heard, stated time.Time
+	// missed says that it has not answered this instance's last heartbeat.
+	missed bool
 }
 
 // Table holds the known incarnations. It is safe for concurrent use.
@@ -38,14 +42,21 @@
 	entries map[string]*entry
 	byName  map[string]string // name → newest incarnation
 	next    int
-	notify  func(joined *memberpb.Member)
+	news    news
+	turns   []string // incarnations whose heartbeats are still due in this order
+	// suspected are those whose time to refute it runs.
+	suspected map[string]*entry
+	hash      uint64
+	hashed    bool // hash is that of the present entries
 }
 
 // Config sizes a table.
 type Config struct {
 	// Self is this instance.
 	Self *memberpb.Member
-	// Silent is how long a peer may be silent before others work around it.
+	// Silent is how long a peer may be silent before others work around it; 0 leaves that
+	// to the states that instances tell each other (see Prober), which need no message from
+	// each member to each other one.
 	Silent time.Duration
 	// Heartbeat is the time between two rounds of heartbeats.
 	Heartbeat time.Duration
@@ -53,8 +64,6 @@
 	Fanout int
 	// Now is the clock.
 	Now func() time.Time
-	// Joined is told of each incarnation heard of for the first time.
-	Joined func(*memberpb.Member)
 }
 
 // DefaultFanout bounds a round of heartbeats, so that an instance's heartbeat
@@ -64,15 +73,16 @@
 // NewTable returns a table that knows this instance only.
 func NewTable(cfg Config) *Table {
 	t := &Table{
-		identity: cfg.Self,
-		self:     cfg.Self,
-		bound:    cfg.Silent,
-		fanout:   cfg.Fanout,
-		beat:     cfg.Heartbeat,
-		now:      cfg.Now,
-		entries:  map[string]*entry{},
-		byName:   map[string]string{},
-		notify:   cfg.Joined,
+		identity:  cfg.Self,
+		self:      cfg.Self,
+		bound:     cfg.Silent,
+		fanout:    cfg.Fanout,
+		beat:      cfg.Heartbeat,
+		now:       cfg.Now,
+		entries:   map[string]*entry{},
+		byName:    map[string]string{},
+		news:      news{},
+		suspected: map[string]*entry{},
 	}
 	t.entries[cfg.Self.Incarnation] = &entry{member: cfg.Self, heard: cfg.Now()}
 	t.byName[cfg.Self.Name] = cfg.Self.Incarnation
@@ -83,35 +93,47 @@
 // counts as a sign of life; hearsay only makes it known. Incarnations rise with
 // time, so an older one of the same name never replaces a newer one.
 func (t *Table) Learn(m *memberpb.Member, direct bool) {
-	if m == nil || m.Incarnation == "" || m.Incarnation == t.identity.Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.learn(m, direct)
+}
+
+func (t *Table) learn(m *memberpb.Member, direct bool) {
+	if m == nil || m.Incarnation == "" {
 		return
 	}
-	joined := t.learn(m, direct)
-	if joined && t.notify != nil {
-		t.notify(m)
+	if m.Incarnation == t.identity.Incarnation {
+		t.refute(m)
+		return
 	}
-}
-
-func (t *Table) learn(m *memberpb.Member, direct bool) (joined bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	e := t.entries[m.Incarnation]
 	if e == nil {
-		if newest := t.byName[m.Name]; newest > m.Incarnation {
-			return false
+		if e = t.add(m, direct); e == nil {
+			return
 		}
-		e = &entry{member: m, heard: t.now()}
-		t.entries[m.Incarnation] = e
-		t.byName[m.Name] = m.Incarnation
-		joined = true
 	}
 	if direct {
-		e.heard = t.now()
+		t.signOfLife(e)
 	}
-	if m.Leaving {
-		e.member = m // leaving is never taken back by an older message
+	if supersedes(m, e.member) {
+		t.restate(e, m)
 	}
-	return joined
+}
+
+// add takes in an incarnation that is not known; nil for one that is not worth it.
+func (t *Table) add(m *memberpb.Member, direct bool) *entry {
+	if newest := t.byName[m.Name]; newest > m.Incarnation {
+		return nil
+	}
+	if m.State == memberpb.State_SILENT && !direct {
+		return nil
+	}
+	e := &entry{member: m, heard: t.now(), stated: t.now()}
+	t.entries[m.Incarnation] = e
+	t.byName[m.Name] = m.Incarnation
+	t.news.add(m.Incarnation)
+	t.hashed = false
+	return e
 }
 
 // Succeeded notes that a process answers at an incarnation's address that replaced it.
@@ -139,7 +161,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[incarnation]; e != nil {
-		e.heard = t.now()
+		t.signOfLife(e)
 	}
 }
 
@@ -147,15 +169,9 @@
 func (t *Table) MarkLeaving() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.self = &memberpb.Member{
-		Incarnation: t.identity.Incarnation,
-		Name:        t.identity.Name,
-		Region:      t.identity.Region,
-		Domain:      t.identity.Domain,
-		PeerAddress: t.identity.PeerAddress,
-		Leaving:     true,
-	}
-	t.entries[t.identity.Incarnation].member = t.self
+	leaving := restated(t.self, memberpb.State_ALIVE, t.self.Revision+1)
+	leaving.Leaving = true
+	t.setSelf(leaving)
 }
 
 // Self returns this instance as others see it.
@@ -189,16 +205,26 @@
 	if e == nil || t.byName[e.member.Name] != incarnation {
 		return true
 	}
+	if t.bound == 0 {
+		return t.statedSilent(e)
+	}
 	return t.now().Sub(e.heard) > t.silentBound()
 }
 
 // HeardWithin reports whether the newest incarnation of a name has been heard of, or
-// learned of, within a time.
+// learned of, within a time; where others are asked for signs of life, whether it has been
+// taken for live within that time.
 func (t *Table) HeardWithin(name string, within time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[t.byName[name]]
-	return e != nil && !e.member.Leaving && t.now().Sub(e.heard) <= within
+	if e == nil || e.member.Leaving {
+		return false
+	}
+	if t.bound == 0 {
+		return !t.statedSilent(e) || t.now().Sub(e.stated) <= within
+	}
+	return t.now().Sub(e.heard) <= within
 }
 
 // Address returns the peer address of an incarnation; empty if it is unknown.
@@ -256,24 +282,39 @@
 func (t *Table) NextRound() []*memberpb.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forgetOld()
 	peers := make([]*memberpb.Member, 0, len(t.entries))
 	for incarnation, e := range t.entries {
-		if incarnation == t.identity.Incarnation {
+		if incarnation != t.identity.Incarnation {
+			peers = append(peers, e.member)
+		}
+	}
+	sort.Slice(peers, func(i, j int) bool { return peers[i].Incarnation < peers[j].Incarnation })
+	return t.rotate(peers)
+}
+
+// forgetOld forgets those that have been silent for long, and the replaced ones; t.mu is held.
+func (t *Table) forgetOld() {
+	for incarnation, e := range t.entries {
+		if incarnation == t.identity.Incarnation || !t.silent(incarnation) {
 			continue
 		}
 		replaced := t.byName[e.member.Name] != incarnation
-		if t.now().Sub(e.heard) > forgetAfter || (replaced && t.silent(incarnation)) {
+		last := e.heard
+		if e.stated.After(last) {
+			last = e.stated
+		}
+		if replaced || t.now().Sub(last) > forgetAfter {
 			t.forget(incarnation, e)
-			continue
 		}
-		peers = append(peers, e.member)
 	}
-	sort.Slice(peers, func(i, j int) bool { return peers[i].Incarnation < peers[j].Incarnation })
-	return t.rotate(peers)
 }
 
 func (t *Table) forget(incarnation string, e *entry) {
 	delete(t.entries, incarnation)
+	delete(t.suspected, incarnation)
+	t.news.drop(incarnation)
+	t.hashed = false
 	if t.byName[e.member.Name] == incarnation {
 		delete(t.byName, e.member.Name)
 	}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -28,6 +28,8 @@
 	callTimeout = 2 * time.Second
 	// heartbeatTimeout bounds a heartbeat and a confirmation of copies of the store.
 	heartbeatTimeout = 500 * time.Millisecond
+	// probeTimeout bounds a question whether a member answers another instance.
+	probeTimeout = 400 * time.Millisecond
 	// dialTimeout bounds a connection's set-up.
 	dialTimeout = 500 * time.Millisecond
 	// idleExpiry closes a pooled connection that is not used.
@@ -248,6 +250,16 @@
 		})
 }
 
+// Probe has the instance at an address probe a member.
+func (c *Client) Probe(ctx context.Context, address string, suspect *memberpb.Member) (bool, error) {
+	req := &memberpb.ProbeRequest{Incarnation: suspect.Incarnation, Address: suspect.PeerAddress}
+	reply, err := at(ctx, c, "probe", address, probeTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*memberpb.ProbeReply, error) {
+			return memberpb.NewDRPCMembersClient(conn).Probe(ctx, req)
+		})
+	return reply.GetAnswered(), err
+}
+
 // Confirm tells the instance at an address what was read from the store.
 func (c *Client) Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation) error {
 	_, err := at(ctx, c, "confirm", address, heartbeatTimeout,
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
@@ -21,13 +20,8 @@
 	statusEvery = 10 * time.Second
 	// syncCheck is how often a starting instance looks whether it may serve.
 	syncCheck = 20 * time.Millisecond
-	// registerSpread spreads the first writes of instances that start together.
-	registerSpread = time.Second
-	// listRetry is how often a starting instance tries to read the list of the others.
-	// Until it has, it draws next to no tokens.
-	listRetry = 250 * time.Millisecond
-	// registerEvery is how often a missing registration is tried again.
-	registerRetry = 2 * time.Second
+	// membersNoted is how often the log tells which members have joined or gone.
+	membersNoted = time.Second
 )
 
 // Bounds of a planned stop.
@@ -79,7 +73,8 @@
 	}
 	r.duty(r.publisher.Run)
 	r.duty(r.meet)
-	r.every(heartbeat, r.heartbeats)
+	r.duty(r.gossip.Run)
+	r.every(membersNoted, r.noteMembers)
 	r.every(tokenTick, r.tokens.Tick)
 	r.every(housekeeping, r.housekeep)
 	r.every(statusEvery, r.tellStatus)
@@ -146,26 +141,7 @@
 	r.log.Event(eventlog.InstanceStatus, "", fields)
 }
 
-func (r *Router) heartbeats(ctx context.Context) {
-	r.gossip.Round(ctx)
-	r.noted.Look(r.table, r.log)
-}
-
-// meet makes this instance known and learns of the others, from the seeds and
-// from the store's list; after that heartbeats do.
-func (r *Router) meet(ctx context.Context) {
-	for _, seed := range r.settings.Seeds {
-		if seed != r.settings.PeerAddress {
-			r.gossip.Beat(ctx, seed, r.gossip.Digest())
-		}
-	}
-	for !r.learnListed(ctx) && pause.For(ctx, listRetry/2+rand.N(listRetry)) {
-	}
-	pause.For(ctx, rand.N(registerSpread))
-	for ctx.Err() == nil && !r.register(ctx) {
-		pause.For(ctx, registerRetry)
-	}
-}
+func (r *Router) noteMembers(context.Context) { r.noted.Look(r.table, r.log) }
 
 // stop ends the instance in the time that it has.
 func (r *Router) stop() {
--- a/pkg/router/members.go
+++ b/pkg/router/members.go
@@ -10,12 +10,8 @@
 	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/registry"
 	"github.com/lavenderring/lavenderring/pkg/routing"
-	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
-// memberKind is the kind of the instances' own entries in the store.
-const memberKind = "instances"
-
 // What instances tell each other the versions of, and hand on to those that the
 // store does not answer.
 const (
@@ -61,10 +57,11 @@
 
 // Heartbeat implements the members service.
 func (r *Router) Heartbeat(_ context.Context, d *memberpb.Digest) (*memberpb.Digest, error) {
-	if newer := r.gossip.Take(d); len(newer) > 0 && d.From != nil {
+	reply, newer := r.gossip.Answer(d)
+	if len(newer) > 0 && d.From != nil {
 		go r.fetchNewer(d.From.PeerAddress, newer)
 	}
-	return r.gossip.Digest(), nil
+	return reply, nil
 }
 
 // sharedUpstreams is a copy of the registry on its way to a peer.
@@ -73,6 +70,11 @@
 	Upstreams []registry.Upstream `json:"upstreams"`
 }
 
+// Probe implements the members service.
+func (r *Router) Probe(ctx context.Context, req *memberpb.ProbeRequest) (*memberpb.ProbeReply, error) {
+	return &memberpb.ProbeReply{Answered: r.gossip.Answers(ctx, req.Incarnation, req.Address)}, nil
+}
+
 // FetchConfig implements the members service.
 func (r *Router) FetchConfig(_ context.Context, req *memberpb.FetchConfigRequest) (*memberpb.Config, error) {
 	table := r.config.Table()
@@ -137,32 +139,3 @@
 		}
 	}
 }
-
-// register writes this instance into the store's list and takes the list in. It
-// reports whether both succeeded.
-func (r *Router) register(ctx context.Context) bool {
-	value, err := json.Marshal(r.table.Self())
-	if err != nil {
-		return true // cannot be written now or later
-	}
-	err = store.Update(ctx, r.store, memberKind+"/"+r.settings.Name, func([]byte) ([]byte, error) { return value, nil })
-	return err == nil && r.learnListed(ctx)
-}
-
-// learnListed takes in the store's list of instances, and reports whether it could.
-func (r *Router) learnListed(ctx context.Context) bool {
-	list, err := r.store.List(ctx, memberKind)
-	if err != nil {
-		return false
-	}
-	for _, object := range list.Objects {
-		var m memberpb.Member
-		if err := json.Unmarshal(object.Value, &m); err != nil {
-			r.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"peer": object.Key, "cause": err.Error()})
-			continue
-		}
-		r.table.Learn(&m, false)
-	}
-	r.listed.Store(true)
-	return true
-}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -33,10 +32,6 @@
 
 // Bounds of an instance.
 const (
-	// heartbeat is the time between two rounds of heartbeats.
-	heartbeat = time.Second
-	// peerSilent is how long a peer may be silent before others work around it.
-	peerSilent = 3 * time.Second
 	// readTimeout bounds the reading of one client's request.
 	readTimeout = 10 * time.Second
 	// maxAdminBody bounds a body sent to operators' paths, which take none.
@@ -88,8 +83,7 @@
 	// instances call the two.
 	copies    map[string]*follow.Follower
 	publisher *follow.Publisher
-	// listed says that the store's list of instances has been taken in.
-	listed atomic.Bool
+	meeting   meeting
 
 	noted member.Notes
 
@@ -141,18 +135,13 @@
 			Domain:      s.Domain,
 			PeerAddress: s.PeerAddress,
 		},
-		Silent:    peerSilent,
-		Heartbeat: heartbeat,
-		Fanout:    member.DefaultFanout,
-		Now:       time.Now,
-		Joined: func(m *memberpb.Member) {
-			r.log.Event(eventlog.MemberJoined, "", eventlog.Fields{"member": m.Incarnation, "domain": m.Domain})
-		},
+		Now: time.Now,
 	})
 	r.peers = peer.NewClient(r.table.Address, r.table.Heard, &r.traffic, nil)
 	r.gossip = &member.Gossip{
 		Table:       r.table,
 		Send:        r.peers.Heartbeat,
+		Probe:       r.peers.Probe,
 		Generations: r.generations,
 		Newer:       r.fetchNewer,
 		Readings:    r.readings,
@@ -167,7 +156,7 @@
 	r.tokens = prepaid.NewNode(cfg, prepaid.Deps{
 		Ledger:   newLedger(r.store, s.LedgerShards),
 		Peers:    lenders{client: r.peers, table: r.table},
-		Fleet:    fleetView{table: r.table, listed: &r.listed},
+		Fleet:    fleetView{table: r.table, joined: r.joined},
 		Observer: tokenLog{r.log},
 		Amounts:  r.amounts,
 		Now:      time.Now,
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
@@ -126,12 +125,12 @@
 // fleetView implements prepaid.Fleet.
 type fleetView struct {
 	table *member.Table
-	// listed says that the store's list of instances has been taken in.
-	listed *atomic.Bool
+	// joined tells whether the others are known.
+	joined func() bool
 }
 
 // Joined implements prepaid.Fleet.
-func (v fleetView) Joined() bool { return v.listed.Load() }
+func (v fleetView) Joined() bool { return v.joined() }
 
 func (v fleetView) Others() []string {
 	var others []string
