Copies are handed on by those that read the store; starts ask other instances first

Change: the publisher hands on what changes, in its confirmations while it is small and on request while it is not, from one instance to some others each within a bound of bytes; versions order everything, whoever tells. The others ask the store only while nobody confirms their copies, one call an instance at a time while it does not answer. Who starts gets its copies from others, from the store after a second. The end of an outage is told too, since entries that lapsed in it are kept for a moment. A joining instance takes its table for whole after one equal answer of one that is settled.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -1,30 +1,35 @@
-// Package follow keeps a copy of one kind of objects of the store up to date, by one list
-// and then by watches, and keeps it confirmed that the copy is complete.
+// Package follow keeps a copy of one kind of objects of the store up to date, and keeps it
+// confirmed that the copy is complete.
 //
-// A watch that waits says nothing of whether its answer can still come. An answer that is
-// lost on the way leaves a connection that stands and is acknowledged by the other end's
-// kernel, so no probe finds it; the copy would be old until the wait is over. So the first
-// instance of a region sends short watches, whose loss is noticed within the time that a
-// change may take, and publishes what they say to the others (Publisher). An instance whose
-// own long watch missed a change that is published, or that gets no confirmation, abandons
-// the watch and asks the store itself. What this costs the store does not grow with the fleet.
+// One instance of a region, the publisher, sends short watches and hands on what they say: that
+// nothing changed, or the changes themselves. The others ask the store only while nobody
+// confirms their copies, so what copies cost the store does not grow with the fleet. If each
+// waited on the store, each change ended all their watches and each outage had all ask anew:
+// of 295 instances that was two of three calls.
+//
+// A watch that waits says nothing of whether its answer can still come. An answer that is lost
+// on the way leaves a connection that stands and is acknowledged by the other end's kernel, so
+// no probe finds it; the copy would be old until the wait is over. So watches are short: the
+// loss of one is noticed within the time that a change may take.
+//
+// Versions order everything: whoever tells, a copy only moves to a higher version, and changes
+// are applied only to a copy that has all before them.
 package follow
 
 import (
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // Pace of a follower.
 const (
-	// longWait is how long a watch waits whose copy is confirmed by another instance; each
-	// that returns is a call, and the store allows no longer one.
-	longWait = 30 * time.Second
 	// shortWait is how long a watch waits that confirms the copy by itself. A change may
 	// take 2 s to be in force and an outage 3 s to be over with (the bounds of the users'
 	// deployments). A short watch sent just before the end of an outage is given up by the
@@ -34,10 +39,12 @@
 	shortWait = 700 * time.Millisecond
 	// gather is the pause after a change: changes come in groups (upstreams that
 	// start together, one version after the other), and each watch that returns is
-	// a call. The first change after a quiet time is not delayed, a later one by less
-	// than a sixth of the shortest time that the users' deployments allow (2 s). While
-	// 73 instances and their 63 upstreams started, 100 ms took 34 watches an instance.
+	// a call, and a message to each other instance. The first change after a quiet time is not
+	// delayed, a later one by less than a sixth of the shortest time that the users'
+	// deployments allow (2 s).
 	gather = 300 * time.Millisecond
+	// gatePoll is how often a follower looks whether it may ask, or needs to.
+	gatePoll = 50 * time.Millisecond
 	// firstPause and longestPause bound the pace of failing calls, which doubles in
 	// between: short enough to be up to date within a second of the store's return, long
 	// enough to bound the calls to one that refuses. The time that a call took to fail
@@ -67,10 +74,23 @@
 	Lost    func(err error)
 	Found   func()
 	Renewed func(reason Reason, waited time.Duration)
+	// OutageEnded is told that the store is back for another instance that this one has its
+	// changes from, and for how long. It may be nil.
+	OutageEnded func(ago time.Duration)
 	// Answered is told of each answered call, and whether it brought a change. It may be nil.
 	Answered func(changed bool)
+	// Obtain gets a first copy from another instance and reports whether one had it; it may
+	// be nil.
+	Obtain func(ctx context.Context) bool
+	// Gate is shared by the followers of one instance; it may be nil.
+	Gate *Gate
 
-	fresh freshness
+	fresh    freshness
+	contents contents
+	// applying orders what the store and other instances say of this copy.
+	applying sync.Mutex
+	// mustList says that the store's history is gone: only its list tells what it has.
+	mustList bool
 }
 
 // Run follows until ctx ends.
@@ -78,13 +98,19 @@
 	wait := firstPause
 	failing := false
 	for ctx.Err() == nil {
+		if failing && f.fresh.upTo() != store.NoVersion && !f.WatchesShort() {
+			f.found() // others reach the store, and confirm this copy
+			wait, failing = firstPause, false
+		}
 		began := time.Now()
 		err := f.once(ctx)
 		var abandoned *AbandonedError
 		switch {
+		case errors.Is(err, errNotNow):
+			pause.For(ctx, gatePoll)
 		case err == nil:
-			if failing && f.Found != nil {
-				f.Found()
+			if failing {
+				f.found()
 			}
 			wait, failing = firstPause, false
 		case ctx.Err() != nil:
@@ -94,6 +120,7 @@
 			}
 		case errors.Is(err, store.ErrHistoryGone):
 			f.fresh.forget() // changes were missed: the list is read anew
+			f.mustList = true
 		default:
 			failing = true
 			if f.Lost != nil {
@@ -106,63 +133,133 @@
 	}
 }
 
-// once reads the list, or what changed since.
-func (f *Follower) once(ctx context.Context) error {
-	since := f.fresh.upTo()
-	if since == store.NoVersion {
-		return f.list(ctx)
+func (f *Follower) found() {
+	f.fresh.returned()
+	if f.Found != nil {
+		f.Found()
 	}
-	changes, err := f.watch(ctx, since)
-	if err != nil {
-		return err
+}
+
+// outageEnded notes that the store answers another instance again after an outage that this one
+// may not have noticed, since it asks the store for nothing itself. Each end is told several
+// times, and counts once.
+func (f *Follower) outageEnded(ago time.Duration) {
+	if _, known := f.fresh.sinceOutage(); known {
+		return
 	}
-	f.Copy.Apply(changes)
-	f.fresh.reach(changes.Version, lastChange(changes))
-	changed := len(changes.Changes) > 0
-	f.answered(changed)
-	if changed {
-		pause.For(ctx, gather)
+	f.fresh.returned()
+	if f.OutageEnded != nil {
+		f.OutageEnded(ago)
 	}
-	return nil
 }
 
-func (f *Follower) list(ctx context.Context) error {
+// errNotNow means that another follower of this instance asks a store that does not answer.
+var errNotNow = errors.New("another call probes the store")
+
+// once gets a first copy, or waits for what changes.
+func (f *Follower) once(ctx context.Context) error {
+	since := f.fresh.upTo()
+	switch {
+	case since == store.NoVersion:
+		return f.begin(ctx)
+	case f.WatchesShort():
+		return f.watch(ctx, since)
+	}
+	return f.receive(ctx)
+}
+
+// begin gets a first copy, from another instance if one has it.
+func (f *Follower) begin(ctx context.Context) error {
+	if !f.mustList && f.Obtain != nil && f.Obtain(ctx) {
+		return nil
+	}
+	if !f.Gate.Enter() {
+		return errNotNow
+	}
 	list, err := f.Store.List(ctx, f.Kind)
+	f.Gate.Leave(err == nil)
 	if err != nil {
 		return err
 	}
-	f.Copy.Replace(list)
-	// A list does not show what was deleted, so anything may have changed up to it.
+	f.mustList = false
+	f.applying.Lock()
+	f.replace(list)
 	f.fresh.reach(list.Version, list.Version)
+	f.applying.Unlock()
 	f.answered(true)
 	return nil
 }
 
+// replace takes a whole list; f.applying is held.
+func (f *Follower) replace(list store.Listing) {
+	f.contents.replace(list)
+	f.Copy.Replace(list)
+}
+
 func (f *Follower) answered(changed bool) {
 	if f.Answered != nil {
 		f.Answered(changed)
 	}
 }
 
-// watch waits for changes: shortly, or for long and only as long as the copy is confirmed.
-// Errors: *AbandonedError; those of the store.
-func (f *Follower) watch(ctx context.Context, since store.Version) (store.Changes, error) {
-	if f.WatchesShort() {
-		return f.Store.Watch(ctx, f.Kind, since, shortWait)
-	}
-	ctx, abandon := context.WithCancelCause(ctx)
-	defer abandon(nil)
-	// Once an answer has begun it is not lost. On a link of 10 Mbit/s that is full, a
-	// large configuration takes seconds; abandoned for being behind it would start over.
-	guarded, answerBegun := context.WithCancel(ctx)
-	defer answerBegun()
-	go f.guard(guarded, abandon)
-	changes, err := f.Store.Watch(store.WithAnswerBegun(ctx, answerBegun), f.Kind, since, longWait)
-	var abandoned *AbandonedError
-	if err != nil && errors.As(context.Cause(ctx), &abandoned) {
-		return store.Changes{}, abandoned
-	}
-	return changes, err
+// watch asks the store what changed, and waits for it shortly. It does not wait where the
+// store did not answer the last call: the sooner this one is lost, the sooner the next is sent.
+func (f *Follower) watch(ctx context.Context, since store.Version) error {
+	if !f.Gate.Enter() {
+		return errNotNow
+	}
+	wait := shortWait
+	if f.Gate.Closed() {
+		wait = 0
+	}
+	changes, err := f.Store.Watch(ctx, f.Kind, since, wait)
+	f.Gate.Leave(err == nil || errors.Is(err, store.ErrHistoryGone))
+	if err != nil {
+		return err
+	}
+	if !f.applyRead(since, changes) {
+		return nil // another instance was faster: what follows is asked for from there
+	}
+	changed := len(changes.Changes) > 0
+	f.answered(changed)
+	if changed {
+		pause.For(ctx, gather)
+	}
+	return nil
+}
+
+// applyRead takes in what the store says changed after a version, if that is still this
+// copy's. Otherwise an object could be put back to what it was before.
+func (f *Follower) applyRead(since store.Version, changes store.Changes) bool {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if f.fresh.upTo() != since {
+		return false
+	}
+	f.contents.apply(changes)
+	f.Copy.Apply(changes)
+	f.fresh.reach(changes.Version, lastChange(changes))
+	return true
+}
+
+// Take takes in what another instance hands on, and reports whether it was of use: whether it
+// follows on what this copy has, and goes further.
+func (f *Follower) Take(c *followpb.Contents) bool {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	since, version := f.fresh.upTo(), store.Version(c.Version)
+	if version <= since || (!c.Whole && store.Version(c.Since) > since) {
+		return false
+	}
+	if c.Whole {
+		f.replace(listing(c))
+	} else {
+		changes := changesOf(c)
+		f.contents.apply(changes)
+		f.Copy.Apply(changes)
+	}
+	f.fresh.handed(version, store.Version(c.LastChange))
+	return true
 }
 
 // lastChange returns the version of the last change, or a later one: that of a deletion is
--- a/pkg/follow/freshness.go
+++ b/pkg/follow/freshness.go
@@ -21,8 +21,10 @@
 	// copy first lacked it.
 	published   store.Version
 	missedSince time.Time
-	// lacks wakes the guard of a watch.
+	// lacks wakes who waits for what this copy may lack.
 	lacks chan struct{}
+	// returnedAt is when the store was last found to answer again after an outage.
+	returnedAt time.Time
 }
 
 func (s *freshness) upTo() store.Version {
@@ -31,6 +33,13 @@
 	return s.since
 }
 
+// versions returns the version up to which the copy has everything, and that of the last change.
+func (s *freshness) versions() (since, changed store.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.since, s.changed
+}
+
 // forget makes the next call read the whole list.
 func (s *freshness) forget() {
 	s.mu.Lock()
@@ -47,17 +56,44 @@
 	s.read = time.Now()
 }
 
+// handed notes that another instance handed on what changed up to a version.
+func (s *freshness) handed(version, changed store.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.since = max(s.since, version)
+	s.changed = max(s.changed, changed)
+}
+
+// returned notes that an outage is over.
+func (s *freshness) returned() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.returnedAt = time.Now()
+}
+
+// sinceOutage returns how long ago the last outage was over; false if that is long ago.
+func (s *freshness) sinceOutage() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ago := time.Since(s.returnedAt)
+	return ago, !s.returnedAt.IsZero() && ago < outageTold
+}
+
+// outageTold is for how long others are told of an outage's end: entries of live upstreams that
+// lapsed in it are written again within about two seconds.
+const outageTold = 3 * time.Second
+
 // confirm notes what another instance read. A version that this copy has reached confirms it
 // as of the time of that reading, also if the other has not seen this copy's last change yet;
 // a later one shows that it lacks something.
-func (s *freshness) confirm(lastChange store.Version, age time.Duration) {
+func (s *freshness) confirm(lastChange store.Version, age time.Duration) (complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if lastChange <= s.since {
 		if at := time.Now().Add(-age); at.After(s.confirmed) {
 			s.confirmed = at
 		}
-		return
+		return true
 	}
 	if s.published <= s.since {
 		s.missedSince = time.Now()
@@ -67,6 +103,7 @@
 	case s.wake() <- struct{}{}:
 	default: // it will look anyway
 	}
+	return false
 }
 
 // trusted returns for how long the copy may still be trusted without another answer, and
@@ -103,14 +140,11 @@
 func (s *freshness) age() (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.read.IsZero() {
-		return 0, false
-	}
 	last := s.read
 	if s.confirmed.After(last) {
 		last = s.confirmed
 	}
-	return time.Since(last), true
+	return time.Since(last), !last.IsZero()
 }
 
 func (s *freshness) lastChange() (store.Version, time.Duration, bool) {
--- /dev/null
+++ b/pkg/follow/gate.go
@@ -0,0 +1,58 @@
+package follow
+
+import (
+	"sync"
+	"time"
+)
+
+// probeEvery is the least time between two calls of one instance to a store that does not
+// answer. The copies of all its kinds wait for one call, and the store's return is noticed
+// within this time and the call's own timeout.
+const probeEvery = 400 * time.Millisecond
+
+// Gate lets the followers of one instance ask a store that does not answer one at a time. It is
+// safe for concurrent use; a nil gate is always open.
+type Gate struct {
+	mu     sync.Mutex
+	closed bool
+	// inside says that a call is on its way to a closed gate's store, since entered.
+	inside  bool
+	entered time.Time
+}
+
+// Enter reports whether a call may be made now; the caller tells its end by Leave.
+func (g *Gate) Enter() bool {
+	if g == nil {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed {
+		return true
+	}
+	if g.inside || time.Since(g.entered) < probeEvery {
+		return false
+	}
+	g.inside, g.entered = true, time.Now()
+	return true
+}
+
+// Leave notes whether the store answered a call.
+func (g *Gate) Leave(answered bool) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed, g.inside = !answered, false
+}
+
+// Closed reports whether the store did not answer the last call.
+func (g *Gate) Closed() bool {
+	if g == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.closed
+}
--- a/pkg/follow/guard.go
+++ b/pkg/follow/guard.go
@@ -19,22 +19,21 @@
 	Unconfirmed Reason = "unconfirmed"
 )
 
-// AbandonedError tells that a watch was abandoned, to be sent anew.
+// AbandonedError tells that this copy is not confirmed by others any more.
 type AbandonedError struct{ Reason Reason }
 
 // Error implements error.
 func (e *AbandonedError) Error() string {
-	return fmt.Sprintf("watch abandoned: the copy is %s", e.Reason)
+	return fmt.Sprintf("the copy is %s", e.Reason)
 }
 
-// behindLimit is how long a waiting watch may take to bring a change that is published.
-// Both come from the same store at about the same moment, also from a slow one; a watch
-// that is abandoned too soon costs one call.
-const behindLimit = 300 * time.Millisecond
+// behindLimit is how long a copy may lack a change that is published before the store is asked
+// for it. Handed on from one instance to some others each, a large configuration reaches 300
+// within half a second; what is asked of the store too soon costs a call.
+const behindLimit = 600 * time.Millisecond
 
-// WatchesShort reports whether this instance's next watch is a short one: because it is to
-// confirm the copies of all, or because nothing confirms its own. A short watch is not
-// guarded, so a slow store's answer is not abandoned again and again.
+// WatchesShort reports whether this instance asks the store by itself: because it is to
+// confirm the copies of all, or because nothing confirms its own.
 func (f *Follower) WatchesShort() bool {
 	timeout := f.confirmTimeout()
 	if timeout == 0 {
@@ -51,13 +50,14 @@
 	return f.ConfirmTimeout()
 }
 
-// guard abandons a long watch as soon as its copy is behind or unconfirmed.
-func (f *Follower) guard(ctx context.Context, abandon context.CancelCauseFunc) {
-	for {
-		reason, left := f.fresh.trusted(f.confirmTimeout())
+// receive waits for as long as others confirm this copy and hand on what changes. Errors:
+// *AbandonedError.
+func (f *Follower) receive(ctx context.Context) error {
+	for ctx.Err() == nil {
+		timeout := f.confirmTimeout()
+		reason, left := f.fresh.trusted(timeout)
 		if left <= 0 {
-			abandon(&AbandonedError{Reason: reason})
-			return
+			return &AbandonedError{Reason: reason}
 		}
 		timer := time.NewTimer(left)
 		select {
@@ -66,16 +66,14 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		if ctx.Err() != nil {
-			return
-		}
 	}
+	return ctx.Err()
 }
 
 // Confirm takes in what another instance read from the store some time ago: that nothing
-// changed after a version.
-func (f *Follower) Confirm(lastChange store.Version, age time.Duration) {
-	f.fresh.confirm(lastChange, age)
+// changed after a version. It reports whether this copy has everything up to that.
+func (f *Follower) Confirm(lastChange store.Version, age time.Duration) (complete bool) {
+	return f.fresh.confirm(lastChange, age)
 }
 
 // Age returns for how long nothing has confirmed that the copy is complete; false before
--- /dev/null
+++ b/pkg/follow/handon.go
@@ -0,0 +1,181 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
+	"github.com/lavenderring/lavenderring/pkg/pause"
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
+
+// How copies are handed on.
+const (
+	// handMost is how many bytes of copies an instance hands on in a second: half of a link of
+	// 10 Mbit/s, the smallest of the users' machines. Who asks beyond it is told who got it.
+	handMost = 600_000
+	// freePacked is the size up to which a copy is handed on whatever was handed on before:
+	// some thousand of them a second are below handMost.
+	freePacked = 512
+	// referred is how many of those that got a copy lately are named to one that is refused.
+	referred = 4
+	// catchUpPause spreads the next question of one that was refused: a copy of 40 kB takes
+	// 35 ms on the smallest link.
+	catchUpPause = 40 * time.Millisecond
+)
+
+// hand hands copies on. It is safe for concurrent use.
+type hand struct {
+	mu     sync.Mutex
+	packed map[string]packedCopy // by name, the last one
+	// spent is what was handed on since began.
+	spent int
+	began time.Time
+	// got are the addresses of those that got a copy last.
+	got []string
+}
+
+type packedCopy struct {
+	since, version store.Version
+	bytes          []byte
+}
+
+// pack returns what changed of a copy after a version. Many ask for the same: the last is kept.
+func (h *hand) pack(name string, f *Follower, since store.Version) ([]byte, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	version, changed := f.fresh.versions()
+	last, kept := h.packed[name]
+	if kept && last.since == since && last.version == version {
+		return last.bytes, nil
+	}
+	contents := f.contents.after(since)
+	if contents == nil {
+		return nil, nil
+	}
+	contents.LastChange = uint64(changed)
+	packed, err := pack(contents)
+	if err != nil {
+		return nil, err
+	}
+	h.packed[name] = packedCopy{since: since, version: version, bytes: packed}
+	return packed, nil
+}
+
+// may reports whether this instance may hand so many bytes on now.
+func (h *hand) may(size int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if time.Since(h.began) >= time.Second {
+		h.began, h.spent = time.Now(), 0
+	}
+	if size > freePacked && h.spent > 0 && h.spent+size > handMost {
+		return false
+	}
+	h.spent += size
+	return true
+}
+
+// gave notes who got a copy.
+func (h *hand) gave(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if address == "" {
+		return
+	}
+	h.got = append([]string{address}, h.got[:min(len(h.got), referred-1)]...)
+}
+
+func (h *hand) elsewhere() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.got...)
+}
+
+// HandOn answers another instance that lacks something.
+func (p *Publisher) HandOn(request *followpb.FetchRequest) (*followpb.FetchReply, error) {
+	f := p.followers[request.Name]
+	if f == nil {
+		return &followpb.FetchReply{}, nil
+	}
+	age, read := f.Age()
+	if !read {
+		return &followpb.FetchReply{}, nil
+	}
+	packed, err := p.hand.pack(request.Name, f, store.Version(request.Since))
+	if err != nil {
+		return nil, err
+	}
+	if !p.hand.may(len(packed)) {
+		return &followpb.FetchReply{Busy: true, Elsewhere: p.hand.elsewhere()}, nil
+	}
+	p.hand.gave(request.Asker)
+	return &followpb.FetchReply{Packed: packed, AgeMs: age.Milliseconds()}, nil
+}
+
+// FetchFrom asks the instance at an address for what this copy lacks. It reports whether that
+// brought the copy further, and whom else to ask.
+func (p *Publisher) FetchFrom(ctx context.Context, name, address string) (further bool, elsewhere []string, err error) {
+	f := p.followers[name]
+	request := &followpb.FetchRequest{Name: name, Since: uint64(f.fresh.upTo())}
+	reply, err := p.peers.Fetch(ctx, address, request)
+	if err != nil || len(reply.Packed) == 0 {
+		return false, reply.GetElsewhere(), err
+	}
+	contents, err := unpack(reply.Packed)
+	if err != nil {
+		return false, nil, err
+	}
+	further = f.Take(contents)
+	f.Confirm(store.Version(contents.LastChange), time.Duration(reply.AgeMs)*time.Millisecond)
+	return further, nil, nil
+}
+
+// startCatchUp brings a copy up to a version that another instance published, unless that is
+// being done.
+func (p *Publisher) startCatchUp(name, from string, version store.Version) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.catching[name] {
+		return
+	}
+	p.catching[name] = true
+	go func() {
+		p.catchUp(name, p.peers.AddressOf(from), version)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.catching[name] = false
+	}()
+}
+
+// catchUp asks for what a copy lacks: first who published it, then whom that one handed it to,
+// then anybody. It ends when the copy has it, or when the store is to be asked.
+func (p *Publisher) catchUp(name, address string, version store.Version) {
+	ctx, cancel := context.WithTimeout(context.Background(), behindLimit)
+	defer cancel()
+	for ctx.Err() == nil && p.followers[name].fresh.upTo() < version {
+		further, elsewhere, err := p.FetchFrom(ctx, name, address)
+		if err == nil && further {
+			continue
+		}
+		if len(elsewhere) == 0 {
+			elsewhere = p.peers.Addresses()
+		}
+		if len(elsewhere) > 0 {
+			address = elsewhere[rand.IntN(len(elsewhere))]
+		}
+		pause.For(ctx, catchUpPause/2+rand.N(catchUpPause))
+	}
+}
+
+// AskAround asks one other instance, drawn anew each time, for what a copy lacks: the store does
+// not answer this one, and those that publish may not reach it.
+func (p *Publisher) AskAround(ctx context.Context, name string) {
+	addresses := p.peers.Addresses()
+	if len(addresses) == 0 {
+		return
+	}
+	_, _, _ = p.FetchFrom(ctx, name, addresses[rand.IntN(len(addresses))]) // the next failed call asks another
+}
--- /dev/null
+++ b/pkg/follow/pack.go
@@ -0,0 +1,50 @@
+package follow
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
+)
+
+// mostUnpacked bounds a copy that another instance hands on: a kind of the store, with room.
+const mostUnpacked = 64 << 20
+
+// pack encodes contents and compresses them: a configuration of 330 kB, which names the same
+// fields again and again, becomes a tenth of it.
+func pack(contents *followpb.Contents) ([]byte, error) {
+	encoded, err := proto.Marshal(contents)
+	if err != nil {
+		return nil, err
+	}
+	var packed bytes.Buffer
+	compressor := gzip.NewWriter(&packed)
+	if _, err := compressor.Write(encoded); err != nil {
+		return nil, err
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, err
+	}
+	return packed.Bytes(), nil
+}
+
+// unpack is the inverse of pack.
+func unpack(packed []byte) (*followpb.Contents, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, fmt.Errorf("unpack copy: %w", err)
+	}
+	encoded, err := io.ReadAll(io.LimitReader(reader, mostUnpacked))
+	if err != nil {
+		return nil, fmt.Errorf("unpack copy: %w", err)
+	}
+	contents := &followpb.Contents{}
+	if err := proto.Unmarshal(encoded, contents); err != nil {
+		return nil, fmt.Errorf("decode copy: %w", err)
+	}
+	return contents, nil
+}
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/store"
 )
@@ -38,13 +41,26 @@
 	return firstTimeout + time.Duration(min(rank, publishers)-1)*rankTimeout
 }
 
-// Publisher publishes what the short watches of this instance say to the others, and takes
-// in what they publish. It is made by NewPublisher.
+// inlineMost bounds the changes that a confirmation carries, in bytes: to 300 instances they are
+// a megabyte, half a second of a link of 20 Mbit/s. What is larger is handed on from one to some
+// others each (see catchUp).
+const inlineMost = 4 << 10
+
+// Publisher publishes what the short watches of this instance say to the others, takes in what
+// they publish, and hands copies on. It is made by NewPublisher.
 type Publisher struct {
 	self      string
 	followers map[string]*Follower
 	peers     Peers
 	changed   chan struct{}
+	hand      hand
+	// published holds the version that this instance's last confirmation told of, by name;
+	// touched by Run only.
+	published map[string]store.Version
+
+	mu sync.Mutex
+	// catching says which copies are being brought up to date.
+	catching map[string]bool
 }
 
 // Peers are the other instances, as a publisher needs them.
@@ -53,18 +69,32 @@
 	Rank() int
 	// Addresses returns where the others of the region are reached.
 	Addresses() []string
+	// AddressOf returns where an incarnation is reached; empty if that is not known.
+	AddressOf(incarnation string) string
 	// Confirm sends a confirmation to one of them; it returns within a bounded time, and
 	// is not repeated if it fails, since the next one comes soon.
 	Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation)
+	// Fetch asks one of them for what changed; it returns within a bounded time.
+	Fetch(ctx context.Context, address string, request *followpb.FetchRequest) (*followpb.FetchReply, error)
 }
 
 // NewPublisher returns the publisher of an incarnation and joins the followers to it, by the
 // names that the instances use for what they follow.
 func NewPublisher(self string, followers map[string]*Follower, peers Peers) *Publisher {
-	p := &Publisher{self: self, followers: followers, peers: peers, changed: make(chan struct{}, 1)}
+	p := &Publisher{
+		self:      self,
+		followers: followers,
+		peers:     peers,
+		changed:   make(chan struct{}, 1),
+		hand:      hand{packed: map[string]packedCopy{}},
+		published: map[string]store.Version{},
+		catching:  map[string]bool{},
+	}
+	gate := &Gate{}
 	for _, follower := range followers {
 		follower.ConfirmTimeout = func() time.Duration { return ConfirmTimeout(peers.Rank()) }
 		follower.Answered = p.answered
+		follower.Gate = gate
 	}
 	return p
 }
@@ -109,7 +139,7 @@
 	for name, follower := range p.followers {
 		version, age, read := follower.LastChange()
 		if read && age < ConfirmTimeout(publishers) && follower.WatchesShort() {
-			states = append(states, &followpb.CopyState{Name: name, LastChange: uint64(version), AgeMs: age.Milliseconds()})
+			states = append(states, p.state(name, follower, version, age))
 		}
 	}
 	if len(states) == 0 {
@@ -118,6 +148,25 @@
 	return &followpb.Confirmation{From: p.self, Copies: states}
 }
 
+// state tells of one copy, with what changed since it was last told of unless that is large.
+func (p *Publisher) state(name string, f *Follower, version store.Version, age time.Duration) *followpb.CopyState {
+	state := &followpb.CopyState{Name: name, LastChange: uint64(version), AgeMs: age.Milliseconds()}
+	if ago, recent := f.fresh.sinceOutage(); recent {
+		state.SinceOutageMs = ago.Milliseconds() + 1
+	}
+	since, told := p.published[name]
+	p.published[name] = version
+	if !told || since >= version {
+		return state
+	}
+	changes := f.contents.after(since)
+	if changes != nil && !changes.Whole && proto.Size(changes) <= inlineMost {
+		changes.LastChange = uint64(version)
+		state.Changes = changes
+	}
+	return state
+}
+
 // publish sends a confirmation to all at once and waits for none: one that does not answer
 // delays neither the others nor the next confirmation.
 func (p *Publisher) publish(ctx context.Context, confirmation *followpb.Confirmation) {
@@ -130,7 +179,20 @@
 func (p *Publisher) Take(confirmation *followpb.Confirmation) {
 	for _, state := range confirmation.Copies {
 		if follower := p.followers[state.Name]; follower != nil {
-			follower.Confirm(store.Version(state.LastChange), time.Duration(state.AgeMs)*time.Millisecond)
+			p.takeState(confirmation.From, follower, state)
 		}
 	}
 }
+
+func (p *Publisher) takeState(from string, f *Follower, state *followpb.CopyState) {
+	if state.SinceOutageMs > 0 {
+		f.outageEnded(time.Duration(state.SinceOutageMs-1) * time.Millisecond)
+	}
+	if state.Changes != nil {
+		f.Take(state.Changes)
+	}
+	age := time.Duration(state.AgeMs) * time.Millisecond
+	if !f.Confirm(store.Version(state.LastChange), age) && f.fresh.upTo() != store.NoVersion {
+		p.startCatchUp(state.Name, from, store.Version(state.LastChange))
+	}
+}
--- a/pkg/member/gossip.go
+++ b/pkg/member/gossip.go
@@ -21,20 +21,21 @@
 	Send func(ctx context.Context, address string, digest *memberpb.Digest) (*memberpb.Digest, error)
 	// Probe has the instance at an address probe another member; needed by Run only.
 	Probe func(ctx context.Context, address string, suspect *memberpb.Member) (answered bool, err error)
-	// Generations tells what this instance has, by name.
+	// Generations tells what this instance has, by name; it may be nil.
 	Generations func() []*memberpb.ServiceGeneration
 	// Readings tells what this instance has learned of the engines, Learned is told of
 	// what another has. Both may be nil.
 	Readings func() []*memberpb.Reading
 	Learned  func(from string, readings []*memberpb.Reading)
 	// Newer is told of what the instance at an address has under a higher
-	// generation than this one.
+	// generation than this one; needed where there are generations.
 	Newer func(address string, names []string)
 
 	// differing and equal count answers in a row that showed another table, or the same.
 	differing, equal atomic.Int32
-	// agreed says that compareAfter answers in a row have shown the same table.
-	agreed atomic.Bool
+	// settled says that compareAfter answers in a row have shown the same table, agreed that
+	// one has that was settled itself: who joins a fleet has its table with the first answer.
+	settled, agreed atomic.Bool
 }
 
 // Digest is what this instance tells a member, by its incarnation; empty for one that is not
@@ -42,9 +43,10 @@
 func (g *Gossip) Digest(to string) *memberpb.Digest {
 	d := &memberpb.Digest{
 		From:        g.Table.Self(),
-		Generations: g.Generations(),
+		Generations: g.generations(),
 		Known:       g.Table.NewsFor(to),
 		TableHash:   g.Table.Hash(),
+		Settled:     g.settled.Load(),
 	}
 	if g.Readings != nil {
 		d.Readings = g.Readings()
@@ -52,6 +54,13 @@
 	return d
 }
 
+func (g *Gossip) generations() []*memberpb.ServiceGeneration {
+	if g.Generations == nil {
+		return nil
+	}
+	return g.Generations()
+}
+
 // withTable adds the whole table and asks for the other's.
 func (g *Gossip) withTable(d *memberpb.Digest) *memberpb.Digest {
 	d.WantTable = true
@@ -82,7 +91,7 @@
 		g.Learned(d.From.Name, d.Readings)
 	}
 	own := map[string]uint64{}
-	for _, generation := range g.Generations() {
+	for _, generation := range g.generations() {
 		own[generation.Service] = generation.Generation
 	}
 	for _, generation := range d.Generations {
@@ -111,7 +120,7 @@
 // heartbeat is the digest of a heartbeat to a member.
 func (g *Gossip) heartbeat(to string) *memberpb.Digest {
 	digest := g.Digest(to)
-	if !g.agreed.Load() {
+	if !g.settled.Load() {
 		// Of hundreds that start at once each knows some: whole tables double what is
 		// known with each exchange, news alone took twice as long.
 		return g.withTable(digest)
@@ -155,14 +164,18 @@
 	if newer := g.Take(reply); len(newer) > 0 {
 		g.Newer(address, newer)
 	}
-	g.compare(reply.TableHash)
+	g.compare(reply)
 }
 
-// compare notes whether another instance's table is the same.
-func (g *Gossip) compare(hash uint64) {
-	if hash == g.Table.Hash() {
+// compare notes whether another instance's table is the same. That of one that is joining too
+// says little.
+func (g *Gossip) compare(reply *memberpb.Digest) {
+	if reply.TableHash == g.Table.Hash() {
 		g.differing.Store(0)
 		if g.equal.Add(1) >= compareAfter {
+			g.settled.Store(true)
+		}
+		if reply.Settled || g.settled.Load() {
 			g.agreed.Store(true)
 		}
 		return
--- a/pkg/member/prober.go
+++ b/pkg/member/prober.go
@@ -48,7 +48,7 @@
 func (g *Gossip) Run(ctx context.Context) {
 	for pause.For(ctx, turnEvery) {
 		g.Table.expireSuspects()
-		for _, m := range g.Table.Due(!g.Agreed()) {
+		for _, m := range g.Table.Due(!g.settled.Load()) {
 			go g.check(ctx, m)
 		}
 	}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -269,6 +269,16 @@
 	return err
 }
 
+// FetchChanges asks the instance at an address for what changed of a copy of the store.
+func (c *Client) FetchChanges(
+	ctx context.Context, address string, request *followpb.FetchRequest,
+) (*followpb.FetchReply, error) {
+	return at(ctx, c, "fetch-changes", address, callTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*followpb.FetchReply, error) {
+			return followpb.NewDRPCCopiesClient(conn).FetchChanges(ctx, request)
+		})
+}
+
 // FetchConfig reads a service's accepted document from the instance at an address.
 func (c *Client) FetchConfig(ctx context.Context, address, service string) (*memberpb.Config, error) {
 	return at(ctx, c, "fetch-config", address, callTimeout,
--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -9,6 +11,13 @@
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/follow"
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
+	"github.com/lavenderring/lavenderring/pkg/pause"
+)
+
+// The copies of the store, by what the instances call them.
+const (
+	copyRouting   = "routing"
+	copyUpstreams = "upstreams"
 )
 
 // provisionCopies makes the followers of the configuration and of the upstreams.
@@ -17,21 +26,112 @@
 		r.log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"cause": err.Error()})
 	}
 	config := r.platform.Config(r.store, r.applyConfig, bad)
-	config.Lost = r.lostConfig
 	upstreams := r.platform.Upstreams(r.store, r.registry, r.upstreamsChanged, bad)
-	upstreams.Lost = r.lostUpstreams
-	upstreams.Found = r.registry.StoreBack
-	r.copies = map[string]*follow.Follower{shareRouting: config, shareUpstreams: upstreams}
+	upstreams.OutageEnded = func(time.Duration) {
+		r.registry.StoreOut()
+		r.registry.StoreBack()
+	}
+	r.copies = map[string]*follow.Follower{copyRouting: config, copyUpstreams: upstreams}
 	for name, copied := range r.copies {
-		copied.Renewed = func(reason follow.Reason, waited time.Duration) {
-			r.log.Event(eventlog.WatchRenewed, "", eventlog.Fields{
-				"copy": name, "reason": reason, "waited_ms": waited.Milliseconds(),
-			})
-		}
+		r.joinCopy(name, copied)
 	}
 	r.publisher = follow.NewPublisher(r.incarnation, r.copies, copyPeers{r})
 }
 
+// joinCopy ties one follower to the log and to the other duties.
+func (r *Router) joinCopy(name string, copied *follow.Follower) {
+	copied.Lost = func(err error) { r.lostStore(name, err) }
+	copied.Found = func() {
+		// Another instance's word that the store answers it counts too: what this one
+		// needs of the store it has through others.
+		r.noteStore(nil)
+		if name == copyUpstreams {
+			r.registry.StoreBack()
+		}
+	}
+	copied.Obtain = func(ctx context.Context) bool { return r.obtain(ctx, name) }
+	copied.Renewed = func(reason follow.Reason, waited time.Duration) {
+		r.log.Event(eventlog.WatchRenewed, "", eventlog.Fields{
+			"copy": name, "reason": reason, "waited_ms": waited.Milliseconds(),
+		})
+	}
+}
+
+// lostStore notes that the store does not answer for a copy, and asks another instance.
+func (r *Router) lostStore(name string, err error) {
+	r.tellWatchFailed(name, err)
+	if name == copyUpstreams {
+		r.registry.StoreOut()
+	}
+	ctx, cancel := context.WithTimeout(r.background, askAroundTimeout)
+	defer cancel()
+	r.publisher.AskAround(ctx, name)
+}
+
+// How a first copy is obtained.
+const (
+	// askAroundTimeout bounds a question to another instance.
+	askAroundTimeout = 300 * time.Millisecond
+	// obtainEvery is how often an instance that starts asks others for a first copy.
+	obtainEvery = 100 * time.Millisecond
+	// obtainFor is how long it asks them before it asks the store, and obtainSpread the time
+	// over which those that start at once do so: with all seeds gone, 300 of them read some
+	// lists of the store each.
+	obtainFor    = time.Second
+	obtainSpread = time.Second
+	// unansweredFor is how long it asks where nobody answers: machines that start together
+	// do so within some hundred milliseconds, and refuse connections until then.
+	unansweredFor = 500 * time.Millisecond
+	// obtainAsked is how many instances are asked at a time.
+	obtainAsked = 3
+)
+
+// obtain asks other instances for a first copy: those known, and the seeds, which read the
+// store themselves. If each instance that starts read the store, a start of all were some
+// lists of hundreds of entries each, page by page. It reports false when the store is to be
+// asked.
+func (r *Router) obtain(ctx context.Context, name string) bool {
+	spread := rand.N(obtainSpread)
+	answered := false
+	for began := time.Now(); ctx.Err() == nil; {
+		for _, address := range r.copyHolders() {
+			further, err := r.fetchCopy(ctx, name, address)
+			if further {
+				return true
+			}
+			answered = answered || err == nil
+		}
+		waited := time.Since(began)
+		if r.isSeed() || waited >= obtainFor+spread || (!answered && waited >= unansweredFor+spread/2) {
+			return false
+		}
+		pause.For(ctx, obtainEvery/2+rand.N(obtainEvery))
+	}
+	return false
+}
+
+// isSeed reports that others look for this instance first.
+func (r *Router) isSeed() bool { return slices.Contains(r.settings.Seeds, r.settings.PeerAddress) }
+
+func (r *Router) fetchCopy(ctx context.Context, name, address string) (further bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, askAroundTimeout)
+	defer cancel()
+	further, _, err = r.publisher.FetchFrom(ctx, name, address)
+	return further, err
+}
+
+// copyHolders returns where some other instances are reached that may have copies.
+func (r *Router) copyHolders() []string {
+	addresses := copyPeers{r}.Addresses()
+	for _, seed := range r.unmetSeeds() {
+		if !slices.Contains(addresses, seed) {
+			addresses = append(addresses, seed)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(obtainAsked, len(addresses))]
+}
+
 // copyPeers are the other instances of the region. It implements follow.Peers.
 type copyPeers struct{ r *Router }
 
@@ -47,6 +147,17 @@
 	return addresses
 }
 
+// AddressOf implements follow.Peers.
+func (p copyPeers) AddressOf(incarnation string) string { return p.r.table.Address(incarnation) }
+
+// Fetch implements follow.Peers.
+func (p copyPeers) Fetch(
+	ctx context.Context, address string, request *followpb.FetchRequest,
+) (*followpb.FetchReply, error) {
+	request.Asker = p.r.settings.PeerAddress
+	return p.r.peers.FetchChanges(ctx, address, request)
+}
+
 // Confirm implements follow.Peers. Who does not answer is told of by the heartbeats.
 func (p copyPeers) Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation) {
 	if err := p.r.peers.Confirm(ctx, address, confirmation); err != nil {
@@ -61,19 +172,9 @@
 	return &followpb.ConfirmReply{}, nil
 }
 
-// lostConfig asks the peers for the configuration that the store does not give.
-func (r *Router) lostConfig(err error) {
-	r.tellWatchFailed(shareRouting, err)
-	if r.config.Table() == nil {
-		r.askPeers(shareRouting)
-	}
-}
-
-// lostUpstreams asks the peers for the upstreams.
-func (r *Router) lostUpstreams(err error) {
-	r.tellWatchFailed(shareUpstreams, err)
-	r.registry.StoreOut()
-	r.askPeers(shareUpstreams)
+// FetchChanges implements the copies service.
+func (r *Router) FetchChanges(_ context.Context, request *followpb.FetchRequest) (*followpb.FetchReply, error) {
+	return r.publisher.HandOn(request)
 }
 
 func (r *Router) tellWatchFailed(name string, err error) {
--- a/pkg/router/meeting.go
+++ b/pkg/router/meeting.go
@@ -20,7 +20,12 @@
 // How instances meet.
 const (
 	// meetRetry is how often an instance that knows no other looks for one.
-	meetRetry = time.Second
+	meetRetry = 250 * time.Millisecond
+	// seedsFirst is how often it asks the seeds in vain before it asks the store: machines
+	// that start together refuse connections for some hundred milliseconds.
+	seedsFirst = 4
+	// storeRetry is how often it reads the store's list while it knows no other.
+	storeRetry = 2 * time.Second
 	// meetAgain is how often one that knows others sends to a seed that is none of them: two
 	// groups that started apart find each other through it.
 	meetAgain = 10 * time.Second
@@ -39,16 +44,20 @@
 
 // meeting is how far this instance has met the others.
 type meeting struct {
-	// first is when another was first met, or the store's list said that there is none; nil
-	// before.
-	first      atomic.Pointer[time.Time]
+	// first is when another was first met; nil before.
+	first atomic.Pointer[time.Time]
+	// nobody says that the store lists nobody that answers.
+	nobody     atomic.Bool
 	registered bool
 }
 
 // joined reports whether the others are known.
 func (r *Router) joined() bool {
+	if r.meeting.nobody.Load() || r.gossip.Agreed() {
+		return true
+	}
 	first := r.meeting.first.Load()
-	return first != nil && (r.gossip.Agreed() || time.Since(*first) > settlesWithin)
+	return first != nil && time.Since(*first) > settlesWithin
 }
 
 // met notes that another instance was met.
@@ -60,11 +69,15 @@
 // meet makes this instance known and learns of the others: from the seeds, and from the store
 // where no seed answers. From then on heartbeats do.
 func (r *Router) meet(ctx context.Context) {
-	for ctx.Err() == nil {
+	for failed := 0; ctx.Err() == nil; {
 		interval := meetAgain
 		if !r.joinSeeds(ctx) && r.alone() {
+			failed++
 			interval = meetRetry
-			r.meetThroughStore(ctx)
+			if failed >= seedsFirst || len(r.settings.Seeds) == 0 {
+				r.meetThroughStore(ctx)
+				interval = storeRetry
+			}
 		}
 		r.registerIfRanked(ctx)
 		pause.For(ctx, interval/2+rand.N(interval))
@@ -123,10 +136,11 @@
 			continue
 		}
 		if m.PeerAddress != r.settings.PeerAddress && r.gossip.Join(ctx, m.PeerAddress) == nil {
-			break // it knows the others
+			r.met()
+			return // it knows the others
 		}
 	}
-	r.met() // if nobody answered there is nobody
+	r.meeting.nobody.Store(true)
 }
 
 // registerIfRanked writes this instance's entry if it is one of those that have one.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -139,13 +139,11 @@
 	})
 	r.peers = peer.NewClient(r.table.Address, r.table.Heard, &r.traffic, nil)
 	r.gossip = &member.Gossip{
-		Table:       r.table,
-		Send:        r.peers.Heartbeat,
-		Probe:       r.peers.Probe,
-		Generations: r.generations,
-		Newer:       r.fetchNewer,
-		Readings:    r.readings,
-		Learned:     r.learned,
+		Table:    r.table,
+		Send:     r.peers.Heartbeat,
+		Probe:    r.peers.Probe,
+		Readings: r.readings,
+		Learned:  r.learned,
 	}
 	cfg := prepaid.Config{
 		Self:   r.incarnation,
