The ledger object names its drawer: who finds another one there asks it

Cause: instances ranked who draws by whom they knew. After a start of all these differ, several wrote, each write that met another's was tried again and its askers, declined, wrote themselves: a metastable failure (retry amplification).

Change: the object of a shard names the instance that draws it; a writer that finds another, live one asks that one instead, and a candidate takes the place of one that does not live or does not answer. A drawer whose write met others' says busy, which is no reason to go elsewhere; who does not know the others yet does not draw; writes by instances that are no candidates are bounded for the whole fleet. Conditional writes stay the only safety.

--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -227,6 +227,19 @@
 	return t.now().Sub(e.heard) <= within
 }
 
+// LiveNamed returns the newest incarnation of a name if it is neither silent nor leaving; empty
+// if there is none.
+func (t *Table) LiveNamed(name string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	incarnation := t.byName[name]
+	e := t.entries[incarnation]
+	if e == nil || e.member.Leaving || t.silent(incarnation) {
+		return ""
+	}
+	return incarnation
+}
+
 // Address returns the peer address of an incarnation; empty if it is unknown.
 func (t *Table) Address(incarnation string) string {
 	t.mu.Lock()
--- a/pkg/prepaid/drawer.go
+++ b/pkg/prepaid/drawer.go
@@ -75,6 +75,11 @@
 		return &prepaidpb.RefillReply{}
 	}
 	shard := n.ShardOf(req.Demands[0].Budget)
+	if !n.Fleet.Joined() {
+		// It is asked by some that know few others either. If each such instance drew for
+		// its askers, a start of all would have hundreds of them write at once.
+		return &prepaidpb.RefillReply{Busy: true}
+	}
 	a := n.hear(shard, req)
 	if a == nil {
 		return &prepaidpb.RefillReply{Declined: true}
@@ -84,7 +89,7 @@
 	if waiting != nil {
 		err := n.findForAsker(ctx, waiting.Budget, waiting.Need)
 		if errors.As(err, &short) && !short.Exhausted && !errors.Is(err, ErrTooFew) {
-			return &prepaidpb.RefillReply{Declined: true} // another drawer may reach the ledger
+			return n.unable(shard, err)
 		}
 	}
 	n.mu.Lock()
@@ -92,7 +97,7 @@
 	if waiting != nil && short == nil {
 		a.budgets[waiting.Budget].granted += waiting.Need
 	}
-	reply := &prepaidpb.RefillReply{}
+	reply := &prepaidpb.RefillReply{Drawer: n.shards[shard].drawer}
 	for _, d := range req.Demands {
 		supply := n.supply(a, d, shard)
 		supply.Exhausted = d == waiting && short != nil && short.Exhausted
@@ -104,6 +109,16 @@
 	return reply
 }
 
+// unable answers an asker whose need this instance could not see to.
+func (n *Node) unable(shard int, err error) *prepaidpb.RefillReply {
+	if errors.Is(err, ErrBusy) {
+		return &prepaidpb.RefillReply{Busy: true} // no reason to ask, or to write, elsewhere
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &prepaidpb.RefillReply{Declined: true, Drawer: n.shards[shard].drawer} // who may reach the ledger
+}
+
 // neededIn returns the demand that a request waits for; a report has one at most.
 func neededIn(req *prepaidpb.RefillRequest) *prepaidpb.Demand {
 	for _, d := range req.Demands {
--- a/pkg/prepaid/fake_test.go
+++ b/pkg/prepaid/fake_test.go
@@ -119,7 +119,7 @@
 
 // Update implements prepaid.Ledger: as the real one it reads, changes, writes
 // under a condition, and tries again after a conflict or a lost answer.
-func (m *member) Update(_ context.Context, _, tries int, change func(*prepaid.Shard)) error {
+func (m *member) Update(_ context.Context, _, tries int, change func(*prepaid.Shard) error) error {
 	f := m.fleet
 	for range min(tries, 4) {
 		f.mu.Lock()
@@ -134,7 +134,9 @@
 		if err != nil {
 			return err
 		}
-		change(s)
+		if err := change(s); err != nil {
+			return err
+		}
 		encoded, err := s.Encode()
 		if err != nil {
 			return err
@@ -212,6 +214,9 @@
 // Known implements prepaid.Fleet.
 func (m *member) Known() int { return len(m.fleet.nodes) }
 
+// Live implements prepaid.Fleet; as Others.
+func (m *member) Live(name string) string { return name }
+
 // Counts implements prepaid.Fleet.
 func (m *member) Counts(string) bool { return true }
 
--- /dev/null
+++ b/pkg/prepaid/named.go
@@ -0,0 +1,85 @@
+package prepaid
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// The object of a shard names the instance that draws it. Instances rank those that may draw by
+// whom they know; while these differ, as after a start of all, several write, and each write
+// that meets another's is tried again: the more collide, the more is tried, and this went on
+// long after all knew each other (a metastable failure). The object is the one thing that all
+// see in the same way, and a lost write shows it. So a writer that finds another one named
+// there does not try again but asks that one, and only a candidate takes the place of a drawer
+// that does not live, or does not answer. The name saves writes and decides nothing else: what
+// is spent was drawn by a conditional write, whoever made it.
+
+// takeDrawing has this instance named as the drawer if that is its turn, before it writes.
+// Errors: *DrawnElsewhereError.
+func (n *Node) takeDrawing(shard int, s *Shard) error {
+	candidates := n.Fleet.Drawers(shard)
+	if len(candidates) == 0 {
+		return nil // each draws for itself
+	}
+	stranger := n.isStranger(shard)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.shards[shard].drawer = s.Drawer
+	if n.defers(s.Drawer) && !n.stopping {
+		return &DrawnElsewhereError{Shard: shard, Drawer: s.Drawer}
+	}
+	if !stranger && !n.stopping && s.Drawer != n.Name {
+		s.Drawer = n.Name
+		n.shards[shard].drawer = n.Name
+	}
+	return nil
+}
+
+// defers reports whether this instance leaves drawing to one of a name: another that lives and
+// has not failed to answer it lately; n.mu is held.
+func (n *Node) defers(name string) bool {
+	if name == "" || name == n.Name {
+		return false
+	}
+	live := n.Fleet.Live(name)
+	return live != "" && !n.rests(live)
+}
+
+// rests reports whether a drawer is passed over; n.mu is held.
+func (n *Node) rests(name string) bool {
+	d := n.drawers[name]
+	return d != nil && n.Now().Before(d.restUntil)
+}
+
+// noteDrawer takes in whom another instance named as a shard's drawer; n.mu is held.
+func (n *Node) noteDrawer(shard int, name string) {
+	if name != "" {
+		n.shards[shard].drawer = name
+	}
+}
+
+// Bounds of writes by instances that are no candidates, all of a fleet together: an object
+// takes one write in some 4 ms, and these must leave most of that to the drawer.
+const (
+	// strangerWritesPerSecond is how many such writes for requests there may be in a second.
+	strangerWritesPerSecond = 10
+	// idleWritesPerSecond is how many there may be without a request that waits.
+	idleWritesPerSecond = 5
+	// ticksPerSecond is how often a second each instance looks whether to make one.
+	ticksPerSecond = 2
+	// startsAlone is how long an instance that does not know the others yet leaves the ledger
+	// alone: after a start of all, hundreds are such at once.
+	startsAlone = 2 * time.Second
+)
+
+// strangerPauseFor is the least time between two writes that an instance which is no candidate
+// makes for requests, drawn so that not all try at once; n.mu is held.
+func (n *Node) strangerPauseFor() time.Duration {
+	pause := max(strangerPause, time.Duration(n.Fleet.Known())*time.Second/strangerWritesPerSecond)
+	return pause/2 + rand.N(pause)
+}
+
+// idleTries is in how many ticks, on average, it writes without a request that waits.
+func (n *Node) idleTries() int {
+	return max(strangerTries, n.Fleet.Known()*ticksPerSecond/idleWritesPerSecond)
+}
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -42,9 +42,9 @@
 
 // Ledger changes one shard by one conditional write, in so many tries against other
 // instances' writes. The function may be called several times; what its last call saw
-// is what was written.
+// is what was written. Its error ends the update, and is returned.
 type Ledger interface {
-	Update(ctx context.Context, shard, tries int, change func(*Shard)) error
+	Update(ctx context.Context, shard, tries int, change func(*Shard) error) error
 }
 
 // Peers carries messages to other instances.
@@ -69,6 +69,9 @@
 	// Counts reports whether an instance, by name, still shares the budgets: one that
 	// may only be cut off does, one that has been gone for long does not.
 	Counts(name string) bool
+	// Live returns the incarnation of the live instance of a name; empty if there is none, or
+	// none is known.
+	Live(name string) string
 	// Drawers returns the instances that may draw a shard's budgets for the region, the
 	// best first, this one among them if it is one; empty if each instance draws for
 	// itself.
@@ -134,6 +137,7 @@
 	ahead    time.Duration // how much of its demand the instance holds
 	purses   map[string]*purse
 	lastTick time.Time
+	began    time.Time
 	recalls  map[string]recallTimes
 	stopping bool
 	// drawers are those that this instance asks.
@@ -149,6 +153,7 @@
 		ahead:    cfg.Ahead,
 		purses:   map[string]*purse{},
 		lastTick: deps.Now(),
+		began:    deps.Now(),
 		recalls:  map[string]recallTimes{},
 		drawers:  map[string]*drawer{},
 	}
--- a/pkg/prepaid/node_test.go
+++ b/pkg/prepaid/node_test.go
@@ -118,7 +118,7 @@
 
 type refusing struct{ err error }
 
-func (r refusing) Update(context.Context, int, int, func(*prepaid.Shard)) error { return r.err }
+func (r refusing) Update(context.Context, int, int, func(*prepaid.Shard) error) error { return r.err }
 
 // An account is used up. Its callers are refused for good, at once and without a
 // call to the store for each; a top-up lets the next one in.
@@ -211,7 +211,7 @@
 type slowLedger struct{ *member }
 
 // Update implements prepaid.Ledger.
-func (l slowLedger) Update(ctx context.Context, shard, tries int, change func(*prepaid.Shard)) error {
+func (l slowLedger) Update(ctx context.Context, shard, tries int, change func(*prepaid.Shard) error) error {
 	time.Sleep(2 * time.Millisecond)
 	err := l.member.Update(ctx, shard, tries, change)
 	time.Sleep(2 * time.Millisecond)
--- a/pkg/prepaid/refill.go
+++ b/pkg/prepaid/refill.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 )
 
@@ -16,11 +18,13 @@
 	drawerRest     = 500 * time.Millisecond
 	drawerLongRest = 4 * time.Second
 	// drawersAsked is how many candidates one request asks.
-	drawersAsked = 2
+	drawersAsked = 3
 	// refillTimeout bounds a report; one for a waiting request is bounded by
 	// needTimeout: a write of the drawer's, a recall and another write.
 	refillTimeout = time.Second
 	needTimeout   = 250 * time.Millisecond
+	// busyPause is about how long a busy drawer is left alone: some writes of the ledger.
+	busyPause = 30 * time.Millisecond
 	// keepValid is how long a drawer's word counts on how much to keep.
 	keepValid = 3 * time.Second
 )
@@ -61,12 +65,14 @@
 	if n.stopping {
 		return ""
 	}
-	now := n.Now()
+	if len(candidates) > 0 && n.defers(n.shards[shard].drawer) {
+		return n.Fleet.Live(n.shards[shard].drawer)
+	}
 	for _, candidate := range candidates {
 		if candidate == n.Self {
 			return ""
 		}
-		if d := n.drawers[candidate]; d == nil || !now.Before(d.restUntil) {
+		if !n.rests(candidate) {
 			return candidate
 		}
 	}
@@ -77,10 +83,11 @@
 // answered, and whether the budget is exhausted.
 func (n *Node) askDrawers(ctx context.Context, budget string, tokens int64) (answered, exhausted bool) {
 	shard := n.ShardOf(budget)
+	busy := false
 	for range drawersAsked {
 		name := n.drawerOf(shard)
 		if name == "" {
-			return false, false
+			return busy, false
 		}
 		n.mu.Lock()
 		p := n.purse(budget)
@@ -88,11 +95,15 @@
 		demand.Need = max(tokens-p.free, 0)
 		n.mu.Unlock()
 		reply, err := n.refill(ctx, name, []*prepaidpb.Demand{demand}, needTimeout)
-		if err == nil && len(reply.Supplies) == 1 {
+		switch {
+		case err == nil && reply.Busy:
+			busy = true
+			pause.For(ctx, busyPause/2+rand.N(busyPause))
+		case err == nil && len(reply.Supplies) == 1:
 			return true, reply.Supplies[0].Exhausted
 		}
 	}
-	return false, false
+	return busy, false
 }
 
 // report tells the drawer of a shard what this instance needs and holds, and gives
@@ -184,7 +195,7 @@
 		if err == nil && reply.Declined {
 			err = errDeclined
 		}
-		n.takeIn(name, reply, err)
+		n.takeIn(name, demands, reply, err)
 		done <- result{reply, err}
 	}()
 	select {
@@ -196,11 +207,17 @@
 }
 
 // takeIn takes a drawer's answer in.
-func (n *Node) takeIn(name string, reply *prepaidpb.RefillReply, err error) {
+func (n *Node) takeIn(name string, demands []*prepaidpb.Demand, reply *prepaidpb.RefillReply, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.Now()
 	d := n.drawer(name)
+	if reply.GetDrawer() != "" && len(demands) > 0 {
+		n.noteDrawer(n.ShardOf(demands[0].Budget), reply.Drawer)
+	}
+	if errors.Is(err, errDeclined) && n.pointsElsewhere(name, reply) {
+		return // it is well, and another one draws
+	}
 	if err != nil {
 		d.rest = min(max(2*d.rest, drawerRest), drawerLongRest)
 		d.restUntil = now.Add(d.rest)
@@ -213,6 +230,16 @@
 	}
 }
 
+// pointsElsewhere reports that a drawer declined because another one, which lives, draws; n.mu
+// is held.
+func (n *Node) pointsElsewhere(name string, reply *prepaidpb.RefillReply) bool {
+	live := ""
+	if reply.GetDrawer() != "" {
+		live = n.Fleet.Live(reply.Drawer)
+	}
+	return live != "" && live != name
+}
+
 // StoreBack says that the store answers this instance again after an outage. Drawers that
 // declined or did not answer meanwhile are asked again at once: they are back as well. Else
 // they rest for up to drawerLongRest more, and all instances write to the ledger themselves:
--- a/pkg/prepaid/shard.go
+++ b/pkg/prepaid/shard.go
@@ -54,6 +54,9 @@
 	// those that it draws for. It paces drawing and decides nothing about safety.
 	Holders map[string]Holder `json:"holders,omitempty"`
 	Turn    uint64            `json:"turn"`
+	// Drawer is the name of the instance that draws for the others. Whoever reads the object,
+	// also by losing a write, learns whom to ask. It decides nothing about safety.
+	Drawer string `json:"drawer,omitempty"`
 	// Forgotten is the turn of the newest writer that has been forgotten.
 	Forgotten uint64 `json:"forgotten,omitempty"`
 }
--- a/pkg/prepaid/tick.go
+++ b/pkg/prepaid/tick.go
@@ -66,7 +66,7 @@
 	if n.stopping || !n.isStranger(shard) {
 		return true
 	}
-	return rand.N(strangerTries) == 0
+	return rand.N(n.idleTries()) == 0
 }
 
 // mayDrawNow reports whether this instance, for which no drawer answers, writes to the
@@ -84,13 +84,15 @@
 	if state.flight == nil && now.Before(state.strangerAt) {
 		return false
 	}
-	state.strangerAt = now.Add(strangerPause)
+	if !n.Fleet.Joined() && now.Sub(n.began) < startsAlone {
+		return false
+	}
+	state.strangerAt = now.Add(n.strangerPauseFor())
 	return true
 }
 
 // strangerPause is the least time between two writes that an instance which is no
-// candidate for drawing makes for requests: 73 instances make 50 tries a second of one
-// ledger object at most, a fifth of what it takes at 4 ms each.
+// candidate for drawing makes for requests, in a fleet so small that their number is no bound.
 const strangerPause = 3 * time.Second
 
 // strangerTries is in how many ticks, on average, an instance that is no candidate for
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -28,6 +29,17 @@
 // ledger answers, and another try may succeed.
 var ErrBusy = errors.New("ledger is written by others all the time")
 
+// DrawnElsewhereError means that another instance draws a shard, which is to be asked.
+type DrawnElsewhereError struct {
+	Shard  int
+	Drawer string
+}
+
+// Error implements error.
+func (e *DrawnElsewhereError) Error() string {
+	return fmt.Sprintf("ledger shard %d is drawn by %s", e.Shard, e.Drawer)
+}
+
 // firstTurn is a shard's turn before this instance's first try to write to it: a row that
 // a try has left there has a later one.
 func (n *Node) firstTurn(shard int, s *Shard) uint64 {
@@ -55,6 +67,8 @@
 	// there are, this one included.
 	askers   map[string]*asker
 	drawnFor int
+	// drawer is the name of the instance that draws, as the ledger or another instance told.
+	drawer string
 	// strangerAt is when an instance that is no candidate may write for a request.
 	strangerAt time.Time
 	// awaySince is when it was first found away.
@@ -152,12 +166,18 @@
 		f.err = n.write(ctx, shard, wishes)
 		n.mu.Lock()
 		n.shards[shard].flight = nil
-		n.noteAway(shard, f.err != nil && !errors.Is(f.err, ErrBusy))
+		n.noteAway(shard, f.err != nil && !answered(f.err))
 		n.mu.Unlock()
 		close(f.done)
 	}()
 }
 
+// answered reports whether a failed write was answered by the ledger.
+func answered(err error) bool {
+	var elsewhere *DrawnElsewhereError
+	return errors.Is(err, ErrBusy) || errors.As(err, &elsewhere)
+}
+
 // noteAway notes whether a ledger answers. An instance that has been without it
 // holds more from then on: what cut it off once may do so again, and a longer
 // outage than the usual one is where requests were refused.
@@ -210,11 +230,15 @@
 func (n *Node) write(ctx context.Context, shard int, wishes map[string]Wish) error {
 	holder := n.holder(shard)
 	var after *Shard
-	err := n.Ledger.Update(ctx, shard, n.triesFor(shard), func(s *Shard) {
+	err := n.Ledger.Update(ctx, shard, n.triesFor(shard), func(s *Shard) error {
+		if err := n.takeDrawing(shard, s); err != nil {
+			return err
+		}
 		s.SetPrepaid(n.Amounts(shard))
 		s.Apply(n.Self, n.firstTurn(shard, s), wishes)
 		s.SetHolder(n.Name, holder.withDrawn(s.Writers[n.Self], wishes))
 		after = s
+		return nil
 	})
 	if err == nil {
 		n.adopt(shard, after)
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -46,7 +46,7 @@
 }
 
 // Update implements prepaid.Ledger.
-func (l *ledger) Update(ctx context.Context, shard, tries int, change func(*prepaid.Shard)) error {
+func (l *ledger) Update(ctx context.Context, shard, tries int, change func(*prepaid.Shard) error) error {
 	cache := &l.shards[shard]
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
@@ -59,6 +59,13 @@
 		if err = l.tryUpdate(ctx, key, cache, change); err == nil {
 			return nil
 		}
+		var elsewhere *prepaid.DrawnElsewhereError
+		if errors.As(err, &elsewhere) {
+			// What is kept may be old: the next write reads who draws now. Else two
+			// instances with old states could send each other's askers back and forth.
+			cache.known = false
+			return err
+		}
 		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUncertain) {
 			cache.known = false
 			return err
@@ -67,7 +74,7 @@
 	return errors.Join(prepaid.ErrBusy, err)
 }
 
-func (l *ledger) tryUpdate(ctx context.Context, key string, cache *shardCache, change func(*prepaid.Shard)) error {
+func (l *ledger) tryUpdate(ctx context.Context, key string, cache *shardCache, change func(*prepaid.Shard) error) error {
 	if !cache.known {
 		object, err := l.store.Get(ctx, key)
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
@@ -79,7 +86,9 @@
 	if err != nil {
 		return err
 	}
-	change(state)
+	if err := change(state); err != nil {
+		return err
+	}
 	value, err := state.Encode()
 	if err != nil {
 		return err
@@ -143,6 +152,9 @@
 
 func (v fleetView) Known() int { return v.table.Count() }
 
+// Live implements prepaid.Fleet.
+func (v fleetView) Live(name string) string { return v.table.LiveNamed(name) }
+
 // sharesFor is how long a silent instance still counts among those that share budgets:
 // longer than any cut of all instances that is outlasted, since at its end each of them
 // finds the others silent and would take the whole share.
