--- a/pkg/soak/plan.go
+++ b/pkg/soak/plan.go
@@ -14,6 +14,7 @@
 // those of an upstream its connections or what it answers.
 const (
 	Kill            Kind = "kill"             // SIGKILL, started again later
+	KillAll         Kind = "kill-all"         // SIGKILL to all instances at once, started again together
 	Pause           Kind = "pause"            // SIGSTOP, SIGCONT later
 	Stop            Kind = "planned-stop"     // SIGTERM, started again when it has ended
 	Reload          Kind = "reload"           // SIGHUP
@@ -52,7 +53,7 @@
 	Kill, Pause, Stop, Stop, Reload, StoreReset, StoreSilence, StoreHold, StoreDelay, ClientReset,
 	UpstreamReset, UpstreamSilence, UpstreamHold, UpstreamDelay, AnswersLost, AnswersRefused, AnswersFailed,
 	AnswersCrossed, AnswersExtra, StreamsCut, Replaced, Replaced, Outage, Throttle, Slow, WritesLost, WritesLate,
-	WatchesLost, HistoryGone, Change, Change,
+	WatchesLost, HistoryGone, Change, Change, KillAll,
 }
 
 // Fault is one fault of a plan.
--- a/pkg/soak/strike.go
+++ b/pkg/soak/strike.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 	"time"
 
@@ -50,6 +51,8 @@
 	switch f.Kind {
 	case Kill:
 		r.restart(i, func() { i.signal(syscall.SIGKILL) }, f.For/2)
+	case KillAll:
+		r.restartAll(f.For / 2)
 	case Pause:
 		i.signal(syscall.SIGSTOP)
 		pause.For(ctx, f.For)
@@ -90,6 +93,16 @@
 	}
 }
 
+// restartAll kills all instances at once and starts them again together: they know nobody, and
+// all need the store.
+func (r *run) restartAll(after time.Duration) {
+	var restarting sync.WaitGroup
+	for _, i := range r.fleet.instances {
+		restarting.Go(func() { r.restart(i, func() { i.signal(syscall.SIGKILL) }, after) })
+	}
+	restarting.Wait()
+}
+
 // strikeUpstream reports whether the fault is one of an upstream.
 func (r *run) strikeUpstream(ctx context.Context, f Fault) bool {
 	u := r.fleet.upstream(f.Target)
