A drawer that is not known is met at the address that the ledger object tells

Change: the object tells the drawer's address too; who does not know it looks for it there for a second before taking its place.

Safeguards follow the new code; tests of large changes handed on over 10 Mbit/s, of a change that nobody hands on, of older words.

--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -10,11 +10,16 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
+// linkBytes is what the smallest link of the users' machines carries in a second (10 Mbit/s).
+const linkBytes = 1_250_000
+
 // silentAfter is how long the others of a fleet rank an instance that has died.
 const silentAfter = 3 * time.Second
 
@@ -24,6 +29,8 @@
 	members      []*copyMember
 	loseMessages float64
 	running      sync.WaitGroup
+	// handsOff says that nobody hands changes on.
+	handsOff atomic.Bool
 }
 
 // link is one instance's way to the store, which may be silent for it alone.
@@ -56,6 +63,8 @@
 	follow    *Follower
 	publisher *Publisher
 	stop      context.CancelFunc
+	// handedBytes counts what it has handed on.
+	handedBytes atomic.Int64
 	// diedAt is when it was killed; nil while it lives.
 	diedAt atomic.Pointer[time.Time]
 }
@@ -122,10 +131,16 @@
 func (m *copyMember) Fetch(_ context.Context, address string, request *followpb.FetchRequest) (*followpb.FetchReply, error) {
 	time.Sleep(2 * time.Millisecond)
 	request.Asker = fmt.Sprint(m.place)
-	if other := m.fleet.at(address); !other.dead() && rand.Float64() >= m.fleet.loseMessages {
-		return other.publisher.HandOn(request)
+	other := m.fleet.at(address)
+	if other.dead() || m.fleet.handsOff.Load() || rand.Float64() < m.fleet.loseMessages {
+		return nil, context.DeadlineExceeded
+	}
+	reply, err := other.publisher.HandOn(request)
+	if err == nil {
+		other.handedBytes.Add(int64(len(reply.Packed)))
+		time.Sleep(time.Duration(len(reply.Packed)) * time.Second / linkBytes)
 	}
-	return nil, context.DeadlineExceeded
+	return reply, err
 }
 
 // Confirm implements Peers.
@@ -134,6 +149,12 @@
 		return
 	}
 	time.Sleep(2 * time.Millisecond)
+	if m.fleet.handsOff.Load() {
+		confirmation = proto.CloneOf(confirmation)
+		for _, state := range confirmation.Copies {
+			state.Changes = nil
+		}
+	}
 	if other := m.fleet.at(address); !other.dead() {
 		other.publisher.Take(confirmation)
 	}
@@ -304,3 +325,82 @@
 		}
 	})
 }
+
+// A route is dropped, and served on at 299 of 300 instances: the configuration is too large for a
+// confirmation, and whoever published the change could not send it to all within the time that a
+// change may take, over the smallest link. Handed on from each that has it to some others, it is
+// everywhere in time; the store sees one instance's watches only, and nobody's link is full.
+func TestLargeChangeIsHandedOnInTime(t *testing.T) {
+	const size, configBytes = 300, 40_000 // 330 kB before it is compressed
+	synctest.Test(t, func(t *testing.T) {
+		fleet := startFleet(t.Context(), history{size: size, answerTime: answerTime})
+		defer fleet.end()
+		fleet.store.value = make([]byte, configBytes)
+		random := rand.NewChaCha8([32]byte{7}) // cannot be compressed further
+		_, _ = random.Read(fleet.store.value)
+		time.Sleep(silentAfter)
+		before := fleet.store.count()
+		fleet.store.change()
+		version, _, _ := fleet.store.state()
+		time.Sleep(longestStaleness)
+		if late := fleet.behind(version); late > 0 {
+			t.Errorf("%d of %d copies lack a change of %v ago", late, size, longestStaleness)
+		}
+		if calls := fleet.store.count() - before; calls > int(longestStaleness/shortWait)+2 {
+			t.Errorf("%d watches for one change", calls)
+		}
+		for _, m := range fleet.members {
+			if handed := m.handedBytes.Load(); handed > int64(longestStaleness/time.Second)*linkBytes {
+				t.Errorf("instance %d handed on %d bytes in %v", m.place, handed, longestStaleness)
+			}
+		}
+	})
+}
+
+// A route is dropped, and served on at some instances for as long as they run: they hear that
+// there is a change, and nobody that they reach hands it on. Proof: what is published and lacking
+// is asked of the store within the time that a change may take.
+func TestChangeThatNobodyHandsOnIsReadFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := startFleet(t.Context(), history{size: 9, answerTime: answerTime})
+		defer fleet.end()
+		time.Sleep(silentAfter)
+		fleet.handsOff.Store(true)
+		fleet.store.change()
+		version, _, _ := fleet.store.state()
+		time.Sleep(longestStaleness / 2)
+		if late := fleet.behind(version); late > 0 {
+			t.Errorf("%d copies lack a change of %v ago", late, longestStaleness/2)
+		}
+	})
+}
+
+// A copy is put back to what it was: two instances publish, one of which reads the store late,
+// and its older word comes last. A copy only moves to a higher version, and takes changes only
+// if it has all before them.
+func TestOlderWordChangesNothing(t *testing.T) {
+	copied := &newest{}
+	f := &Follower{Kind: "k", Copy: copied}
+	at := func(since, version uint64, whole bool) *followpb.Contents {
+		return &followpb.Contents{Since: since, Version: version, LastChange: version, Whole: whole}
+	}
+	steps := []struct {
+		contents *followpb.Contents
+		taken    bool
+	}{
+		{at(0, 5, true), true},
+		{at(5, 7, false), true},
+		{at(5, 6, false), false},
+		{at(9, 10, false), false},
+		{at(0, 4, true), false},
+		{at(6, 9, false), true},
+	}
+	for n, step := range steps {
+		if taken := f.Take(step.contents); taken != step.taken {
+			t.Errorf("step %d: taken %t", n, taken)
+		}
+	}
+	if copied.get() != 9 {
+		t.Errorf("the copy is at %d", copied.get())
+	}
+}
--- a/pkg/follow/lost_test.go
+++ b/pkg/follow/lost_test.go
@@ -35,6 +35,8 @@
 	losing     bool
 	changed    chan struct{}
 	calls      int
+	// value is that of each change.
+	value []byte
 }
 
 func newLossyStore() *lossyStore {
@@ -93,7 +95,7 @@
 			return store.Changes{}, lost(ctx, wait)
 		}
 		if revision > since {
-			return store.Changes{Version: revision, Changes: []store.Change{{Object: store.Object{Version: revision}}}}, nil
+			return store.Changes{Version: revision, Changes: []store.Change{{Object: store.Object{Version: revision, Value: s.value}}}}, nil
 		}
 		select {
 		case <-changed:
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -227,17 +227,20 @@
 	return t.now().Sub(e.heard) <= within
 }
 
-// LiveNamed returns the newest incarnation of a name if it is neither silent nor leaving; empty
-// if there is none.
-func (t *Table) LiveNamed(name string) string {
+// LiveNamed returns the newest incarnation of a name if it is neither silent nor leaving, empty
+// if there is none, and whether one is known at all.
+func (t *Table) LiveNamed(name string) (incarnation string, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	incarnation := t.byName[name]
+	incarnation = t.byName[name]
 	e := t.entries[incarnation]
-	if e == nil || e.member.Leaving || t.silent(incarnation) {
-		return ""
+	if e == nil {
+		return "", false
+	}
+	if e.member.Leaving || t.silent(incarnation) {
+		return "", true
 	}
-	return incarnation
+	return incarnation, true
 }
 
 // Address returns the peer address of an incarnation; empty if it is unknown.
--- a/pkg/prepaid/fake_test.go
+++ b/pkg/prepaid/fake_test.go
@@ -215,7 +215,10 @@
 func (m *member) Known() int { return len(m.fleet.nodes) }
 
 // Live implements prepaid.Fleet; as Others.
-func (m *member) Live(name string) string { return name }
+func (m *member) Live(name string) (string, bool) { return name, name != "" }
+
+// Meet implements prepaid.Fleet; all are known.
+func (m *member) Meet(string) {}
 
 // Counts implements prepaid.Fleet.
 func (m *member) Counts(string) bool { return true }
--- a/pkg/prepaid/named.go
+++ b/pkg/prepaid/named.go
@@ -24,24 +24,47 @@
 	stranger := n.isStranger(shard)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.shards[shard].drawer = s.Drawer
-	if n.defers(s.Drawer) && !n.stopping {
-		return &DrawnElsewhereError{Shard: shard, Drawer: s.Drawer}
+	n.shards[shard].drawer = s.Drawer.Name
+	if n.stopping {
+		return nil // what it gives back is lost otherwise
 	}
-	if !stranger && !n.stopping && s.Drawer != n.Name {
-		s.Drawer = n.Name
+	if n.defers(s.Drawer.Name) || n.meets(shard, s.Drawer) {
+		return &DrawnElsewhereError{Shard: shard, Drawer: s.Drawer.Name}
+	}
+	if !stranger {
+		s.Drawer = Drawer{Name: n.Name, Address: n.Address}
 		n.shards[shard].drawer = n.Name
 	}
 	return nil
 }
 
+// meetFor is how long a drawer that is not known is looked for before its place is taken.
+const meetFor = time.Second
+
+// meets reports whether this instance is about to meet a drawer that it does not know yet, and
+// has it looked for; n.mu is held.
+func (n *Node) meets(shard int, drawer Drawer) bool {
+	if drawer.Name == "" || drawer.Name == n.Name {
+		return false
+	}
+	if _, known := n.Fleet.Live(drawer.Name); known {
+		return false
+	}
+	state := &n.shards[shard]
+	if state.meeting != drawer.Name {
+		state.meeting, state.metSince = drawer.Name, n.Now()
+		n.Fleet.Meet(drawer.Address)
+	}
+	return n.Now().Sub(state.metSince) < meetFor
+}
+
 // defers reports whether this instance leaves drawing to one of a name: another that lives and
 // has not failed to answer it lately; n.mu is held.
 func (n *Node) defers(name string) bool {
 	if name == "" || name == n.Name {
 		return false
 	}
-	live := n.Fleet.Live(name)
+	live, _ := n.Fleet.Live(name)
 	return live != "" && !n.rests(live)
 }
 
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -69,9 +69,11 @@
 	// Counts reports whether an instance, by name, still shares the budgets: one that
 	// may only be cut off does, one that has been gone for long does not.
 	Counts(name string) bool
-	// Live returns the incarnation of the live instance of a name; empty if there is none, or
-	// none is known.
-	Live(name string) string
+	// Live returns the incarnation of the live instance of a name; empty if there is none.
+	// known says whether one of that name is known, alive or not.
+	Live(name string) (incarnation string, known bool)
+	// Meet makes the instance at an address known, if there is one; it returns at once.
+	Meet(address string)
 	// Drawers returns the instances that may draw a shard's budgets for the region, the
 	// best first, this one among them if it is one; empty if each instance draws for
 	// itself.
@@ -108,6 +110,8 @@
 	// Self is this instance's incarnation, Name its name, which it keeps when it starts
 	// again.
 	Self, Name string
+	// Address is where other instances reach it.
+	Address string
 	// Shards is the number of ledger objects.
 	Shards int
 	// Ahead is how much of its demand an instance keeps drawn, to last through an
--- a/pkg/prepaid/refill.go
+++ b/pkg/prepaid/refill.go
@@ -66,7 +66,8 @@
 		return ""
 	}
 	if len(candidates) > 0 && n.defers(n.shards[shard].drawer) {
-		return n.Fleet.Live(n.shards[shard].drawer)
+		live, _ := n.Fleet.Live(n.shards[shard].drawer)
+		return live
 	}
 	for _, candidate := range candidates {
 		if candidate == n.Self {
@@ -233,10 +234,7 @@
 // pointsElsewhere reports that a drawer declined because another one, which lives, draws; n.mu
 // is held.
 func (n *Node) pointsElsewhere(name string, reply *prepaidpb.RefillReply) bool {
-	live := ""
-	if reply.GetDrawer() != "" {
-		live = n.Fleet.Live(reply.Drawer)
-	}
+	live, _ := n.Fleet.Live(reply.GetDrawer())
 	return live != "" && live != name
 }
 
--- a/pkg/prepaid/shard.go
+++ b/pkg/prepaid/shard.go
@@ -54,13 +54,19 @@
 	// those that it draws for. It paces drawing and decides nothing about safety.
 	Holders map[string]Holder `json:"holders,omitempty"`
 	Turn    uint64            `json:"turn"`
-	// Drawer is the name of the instance that draws for the others. Whoever reads the object,
-	// also by losing a write, learns whom to ask. It decides nothing about safety.
-	Drawer string `json:"drawer,omitempty"`
+	// Drawer is the instance that draws for the others. Whoever reads the object, also by
+	// losing a write, learns whom to ask. It decides nothing about safety.
+	Drawer Drawer `json:"drawer,omitzero"`
 	// Forgotten is the turn of the newest writer that has been forgotten.
 	Forgotten uint64 `json:"forgotten,omitempty"`
 }
 
+// Drawer names an instance and tells where others reach it.
+type Drawer struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
 // Holder is how one instance stood with those that it draws for, by budget.
 type Holder struct {
 	// PerSecond is their demand in tokens a second, Held what they had free.
--- a/pkg/prepaid/storm_test.go
+++ b/pkg/prepaid/storm_test.go
@@ -42,6 +42,8 @@
 	version uint64
 	amounts prepaid.Amounts
 	members []*starter
+	// sure says that all take those that they know for all there are.
+	sure bool
 	// writes and conflicts are counted by second since began.
 	began             time.Time
 	writes, conflicts map[int]int
@@ -81,7 +83,7 @@
 			m.some[f.random.IntN(size)] = true
 		}
 		m.Node = prepaid.NewNode(
-			prepaid.Config{Self: m.name + "-1", Name: m.name, Shards: 1, Ahead: 12 * time.Second},
+			prepaid.Config{Self: m.name + "-1", Name: m.name, Address: m.name, Shards: 1, Ahead: 12 * time.Second},
 			prepaid.Deps{
 				Ledger: m, Peers: m, Fleet: m, Observer: m,
 				Amounts: func(int) prepaid.Amounts { return f.amounts }, Now: time.Now,
@@ -144,7 +146,7 @@
 func (m *starter) Refill(ctx context.Context, to string, req *prepaidpb.RefillRequest) (*prepaidpb.RefillReply, error) {
 	time.Sleep(peerTime)
 	other := m.fleet.at(to)
-	if other.dead {
+	if other.isDead() {
 		time.Sleep(100 * time.Millisecond)
 		return nil, errGone
 	}
@@ -165,8 +167,16 @@
 	return f.members[place]
 }
 
+func (m *starter) isDead() bool {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return m.dead
+}
+
 // knows reports whether an instance knows another one, and not that it is dead.
 func (m *starter) knows(other *starter) bool {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
 	if other.dead && time.Since(other.diedAt) > deathKnown {
 		return false
 	}
@@ -177,7 +187,7 @@
 func (m *starter) Others() []string { return nil }
 
 // Joined implements prepaid.Fleet.
-func (m *starter) Joined() bool { return !time.Now().Before(m.wholeAt) }
+func (m *starter) Joined() bool { return m.fleet.sure || !time.Now().Before(m.wholeAt) }
 
 // Known implements prepaid.Fleet.
 func (m *starter) Known() int {
@@ -194,13 +204,25 @@
 func (m *starter) Counts(string) bool { return true }
 
 // Live implements prepaid.Fleet.
-func (m *starter) Live(name string) string {
+func (m *starter) Live(name string) (string, bool) {
 	for _, other := range m.fleet.members {
 		if other.name == name && m.knows(other) {
-			return name + "-1"
+			return name + "-1", true
 		}
 	}
-	return ""
+	return "", false
+}
+
+// Meet implements prepaid.Fleet.
+func (m *starter) Meet(address string) {
+	go func() {
+		time.Sleep(peerTime)
+		m.fleet.mu.Lock()
+		defer m.fleet.mu.Unlock()
+		if other := m.fleet.at(address); !other.dead {
+			m.some[other.place] = true
+		}
+	}()
 }
 
 // Drawers implements prepaid.Fleet: the first of those that this instance knows, and the first
@@ -238,7 +260,7 @@
 // serve plays an instance's requests and its ticks until a time.
 func (m *starter) serve(until time.Time) {
 	time.Sleep(time.Duration(rand.N(int64(requestEvery))))
-	for step := 0; time.Now().Before(until) && !m.dead; step++ {
+	for step := 0; time.Now().Before(until) && !m.isDead(); step++ {
 		ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
 		second := m.fleet.second()
 		r, err := m.Reserve(ctx, account, requestTokens, true)
@@ -265,9 +287,11 @@
 		running.Go(func() { m.serve(until) })
 	}
 	time.Sleep(dieAt)
+	f.mu.Lock()
 	for _, m := range f.members[:deaths] {
 		m.dead, m.diedAt = true, time.Now()
 	}
+	f.mu.Unlock()
 	running.Wait()
 	time.Sleep(5 * time.Second)
 }
@@ -318,3 +342,24 @@
 		}
 	}
 }
+
+// Each of many instances takes the few that it knows for all there are, for seconds, so that most
+// believe that they or a neighbour draw. Nothing of that shows, and by rank alone each of these
+// drawers goes on writing, and losing writes, until the last has heard of the first. The object
+// is the same for all: who finds another one named there asks that one.
+func TestDrawersThatDoNotKnowEachOtherGiveWay(t *testing.T) {
+	const length, settled = 8, 2
+	for _, size := range []int{7, 73, 295} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newStartingFleet(size, 22, length*time.Second)
+			f.sure = true
+			f.play(length*time.Second, 0, time.Second)
+			late := sum(f.conflicts, settled, length)
+			t.Logf("%d instances: %d writes, from second %d on %d of %d met another's",
+				size, sum(f.writes, 0, length), settled, late, sum(f.writes, settled, length))
+			if most := size / 4 * (length - settled); late > most {
+				t.Errorf("%d instances: %d writes met another's from second %d on, more than %d", size, late, settled, most)
+			}
+		})
+	}
+}
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -69,6 +69,9 @@
 	drawnFor int
 	// drawer is the name of the instance that draws, as the ledger or another instance told.
 	drawer string
+	// meeting is the name of one that was found in the ledger and not known, metSince when.
+	meeting  string
+	metSince time.Time
 	// strangerAt is when an instance that is no candidate may write for a request.
 	strangerAt time.Time
 	// awaySince is when it was first found away.
--- a/pkg/router/meeting.go
+++ b/pkg/router/meeting.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// meetAt makes the instance at an address known; if it does not answer it is not.
+func (r *Router) meetAt(address string) {
+	if err := r.gossip.Join(r.background, address); err != nil {
+		r.log.Event(eventlog.MembersUnknown, "", eventlog.Fields{"step": "meet", "peer": address, "cause": err.Error()})
+	}
+}
+
 func (r *Router) alone() bool { return len(r.table.Others()) == 0 }
 
 // joinSeeds sends to the seeds that are no members, and reports whether one answered.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -146,15 +146,16 @@
 		Learned:  r.learned,
 	}
 	cfg := prepaid.Config{
-		Self:   r.incarnation,
-		Name:   s.Name,
-		Shards: s.LedgerShards,
-		Ahead:  time.Duration(s.AheadSeconds) * time.Second,
+		Self:    r.incarnation,
+		Name:    s.Name,
+		Address: s.PeerAddress,
+		Shards:  s.LedgerShards,
+		Ahead:   time.Duration(s.AheadSeconds) * time.Second,
 	}
 	r.tokens = prepaid.NewNode(cfg, prepaid.Deps{
 		Ledger:   newLedger(r.store, s.LedgerShards),
 		Peers:    lenders{client: r.peers, table: r.table},
-		Fleet:    fleetView{table: r.table, joined: r.joined},
+		Fleet:    fleetView{table: r.table, joined: r.joined, meet: r.meetAt},
 		Observer: tokenLog{r.log},
 		Amounts:  r.amounts,
 		Now:      time.Now,
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -136,6 +136,8 @@
 	table *member.Table
 	// joined tells whether the others are known.
 	joined func() bool
+	// meet makes the instance at an address known.
+	meet func(address string)
 }
 
 // Joined implements prepaid.Fleet.
@@ -153,7 +155,10 @@
 func (v fleetView) Known() int { return v.table.Count() }
 
 // Live implements prepaid.Fleet.
-func (v fleetView) Live(name string) string { return v.table.LiveNamed(name) }
+func (v fleetView) Live(name string) (incarnation string, known bool) { return v.table.LiveNamed(name) }
+
+// Meet implements prepaid.Fleet.
+func (v fleetView) Meet(address string) { go v.meet(address) }
 
 // sharesFor is how long a silent instance still counts among those that share budgets:
 // longer than any cut of all instances that is outlasted, since at its end each of them
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -61,9 +61,15 @@
 try a-third-is-held pkg/prepaid/tick.go 's/heldPart = 3/heldPart = 5/' pkg/prepaid TestAccountThatLastsOutlastsACut
 try restarted-is-another pkg/placement/pool.go 's/ \|\| s\.Born != u\.Born//' pkg/placement TestRestartedUpstreamBeginsWithNothing
 try short-watches pkg/follow/follow.go 's/shortWait = 700 \* time\.Millisecond/shortWait = 30 * time.Second/' pkg/follow TestLostAnswerHidesNoChange
-try copies-are-guarded pkg/follow/follow.go 's/go f\.guard\(guarded, abandon\)/_ = guarded/' pkg/follow TestCopiesAreNeverOldOnceTheStoreAnswers
-try published-change-is-awaited pkg/follow/freshness.go 's/if s\.published <= s\.since \{\n\t\treturn/if true {\n\t\treturn/' pkg/follow TestChangeLongAfterAnUnnoticedSilence
+try copies-are-guarded pkg/follow/guard.go 's/timeout := f\.confirmTimeout\(\)\n\t\treason/timeout := time.Hour\n\t\treason/' pkg/follow TestCopiesAreNeverOldOnceTheStoreAnswers
+try published-change-is-awaited pkg/follow/freshness.go 's/if s\.published <= s\.since \{\n\t\treturn/if true {\n\t\treturn/' pkg/follow TestChangeThatNobodyHandsOnIsReadFromTheStore
 try confirmations-are-sent pkg/follow/publisher.go 's/\t\tgo p\.peers\.Confirm\(ctx, address, confirmation\)/\t\t_ = address/' pkg/follow TestCallsOfACalmFleetDoNotGrowWithIt
+try older-word-changes-nothing pkg/follow/follow.go 's/if version <= since \|\| \(/if (/' pkg/follow TestOlderWordChangesNothing
+try handing-on-is-bounded pkg/follow/handon.go 's/ && h\.spent\+size > handMost/ \&\& false/' pkg/follow TestLargeChangeIsHandedOnInTime
+try suspicion-is-refuted pkg/member/state.go 's/m\.State != memberpb\.State_ALIVE && m\.Revision >= t\.self\.Revision/false/' pkg/member TestTablesAreWholeAfterACutOfADomain
+try cut-off-accuses-nobody pkg/member/prober.go 's/case evidence\.Answered > 0 \|\| /case true || /' pkg/member TestCutOfAllMakesNobodySilent
+try drawer-is-named pkg/prepaid/named.go 's/if name == "" \|\| name == n\.Name \{/if true {/' pkg/prepaid TestDrawersThatDoNotKnowEachOtherGiveWay
+try joining-do-not-draw pkg/prepaid/drawer.go 's/if !n\.Fleet\.Joined\(\) \{/if false {/' pkg/prepaid TestCollisionsEndAfterAStartOfAll
 try documents-are-watched-shortly pkg/configsync/syncer.go 's/watchWait = 2 \* time/watchWait = 20 * time/' pkg/configsync TestLostWatchHidesNoDocument
 try faulty-entry-is-out platform/copies.go 's/c\.Registry\.Discard\(id\)\n\t\treturn/return/' platform TestFaultyEntriesAreToldOnceAndTheOthersHold
 exit $status
