--- a/pkg/prepaid/storm_test.go
+++ b/pkg/prepaid/storm_test.go
@@ -363,3 +363,34 @@
 		})
 	}
 }
+
+// Those who draw for all die, and each failure domain's own candidates step in before all know of
+// it. Callers are served at once, but each domain would draw beside the others until the deaths
+// are known. The first that writes is named in the object, and the other domains ask it.
+func TestOneDomainStepsInForAll(t *testing.T) {
+	const size, length, dieAt = 295, 5, 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newStartingFleet(size, 23, time.Second)
+		var atDeath *prepaid.Shard
+		time.AfterFunc(dieAt, func() {
+			value, _ := f.load()
+			atDeath, _ = prepaid.DecodeShard(value)
+		})
+		f.play(length*time.Second, candidates, dieAt)
+		value, _ := f.load()
+		s, err := prepaid.DecodeShard(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		writers := 0
+		for _, w := range s.Writers {
+			if w.Turn > atDeath.Turn {
+				writers++
+			}
+		}
+		// One domain's candidates, and one more whose write was on its way.
+		if most := candidates + 1; writers > most {
+			t.Errorf("%d instances wrote after the deaths, more than %d", writers, most)
+		}
+	})
+}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -68,7 +68,8 @@
 try handing-on-is-bounded pkg/follow/handon.go 's/ && h\.spent\+size > handMost/ \&\& false/' pkg/follow TestLargeChangeIsHandedOnInTime
 try suspicion-is-refuted pkg/member/state.go 's/m\.State != memberpb\.State_ALIVE && m\.Revision >= t\.self\.Revision/false/' pkg/member TestTablesAreWholeAfterACutOfADomain
 try cut-off-accuses-nobody pkg/member/prober.go 's/case evidence\.Answered > 0 \|\| /case true || /' pkg/member TestCutOfAllMakesNobodySilent
-try drawer-is-named pkg/prepaid/named.go 's/if name == "" \|\| name == n\.Name \{/if true {/' pkg/prepaid TestDrawersThatDoNotKnowEachOtherGiveWay
+try drawer-is-named pkg/prepaid/named.go 's/if name == "" \|\| name == n\.Name \{/if true {/' pkg/prepaid TestOneDomainStepsInForAll
+try unknown-drawer-is-met pkg/prepaid/named.go 's/ \|\| n\.meets\(shard, s\.Drawer\)//' pkg/prepaid TestDrawersThatDoNotKnowEachOtherGiveWay
 try joining-do-not-draw pkg/prepaid/drawer.go 's/if !n\.Fleet\.Joined\(\) \{/if false {/' pkg/prepaid TestCollisionsEndAfterAStartOfAll
 try documents-are-watched-shortly pkg/configsync/syncer.go 's/watchWait = 2 \* time/watchWait = 20 * time/' pkg/configsync TestLostWatchHidesNoDocument
 try faulty-entry-is-out platform/copies.go 's/c\.Registry\.Discard\(id\)\n\t\treturn/return/' platform TestFaultyEntriesAreToldOnceAndTheOthersHold
