Drawers are named from sixteen instances on

Cause: after an outage instances of a small fleet used to draw for themselves at once, being candidates whose drawer rests; with a named drawer they wait for what it deals out, two seconds of demand for each round of reports, and the next outage finds them with little.

--- a/pkg/prepaid/named.go
+++ b/pkg/prepaid/named.go
@@ -14,12 +14,20 @@
 // that does not live, or does not answer. The name saves writes and decides nothing else: what
 // is spent was drawn by a conditional write, whoever made it.
 
+// namedFrom is the size of a fleet from which on drawers are named. In a smaller one nearly all
+// may draw, which collide little, and after an outage each draws for itself at once instead of
+// waiting for what a drawer deals out over seconds: on a day with three outages in a row, two
+// seeds, seven instances refused 13.6 in 100 requests with a named drawer and 10.9 without.
+const namedFrom = 16
+
 // takeDrawing has this instance named as the drawer if that is its turn, before it writes.
 // Errors: *DrawnElsewhereError.
 func (n *Node) takeDrawing(shard int, s *Shard) error {
 	candidates := n.Fleet.Drawers(shard)
-	if len(candidates) == 0 {
-		return nil // each draws for itself
+	// Who knows few others yet sees by those that have written that there are many.
+	size := max(n.Fleet.Known(), len(s.Holders))
+	if len(candidates) == 0 || size < namedFrom {
+		return nil // each may draw for itself
 	}
 	stranger := n.isStranger(shard)
 	n.mu.Lock()
