--- a/test/route_test.go
+++ b/test/route_test.go
@@ -245,6 +245,21 @@
 	}
 }
 
+// Callers wait for instances that start: all of a fleet that lost power read the store's lists
+// at once, page by page, and keep it busy for each other. One that starts beside others has its
+// copies from them, and of the store it reads its own entry at most.
+func TestInstanceThatStartsAsksOthersFirst(t *testing.T) {
+	f := newRouted(t, 2, 1_000_000)
+	f.instances[1].kill()
+	f.appendSettings(f.instances[1], fmt.Sprintf("seeds = [%q]\n", f.instances[0].peers))
+	before := f.store.Stats().Reads
+	f.instances[1].process = f.run(f.instances[1])
+	f.awaitRouted("ready", func() bool { return f.instances[1].isReady() })
+	if reads := f.store.Stats().Reads - before; reads > 1 {
+		t.Errorf("%d reads of the store by one start", reads)
+	}
+}
+
 // Many clients of one account send at once through three instances, and instances
 // are killed. What the engines ran for it never costs more than was prepaid, and
 // at the end the clients are refused for good.
