--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -92,7 +92,7 @@
 
 // start starts a process at a place, with a number that rises with each start there.
 func (s *simulation) start(place, number int) {
-	self := memberOf(fmt.Sprintf("edge-%04d", place), fmt.Sprintf("01ARZ3NDEKTSV4RRFFQ69G5F%02d", number), fmt.Sprint("zone-", place%5))
+	self := memberOf(fmt.Sprintf("edge-%04d", place), fmt.Sprintf("01ARZ3NDEKTSV4RRFFQ69G5F%02d", number), fmt.Sprint("domain-", place%5))
 	self.PeerAddress = fmt.Sprintf("10.1.%d.%d:8522", place/256, place%256)
 	n := &simNode{sim: s, place: place}
 	n.Gossip = &Gossip{
