Failing tests: the last instance to know of a leaving upstream, and a place that is not looked at again

What callers and operators see: work still goes to an upstream 2 s after it has said that it leaves.

--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -37,13 +37,15 @@
 type link struct {
 	*lossyStore
 	silent atomic.Bool
+	// loses is how many further calls are not answered.
+	loses atomic.Int32
 	// transferTime is how many nanoseconds an answer with changes takes on this link.
 	transferTime atomic.Int64
 }
 
 // Watch implements store.Watcher.
 func (l *link) Watch(ctx context.Context, kind string, since store.Version, wait time.Duration) (store.Changes, error) {
-	if l.silent.Load() {
+	if l.silent.Load() || l.loses.Add(-1) >= 0 {
 		return store.Changes{}, lost(ctx, wait)
 	}
 	changes, err := l.lossyStore.Watch(ctx, kind, since, wait)
@@ -63,6 +65,8 @@
 	follow    *Follower
 	publisher *Publisher
 	stop      context.CancelFunc
+	// unheard says that no confirmation reaches it, alone that it reaches no other instance.
+	unheard, alone atomic.Bool
 	// handedBytes counts what it has handed on.
 	handedBytes atomic.Int64
 	// diedAt is when it was killed; nil while it lives.
@@ -132,7 +136,7 @@
 	time.Sleep(2 * time.Millisecond)
 	request.Asker = fmt.Sprint(m.place)
 	other := m.fleet.at(address)
-	if other.dead() || m.fleet.handsOff.Load() || rand.Float64() < m.fleet.loseMessages {
+	if other.dead() || m.alone.Load() || m.fleet.handsOff.Load() || rand.Float64() < m.fleet.loseMessages {
 		return nil, context.DeadlineExceeded
 	}
 	reply, err := other.publisher.HandOn(request)
@@ -155,7 +159,7 @@
 			state.Changes = nil
 		}
 	}
-	if other := m.fleet.at(address); !other.dead() {
+	if other := m.fleet.at(address); !other.dead() && !other.unheard.Load() {
 		other.publisher.Take(confirmation)
 	}
 }
@@ -182,6 +186,7 @@
 		m.stop()
 	}
 	f.running.Wait()
+	time.Sleep(2 * behindLimit) // who was catching up gives up by itself
 }
 
 // A store loses its answers again and again, for a moment or for seconds, while changes are
