Sight: an event tells from when on an instance gives an upstream nothing new

The logs told when a configuration came into force and not when an upstream was out of service, so a late copy and a request on its way could not be told apart.

--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -43,6 +43,7 @@
 	ConfigAccepted    Number = 500
 	ConfigRejected    Number = 501
 	ConfigInForce     Number = 502
+	UpstreamsLeft     Number = 503
 	MemberJoined      Number = 600
 	MemberSilent      Number = 601
 	MemberLeft        Number = 602
@@ -100,6 +101,7 @@
 	ConfigAccepted:    {"config-accepted", "a document was validated and accepted under a new generation", "none"},
 	ConfigRejected:    {"config-rejected", "a document is invalid; the one accepted before stays in force", "correct the document"},
 	ConfigInForce:     {"config-in-force", "this instance works by the generation named", "none"},
+	UpstreamsLeft:     {"upstreams-left", "this instance gives nothing new to the upstreams named: they said that they leave, or their entries are gone; count tells how many, upstreams names some", "none"},
 	MemberJoined:      {"member-joined", "other instances were heard of; count tells how many, members names some", "none"},
 	MemberSilent:      {"member-silent", "other instances answered nobody that probed them and did not refute it; count tells how many, members names some", "see OPERATING, instance crash"},
 	MemberLeft:        {"member-left", "other instances said that they leave; count tells how many, members names some", "none"},
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -28,6 +28,8 @@
 	byName   map[string][]Upstream // in-service upstreams by service, by id
 	// restarted holds the addresses of upstreams that started again under their id.
 	restarted []string
+	// left holds the ids of upstreams that were in service and are not any more.
+	left []string
 }
 
 // New returns an empty registry.
@@ -92,6 +94,9 @@
 	if before, known := r.entries[u.ID]; known && before.Born != u.Born {
 		r.restarted = append(r.restarted, before.Address)
 	}
+	if u.Leaving {
+		r.leave(u.ID)
+	}
 	r.entries[u.ID] = u
 	delete(r.vanished, u.ID)
 }
@@ -109,9 +114,22 @@
 func (r *Registry) Discard(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.drop(id)
+	r.index()
+}
+
+// drop takes an entry out; r.mu is held.
+func (r *Registry) drop(id string) {
+	r.leave(id)
 	delete(r.entries, id)
 	delete(r.vanished, id)
-	r.index()
+}
+
+// leave notes that an upstream is to get nothing new, if it was in service; r.mu is held.
+func (r *Registry) leave(id string) {
+	if entry, known := r.entries[id]; known && !entry.Leaving {
+		r.left = append(r.left, id)
+	}
 }
 
 // TakeRestarted returns, once, the addresses of upstreams that started again under their
@@ -124,6 +142,15 @@
 	return addresses
 }
 
+// TakeLeft returns, once, the ids of upstreams that were in service and are not any more.
+func (r *Registry) TakeLeft() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := r.left
+	r.left = nil
+	return left
+}
+
 // vanish removes an entry, or keeps it for a while if it may only have lapsed
 // because the store was away: else all upstreams would be given up at once at
 // the end of each outage, and every request refused.
@@ -140,8 +167,7 @@
 		r.vanished[id] = r.returned.Add(lapseHold)
 		return
 	}
-	delete(r.entries, id)
-	delete(r.vanished, id)
+	r.drop(id)
 }
 
 // Expire removes the entries whose time to come back is over, and returns the
@@ -155,8 +181,7 @@
 			continue
 		}
 		gone = append(gone, r.entries[id].Address)
-		delete(r.entries, id)
-		delete(r.vanished, id)
+		r.drop(id)
 	}
 	if len(gone) > 0 {
 		r.index()
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -89,3 +90,21 @@
 		t.Errorf("in service: %v", left)
 	}
 }
+
+// Operators ask when an instance stopped giving work to an upstream. Each that leaves or goes is
+// told once, whichever way it went, and one that was leaving already is not told again.
+func TestUpstreamsThatLeftAreToldOnce(t *testing.T) {
+	r := New(time.Now)
+	r.Replace([]Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}, 1)
+	r.Put(Upstream{ID: "a", Leaving: true})
+	r.Remove("b")
+	r.Discard("c")
+	if left := fmt.Sprint(r.TakeLeft()); left != "[a b c]" {
+		t.Errorf("told %s", left)
+	}
+	r.Put(Upstream{ID: "a", Leaving: true})
+	r.Remove("a")
+	if left := r.TakeLeft(); len(left) != 0 {
+		t.Errorf("told again: %v", left)
+	}
+}
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -114,6 +114,24 @@
 		r.conns.Forget(address)
 	}
 	r.forward.Update()
+	r.tellUpstreamsLeft()
+}
+
+// mostNamed bounds the upstreams that one event names.
+const mostNamed = 8
+
+// tellUpstreamsLeft tells from when on upstreams get nothing new here: operators compare it with
+// when the upstreams said so.
+func (r *Router) tellUpstreamsLeft() {
+	left := r.registry.TakeLeft()
+	if len(left) == 0 {
+		return
+	}
+	fields := eventlog.Fields{"count": len(left), "upstreams": left[:min(len(left), mostNamed)]}
+	if age, read := r.copies[copyUpstreams].Age(); read {
+		fields["copy_age_ms"] = age.Milliseconds()
+	}
+	r.log.Event(eventlog.UpstreamsLeft, "", fields)
 }
 
 func (r *Router) housekeep(context.Context) {
@@ -123,6 +141,7 @@
 			r.conns.Forget(address)
 		}
 		r.forward.Update()
+		r.tellUpstreamsLeft()
 	}
 }
 
