The times of keeping copies follow from the bound of a change

Callers' work went to an upstream 2.4 s after it had said that it leaves; 2 s are allowed.

Cause: timeouts in series, each a constant of its own. The last rank trusted its copy for 2.2 s, which is above the bound of the small deployments whatever else happens; a published change that was not handed on was asked for after 0.6 s in a call that waited 0.7 s and was given up after 1 s more: 2.3 s. Class: independent timeouts whose sum exceeds the deadline.

Change: one Timing, derived from the bounds in the settings, and the same at all instances. What is renewed is asked for without waiting, and once more over a new connection when nothing of the answer has come (hedged); confirmations are sent when the store has answered, so they are fresh; who misses one asks two others before the store.

Why it holds: Timing's sums are tested against the bounds; a time made longer fails.

--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -74,10 +74,13 @@
 }
 
 func startFleet(ctx context.Context, h history) *fleetOfCopies {
+	if h.bound == 0 {
+		h.bound = longestStaleness
+	}
 	fleet := &fleetOfCopies{store: newLossyStore(), loseMessages: h.loseMessages}
 	fleet.store.answerTime = h.answerTime
 	for place := range h.size {
-		fleet.members = append(fleet.members, newCopyMember(fleet, place))
+		fleet.members = append(fleet.members, newCopyMember(fleet, place, h))
 	}
 	for _, m := range fleet.members {
 		m.start(ctx)
@@ -85,10 +88,10 @@
 	return fleet
 }
 
-func newCopyMember(fleet *fleetOfCopies, place int) *copyMember {
+func newCopyMember(fleet *fleetOfCopies, place int, h history) *copyMember {
 	m := &copyMember{fleet: fleet, place: place, link: &link{lossyStore: fleet.store}, copied: &newest{}}
 	m.follow = &Follower{Store: m.link, Kind: "k", Copy: m.copied}
-	m.publisher = NewPublisher(fmt.Sprint(place), map[string]*Follower{"k": m.follow}, m)
+	m.publisher = NewPublisher(fmt.Sprint(place), map[string]*Follower{"k": m.follow}, m, TimingFor(h.bound))
 	return m
 }
 
@@ -186,7 +189,7 @@
 		m.stop()
 	}
 	f.running.Wait()
-	time.Sleep(2 * behindLimit) // who was catching up gives up by itself
+	time.Sleep(2 * longestBehind) // who was catching up gives up by itself
 }
 
 // A store loses its answers again and again, for a moment or for seconds, while changes are
@@ -218,6 +221,8 @@
 type history struct {
 	size       int
 	answerTime time.Duration
+	// bound is that of a change; 0 for the shortest of the users' deployments.
+	bound time.Duration
 	// kills says that the first live instance dies in each outage.
 	kills bool
 	// loseMessages is the share of confirmations that do not arrive.
@@ -264,7 +269,7 @@
 				defer fleet.end()
 				time.Sleep(calm)
 				// One instance's short watches, and two of each until it is confirmed.
-				most := int(calm/shortWait) + 2*size
+				most := int(calm/longestWait) + 2*size
 				if calls := fleet.store.count(); calls > most {
 					t.Errorf("%d watches in %v, more than %d", calls, calm, most)
 				} else {
@@ -351,7 +356,7 @@
 		if late := fleet.behind(version); late > 0 {
 			t.Errorf("%d of %d copies lack a change of %v ago", late, size, longestStaleness)
 		}
-		if calls := fleet.store.count() - before; calls > int(longestStaleness/shortWait)+2 {
+		if calls := fleet.store.count() - before; calls > int(longestStaleness/longestWait)+2 {
 			t.Errorf("%d watches for one change", calls)
 		}
 		for _, m := range fleet.members {
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -30,13 +30,6 @@
 
 // Pace of a follower.
 const (
-	// shortWait is how long a watch waits that confirms the copy by itself. A change may
-	// take 2 s to be in force and an outage 3 s to be over with (the bounds of the users'
-	// deployments). A short watch sent just before the end of an outage is given up by the
-	// store's client 1 s after its wait; with the pause after it and behindLimit at the
-	// other instances, that is 2.1 s. A shorter wait leaves more room and costs more calls:
-	// this one takes 1.4 a second for each kind, at one instance.
-	shortWait = 700 * time.Millisecond
 	// gather is the pause after a change: changes come in groups (upstreams that
 	// start together, one version after the other), and each watch that returns is
 	// a call, and a message to each other instance. The first change after a quiet time is not
@@ -66,6 +59,8 @@
 	Store store.Watcher
 	Kind  string
 	Copy  Copy
+	// Timing is how long the steps take; zero for that of DefaultBound.
+	Timing Timing
 	// ConfirmTimeout returns how long confirmations by other instances may be missing
 	// before this one sends short watches; nil or 0 for always.
 	ConfirmTimeout func() time.Duration
@@ -80,12 +75,16 @@
 	OutageEnded func(ago time.Duration)
 	// Answered is told of each answered call, and whether it brought a change. It may be nil.
 	Answered func(changed bool)
+	// Unheard is told that confirmations fail to come, a while before the store is asked. It
+	// asks other instances and returns at once; it may be nil.
+	Unheard func(ctx context.Context)
 	// Obtain gets a first copy from another instance and reports whether one had it; it may
 	// be nil.
 	Obtain func(ctx context.Context) bool
 	// Gate is shared by the followers of one instance; it may be nil.
 	Gate *Gate
 
+	beat     beat
 	fresh    freshness
 	contents contents
 	// applying orders what the store and other instances say of this copy.
@@ -177,7 +176,9 @@
 	if !f.Gate.Enter() {
 		return errNotNow
 	}
-	list, err := f.Store.List(ctx, f.Kind)
+	list, err := hedged(ctx, f.timing().Hedge, func(ctx context.Context) (store.Listing, error) {
+		return f.Store.List(ctx, f.Kind)
+	})
 	f.Gate.Leave(err == nil)
 	if err != nil {
 		return err
@@ -203,17 +204,12 @@
 	}
 }
 
-// watch asks the store what changed, and waits for it shortly. It does not wait where the
-// store did not answer the last call: the sooner this one is lost, the sooner the next is sent.
+// watch asks the store what changed, and waits for it shortly.
 func (f *Follower) watch(ctx context.Context, since store.Version) error {
 	if !f.Gate.Enter() {
 		return errNotNow
 	}
-	wait := shortWait
-	if f.Gate.Closed() {
-		wait = 0
-	}
-	changes, err := f.Store.Watch(ctx, f.Kind, since, wait)
+	changes, err := f.ask(ctx, since)
 	f.Gate.Leave(err == nil || errors.Is(err, store.ErrHistoryGone))
 	if err != nil {
 		return err
@@ -229,6 +225,23 @@
 	return nil
 }
 
+// ask makes the call of a watch. Who has not asked for long, or was not answered, does not wait
+// for news: what it may lack is there, and the sooner a call is known to be lost, the sooner the
+// next is sent.
+func (f *Follower) ask(ctx context.Context, since store.Version) (store.Changes, error) {
+	timing := f.timing()
+	if age, read := f.fresh.readAge(); f.Gate.Closed() || !read || age > timing.Wait {
+		return hedged(ctx, timing.Hedge, func(ctx context.Context) (store.Changes, error) {
+			return f.Store.Watch(ctx, f.Kind, since, 0)
+		})
+	}
+	wait := timing.Wait
+	if f.beat.every > 0 {
+		wait = f.beat.left()
+	}
+	return f.Store.Watch(ctx, f.Kind, since, wait)
+}
+
 // applyRead takes in what the store says changed after a version, if that is still this
 // copy's. Otherwise an object could be put back to what it was before.
 func (f *Follower) applyRead(since store.Version, changes store.Changes) bool {
--- a/pkg/follow/freshness.go
+++ b/pkg/follow/freshness.go
@@ -107,8 +107,8 @@
 }
 
 // trusted returns for how long the copy may still be trusted without another answer, and
-// for what reason not longer.
-func (s *freshness) trusted(timeout time.Duration) (Reason, time.Duration) {
+// for what reason not longer; behindLimit is how long it may lack a published change.
+func (s *freshness) trusted(timeout, behindLimit time.Duration) (Reason, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	unconfirmed := timeout - time.Since(s.confirmed)
@@ -137,6 +137,13 @@
 	return s.lacks
 }
 
+// readAge returns how long ago an own call was answered; false before the first.
+func (s *freshness) readAge() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.read), !s.read.IsZero()
+}
+
 func (s *freshness) age() (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/follow/guard.go
+++ b/pkg/follow/guard.go
@@ -27,11 +27,6 @@
 	return fmt.Sprintf("the copy is %s", e.Reason)
 }
 
-// behindLimit is how long a copy may lack a change that is published before the store is asked
-// for it. Handed on from one instance to some others each, a large configuration reaches 300
-// within half a second; what is asked of the store too soon costs a call.
-const behindLimit = 600 * time.Millisecond
-
 // WatchesShort reports whether this instance asks the store by itself: because it is to
 // confirm the copies of all, or because nothing confirms its own.
 func (f *Follower) WatchesShort() bool {
@@ -39,10 +34,17 @@
 	if timeout == 0 {
 		return true
 	}
-	_, left := f.fresh.trusted(timeout)
+	_, left := f.fresh.trusted(timeout, f.timing().Behind)
 	return left <= 0
 }
 
+func (f *Follower) timing() Timing {
+	if f.Timing == (Timing{}) {
+		return TimingFor(DefaultBound)
+	}
+	return f.Timing
+}
+
 func (f *Follower) confirmTimeout() time.Duration {
 	if f.ConfirmTimeout == nil {
 		return 0
@@ -53,13 +55,24 @@
 // receive waits for as long as others confirm this copy and hand on what changes. Errors:
 // *UntrustedError.
 func (f *Follower) receive(ctx context.Context) error {
+	asked := false
 	for ctx.Err() == nil {
+		timing := f.timing()
 		timeout := f.confirmTimeout()
-		reason, left := f.fresh.trusted(timeout)
+		reason, left := f.fresh.trusted(timeout, timing.Behind)
 		if left <= 0 {
 			return &UntrustedError{Reason: reason}
 		}
-		timer := time.NewTimer(left)
+		wait := left - timing.Ask
+		if wait > 0 {
+			asked = false
+		} else {
+			if !asked && f.Unheard != nil {
+				f.Unheard(ctx)
+			}
+			asked, wait = true, left
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-timer.C:
 		case <-f.fresh.lacking():
--- a/pkg/follow/handon.go
+++ b/pkg/follow/handon.go
@@ -153,7 +153,7 @@
 // catchUp asks for what a copy lacks: first who published it, then whom that one handed it to,
 // then anybody. It ends when the copy has it, or when the store is to be asked.
 func (p *Publisher) catchUp(name, address string, version store.Version) {
-	ctx, cancel := context.WithTimeout(context.Background(), behindLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), p.timing.Behind)
 	defer cancel()
 	for ctx.Err() == nil && p.followers[name].fresh.upTo() < version {
 		further, elsewhere, err := p.FetchFrom(ctx, name, address)
@@ -170,6 +170,22 @@
 	}
 }
 
+// askedUnheard is how many others are asked when confirmations fail to come: one of them may be
+// as unheard as this one, or dead.
+const askedUnheard = 2
+
+// askSome asks some other instances whether they know more of a copy, or have it confirmed. It
+// waits for none of them.
+func (p *Publisher) askSome(ctx context.Context, name string) {
+	addresses := p.peers.Addresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(askedUnheard, len(addresses))] {
+		go func() {
+			_, _, _ = p.FetchFrom(ctx, name, address) // who gets no answer asks the store soon
+		}()
+	}
+}
+
 // AskAround asks one other instance, drawn anew each time, for what a copy lacks: the store does
 // not answer this one, and those that publish may not reach it.
 func (p *Publisher) AskAround(ctx context.Context, name string) {
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
@@ -15,31 +16,13 @@
 // first sends short watches and publishes what they say.
 const RankKey = "copies"
 
-// Who sends short watches when. Confirmations come at most publishEvery apart and are up to
-// shortWait old, so 1.4 s may pass between two readings that confirm a copy; one that is lost
-// on the way costs some calls too many.
-const (
-	// publishEvery is the longest time between two confirmations by one instance.
-	publishEvery = 700 * time.Millisecond
-	// firstTimeout is how long the instance of the second rank goes unconfirmed before it
-	// takes the first one's place, rankTimeout how much longer each further rank does, so
-	// that one steps in and not all of a fleet.
-	firstTimeout = 1600 * time.Millisecond
-	rankTimeout  = 300 * time.Millisecond
-	// publishers is how many ranks publish. The rest only look after themselves: in an
-	// outage all send short watches, and all publishing to all would be messages by the
-	// square of the fleet. With the last timeout, 2.2 s, an instance that lost its
-	// publishers in an outage is up to date within the 3 s that one may take to be over with.
-	publishers = 3
-)
+// publishers is how many ranks publish. The rest only look after themselves: in an outage all
+// send short watches, and all publishing to all would be messages by the square of the fleet.
+const publishers = 3
 
-// ConfirmTimeout returns how long an instance of a rank may go unconfirmed.
-func ConfirmTimeout(rank int) time.Duration {
-	if rank <= 0 {
-		return 0
-	}
-	return firstTimeout + time.Duration(min(rank, publishers)-1)*rankTimeout
-}
+// collect is the pause before a confirmation that brings no change: the watches of all copies end
+// together, and one message tells of all of them.
+const collect = 20 * time.Millisecond
 
 // inlineMost bounds the changes that a confirmation carries, in bytes: to 300 instances they are
 // a megabyte, half a second of a link of 20 Mbit/s. What is larger is handed on from one to some
@@ -52,8 +35,10 @@
 	self      string
 	followers map[string]*Follower
 	peers     Peers
-	changed   chan struct{}
-	hand      hand
+	timing    Timing
+	// due receives that there is something to publish: true for a change.
+	due  chan bool
+	hand hand
 	// published holds the version that this instance's last confirmation told of, by name;
 	// touched by Run only.
 	published map[string]store.Version
@@ -79,47 +64,60 @@
 }
 
 // NewPublisher returns the publisher of an incarnation and joins the followers to it, by the
-// names that the instances use for what they follow.
-func NewPublisher(self string, followers map[string]*Follower, peers Peers) *Publisher {
+// names that the instances use for what they follow. The timing is the same at all instances.
+func NewPublisher(self string, followers map[string]*Follower, peers Peers, timing Timing) *Publisher {
 	p := &Publisher{
 		self:      self,
 		followers: followers,
 		peers:     peers,
-		changed:   make(chan struct{}, 1),
+		timing:    timing,
+		due:       make(chan bool, 1),
 		hand:      hand{packed: map[string]packedCopy{}},
 		published: map[string]store.Version{},
 		catching:  map[string]bool{},
 	}
-	gate := &Gate{}
-	for _, follower := range followers {
-		follower.ConfirmTimeout = func() time.Duration { return ConfirmTimeout(peers.Rank()) }
+	gate, beat := &Gate{}, newBeat(timing.Wait)
+	for name, follower := range followers {
+		follower.Timing, follower.beat = timing, beat
+		follower.ConfirmTimeout = func() time.Duration { return timing.Timeout(peers.Rank()) }
 		follower.Answered = p.answered
+		follower.Unheard = func(ctx context.Context) { p.askSome(ctx, name) }
 		follower.Gate = gate
 	}
 	return p
 }
 
-// answered makes a change known at once: a copy whose watch lost its answer learns of it
-// from the publication.
+// answered has what the store said published: a change at once, since a copy whose watch lost its
+// answer learns of it from the publication; that nothing changed, together with what the other
+// watches say.
 func (p *Publisher) answered(changed bool) {
-	if !changed {
+	select {
+	case p.due <- changed:
 		return
+	default:
+	}
+	if !changed {
+		return // a publication is due anyway
+	}
+	select {
+	case <-p.due:
+	default:
 	}
 	select {
-	case p.changed <- struct{}{}:
-	default: // a publication is due anyway
+	case p.due <- true:
+	default: // another change is due
 	}
 }
 
-// Run publishes until ctx ends.
+// Run publishes until ctx ends: nothing is told but what the store has just said, so a
+// confirmation is as fresh as the call behind it.
 func (p *Publisher) Run(ctx context.Context) {
-	tick := time.NewTicker(publishEvery)
-	defer tick.Stop()
 	for {
 		select {
-		case <-tick.C:
-		case <-p.changed:
-			tick.Reset(publishEvery)
+		case changed := <-p.due:
+			if !changed {
+				pause.For(ctx, collect)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -138,7 +136,7 @@
 	var states []*followpb.CopyState
 	for name, follower := range p.followers {
 		version, age, read := follower.LastChange()
-		if read && age < ConfirmTimeout(publishers) && follower.WatchesShort() {
+		if read && age < p.timing.Last && follower.WatchesShort() {
 			states = append(states, p.state(name, follower, version, age))
 		}
 	}
--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -35,7 +35,7 @@
 	for name, copied := range r.copies {
 		r.joinCopy(name, copied)
 	}
-	r.publisher = follow.NewPublisher(r.incarnation, r.copies, copyPeers{r})
+	r.publisher = follow.NewPublisher(r.incarnation, r.copies, copyPeers{r}, follow.TimingFor(r.settings.ChangeBound()))
 }
 
 // joinCopy ties one follower to the log and to the other duties.
--- a/pkg/settings/router.go
+++ b/pkg/settings/router.go
@@ -40,6 +40,12 @@
 	// GraceSeconds is how long after the signal to stop the process is killed.
 	// Default 8.
 	GraceSeconds float64 `toml:"grace_seconds"`
+	// LeavingBoundMS and ConfigBoundMS are within how many milliseconds of the store's
+	// acknowledgement no instance gives work to an upstream that leaves, or works by an older
+	// configuration. Defaults 2000. Below some 500 the times that follow from them do not
+	// shrink any further.
+	LeavingBoundMS int64 `toml:"leaving_bound_ms"`
+	ConfigBoundMS  int64 `toml:"config_bound_ms"`
 	// MemoryMB is the memory that the process may use; 0 for no bound. Default 0.
 	MemoryMB int64 `toml:"memory_mb"`
 	// AheadSeconds is how many seconds of an account's demand the instance holds at most,
@@ -65,6 +71,8 @@
 		RetryExtra:         50,
 		RetryWindowSeconds: 10,
 		GraceSeconds:       8,
+		LeavingBoundMS:     2000,
+		ConfigBoundMS:      2000,
 		AheadSeconds:       12,
 	}
 	if err := decode(path, text, r); err != nil {
@@ -94,6 +102,8 @@
 	c.require(r.RetryExtra >= 0, "retry_extra", r.RetryExtra, "0 or more")
 	c.require(r.RetryWindowSeconds > 0, "retry_window_seconds", r.RetryWindowSeconds, "more than 0")
 	c.require(r.GraceSeconds > 1, "grace_seconds", r.GraceSeconds, "more than 1")
+	c.between("leaving_bound_ms", r.LeavingBoundMS, 100, 3_600_000)
+	c.between("config_bound_ms", r.ConfigBoundMS, 100, 3_600_000)
 	c.between("memory_mb", r.MemoryMB, 0, 1<<20)
 	c.between("ahead_seconds", r.AheadSeconds, 1, 600)
 	return c.faults
@@ -102,6 +112,11 @@
 // Grace returns how long after the signal to stop the process is killed.
 func (r *Router) Grace() time.Duration { return seconds(r.GraceSeconds) }
 
+// ChangeBound returns within which time every change must be in force: the shorter of the two.
+func (r *Router) ChangeBound() time.Duration {
+	return time.Duration(min(r.LeavingBoundMS, r.ConfigBoundMS)) * time.Millisecond
+}
+
 // RetryWindow returns the span of the bound on repeated requests.
 func (r *Router) RetryWindow() time.Duration { return seconds(r.RetryWindowSeconds) }
 
--- a/pkg/store/begun.go
+++ b/pkg/store/begun.go
@@ -17,3 +17,17 @@
 		begun()
 	}
 }
+
+type newConnectionKey struct{}
+
+// WithNewConnection returns a context under which a client opens a connection for its call. The
+// call before it was lost; whatever lost it may have silenced the kept connections too.
+func WithNewConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, newConnectionKey{}, true)
+}
+
+// NeedsNewConnection reports whether a client is to open a connection for its call.
+func NeedsNewConnection(ctx context.Context) bool {
+	needed, _ := ctx.Value(newConnectionKey{}).(bool)
+	return needed
+}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -60,7 +60,11 @@
 try resting-ends-with-the-outage pkg/prepaid/refill.go 's/d\.rest, d\.restUntil = 0, time\.Time\{\}/_ = d/' pkg/prepaid TestDrawersAreAskedAgainOnceTheStoreIsBack
 try a-third-is-held pkg/prepaid/tick.go 's/heldPart = 3/heldPart = 5/' pkg/prepaid TestAccountThatLastsOutlastsACut
 try restarted-is-another pkg/placement/pool.go 's/ \|\| s\.Born != u\.Born//' pkg/placement TestRestartedUpstreamBeginsWithNothing
-try short-watches pkg/follow/follow.go 's/shortWait = 700 \* time\.Millisecond/shortWait = 30 * time.Second/' pkg/follow TestLostAnswerHidesNoChange
+try short-watches pkg/follow/timing.go 's/t\.Wait = min\(longestWait, /t.Wait = max(30*time.Second, /' pkg/follow TestLostAnswerHidesNoChange
+try times-follow-the-bound pkg/follow/timing.go 's/t\.Last = min\(longestLast, bound-reserved-t\.Hedge\)/t.Last = longestLast + 0*reserved/' pkg/follow TestLastInstanceToKnowKnowsInTime
+try lost-calls-are-made-again pkg/follow/hedge.go 's/timer := time\.NewTimer\(after\)/timer := time.NewTimer(time.Hour)/' pkg/follow TestLastInstanceToKnowKnowsInTime
+try unheard-ask-others pkg/follow/publisher.go 's/p\.askSome\(ctx, name\)/_ = name/' pkg/follow TestLostConfirmationsCostTheStoreNothing
+try place-is-looked-at-again pkg/forward/attempt.go 's/if !a\.place\.InService\(\) \{/if false {/' pkg/forward TestUpstreamThatLeavesBeforeTheSendingGetsNothing
 try copies-are-guarded pkg/follow/guard.go 's/timeout := f\.confirmTimeout\(\)\n\t\treason/timeout := time.Hour\n\t\treason/' pkg/follow TestCopiesAreNeverOldOnceTheStoreAnswers
 try published-change-is-awaited pkg/follow/freshness.go 's/if s\.published <= s\.since \{\n\t\treturn/if true {\n\t\treturn/' pkg/follow TestChangeThatNobodyHandsOnIsReadFromTheStore
 try confirmations-are-sent pkg/follow/publisher.go 's/\t\tgo p\.peers\.Confirm\(ctx, address, confirmation\)/\t\t_ = address/' pkg/follow TestCallsOfACalmFleetDoNotGrowWithIt
