A chosen upstream is looked at again right before the sending

A request reached an upstream that this instance knew to be leaving: it was chosen, it left while the connection to it was set up (up to 0.3 s), and nothing looked again. Cause: check and use apart (time of check to time of use). The place is asked once more after the connection stands; the request goes to another upstream, which is no repeat since nothing was sent. Between the look and the upstream lies only the network.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -32,6 +32,13 @@
 	silenceFactor = 3
 )
 
+// Steps before anything is sent: another attempt after them repeats nothing.
+const (
+	stepDial = "dial"
+	// stepChosen is between the choice of an upstream and the sending.
+	stepChosen = "chosen"
+)
+
 // attempt is one sending to one upstream.
 type attempt struct {
 	c     *call
@@ -98,6 +105,12 @@
 	if failed := a.connect(ctx); failed != nil {
 		return failed
 	}
+	// While the connection was set up the upstream may have said that it leaves. Sent now, the
+	// request would reach it after the time that leaving may take, and could be cut off there.
+	// Looked at here, only the network lies between what this instance knows and the upstream.
+	if !a.place.InService() {
+		return &failure{step: stepChosen, peer: a.place.Address, err: errLeft, full: true}
+	}
 	stop := context.AfterFunc(ctx, a.conn.Close)
 	defer func() {
 		if !stop() {
@@ -137,11 +150,11 @@
 	}
 	most := a.c.target.MaxConnections
 	if most > 0 && a.c.f.Conns.Open(address) >= max(most/max(a.c.f.Instances(), 1), 1) {
-		return &failure{step: "dial", peer: address, err: errConnections, full: true}
+		return &failure{step: stepDial, peer: address, err: errConnections, full: true}
 	}
 	conn, err := httpconn.Dial(ctx, address, min(dialTimeout, a.c.remaining()))
 	if err != nil {
-		return &failure{step: "dial", peer: address, err: err}
+		return &failure{step: stepDial, peer: address, err: err}
 	}
 	a.c.f.meters.newConns.Inc(1)
 	a.c.f.Conns.Opened(address)
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -136,6 +136,7 @@
 var (
 	errNoUpstream  = errors.New("no upstream is in service")
 	errAllTried    = errors.New("every upstream was tried")
+	errLeft        = errors.New("upstream left service before the sending")
 	errNoTime      = errors.New("no time left")
 	errConnections = errors.New("too many connections to the upstream")
 	errMismatch    = errors.New("answer carries another request's id")
@@ -156,7 +157,7 @@
 	if c.mayHaveRun && !c.route.Repeatable() {
 		return false
 	}
-	if last.step == "dial" {
+	if last.step == stepDial || last.step == stepChosen {
 		return true // nothing reached the upstream; the retry bound is not touched
 	}
 	return c.service.limit.TryRepeat()
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -215,7 +216,7 @@
 	start := p.rng.IntN(len(p.list))
 	for i := range p.list {
 		s := p.list[(start+i)%len(p.list)]
-		if contains(want.Tried, s.ID) || (!avoidedToo && s.avoided(now)) {
+		if slices.Contains(want.Tried, s.ID) || (!avoidedToo && s.avoided(now)) {
 			continue
 		}
 		cost := p.cost(s, want, s == c.home, now)
@@ -229,15 +230,6 @@
 	return best
 }
 
-func contains(ids []string, id string) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // findHome returns the engine where all instances send a session's requests: the winner
 // of rendezvous hashing over the engines of the request's part, on which instances agree
 // without talk.
@@ -338,6 +330,14 @@
 	}
 }
 
+// InService reports that the upstream still takes requests: since the choice it may have said that
+// it leaves, or have started again as another incarnation.
+func (l *Place) InService() bool {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	return slices.Contains(l.pool.list, l.state)
+}
+
 // Report takes the load that came with an answer's head.
 func (l *Place) Report(running, waiting int) {
 	l.pool.mu.Lock()
