--- a/pkg/capacity/fleet.go
+++ b/pkg/capacity/fleet.go
@@ -150,7 +150,7 @@
 	client := platform.NewClient(b.platform, 5*time.Second, nil)
 	text := acceptedOf(10).Text
 	start := time.Now()
-	if _, err := client.Put(context.Background(), configsync.DocumentPrefix+"s", text, store.NoVersion); err != nil {
+	if _, err := client.Put(context.Background(), configsync.DocumentPrefix+"s", text, store.NoPosition); err != nil {
 		return 0, 0, err
 	}
 	var times []time.Duration
--- a/pkg/configsync/accept.go
+++ b/pkg/configsync/accept.go
@@ -23,7 +23,7 @@
 		err = &document.InvalidError{Faults: []document.Fault{fault}}
 	}
 	if err != nil {
-		return s.reject(ctx, service, object.Version, err)
+		return s.reject(ctx, service, object.Position, err)
 	}
 	accepted, err := s.record(ctx, service, object)
 	if err != nil {
@@ -46,11 +46,11 @@
 			}
 			accepted = decoded
 		}
-		if accepted.DocumentVersion >= object.Version {
+		if accepted.DocumentVersion >= object.Position {
 			return nil, store.ErrUnchanged
 		}
 		accepted.Generation++
-		accepted.DocumentVersion = object.Version
+		accepted.DocumentVersion = object.Position
 		accepted.Text = object.Value
 		written = true
 		return json.Marshal(accepted)
@@ -60,12 +60,12 @@
 	}
 	if written {
 		s.log.Event(eventlog.ConfigAccepted, "", eventlog.Fields{"service": service, "generation": accepted.Generation})
-		return accepted, s.writeStatus(ctx, Status{Service: service, DocumentVersion: object.Version, Accepted: true})
+		return accepted, s.writeStatus(ctx, Status{Service: service, DocumentVersion: object.Position, Accepted: true})
 	}
 	return accepted, nil
 }
 
-func (s *Syncer) reject(ctx context.Context, service string, version store.Version, cause error) error {
+func (s *Syncer) reject(ctx context.Context, service string, version store.Position, cause error) error {
 	var invalid *document.InvalidError
 	if !errors.As(cause, &invalid) {
 		return cause
--- a/pkg/configsync/lost_test.go
+++ b/pkg/configsync/lost_test.go
@@ -21,11 +21,11 @@
 	document store.Object
 }
 
-func (s *silentStore) set(silent bool, version store.Version) {
+func (s *silentStore) set(silent bool, version store.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silent = silent
-	if version > s.document.Version {
+	if version > s.document.Position {
 		s.document = store.Object{Key: DocumentPrefix + "s", Version: version, Value: documentText(int64(version))}
 	}
 }
@@ -39,16 +39,16 @@
 // List implements store.Watcher.
 func (s *silentStore) List(context.Context, string) (store.Listing, error) {
 	_, document := s.get()
-	return store.Listing{Objects: []store.Object{document}, Version: document.Version}, nil
+	return store.Listing{Objects: []store.Object{document}, Version: document.Position}, nil
 }
 
 // Watch implements store.Watcher.
-func (s *silentStore) Watch(ctx context.Context, _ string, since store.Version, wait time.Duration) (store.Changes, error) {
+func (s *silentStore) Watch(ctx context.Context, _ string, since store.Position, wait time.Duration) (store.Changes, error) {
 	lost, _ := s.get()
 	for range int(wait / (10 * time.Millisecond)) {
 		time.Sleep(10 * time.Millisecond)
-		if _, document := s.get(); !lost && document.Version > since {
-			return store.Changes{Changes: []store.Change{{Object: document}}, Version: document.Version}, ctx.Err()
+		if _, document := s.get(); !lost && document.Position > since {
+			return store.Changes{Changes: []store.Change{{Object: document}}, Version: document.Position}, ctx.Err()
 		}
 	}
 	if lost {
--- a/pkg/configsync/state.go
+++ b/pkg/configsync/state.go
@@ -31,7 +31,7 @@
 	// Generation rises by one with each accepted document.
 	Generation uint64 `json:"generation"`
 	// DocumentVersion is the platform's version of the document accepted.
-	DocumentVersion store.Version `json:"document_version"`
+	DocumentVersion store.Position `json:"document_version"`
 	// Text is the document.
 	Text []byte `json:"text"`
 }
@@ -39,7 +39,7 @@
 // Status tells operators what became of the newest document.
 type Status struct {
 	Service         string        `json:"service"`
-	DocumentVersion store.Version `json:"document_version"`
+	DocumentVersion store.Position `json:"document_version"`
 	Accepted        bool          `json:"accepted"`
 	// Reason says why it was not accepted.
 	Reason string `json:"reason,omitempty"`
--- a/pkg/configsync/state_test.go
+++ b/pkg/configsync/state_test.go
@@ -35,7 +35,7 @@
 
 func (noList) List(context.Context, string) (store.Listing, error) { return store.Listing{}, nil }
 
-func (noList) Watch(context.Context, string, store.Version, time.Duration) (store.Changes, error) {
+func (noList) Watch(context.Context, string, store.Position, time.Duration) (store.Changes, error) {
 	return store.Changes{}, nil
 }
 
@@ -76,10 +76,10 @@
 		switch rng.IntN(4) {
 		case 0:
 			text := documentText(rng.Int64N(1000))
-			if _, err := fake.Put(ctx, DocumentPrefix+"s", text, newest.Version); err == nil {
+			if _, err := fake.Put(ctx, DocumentPrefix+"s", text, newest.Position); err == nil {
 				newest, _ = fake.Get(ctx, DocumentPrefix+"s")
 				events = append(events, newest)
-			} else if object, err := fake.Get(ctx, DocumentPrefix+"s"); err == nil && object.Version > newest.Version {
+			} else if object, err := fake.Get(ctx, DocumentPrefix+"s"); err == nil && object.Position > newest.Position {
 				newest = object
 				events = append(events, newest)
 			}
@@ -112,8 +112,8 @@
 	}
 	for n, s := range syncers {
 		f := s.state.Snapshot().Services["s"]
-		if f == nil || f.DocumentVersion != object.Version {
-			return fmt.Sprintf("instance %d does not work by version %d (an operator saw %d)", n, object.Version, newest.Version)
+		if f == nil || f.DocumentVersion != object.Position {
+			return fmt.Sprintf("instance %d does not work by version %d (an operator saw %d)", n, object.Position, newest.Position)
 		}
 	}
 	return ""
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -49,26 +49,26 @@
 }
 
 // load reads everything and returns the store's version that it is of.
-func (s *Syncer) load(ctx context.Context) (store.Version, error) {
+func (s *Syncer) load(ctx context.Context) (store.Position, error) {
 	list, err := s.store.List(ctx, Kind)
 	if err != nil {
-		return store.NoVersion, err
+		return store.NoPosition, err
 	}
 	s.take(ctx, list.Objects)
-	return list.Version, nil
+	return list.Position, nil
 }
 
 // Run watches or polls the store until ctx ends. Few instances watch; a
 // waiting watch counts as a call, and the rest learn from peers.
 func (s *Syncer) Run(ctx context.Context) {
 	lastPoll := time.Now()
-	since := store.NoVersion
+	since := store.NoPosition
 	for ctx.Err() == nil {
 		if s.watcher() {
 			since = s.watchOnce(ctx, since)
 			continue
 		}
-		since = store.NoVersion
+		since = store.NoPosition
 		if time.Since(lastPoll) >= pollEvery {
 			lastPoll = time.Now().Add(rand.N(pollEvery / 4))
 			_ = s.Load(ctx)
@@ -77,8 +77,8 @@
 	}
 }
 
-func (s *Syncer) watchOnce(ctx context.Context, since store.Version) store.Version {
-	if since == store.NoVersion {
+func (s *Syncer) watchOnce(ctx context.Context, since store.Position) store.Position {
+	if since == store.NoPosition {
 		listed, err := s.load(ctx)
 		if err != nil {
 			pause.For(ctx, retryPause)
@@ -88,7 +88,7 @@
 	}
 	answer, err := s.store.Watch(ctx, Kind, since, watchWait)
 	if errors.Is(err, store.ErrHistoryGone) {
-		return store.NoVersion
+		return store.NoPosition
 	}
 	if err != nil {
 		s.log.Event(eventlog.WatchFailed, "", eventlog.Fields{"copy": Kind, "cause": err.Error()})
@@ -102,7 +102,7 @@
 		}
 	}
 	s.take(ctx, changed)
-	return max(answer.Version, since)
+	return max(answer.Position, since)
 }
 
 // take applies accepted objects first: whoever starts late need not accept
@@ -124,7 +124,7 @@
 
 func (s *Syncer) unknown(object store.Object) bool {
 	f := s.state.Snapshot().Services[strings.TrimPrefix(object.Key, DocumentPrefix)]
-	return f == nil || f.DocumentVersion < object.Version
+	return f == nil || f.DocumentVersion < object.Position
 }
 
 // Apply takes an accepted document from a peer.
--- a/pkg/operator/config.go
+++ b/pkg/operator/config.go
@@ -77,26 +77,26 @@
 	return awaitAccepted(ctx, out, client, doc.Service, written)
 }
 
-func expected(ctx context.Context, client *platform.Client, key string, expect *int64) (store.Version, error) {
+func expected(ctx context.Context, client *platform.Client, key string, expect *int64) (store.Position, error) {
 	if expect != nil {
-		return store.Version(*expect), nil
+		return store.At(store.Version(*expect)), nil
 	}
 	object, err := client.Get(ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
-		return store.NoVersion, nil
+		return store.NoPosition, nil
 	}
-	return object.Version, err
+	return object.Position, err
 }
 
 // put writes the document; a lost answer is settled by reading back.
 func put(
-	ctx context.Context, client *platform.Client, key string, text []byte, version store.Version,
-) (store.Version, error) {
+	ctx context.Context, client *platform.Client, key string, text []byte, version store.Position,
+) (store.Position, error) {
 	written, err := client.Put(ctx, key, text, version)
 	if errors.Is(err, store.ErrUncertain) {
 		object, readErr := client.Get(ctx, key)
 		if readErr == nil && string(object.Value) == string(text) {
-			return object.Version, nil
+			return object.Position, nil
 		}
 	}
 	if errors.Is(err, store.ErrConflict) {
@@ -106,7 +106,7 @@
 }
 
 func awaitAccepted(
-	ctx context.Context, out io.Writer, client *platform.Client, service string, version store.Version,
+	ctx context.Context, out io.Writer, client *platform.Client, service string, version store.Position,
 ) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
@@ -121,7 +121,7 @@
 	return fmt.Errorf("document version %d is stored; no instance has accepted it within %v", version, acceptTimeout)
 }
 
-func report(out io.Writer, status configsync.Status, version store.Version) error {
+func report(out io.Writer, status configsync.Status, version store.Position) error {
 	if status.DocumentVersion > version {
 		_, err := fmt.Fprintf(out, "version %d is stored; version %d has followed it\n", version, status.DocumentVersion)
 		return err
@@ -147,6 +147,6 @@
 		}
 	}
 	_, err = fmt.Fprintf(out, "# stored version %d; accepted version %d as generation %d\n%s",
-		object.Version, accepted.DocumentVersion, accepted.Generation, object.Value)
+		object.Position, accepted.DocumentVersion, accepted.Generation, object.Value)
 	return err
 }
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	version, err := l.store.Put(ctx, key, value, cache.object.Version)
+	version, err := l.store.Put(ctx, key, value, cache.object.Position)
 	if err != nil {
 		var conflict *store.ConflictError
 		cache.known = errors.As(err, &conflict)
--- a/pkg/store/errors.go
+++ b/pkg/store/errors.go
@@ -17,6 +17,9 @@
 	ErrUncertain = errors.New("write may have taken effect")
 	// ErrHistoryGone means that changes since a version are not known any more.
 	ErrHistoryGone = errors.New("history of changes is gone")
+	// ErrOldEra means that an answer was of an older era than one already seen: it comes from
+	// before the store went back, and nothing in it holds any more.
+	ErrOldEra = errors.New("answer of an older era of the store")
 	// ErrUnavailable means that the store refused the call and did nothing.
 	ErrUnavailable = errors.New("store is unavailable")
 )
@@ -27,7 +30,7 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%v: present version is %d", ErrConflict, e.Present.Version)
+	return fmt.Sprintf("%v: present position is %v", ErrConflict, e.Present.Position)
 }
 
 // Unwrap returns ErrConflict.
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -11,18 +11,11 @@
 // MaxValueBytes is the largest value that the store holds.
 const MaxValueBytes = 1 << 20
 
-// Version is an object's version; versions of all objects come from one counter.
-// NoVersion stands for "must not exist".
-type Version uint64
-
-// NoVersion is the version of an object that does not exist.
-const NoVersion Version = 0
-
-// Object is a value with its key, "kind/name", and version.
+// Object is a value with its key, "kind/name", and the position of its last change.
 type Object struct {
-	Key     string  `json:"key"`
-	Version Version `json:"version"`
-	Value   []byte  `json:"value,omitempty"`
+	Key      string
+	Position Position
+	Value    []byte
 }
 
 // Change is one event of a watch.
@@ -32,28 +25,29 @@
 	Deleted bool
 }
 
-// Listing is a whole list, and the store's version when it was read.
+// Listing is a whole list, and the store's position when it was read.
 type Listing struct {
-	Objects []Object
-	Version Version
+	Objects  []Object
+	Position Position
 }
 
-// Changes is what a watch returns: what changed, and the version to go on from.
+// Changes is what a watch returns: what changed, and the position to go on from.
 type Changes struct {
-	Changes []Change
-	Version Version
+	Changes  []Change
+	Position Position
 }
 
 // Store reads and writes single objects. Errors are *CallError and wrap the
 // package's errors where they apply.
 type Store interface {
-	// Get reads an object; ErrNotFound if there is none.
+	// Get reads an object. With ErrNotFound comes an object of no version, whose position
+	// is the one to create it at.
 	Get(ctx context.Context, key string) (Object, error)
-	// Put writes an object whose version must still be expect and returns its
-	// new version. ErrConflict comes as a *ConflictError if the store told what
-	// stands there. After ErrUncertain the caller reads back and looks for its
-	// own mark in the value.
-	Put(ctx context.Context, key string, value []byte, expect Version) (Version, error)
+	// Put writes an object whose position must still be expect and returns its new one. No
+	// version stands for "must not exist". ErrConflict comes as a *ConflictError if the store
+	// told what stands there. After ErrUncertain the caller reads back and looks for its
+	// own mark in the value: a write that a later era answered is uncertain too.
+	Put(ctx context.Context, key string, value []byte, expect Position) (Position, error)
 }
 
 // Watcher also lists the objects of a kind and waits for their changes.
@@ -62,6 +56,7 @@
 	// List reads all objects of a kind.
 	List(ctx context.Context, kind string) (Listing, error)
 	// Watch waits until an object of a kind changes after since, or until wait
-	// is over. ErrHistoryGone means that the list has to be read anew.
-	Watch(ctx context.Context, kind string, since Version, wait time.Duration) (Changes, error)
+	// is over. ErrHistoryGone means that the list has to be read anew, also because the
+	// store is in a later era than since.
+	Watch(ctx context.Context, kind string, since Position, wait time.Duration) (Changes, error)
 }
--- a/pkg/store/storefake/store.go
+++ b/pkg/store/storefake/store.go
@@ -64,22 +64,22 @@
 }
 
 // Put implements store.Store.
-func (s *Store) Put(_ context.Context, key string, value []byte, expect store.Version) (store.Version, error) {
+func (s *Store) Put(_ context.Context, key string, value []byte, expect store.Position) (store.Position, error) {
 	s.interleave()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, errDown
+		return store.NoPosition, errDown
 	}
-	if s.objects[key].Version != expect {
-		return 0, store.ErrConflict
+	if s.objects[key].Position != expect {
+		return store.NoPosition, store.ErrConflict
 	}
 	s.version++
-	s.objects[key] = store.Object{Key: key, Version: s.version, Value: append([]byte(nil), value...)}
+	s.objects[key] = store.Object{Key: key, Position: store.At(s.version), Value: append([]byte(nil), value...)}
 	if s.rng.Float64() < s.lose {
-		return 0, store.ErrUncertain
+		return store.NoPosition, store.ErrUncertain
 	}
-	return s.version, nil
+	return store.At(s.version), nil
 }
 
 func (s *Store) interleave() {
--- a/pkg/store/update.go
+++ b/pkg/store/update.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return backoff.Permanent(err)
 	}
-	_, err = u.store.Put(ctx, u.key, value, object.Version)
+	_, err = u.store.Put(ctx, u.key, value, object.Position)
 	var conflict *ConflictError
 	if errors.As(err, &conflict) {
 		u.present = &conflict.Present
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -30,7 +30,7 @@
 			// Each edit changes something: the store takes one that does not from anyone.
 			doc.Accounts[n].PrepaidTokens = int64(1010 + 10*round)
 			text := encodeDocument(t, &doc)
-			race.Go(func() { _, results[n] = f.write(text, object.Version) })
+			race.Go(func() { _, results[n] = f.write(text, object.Position) })
 		}
 		race.Wait()
 		won := 0
@@ -56,7 +56,7 @@
 	f.must(err)
 	bad := strings.Replace(string(object.Value), "prepaid_tokens = 100000", "prepaid_tokens = -5", 1)
 	bad = strings.Replace(bad, "max_output_tokens = 400", "max_output_tokens = 0", 1)
-	_, err = f.write([]byte(bad), object.Version)
+	_, err = f.write([]byte(bad), object.Position)
 	f.must(err)
 	f.await("the reason", func() bool {
 		status, err := f.store.Get(t.Context(), configsync.StatusPrefix+service)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -349,7 +349,7 @@
 }
 
 // write writes a document's text for the operators; expect is its version.
-func (f *fleet) write(text []byte, expect store.Version) (store.Version, error) {
+func (f *fleet) write(text []byte, expect store.Position) (store.Position, error) {
 	return f.store.Put(f.t.Context(), configsync.DocumentPrefix+service, text, expect)
 }
 
@@ -357,7 +357,7 @@
 func (f *fleet) apply(doc *document.Document) {
 	f.t.Helper()
 	object, _ := f.store.Get(f.t.Context(), configsync.DocumentPrefix+service)
-	_, err := f.write(encodeDocument(f.t, doc), object.Version)
+	_, err := f.write(encodeDocument(f.t, doc), object.Position)
 	f.must(err)
 }
 
--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -86,7 +86,7 @@
 	u, err := standin.StartUpstream(id, freeAddress(), events)
 	f.must(err)
 	f.t.Cleanup(u.Close)
-	_, err = f.client.Put(f.t.Context(), "servers/"+id, u.Entry(service, domainOf(domain), false), store.NoVersion)
+	_, err = f.client.Put(f.t.Context(), "servers/"+id, u.Entry(service, domainOf(domain), false), store.NoPosition)
 	f.must(err)
 	return u
 }
@@ -96,7 +96,7 @@
 	f.t.Helper()
 	object, err := f.client.Get(f.t.Context(), "servers/"+u.ID)
 	f.must(err)
-	_, err = f.client.Put(f.t.Context(), "servers/"+u.ID, u.Entry("jobs", domainOf(0), true), object.Version)
+	_, err = f.client.Put(f.t.Context(), "servers/"+u.ID, u.Entry("jobs", domainOf(0), true), object.Position)
 	f.must(err)
 }
 
@@ -133,7 +133,7 @@
 	value, err := platform.EncodeConfig(config)
 	f.must(err)
 	present, _ := f.client.Get(f.t.Context(), "config/main") // none at first
-	_, err = f.client.Put(f.t.Context(), "config/main", value, present.Version)
+	_, err = f.client.Put(f.t.Context(), "config/main", value, present.Position)
 	f.must(err)
 }
 
--- a/test/route_test.go
+++ b/test/route_test.go
@@ -375,14 +375,14 @@
 	f := newRouted(t, 1, 1_000_000)
 	object, err := f.client.Get(t.Context(), "servers/p0")
 	f.must(err)
-	_, err = f.client.Put(t.Context(), "servers/p0", []byte(`{"service":"jobs","address":7}`), object.Version)
+	_, err = f.client.Put(t.Context(), "servers/p0", []byte(`{"service":"jobs","address":7}`), object.Position)
 	f.must(err)
 	for id, spec := range map[string]string{
 		"forged-0": `{"service":"jobs","address":"` + f.plain[0].Address + `","state":"ready"}`,
 		"forged-1": `"\u0000\u0001 not an entry"`,
 		"forged-2": `[1,2,3]`,
 	} {
-		_, err := f.client.Put(t.Context(), "servers/"+id, []byte(spec), store.NoVersion)
+		_, err := f.client.Put(t.Context(), "servers/"+id, []byte(spec), store.NoPosition)
 		f.must(err)
 	}
 	time.Sleep(time.Second)
@@ -414,7 +414,7 @@
 	again.Born = time.Now().UnixMilli()
 	object, err := f.client.Get(t.Context(), "servers/"+failing.ID)
 	f.must(err)
-	_, err = f.client.Put(t.Context(), object.Key, again.Entry("jobs", domainOf(0), false), object.Version)
+	_, err = f.client.Put(t.Context(), object.Key, again.Entry("jobs", domainOf(0), false), object.Position)
 	f.must(err)
 	f.awaitRouted("a request at the new process", func() bool {
 		f.send(f.instances[0], "probe", "safe", "x")
