--- a/pkg/bill/journal.go
+++ b/pkg/bill/journal.go
@@ -259,7 +259,7 @@
 			return next, records, err
 		}
 		key := segmentKey(incarnation, next)
-		if _, err = target.Put(ctx, key, value, store.NoVersion); err == nil {
+		if _, err = target.Put(ctx, key, value, store.NoPosition); err == nil {
 			records = records[len(batch):]
 		} else if records, err = withoutStored(ctx, target, key, records, err); err != nil {
 			return next, records, err
--- a/pkg/configsync/accept.go
+++ b/pkg/configsync/accept.go
@@ -46,7 +46,7 @@
 			}
 			accepted = decoded
 		}
-		if accepted.DocumentVersion >= object.Position {
+		if !accepted.DocumentVersion.Before(object.Position) {
 			return nil, store.ErrUnchanged
 		}
 		accepted.Generation++
@@ -83,7 +83,7 @@
 				return nil, err
 			}
 		}
-		if present.DocumentVersion >= status.DocumentVersion {
+		if !present.DocumentVersion.Before(status.DocumentVersion) {
 			return nil, store.ErrUnchanged
 		}
 		return json.Marshal(status)
--- a/pkg/configsync/lost_test.go
+++ b/pkg/configsync/lost_test.go
@@ -25,8 +25,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silent = silent
-	if version > s.document.Position {
-		s.document = store.Object{Key: DocumentPrefix + "s", Version: version, Value: documentText(int64(version))}
+	if s.document.Position.Before(version) {
+		s.document = store.Object{Key: DocumentPrefix + "s", Position: version, Value: documentText(int64(version.Version))}
 	}
 }
 
@@ -39,7 +39,7 @@
 // List implements store.Watcher.
 func (s *silentStore) List(context.Context, string) (store.Listing, error) {
 	_, document := s.get()
-	return store.Listing{Objects: []store.Object{document}, Version: document.Position}, nil
+	return store.Listing{Objects: []store.Object{document}, Position: document.Position}, nil
 }
 
 // Watch implements store.Watcher.
@@ -47,15 +47,15 @@
 	lost, _ := s.get()
 	for range int(wait / (10 * time.Millisecond)) {
 		time.Sleep(10 * time.Millisecond)
-		if _, document := s.get(); !lost && document.Position > since {
-			return store.Changes{Changes: []store.Change{{Object: document}}, Version: document.Position}, ctx.Err()
+		if _, document := s.get(); !lost && since.Before(document.Position) {
+			return store.Changes{Changes: []store.Change{{Object: document}}, Position: document.Position}, ctx.Err()
 		}
 	}
 	if lost {
 		time.Sleep(time.Second) // the client's own bound
 		return store.Changes{}, context.DeadlineExceeded
 	}
-	return store.Changes{Version: since}, ctx.Err()
+	return store.Changes{Position: since}, ctx.Err()
 }
 
 // Operators write a document after a short outage of the store, and callers are served by the
@@ -65,20 +65,20 @@
 	const inForceWithin = 4 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		s := &silentStore{Store: storefake.New(1)}
-		s.set(false, 1)
+		s.set(false, store.At(1))
 		state := NewState(func(*InForce) {})
 		syncer := NewSyncer(s, state, eventlog.Discard("test"), func() bool { return true }, func() {})
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { syncer.Run(ctx) })
 		time.Sleep(time.Second)
-		s.set(true, 2) // ends the watch under way; the next one is lost
+		s.set(true, store.At(2)) // ends the watch under way; the next one is lost
 		time.Sleep(time.Second)
-		s.set(false, 3)
+		s.set(false, store.At(3))
 		time.Sleep(inForceWithin)
 		if f := state.Snapshot().Services["s"]; f == nil {
 			t.Errorf("nothing is in force after %v", inForceWithin)
-		} else if f.DocumentVersion != 3 {
+		} else if f.DocumentVersion != store.At(3) {
 			t.Errorf("version %d is in force after %v", f.DocumentVersion, inForceWithin)
 		}
 		cancel()
--- a/pkg/configsync/state.go
+++ b/pkg/configsync/state.go
@@ -38,9 +38,9 @@
 
 // Status tells operators what became of the newest document.
 type Status struct {
-	Service         string        `json:"service"`
+	Service         string         `json:"service"`
 	DocumentVersion store.Position `json:"document_version"`
-	Accepted        bool          `json:"accepted"`
+	Accepted        bool           `json:"accepted"`
 	// Reason says why it was not accepted.
 	Reason string `json:"reason,omitempty"`
 }
--- a/pkg/configsync/state_test.go
+++ b/pkg/configsync/state_test.go
@@ -79,7 +79,7 @@
 			if _, err := fake.Put(ctx, DocumentPrefix+"s", text, newest.Position); err == nil {
 				newest, _ = fake.Get(ctx, DocumentPrefix+"s")
 				events = append(events, newest)
-			} else if object, err := fake.Get(ctx, DocumentPrefix+"s"); err == nil && object.Position > newest.Position {
+			} else if object, err := fake.Get(ctx, DocumentPrefix+"s"); err == nil && newest.Position.Before(object.Position) {
 				newest = object
 				events = append(events, newest)
 			}
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -102,7 +102,7 @@
 		}
 	}
 	s.take(ctx, changed)
-	return max(answer.Position, since)
+	return store.Later(answer.Position, since)
 }
 
 // take applies accepted objects first: whoever starts late need not accept
@@ -124,7 +124,7 @@
 
 func (s *Syncer) unknown(object store.Object) bool {
 	f := s.state.Snapshot().Services[strings.TrimPrefix(object.Key, DocumentPrefix)]
-	return f == nil || f.DocumentVersion < object.Position
+	return f == nil || f.DocumentVersion.Before(object.Position)
 }
 
 // Apply takes an accepted document from a peer.
--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -15,6 +15,8 @@
 	StoreReachable    Number = 111
 	WatchFailed       Number = 112
 	WatchRenewed      Number = 113
+	StoreWentBack     Number = 114
+	StoreEraFault     Number = 115
 	RequestAccepted   Number = 200
 	RequestRefused    Number = 201
 	RequestDispatched Number = 202
@@ -37,6 +39,7 @@
 	TokensMoved       Number = 320
 	TokensBorrowed    Number = 321
 	DrawerResting     Number = 322
+	LedgerRecovered   Number = 323
 	ClaimTaken        Number = 400
 	ClaimConflict     Number = 401
 	ClaimOutcome      Number = 402
@@ -73,6 +76,8 @@
 	StoreReachable:    {"store-reachable", "a platform call succeeded after calls had failed", "none"},
 	WatchFailed:       {"watch-failed", "a call that follows the configuration or the upstreams failed; age_ms tells for how long nothing has confirmed the copy", "see OPERATIONS, a change came late"},
 	WatchRenewed:      {"watch-renewed", "this instance asks the store itself: another one published a change that nobody handed on (behind), or none confirmed the copy (unconfirmed)", "none, or see OPERATIONS, a change came late"},
+	StoreWentBack:     {"store-went-back", "the store came back from a copy of itself: from and era are its eras before and now", "none; see OPERATIONS, after the store went back"},
+	StoreEraFault:     {"store-era-fault", "an answer of the store told an older or an unusable era and was passed over, or its era was; told once of each kind", "see whether the store's nodes agree"},
 	RequestAccepted:   {"request-accepted", "a caller's request passed authentication and checks", "none"},
 	RequestRefused:    {"request-refused", "the request was refused and did not run", "by the reason field"},
 	RequestDispatched: {"request-dispatched", "the request was handed to an upstream", "none"},
@@ -95,6 +100,7 @@
 	TokensMoved:       {"tokens-moved", "an instance drew tokens of a budget or returned some; left is what the ledger still has, the other fields how the instance stands", "none"},
 	TokensBorrowed:    {"tokens-borrowed", "a peer lent tokens while the store did not answer, or the drawer dealt them out", "none"},
 	DrawerResting:     {"drawer-resting", "the instance that draws tokens for this one did not answer or declined; another is asked for a time", "none, or see the drawer's own log at that time"},
+	LedgerRecovered:   {"ledger-recovered", "a write brought back draws (tokens) that a ledger object lacked after the store went back; settled says that it can be drawn from again, missing how many instances had not told and have tokens reserved", "none; see OPERATIONS, after the store went back"},
 	ClaimTaken:        {"claim-taken", "an idempotency key was claimed for one run", "none"},
 	ClaimConflict:     {"claim-conflict", "the key is claimed already", "none"},
 	ClaimOutcome:      {"claim-outcome", "the outcome of a claimed request was recorded", "none"},
--- a/pkg/follow/contents.go
+++ b/pkg/follow/contents.go
@@ -16,23 +16,58 @@
 type contents struct {
 	mu      sync.Mutex
 	objects map[string]store.Object
-	// deleted holds the versions by which objects were gone.
-	deleted map[string]store.Version
-	// version is that up to which this is all, floor the one from which on each deletion is in
+	// deleted holds the positions by which objects were gone.
+	deleted map[string]store.Position
+	// position is that up to which this is all, floor the one from which on each deletion is in
 	// deleted.
-	version, floor store.Version
+	position, floor store.Position
+	// number returns the number that an object's writer gave its content, which only rises; nil
+	// if contents have none.
+	number func(value []byte) uint64
+	// kept are the keys whose content is of a higher number than the store's.
+	kept map[string]bool
 }
 
-// replace takes a whole list.
+// replace takes a whole list. What the writer of an object has numbered higher than what the list
+// has stays, also if the list lacks the object: a store that came back from a copy lists what was
+// overwritten before, and an instance that starts gets its copy from here.
 func (c *contents) replace(list store.Listing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before, kept := c.objects, c.kept
+	crossed := c.position.Era != list.Position.Era
 	c.objects = make(map[string]store.Object, len(list.Objects))
+	c.kept = map[string]bool{}
 	for _, object := range list.Objects {
-		c.objects[object.Key] = object
+		c.objects[object.Key] = c.highest(before[object.Key], object)
 	}
-	c.deleted = map[string]store.Version{}
-	c.version, c.floor = list.Version, list.Version
+	for key, object := range before {
+		if _, listed := c.objects[key]; !listed && (crossed || kept[key]) {
+			c.keepMissing(object, list.Position)
+		}
+	}
+	c.deleted = map[string]store.Position{}
+	c.position, c.floor = list.Position, list.Position
+}
+
+// highest returns the content of the higher number at the position of now; c.mu is held.
+func (c *contents) highest(before, now store.Object) store.Object {
+	if c.number == nil || before.Value == nil || c.number(before.Value) <= c.number(now.Value) {
+		delete(c.kept, now.Key)
+		return now
+	}
+	c.kept[now.Key] = true
+	now.Value = before.Value
+	return now
+}
+
+// keepMissing keeps a numbered object that a list of a later era lacks; c.mu is held.
+func (c *contents) keepMissing(object store.Object, at store.Position) {
+	if c.number == nil || c.number(object.Value) == 0 {
+		return
+	}
+	object.Position = at
+	c.objects[object.Key], c.kept[object.Key] = object, true
 }
 
 // apply takes changes up to a version.
@@ -40,45 +75,51 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.objects == nil {
-		c.objects, c.deleted = map[string]store.Object{}, map[string]store.Version{}
+		c.objects, c.deleted = map[string]store.Object{}, map[string]store.Position{}
 	}
 	for _, change := range changes.Changes {
 		key := change.Object.Key
 		if change.Deleted {
 			delete(c.objects, key)
-			c.deleted[key] = changes.Version
+			c.deleted[key] = changes.Position
 			continue
 		}
+		if c.kept[key] {
+			change.Object = c.highest(c.objects[key], change.Object)
+		}
 		c.objects[key] = change.Object
 		delete(c.deleted, key)
 	}
-	c.version = max(c.version, changes.Version)
+	c.position = store.Later(c.position, changes.Position)
 	if len(c.deleted) > mostDeletions {
-		c.deleted, c.floor = map[string]store.Version{}, c.version
+		c.deleted, c.floor = map[string]store.Position{}, c.position
 	}
 }
 
-// after returns what changed after a version, or the whole if that is not known any more; nil
-// if there is nothing yet.
-func (c *contents) after(since store.Version) *followpb.Contents {
+// after returns what changed after a position, or the whole if that is not known any more or is of
+// another era; nil if there is nothing yet.
+func (c *contents) after(since store.Position) *followpb.Contents {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.version == store.NoVersion {
+	if c.position.IsZero() {
 		return nil
 	}
-	whole := since < c.floor
-	out := &followpb.Contents{Since: uint64(since), Version: uint64(c.version), Whole: whole}
+	whole := since.Era != c.position.Era || since.Before(c.floor)
+	out := &followpb.Contents{
+		Era: uint64(c.position.Era), Since: uint64(since.Version), Version: uint64(c.position.Version), Whole: whole,
+	}
 	for _, object := range c.objects {
-		if whole || object.Version > since {
+		if whole || since.Before(object.Position) {
 			out.Objects = append(out.Objects, &followpb.CopiedObject{
-				Key: object.Key, Version: uint64(object.Version), Value: object.Value,
+				Key: object.Key, Version: uint64(object.Position.Version), Value: object.Value,
 			})
 		}
 	}
 	if !whole {
-		for key, version := range c.deleted {
-			if version > since {
-				out.Objects = append(out.Objects, &followpb.CopiedObject{Key: key, Version: uint64(version), Deleted: true})
+		for key, position := range c.deleted {
+			if since.Before(position) {
+				gone := &followpb.CopiedObject{Key: key, Version: uint64(position.Version), Deleted: true}
+				out.Objects = append(out.Objects, gone)
 			}
 		}
 	}
@@ -87,22 +128,33 @@
 
 // listing reads a whole copy.
 func listing(c *followpb.Contents) store.Listing {
-	list := store.Listing{Version: store.Version(c.Version)}
+	list := store.Listing{Position: positionOf(c)}
 	for _, object := range c.Objects {
-		list.Objects = append(list.Objects, objectOf(object))
+		list.Objects = append(list.Objects, objectOf(c, object))
 	}
 	return list
 }
 
 // changesOf reads what changed.
 func changesOf(c *followpb.Contents) store.Changes {
-	changes := store.Changes{Version: store.Version(c.Version)}
+	changes := store.Changes{Position: positionOf(c)}
 	for _, object := range c.Objects {
-		changes.Changes = append(changes.Changes, store.Change{Object: objectOf(object), Deleted: object.Deleted})
+		changes.Changes = append(changes.Changes, store.Change{Object: objectOf(c, object), Deleted: object.Deleted})
 	}
 	return changes
 }
 
-func objectOf(o *followpb.CopiedObject) store.Object {
-	return store.Object{Key: o.Key, Version: store.Version(o.Version), Value: o.Value}
+// positionOf is up to where contents are all.
+func positionOf(c *followpb.Contents) store.Position {
+	return store.Position{Era: store.Era(c.Era), Version: store.Version(c.Version)}
+}
+
+// lastChangeOf is the position of the last change in contents, or a later one.
+func lastChangeOf(c *followpb.Contents) store.Position {
+	return store.Position{Era: store.Era(c.Era), Version: store.Version(c.LastChange)}
+}
+
+func objectOf(c *followpb.Contents, o *followpb.CopiedObject) store.Object {
+	position := store.Position{Era: store.Era(c.Era), Version: store.Version(o.Version)}
+	return store.Object{Key: o.Key, Position: position, Value: o.Value}
 }
--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -44,7 +44,7 @@
 }
 
 // Watch implements store.Watcher.
-func (l *link) Watch(ctx context.Context, kind string, since store.Version, wait time.Duration) (store.Changes, error) {
+func (l *link) Watch(ctx context.Context, kind string, since store.Position, wait time.Duration) (store.Changes, error) {
 	if l.silent.Load() || l.loses.Add(-1) >= 0 {
 		return store.Changes{}, lost(ctx, wait)
 	}
@@ -174,10 +174,10 @@
 }
 
 // behind returns how many live copies lack a version.
-func (f *fleetOfCopies) behind(version store.Version) int {
+func (f *fleetOfCopies) behind(version store.Position) int {
 	count := 0
 	for _, m := range f.members {
-		if !m.dead() && m.copied.get() < version {
+		if !m.dead() && m.copied.get().Before(version) {
 			count++
 		}
 	}
@@ -410,7 +410,7 @@
 			t.Errorf("step %d: taken %t", n, taken)
 		}
 	}
-	if copied.get() != 9 {
-		t.Errorf("the copy is at %d", copied.get())
+	if copied.get() != store.At(9) {
+		t.Errorf("the copy is at %v", copied.get())
 	}
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -12,8 +12,9 @@
 // no probe finds it; the copy would be old until the wait is over. So watches are short: the
 // loss of one is noticed within the time that a change may take.
 //
-// Versions order everything: whoever tells, a copy only moves to a higher version, and changes
-// are applied only to a copy that has all before them.
+// Positions order everything: whoever tells, a copy only moves to a later one, and changes are
+// applied only to a copy that has all before them. When the store comes back from a copy of
+// itself, a copy here moves to the later era, whose versions are lower, by a whole list.
 package follow
 
 import (
@@ -81,6 +82,9 @@
 	// Obtain gets a first copy from another instance and reports whether one had it; it may
 	// be nil.
 	Obtain func(ctx context.Context) bool
+	// Number returns the number that an object's writer gave its content and that only rises; it
+	// may be nil. Content of a higher number than the store's is kept and handed on.
+	Number func(value []byte) uint64
 	// Gate is shared by the followers of one instance; it may be nil.
 	Gate *Gate
 
@@ -98,7 +102,7 @@
 	wait := firstPause
 	failing := false
 	for ctx.Err() == nil {
-		if failing && f.fresh.upTo() != store.NoVersion && !f.WatchesShort() {
+		if failing && !f.fresh.upTo().IsZero() && !f.WatchesShort() {
 			f.found() // others reach the store, and confirm this copy
 			wait, failing = firstPause, false
 		}
@@ -160,7 +164,7 @@
 func (f *Follower) once(ctx context.Context) error {
 	since := f.fresh.upTo()
 	switch {
-	case since == store.NoVersion:
+	case since.IsZero():
 		return f.begin(ctx)
 	case f.WatchesShort():
 		return f.watch(ctx, since)
@@ -186,7 +190,7 @@
 	f.mustList = false
 	f.applying.Lock()
 	f.replace(list)
-	f.fresh.reach(list.Version, list.Version)
+	f.fresh.reach(list.Position, list.Position)
 	f.applying.Unlock()
 	f.answered(true)
 	return nil
@@ -194,6 +198,7 @@
 
 // replace takes a whole list; f.applying is held.
 func (f *Follower) replace(list store.Listing) {
+	f.contents.number = f.Number
 	f.contents.replace(list)
 	f.Copy.Replace(list)
 }
@@ -205,7 +210,7 @@
 }
 
 // watch asks the store what changed, and waits for it shortly.
-func (f *Follower) watch(ctx context.Context, since store.Version) error {
+func (f *Follower) watch(ctx context.Context, since store.Position) error {
 	if !f.Gate.Enter() {
 		return errNotNow
 	}
@@ -228,7 +233,7 @@
 // ask makes the call of a watch. Who has not asked for long, or was not answered, does not wait
 // for news: what it may lack is there, and the sooner a call is known to be lost, the sooner the
 // next is sent.
-func (f *Follower) ask(ctx context.Context, since store.Version) (store.Changes, error) {
+func (f *Follower) ask(ctx context.Context, since store.Position) (store.Changes, error) {
 	timing := f.timing()
 	if age, read := f.fresh.readAge(); f.Gate.Closed() || !read || age > timing.Wait {
 		return hedged(ctx, timing.Hedge, func(ctx context.Context) (store.Changes, error) {
@@ -242,9 +247,9 @@
 	return f.Store.Watch(ctx, f.Kind, since, wait)
 }
 
-// applyRead takes in what the store says changed after a version, if that is still this
+// applyRead takes in what the store says changed after a position, if that is still this
 // copy's. Otherwise an object could be put back to what it was before.
-func (f *Follower) applyRead(since store.Version, changes store.Changes) bool {
+func (f *Follower) applyRead(since store.Position, changes store.Changes) bool {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	if f.fresh.upTo() != since {
@@ -252,7 +257,7 @@
 	}
 	f.contents.apply(changes)
 	f.Copy.Apply(changes)
-	f.fresh.reach(changes.Version, lastChange(changes))
+	f.fresh.reach(changes.Position, lastChange(changes))
 	return true
 }
 
@@ -261,8 +266,9 @@
 func (f *Follower) Take(c *followpb.Contents) bool {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	since, version := f.fresh.upTo(), store.Version(c.Version)
-	if version <= since || (!c.Whole && store.Version(c.Since) > since) {
+	since, upTo := f.fresh.upTo(), positionOf(c)
+	follows := upTo.Era == since.Era && store.Version(c.Since) <= since.Version
+	if !since.Before(upTo) || (!c.Whole && !follows) {
 		return false
 	}
 	if c.Whole {
@@ -272,19 +278,19 @@
 		f.contents.apply(changes)
 		f.Copy.Apply(changes)
 	}
-	f.fresh.handed(version, store.Version(c.LastChange))
+	f.fresh.handed(upTo, lastChangeOf(c))
 	return true
 }
 
-// lastChange returns the version of the last change, or a later one: that of a deletion is
+// lastChange returns the position of the last change, or a later one: that of a deletion is
 // not told, so the answer's own stands for it.
-func lastChange(changes store.Changes) store.Version {
-	last := store.NoVersion
+func lastChange(changes store.Changes) store.Position {
+	last := store.Position{Era: changes.Position.Era}
 	for _, change := range changes.Changes {
 		if change.Deleted {
-			return changes.Version
+			return changes.Position
 		}
-		last = max(last, change.Object.Version)
+		last = store.Later(last, change.Object.Position)
 	}
 	return last
 }
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -16,7 +16,7 @@
 	store.Store
 	lists   int
 	watches []answer
-	asked   []store.Version
+	asked   []store.Position
 }
 
 type answer struct {
@@ -27,11 +27,11 @@
 // List implements store.Watcher.
 func (s *script) List(context.Context, string) (store.Listing, error) {
 	s.lists++
-	return store.Listing{Version: store.Version(10 * s.lists)}, nil
+	return store.Listing{Position: store.At(store.Version(10 * s.lists))}, nil
 }
 
 // Watch implements store.Watcher.
-func (s *script) Watch(ctx context.Context, _ string, since store.Version, _ time.Duration) (store.Changes, error) {
+func (s *script) Watch(ctx context.Context, _ string, since store.Position, _ time.Duration) (store.Changes, error) {
 	s.asked = append(s.asked, since)
 	if len(s.asked) > len(s.watches) {
 		<-ctx.Done()
@@ -52,12 +52,12 @@
 func TestFollowerMissesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &script{watches: []answer{
-			{changes: store.Changes{Version: 12, Changes: []store.Change{{}}}},
+			{changes: store.Changes{Position: store.At(12), Changes: []store.Change{{}}}},
 			{err: errors.New("cut")},
 			{err: store.ErrUnavailable},
-			{changes: store.Changes{Version: 15}},
+			{changes: store.Changes{Position: store.At(15)}},
 			{err: store.ErrHistoryGone},
-			{changes: store.Changes{Version: 21}},
+			{changes: store.Changes{Position: store.At(21)}},
 		}}
 		c := &counts{}
 		f := &Follower{Store: s, Kind: "k", Copy: c, Lost: func(error) { c.lost++ }, Found: func() { c.found++ }}
--- a/pkg/follow/freshness.go
+++ b/pkg/follow/freshness.go
@@ -10,16 +10,16 @@
 // freshness is what is known of a copy's completeness. It is safe for concurrent use.
 type freshness struct {
 	mu sync.Mutex
-	// since is the version up to which the copy has everything.
-	since store.Version
-	// changed is the version of the last known change, or a later one up to since.
-	changed store.Version
+	// since is the position up to which the copy has everything.
+	since store.Position
+	// changed is the position of the last known change, or a later one up to since.
+	changed store.Position
 	// read is when an own call was last answered, confirmed the time of the latest reading
 	// by which another instance confirmed the copy.
 	read, confirmed time.Time
 	// published is the last change that another instance published, missedSince when this
 	// copy first lacked it.
-	published   store.Version
+	published   store.Position
 	missedSince time.Time
 	// lacks wakes who waits for what this copy may lack.
 	lacks chan struct{}
@@ -27,41 +27,41 @@
 	returnedAt time.Time
 }
 
-func (s *freshness) upTo() store.Version {
+func (s *freshness) upTo() store.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.since
 }
 
-// versions returns the version up to which the copy has everything, and that of the last change.
-func (s *freshness) versions() (since, changed store.Version) {
+// positions returns the one up to which the copy has everything, and that of the last change.
+func (s *freshness) positions() (since, changed store.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.since, s.changed
 }
 
-// forget makes the next call read the whole list.
+// forget makes the next call read the whole list, of this era or a later one.
 func (s *freshness) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.since = store.NoVersion
+	s.since.Version = 0
 }
 
 // reach notes an answered call.
-func (s *freshness) reach(since, changed store.Version) {
+func (s *freshness) reach(since, changed store.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.since = max(s.since, since)
-	s.changed = max(s.changed, changed)
+	s.since = store.Later(s.since, since)
+	s.changed = store.Later(s.changed, changed)
 	s.read = time.Now()
 }
 
-// handed notes that another instance handed on what changed up to a version.
-func (s *freshness) handed(version, changed store.Version) {
+// handed notes that another instance handed on what changed up to a position.
+func (s *freshness) handed(upTo, changed store.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.since = max(s.since, version)
-	s.changed = max(s.changed, changed)
+	s.since = store.Later(s.since, upTo)
+	s.changed = store.Later(s.changed, changed)
 }
 
 // returned notes that an outage is over.
@@ -83,22 +83,25 @@
 // lapsed in it are written again within about two seconds.
 const outageTold = 3 * time.Second
 
-// confirm notes what another instance read. A version that this copy has reached confirms it
+// confirm notes what another instance read. A position that this copy has reached confirms it
 // as of the time of that reading, also if the other has not seen this copy's last change yet;
-// a later one shows that it lacks something.
-func (s *freshness) confirm(lastChange store.Version, age time.Duration) (complete bool) {
+// a later one shows that it lacks something. The word of an era that is over says nothing.
+func (s *freshness) confirm(lastChange store.Position, age time.Duration) (complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if lastChange <= s.since {
+	if lastChange.Era < s.since.Era {
+		return true
+	}
+	if !s.since.Before(lastChange) {
 		if at := time.Now().Add(-age); at.After(s.confirmed) {
 			s.confirmed = at
 		}
 		return true
 	}
-	if s.published <= s.since {
+	if !s.since.Before(s.published) {
 		s.missedSince = time.Now()
 	}
-	s.published = max(s.published, lastChange)
+	s.published = store.Later(s.published, lastChange)
 	select {
 	case s.wake() <- struct{}{}:
 	default: // it will look anyway
@@ -112,7 +115,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	unconfirmed := timeout - time.Since(s.confirmed)
-	if s.published <= s.since {
+	if !s.since.Before(s.published) {
 		return Unconfirmed, unconfirmed
 	}
 	behind := behindLimit - time.Since(s.missedSince)
@@ -154,7 +157,7 @@
 	return time.Since(last), !last.IsZero()
 }
 
-func (s *freshness) lastChange() (store.Version, time.Duration, bool) {
+func (s *freshness) lastChange() (store.Position, time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.changed, time.Since(s.read), !s.read.IsZero()
--- a/pkg/follow/guard.go
+++ b/pkg/follow/guard.go
@@ -84,8 +84,8 @@
 }
 
 // Confirm takes in what another instance read from the store some time ago: that nothing
-// changed after a version. It reports whether this copy has everything up to that.
-func (f *Follower) Confirm(lastChange store.Version, age time.Duration) (complete bool) {
+// changed after a position. It reports whether this copy has everything up to that.
+func (f *Follower) Confirm(lastChange store.Position, age time.Duration) (complete bool) {
 	return f.fresh.confirm(lastChange, age)
 }
 
@@ -93,8 +93,8 @@
 // it has been read once.
 func (f *Follower) Age() (time.Duration, bool) { return f.fresh.age() }
 
-// LastChange returns the version of the last known change, or a later one, and how long ago
+// LastChange returns the position of the last known change, or a later one, and how long ago
 // an own call said that nothing changed after it; false if none has yet.
-func (f *Follower) LastChange() (version store.Version, age time.Duration, read bool) {
+func (f *Follower) LastChange() (position store.Position, age time.Duration, read bool) {
 	return f.fresh.lastChange()
 }
--- a/pkg/follow/handon.go
+++ b/pkg/follow/handon.go
@@ -38,29 +38,29 @@
 }
 
 type packedCopy struct {
-	since, version store.Version
-	bytes          []byte
+	since, upTo store.Position
+	bytes       []byte
 }
 
-// pack returns what changed of a copy after a version. Many ask for the same: the last is kept.
-func (h *hand) pack(name string, f *Follower, since store.Version) ([]byte, error) {
+// pack returns what changed of a copy after a position. Many ask for the same: the last is kept.
+func (h *hand) pack(name string, f *Follower, since store.Position) ([]byte, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	version, changed := f.fresh.versions()
+	upTo, changed := f.fresh.positions()
 	last, kept := h.packed[name]
-	if kept && last.since == since && last.version == version {
+	if kept && last.since == since && last.upTo == upTo {
 		return last.bytes, nil
 	}
 	contents := f.contents.after(since)
 	if contents == nil {
 		return nil, nil
 	}
-	contents.LastChange = uint64(changed)
+	contents.LastChange = uint64(changed.Version)
 	packed, err := pack(contents)
 	if err != nil {
 		return nil, err
 	}
-	h.packed[name] = packedCopy{since: since, version: version, bytes: packed}
+	h.packed[name] = packedCopy{since: since, upTo: upTo, bytes: packed}
 	return packed, nil
 }
 
@@ -104,7 +104,8 @@
 	if !read {
 		return &followpb.FetchReply{}, nil
 	}
-	packed, err := p.hand.pack(request.Name, f, store.Version(request.Since))
+	since := store.Position{Era: store.Era(request.SinceEra), Version: store.Version(request.Since)}
+	packed, err := p.hand.pack(request.Name, f, since)
 	if err != nil {
 		return nil, err
 	}
@@ -119,7 +120,8 @@
 // brought the copy further, and whom else to ask.
 func (p *Publisher) FetchFrom(ctx context.Context, name, address string) (further bool, elsewhere []string, err error) {
 	f := p.followers[name]
-	request := &followpb.FetchRequest{Name: name, Since: uint64(f.fresh.upTo())}
+	since := f.fresh.upTo()
+	request := &followpb.FetchRequest{Name: name, SinceEra: uint64(since.Era), Since: uint64(since.Version)}
 	reply, err := p.peers.Fetch(ctx, address, request)
 	if err != nil || len(reply.Packed) == 0 {
 		return false, reply.GetElsewhere(), err
@@ -129,13 +131,13 @@
 		return false, nil, err
 	}
 	further = f.Take(contents)
-	f.Confirm(store.Version(contents.LastChange), time.Duration(reply.AgeMs)*time.Millisecond)
+	f.Confirm(lastChangeOf(contents), time.Duration(reply.AgeMs)*time.Millisecond)
 	return further, nil, nil
 }
 
-// startCatchUp brings a copy up to a version that another instance published, unless that is
+// startCatchUp brings a copy up to a position that another instance published, unless that is
 // being done.
-func (p *Publisher) startCatchUp(name, from string, version store.Version) {
+func (p *Publisher) startCatchUp(name, from string, upTo store.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.catching[name] {
@@ -143,7 +145,7 @@
 	}
 	p.catching[name] = true
 	go func() {
-		p.catchUp(name, p.peers.AddressOf(from), version)
+		p.catchUp(name, p.peers.AddressOf(from), upTo)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.catching[name] = false
@@ -152,10 +154,10 @@
 
 // catchUp asks for what a copy lacks: first who published it, then whom that one handed it to,
 // then anybody. It ends when the copy has it, or when the store is to be asked.
-func (p *Publisher) catchUp(name, address string, version store.Version) {
+func (p *Publisher) catchUp(name, address string, upTo store.Position) {
 	ctx, cancel := context.WithTimeout(context.Background(), p.timing.Behind)
 	defer cancel()
-	for ctx.Err() == nil && p.followers[name].fresh.upTo() < version {
+	for ctx.Err() == nil && p.followers[name].fresh.upTo().Before(upTo) {
 		further, elsewhere, err := p.FetchFrom(ctx, name, address)
 		if err == nil && further {
 			continue
--- a/pkg/follow/lost_test.go
+++ b/pkg/follow/lost_test.go
@@ -31,7 +31,7 @@
 	store.Store
 	answerTime time.Duration
 	mu         sync.Mutex
-	revision   store.Version
+	revision   store.Position
 	losing     bool
 	changed    chan struct{}
 	calls      int
@@ -40,13 +40,13 @@
 }
 
 func newLossyStore() *lossyStore {
-	return &lossyStore{answerTime: answerTime, revision: 1, changed: make(chan struct{})}
+	return &lossyStore{answerTime: answerTime, revision: store.At(1), changed: make(chan struct{})}
 }
 
 func (s *lossyStore) change() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Version++
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -57,7 +57,7 @@
 	s.losing = losing
 }
 
-func (s *lossyStore) state() (revision store.Version, changed chan struct{}, losing bool) {
+func (s *lossyStore) state() (revision store.Position, changed chan struct{}, losing bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.revision, s.changed, s.losing
@@ -78,11 +78,11 @@
 	if losing {
 		return store.Listing{}, lost(ctx, 0)
 	}
-	return store.Listing{Version: revision}, nil
+	return store.Listing{Position: revision}, nil
 }
 
 // Watch implements store.Watcher.
-func (s *lossyStore) Watch(ctx context.Context, _ string, since store.Version, wait time.Duration) (store.Changes, error) {
+func (s *lossyStore) Watch(ctx context.Context, _ string, since store.Position, wait time.Duration) (store.Changes, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -91,16 +91,19 @@
 	deadline := time.After(wait)
 	for {
 		revision, changed, losing := s.state()
-		if swallowed || (losing && revision > since) {
+		if revision.Era != since.Era && !losing && !swallowed {
+			return store.Changes{}, store.ErrHistoryGone
+		}
+		if swallowed || (losing && since.Before(revision)) {
 			return store.Changes{}, lost(ctx, wait)
 		}
-		if revision > since {
-			return store.Changes{Version: revision, Changes: []store.Change{{Object: store.Object{Version: revision, Value: s.value}}}}, nil
+		if since.Before(revision) {
+			return store.Changes{Position: revision, Changes: []store.Change{{Object: store.Object{Position: revision, Value: s.value}}}}, nil
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			return store.Changes{Version: revision}, nil
+			return store.Changes{Position: revision}, nil
 		case <-ctx.Done():
 			return store.Changes{}, ctx.Err()
 		}
@@ -110,19 +113,19 @@
 // newest keeps the newest version that a copy has seen.
 type newest struct {
 	mu      sync.Mutex
-	version store.Version
+	version store.Position
 }
 
-func (n *newest) Replace(list store.Listing)  { n.reach(list.Version) }
-func (n *newest) Apply(changes store.Changes) { n.reach(changes.Version) }
+func (n *newest) Replace(list store.Listing)  { n.reach(list.Position) }
+func (n *newest) Apply(changes store.Changes) { n.reach(changes.Position) }
 
-func (n *newest) reach(version store.Version) {
+func (n *newest) reach(version store.Position) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.version = max(n.version, version)
+	n.version = store.Later(n.version, version)
 }
 
-func (n *newest) get() store.Version {
+func (n *newest) get() store.Position {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.version
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -39,9 +39,9 @@
 	// due receives that there is something to publish: true for a change.
 	due  chan bool
 	hand hand
-	// published holds the version that this instance's last confirmation told of, by name;
+	// published holds the position that this instance's last confirmation told of, by name;
 	// touched by Run only.
-	published map[string]store.Version
+	published map[string]store.Position
 
 	mu sync.Mutex
 	// catching says which copies are being brought up to date.
@@ -73,7 +73,7 @@
 		timing:    timing,
 		due:       make(chan bool, 1),
 		hand:      hand{packed: map[string]packedCopy{}},
-		published: map[string]store.Version{},
+		published: map[string]store.Position{},
 		catching:  map[string]bool{},
 	}
 	gate, beat := &Gate{}, newBeat(timing.Wait)
@@ -135,9 +135,9 @@
 	}
 	var states []*followpb.CopyState
 	for name, follower := range p.followers {
-		version, age, read := follower.LastChange()
+		position, age, read := follower.LastChange()
 		if read && age < p.timing.Last && follower.WatchesShort() {
-			states = append(states, p.state(name, follower, version, age))
+			states = append(states, p.state(name, follower, position, age))
 		}
 	}
 	if len(states) == 0 {
@@ -147,19 +147,21 @@
 }
 
 // state tells of one copy, with what changed since it was last told of unless that is large.
-func (p *Publisher) state(name string, f *Follower, version store.Version, age time.Duration) *followpb.CopyState {
-	state := &followpb.CopyState{Name: name, LastChange: uint64(version), AgeMs: age.Milliseconds()}
+func (p *Publisher) state(name string, f *Follower, position store.Position, age time.Duration) *followpb.CopyState {
+	state := &followpb.CopyState{
+		Name: name, Era: uint64(position.Era), LastChange: uint64(position.Version), AgeMs: age.Milliseconds(),
+	}
 	if ago, recent := f.fresh.sinceOutage(); recent {
 		state.SinceOutageMs = ago.Milliseconds() + 1
 	}
 	since, told := p.published[name]
-	p.published[name] = version
-	if !told || since >= version {
+	p.published[name] = position
+	if !told || !since.Before(position) {
 		return state
 	}
 	changes := f.contents.after(since)
 	if changes != nil && !changes.Whole && proto.Size(changes) <= inlineMost {
-		changes.LastChange = uint64(version)
+		changes.LastChange = uint64(position.Version)
 		state.Changes = changes
 	}
 	return state
@@ -190,7 +192,8 @@
 		f.Take(state.Changes)
 	}
 	age := time.Duration(state.AgeMs) * time.Millisecond
-	if !f.Confirm(store.Version(state.LastChange), age) && f.fresh.upTo() != store.NoVersion {
-		p.startCatchUp(state.Name, from, store.Version(state.LastChange))
+	lastChange := store.Position{Era: store.Era(state.Era), Version: store.Version(state.LastChange)}
+	if !f.Confirm(lastChange, age) && !f.fresh.upTo().IsZero() {
+		p.startCatchUp(state.Name, from, lastChange)
 	}
 }
--- a/pkg/forward/leaving_test.go
+++ b/pkg/forward/leaving_test.go
@@ -18,6 +18,7 @@
 	"github.com/lavenderring/lavenderring/pkg/registry"
 	"github.com/lavenderring/lavenderring/pkg/retrylimit"
 	"github.com/lavenderring/lavenderring/pkg/routing"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // plainCodec writes requests as they are and believes every answer.
@@ -62,7 +63,7 @@
 	leaving := registry.Upstream{ID: "leaving", Service: "jobs", Address: countingUpstream(t, &leavingServed)}
 	staying := registry.Upstream{ID: "staying", Service: "jobs", Address: countingUpstream(t, &stayingServed)}
 	upstreams := registry.New(time.Now)
-	upstreams.Replace([]registry.Upstream{leaving}, 1)
+	upstreams.Replace([]registry.Upstream{leaving}, store.At(1))
 	config := &routing.State{}
 	config.Apply(&routing.Config{
 		Version:  1,
--- a/pkg/operator/config.go
+++ b/pkg/operator/config.go
@@ -100,7 +100,7 @@
 		}
 	}
 	if errors.Is(err, store.ErrConflict) {
-		return 0, fmt.Errorf("%w (expected version %d)", ErrEditedMeanwhile, version)
+		return store.NoPosition, fmt.Errorf("%w (expected version %v)", ErrEditedMeanwhile, version)
 	}
 	return written, err
 }
@@ -113,7 +113,7 @@
 	for ctx.Err() == nil {
 		object, err := client.Get(ctx, configsync.StatusPrefix+service)
 		var status configsync.Status
-		if err == nil && json.Unmarshal(object.Value, &status) == nil && status.DocumentVersion >= version {
+		if err == nil && json.Unmarshal(object.Value, &status) == nil && !status.DocumentVersion.Before(version) {
 			return report(out, status, version)
 		}
 		time.Sleep(acceptPoll)
@@ -122,7 +122,7 @@
 }
 
 func report(out io.Writer, status configsync.Status, version store.Position) error {
-	if status.DocumentVersion > version {
+	if version.Before(status.DocumentVersion) {
 		_, err := fmt.Fprintf(out, "version %d is stored; version %d has followed it\n", version, status.DocumentVersion)
 		return err
 	}
--- a/pkg/prepaid/drawer.go
+++ b/pkg/prepaid/drawer.go
@@ -71,10 +71,13 @@
 		// the same tokens in again under the new one.
 		return &prepaidpb.RefillReply{Declined: true, Successor: n.Self}
 	}
-	if len(req.Demands) == 0 {
+	shard := int(req.Shard)
+	if len(req.Demands) > 0 {
+		shard = n.ShardOf(req.Demands[0].Budget)
+	}
+	if shard < 0 || shard >= n.Shards {
 		return &prepaidpb.RefillReply{}
 	}
-	shard := n.ShardOf(req.Demands[0].Budget)
 	if !n.Fleet.Joined() {
 		// It is asked by some that know few others either. If each such instance drew for
 		// its askers, a start of all would have hundreds of them write at once.
@@ -97,7 +100,8 @@
 	if waiting != nil && short == nil {
 		a.budgets[waiting.Budget].granted += waiting.Need
 	}
-	reply := &prepaidpb.RefillReply{Drawer: n.shards[shard].drawer}
+	reply := &prepaidpb.RefillReply{Drawer: n.shards[shard].drawer, TakenEra: n.hearTold(shard, req)}
+	reply.UnsettledEra, reply.SettledEra = n.shards[shard].recovery.eras()
 	for _, d := range req.Demands {
 		supply := n.supply(a, d, shard)
 		supply.Exhausted = d == waiting && short != nil && short.Exhausted
@@ -200,7 +204,7 @@
 		b.granted += ahead
 		p.owed += wanted - ahead
 	}
-	return &prepaidpb.Supply{Budget: d.Budget, Granted: b.granted, Keep: keep, Left: p.left, Prepaid: p.prepaid}
+	return &prepaidpb.Supply{Budget: d.Budget, Granted: b.granted, Keep: keep, Left: p.left, Prepaid: p.prepaid, Drawn: p.counter.Drawn}
 }
 
 // keepOf is how many tokens of a budget an asker should hold; n.mu is held.
--- a/pkg/prepaid/drawer_test.go
+++ b/pkg/prepaid/drawer_test.go
@@ -35,7 +35,7 @@
 		f := newFleet(7, 6, map[string]int64{account: 10_000_000})
 		f.drawers = []string{"i0", "i1"}
 		_, refused := f.playLoad(t, 40)
-		s, err := prepaid.DecodeShard(f.shard)
+		s, err := prepaid.DecodeShard(f.shards[f.era].value)
 		if err != nil || refused > 0 || len(s.Writers) > 1 {
 			t.Errorf("%d refused, %d instances wrote, %v", refused, len(s.Writers), err)
 		}
@@ -43,7 +43,7 @@
 		if _, refused := f.playLoad(t, 40); refused > 0 {
 			t.Errorf("%d refused after the drawer's death", refused)
 		}
-		s, err = prepaid.DecodeShard(f.shard)
+		s, err = prepaid.DecodeShard(f.shards[f.era].value)
 		if err != nil || len(s.Writers) > 2 {
 			t.Errorf("%d instances wrote, %v", len(s.Writers), err)
 		}
@@ -119,7 +119,7 @@
 		if served*300 < all*97/100 {
 			t.Errorf("%d of %d tokens were served", served*300, all)
 		}
-		s, err := prepaid.DecodeShard(f.shard)
+		s, err := prepaid.DecodeShard(f.shards[f.era].value)
 		if err != nil || len(s.Writers) > 1 {
 			t.Errorf("%d instances wrote, %v", len(s.Writers), err)
 		}
@@ -148,7 +148,7 @@
 		}
 		f.playLoad(t, 1) // the drawers find the ledger again
 		_, refused := f.playLoad(t, 6)
-		s, err := prepaid.DecodeShard(f.shard)
+		s, err := prepaid.DecodeShard(f.shards[f.era].value)
 		if err != nil || refused > 0 || len(s.Writers) > len(f.drawers) {
 			t.Errorf("%d refused, %d instances wrote, %v", refused, len(s.Writers), err)
 		}
--- a/pkg/prepaid/fake_test.go
+++ b/pkg/prepaid/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -17,11 +18,14 @@
 
 // fleet is some instances around one ledger object, with faults drawn from a seed.
 type fleet struct {
-	mu      sync.Mutex
-	rng     *rand.Rand
-	now     time.Time
-	shard   []byte
-	version uint64
+	mu  sync.Mutex
+	rng *rand.Rand
+	now time.Time
+	// shards are the ledger object by era, each with its version, past what they were: the
+	// store can go back to any of them.
+	era    uint64
+	shards map[uint64]fakeObject
+	past   []map[uint64]fakeObject
 	// late are writes that were not answered and may still take effect while the
 	// version is theirs.
 	late  []lateWrite
@@ -32,6 +36,8 @@
 	ahead time.Duration
 	// drawers names who draws for all, the best first; each draws itself without.
 	drawers []string
+	// deathsKnown says that the others are told who is dead or cut off.
+	deathsKnown bool
 	// unknown says that instances do not know each other yet; tries counts their tries to
 	// write.
 	unknown bool
@@ -45,9 +51,15 @@
 	loseLoan float64
 }
 
+// fakeObject is the ledger object of one era.
+type fakeObject struct {
+	value   []byte
+	version uint64
+}
+
 type lateWrite struct {
-	on    uint64
-	value []byte
+	era, on uint64
+	value   []byte
 }
 
 // member is one instance.
@@ -65,6 +77,8 @@
 		now:     time.Unix(1000, 0),
 		ahead:   8 * time.Second,
 		amounts: prepaid.Amounts{Version: 1, Tokens: prepaidTokens},
+		era:     1,
+		shards:  map[uint64]fakeObject{},
 	}
 	for range instances {
 		f.join()
@@ -81,7 +95,14 @@
 		Fleet:    m,
 		Observer: m,
 		Amounts:  func(int) prepaid.Amounts { return f.amounts },
-		Now:      f.clock,
+		VerifyEra: func() (uint64, error) {
+			if f.down || m.cut || m.dead {
+				return 0, errLost
+			}
+			m.sawEra()
+			return f.storeEra(), nil
+		},
+		Now: f.clock,
 	})
 	f.nodes = append(f.nodes, m)
 	return m
@@ -110,13 +131,58 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, w := range f.late {
-		if w.on == f.version {
-			f.shard, f.version = w.value, f.version+1
+		if f.shards[w.era].version == w.on {
+			f.write(w.era, w.value)
 		}
 	}
 	f.late = nil
 }
 
+// write replaces the object of an era; f.mu is held.
+func (f *fleet) write(era uint64, value []byte) {
+	f.past = append(f.past, maps.Clone(f.shards))
+	f.shards[era] = fakeObject{value: value, version: f.shards[era].version + 1}
+}
+
+// goBack puts the store back behind its last writes, under the next era.
+func (f *fleet) goBack(writes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := max(len(f.past)-writes, 0)
+	if at < len(f.past) {
+		f.shards = maps.Clone(f.past[at])
+		f.past = f.past[:at]
+	}
+	f.era++
+}
+
+func (f *fleet) storeEra() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
+// object returns the present era's object, made of the newest older one if there is none, as the
+// real ledger does.
+func (f *fleet) object() (era, version uint64, s *prepaid.Shard, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if present, exists := f.shards[f.era]; exists || f.era == 1 {
+		s, err = prepaid.DecodeShard(present.value)
+		return f.era, present.version, s, err
+	}
+	newest := uint64(0)
+	for older := range f.shards {
+		newest = max(newest, older)
+	}
+	s, err = prepaid.DecodeShard(f.shards[newest].value)
+	s.Begin(f.era)
+	return f.era, 0, s, err
+}
+
+// sawEra has the instance note the era that an answer of the store told.
+func (m *member) sawEra() { m.NoteEra(m.fleet.storeEra()) }
+
 // Update implements prepaid.Ledger: as the real one it reads, changes, writes
 // under a condition, and tries again after a conflict or a lost answer.
 func (m *member) Update(_ context.Context, _, tries int, change func(*prepaid.Shard) error) error {
@@ -125,12 +191,12 @@
 		f.mu.Lock()
 		f.tries++
 		away := f.down || m.cut || m.dead
-		value, version := f.shard, f.version
 		f.mu.Unlock()
 		if away {
 			return errLost
 		}
-		s, err := prepaid.DecodeShard(value)
+		m.sawEra()
+		era, version, s, err := f.object()
 		if err != nil {
 			return err
 		}
@@ -141,7 +207,7 @@
 		if err != nil {
 			return err
 		}
-		if m.put(version, encoded) {
+		if m.put(era, version, encoded) {
 			return nil
 		}
 	}
@@ -149,19 +215,19 @@
 }
 
 // put reports whether a write succeeded and said so.
-func (m *member) put(version uint64, value []byte) bool {
+func (m *member) put(era, version uint64, value []byte) bool {
 	f := m.fleet
 	lost, late := f.chance(f.lose), f.chance(0.5)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version != f.version {
+	if era != f.era || version != f.shards[era].version {
 		return false
 	}
 	if lost && late {
-		f.late = append(f.late, lateWrite{on: version, value: value})
+		f.late = append(f.late, lateWrite{era: era, on: version, value: value})
 		return false
 	}
-	f.shard, f.version = value, version+1
+	f.write(era, value)
 	return !lost
 }
 
@@ -197,11 +263,11 @@
 	return nil
 }
 
-// Others implements prepaid.Fleet; it does not know who is dead or cut off.
+// Others implements prepaid.Fleet. With deaths known, it does not name who is dead or cut off.
 func (m *member) Others() []string {
 	var names []string
 	for _, other := range m.fleet.nodes {
-		if other != m {
+		if other != m && (!m.fleet.deathsKnown || (!other.dead && !other.cut)) {
 			names = append(names, other.name)
 		}
 	}
@@ -215,7 +281,12 @@
 func (m *member) Known() int { return len(m.fleet.nodes) }
 
 // Live implements prepaid.Fleet; as Others.
-func (m *member) Live(name string) (string, bool) { return name, name != "" }
+func (m *member) Live(name string) (string, bool) {
+	if other := m.fleet.find(name); m.fleet.deathsKnown && other != nil && (other.dead || other.cut) {
+		return "", true
+	}
+	return name, name != ""
+}
 
 // Meet implements prepaid.Fleet; all are known.
 func (m *member) Meet(string) {}
@@ -250,5 +321,8 @@
 // Borrowed implements prepaid.Observer.
 func (m *member) Borrowed(string, string, int64) {}
 
+// Recovered implements prepaid.Observer.
+func (m *member) Recovered(prepaid.Recovered) {}
+
 // Resting implements prepaid.Observer.
 func (m *member) Resting(string, time.Duration, error) {}
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -90,6 +90,8 @@
 	Borrowed(budget, lender string, tokens int64)
 	// Resting tells that a drawer is passed over for a time, and why.
 	Resting(drawer string, rest time.Duration, cause error)
+	// Recovered tells what a write brought back after the store went back.
+	Recovered(Recovered)
 }
 
 // Movement is what one write moved of one budget, in tokens, and how the instance stood
@@ -127,6 +129,9 @@
 	Observer Observer
 	// Amounts returns the prepaid amounts in force within a shard.
 	Amounts func(shard int) Amounts
+	// VerifyEra has the store asked for its era, of which another instance told. NoteEra is
+	// called before it returns if it is a later one.
+	VerifyEra func() (era uint64, err error)
 	// Now paces work and decides nothing about safety.
 	Now func() time.Time
 }
@@ -144,6 +149,12 @@
 	began    time.Time
 	recalls  map[string]recallTimes
 	stopping bool
+	// era is the latest that the store told this instance.
+	era uint64
+	// heardEra is the latest that another instance told.
+	heardEra uint64
+	// verifying says that the store is being asked for its era.
+	verifying bool
 	// drawers are those that this instance asks.
 	drawers map[string]*drawer
 }
--- a/pkg/prepaid/node_test.go
+++ b/pkg/prepaid/node_test.go
@@ -133,12 +133,12 @@
 		if !errors.As(err, &short) || !short.Exhausted {
 			t.Errorf("refused with %v", err)
 		}
-		before := f.version
+		before := f.shards[f.era].version
 		for range 20 {
 			spend(t, f.nodes[0], 300)
 		}
-		if f.version != before {
-			t.Errorf("%d writes for refusals that were known", f.version-before)
+		if f.shards[f.era].version != before {
+			t.Errorf("%d writes for refusals that were known", f.shards[f.era].version-before)
 		}
 		f.amounts = prepaid.Amounts{Version: 2, Tokens: map[string]int64{account: 2000}}
 		if !spend(t, f.nodes[0], 300) {
--- a/pkg/prepaid/purse.go
+++ b/pkg/prepaid/purse.go
@@ -136,12 +136,11 @@
 	return float64(max(p.left, 0) + p.heldElsewhere + p.heldByAskers + p.free)
 }
 
-// note takes in how the budget stands in the ledger.
-func (p *purse) note(b Budget, instances int, now time.Time) {
+// note takes in how the budget stands in the ledger: what is prepaid, and what may be drawn.
+func (p *purse) note(prepaid, left int64, instances int, now time.Time) {
 	instances = max(instances, 1)
-	left := b.Free()
 	p.left, p.seenAt = left, now
-	p.prepaid = b.Prepaid
+	p.prepaid = prepaid
 	p.scarce = left < p.largest*int64(instances)
 	p.dry = left < p.largest
 }
--- /dev/null
+++ b/pkg/prepaid/recovery_test.go
@@ -0,0 +1,199 @@
+package prepaid_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/lavenderring/lavenderring/pkg/prepaid"
+)
+
+// backHistory is a history in which the store comes back from copies of itself.
+type backHistory struct {
+	*history
+	// lost is what was drawn in the seconds that the store lost, by writer and budget.
+	lost map[string]map[string]int64
+	// unheard are the writers that were dead or cut off at some time after.
+	unheard map[string]bool
+}
+
+func newBackHistory(seed uint64, instances int) *backHistory {
+	h := newHistory(seed)
+	for len(h.fleet.nodes) < instances {
+		h.fleet.join()
+	}
+	h.fleet.drawers = []string{"i1", "i2"}
+	h.allLive = seed%3 != 0
+	h.fleet.deathsKnown = true
+	return &backHistory{history: h, lost: map[string]map[string]int64{}, unheard: map[string]bool{}}
+}
+
+// rows returns what each writer has drawn, by the present era's object.
+func (f *fleet) rows() map[string]prepaid.Writer {
+	_, _, s, err := f.object()
+	if err != nil {
+		panic(err)
+	}
+	return s.Writers
+}
+
+// goBack has the store go back behind some writes and notes what that loses.
+func (h *backHistory) goBack() {
+	before := h.fleet.rows()
+	h.fleet.goBack(1 + h.fleet.rng.IntN(12))
+	after := h.fleet.rows()
+	for writer, row := range before {
+		for id, counter := range row.Counters {
+			if lost := counter.Drawn - after[writer].Counters[id].Drawn; lost > 0 {
+				if h.lost[writer] == nil {
+					h.lost[writer] = map[string]int64{}
+				}
+				h.lost[writer][id] += lost
+			}
+		}
+	}
+}
+
+// step is one of the random history, or the store goes back; some who live hear of it from another.
+func (h *backHistory) step() {
+	switch n := h.fleet.rng.IntN(100); {
+	case n < 3:
+		h.goBack()
+	case n < 8:
+		h.member().HeardEra(h.fleet.storeEra() + uint64(h.fleet.rng.IntN(2)))
+	default:
+		h.history.step()
+	}
+	synctest.Wait()
+	for _, m := range h.fleet.nodes {
+		if m.dead || m.cut {
+			h.unheard[m.name] = true
+		}
+	}
+}
+
+// excess is what may be overspent of a budget: draws that the store lost and whose writer was dead
+// or cut off, so that perhaps nobody who was heard had seen them.
+func (h *backHistory) excess(id string) int64 {
+	var sum int64
+	for writer, lost := range h.lost {
+		if h.unheard[writer] {
+			sum += lost[id]
+		}
+	}
+	return sum
+}
+
+// play returns what was overspent beyond what may be, and whether something may be.
+func (h *backHistory) play(steps int) (failure string, apart bool) {
+	for range steps {
+		h.step()
+		for id, sum := range h.sums() {
+			if over := sum - h.allowed[id]; over > h.excess(id) {
+				return fmt.Sprintf("%s: %d of %d, excess %d", id, sum, h.allowed[id], h.excess(id)), false
+			}
+		}
+	}
+	return "", h.excess(budgetName(0))+h.excess(budgetName(1)) > 0
+}
+
+// An account spends more than it prepaid after the store came back from a copy: draws of its last
+// seconds are missing there, and others draw their tokens again. Proof: whatever falls together
+// with it, nothing is overspent while those that made these draws are heard; where one of them is
+// dead or cut off, at most what was drawn in the lost seconds is, and these histories are counted.
+func TestNeverMoreThanPrepaidWhenTheStoreGoesBack(t *testing.T) {
+	sizes := []struct{ instances, histories, steps int }{{4, 300, 250}, {7, 300, 300}, {63, 30, 400}, {295, 4, 500}}
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
+			apart := 0
+			parameters := gopter.DefaultTestParametersWithSeed(13)
+			parameters.MinSuccessfulTests = size.histories
+			properties := gopter.NewProperties(parameters)
+			properties.Property("spent and running stay within prepaid", prop.ForAll(func(seed uint64) string {
+				failure := ""
+				synctest.Test(t, func(*testing.T) {
+					var counted bool
+					failure, counted = newBackHistory(seed, size.instances).play(size.steps)
+					if counted {
+						apart++
+					}
+				})
+				return failure
+			}, gen.UInt64()))
+			properties.TestingRun(t)
+			t.Logf("%d of %d histories had lost draws whose writer was dead or cut off", apart, size.histories)
+		})
+	}
+}
+
+// All instances live and the store goes back behind a draw: within a round of reports every one of
+// them has told, the draw is in the ledger again, and tokens can be drawn. Callers are refused
+// meanwhile as for a busy ledger and never told that the account is exhausted.
+func TestLedgerIsSettledSoonAfterTheStoreWentBack(t *testing.T) {
+	for _, instances := range []int{2, 9, 63, 295} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(1, instances, map[string]int64{account: 1_000_000})
+				if instances > 2 {
+					f.drawers = []string{"i0", "i1"}
+				}
+				everyTick := func(ticks int) {
+					for range ticks {
+						f.advance(500 * time.Millisecond)
+						for _, m := range f.nodes {
+							m.Tick(t.Context())
+						}
+						synctest.Wait()
+					}
+				}
+				for _, m := range f.nodes {
+					spend(t, m, 100)
+				}
+				everyTick(4)
+				granted := f.granted()
+				f.goBack(1000)
+				f.nodes[0].sawEra()
+				for _, m := range f.nodes[1:] {
+					m.HeardEra(f.storeEra())
+				}
+				everyTick(2)
+				if got := f.granted(); got < granted {
+					t.Errorf("%d tokens granted of %d, a second after the store went back", got, granted)
+				}
+				_, _, s, err := f.object()
+				if err != nil || s.Unsettled {
+					t.Errorf("unsettled %v, %v: told %d of %d", s.Unsettled, err, len(s.Told), instances)
+				}
+			})
+		})
+	}
+}
+
+// granted returns what the present era's object has granted of the test's account.
+func (f *fleet) granted() int64 {
+	_, _, s, err := f.object()
+	if err != nil {
+		panic(err)
+	}
+	return s.Budgets[account].Granted
+}
+
+// A caller is served by tokens that were drawn before all have told what the store lost. Proof: an
+// unsettled shard takes back what its writer had drawn, and gives it nothing.
+func TestUnsettledShardGivesNothing(t *testing.T) {
+	s, err := prepaid.DecodeShard(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.SetPrepaid(prepaid.Amounts{Version: 1, Tokens: map[string]int64{account: 1000}})
+	s.Begin(2)
+	s.Apply("w", prepaid.Start{Era: 1}, map[string]prepaid.Wish{account: {Known: prepaid.Counter{Drawn: 300}, Need: 500, More: 10, Ahead: 10, AheadPart: 1}})
+	if got := s.Budgets[account].Granted; got != 300 || s.Writers["w"].Counters[account].Drawn != 300 {
+		t.Errorf("granted %d: an unsettled shard brings back 300 and draws nothing", got)
+	}
+}
--- a/pkg/prepaid/refill.go
+++ b/pkg/prepaid/refill.go
@@ -45,12 +45,17 @@
 	// drawer has answered for it; nothing is given back to it before. confirmed is the
 	// part of returned that the drawer has answered.
 	granted, returned, confirmed map[string]int64
+	// drawn is the drawer's own count of what it has drawn, as it last told.
+	drawn map[string]int64
 }
 
 func (n *Node) drawer(name string) *drawer {
 	d := n.drawers[name]
 	if d == nil {
-		d = &drawer{granted: map[string]int64{}, returned: map[string]int64{}, confirmed: map[string]int64{}}
+		d = &drawer{
+			granted: map[string]int64{}, returned: map[string]int64{}, confirmed: map[string]int64{},
+			drawn: map[string]int64{},
+		}
 		n.drawers[name] = d
 	}
 	return d
@@ -95,7 +100,8 @@
 		demand := demandOf(budget, p, n.drawer(name).confirmed[budget])
 		demand.Need = max(tokens-p.free, 0)
 		n.mu.Unlock()
-		reply, err := n.refill(ctx, name, []*prepaidpb.Demand{demand}, needTimeout)
+		req := &prepaidpb.RefillRequest{Shard: int32(shard), Demands: []*prepaidpb.Demand{demand}}
+		reply, err := n.refill(ctx, name, req, needTimeout)
 		switch {
 		case err == nil && reply.Busy:
 			busy = true
@@ -124,15 +130,22 @@
 			demands = append(demands, demandOf(id, p, d.returned[id]))
 		}
 	}
+	req := &prepaidpb.RefillRequest{Shard: int32(shard), Demands: demands}
+	n.telling(shard, name, req)
 	n.mu.Unlock()
+	var reply *prepaidpb.RefillReply
 	var err error
-	if len(demands) > 0 {
-		_, err = n.refill(context.Background(), name, demands, refillTimeout) // takeIn tells of a failure and has the drawer rest
+	if len(demands) > 0 || req.ToldEra != 0 {
+		reply, err = n.refill(context.Background(), name, req, refillTimeout) // takeIn tells of a failure and has the drawer rest
 	}
 	n.mu.Lock()
 	n.shards[shard].reporting = false
 	n.settleReturned(d, demands, err)
+	waits := n.settleTelling(shard, name, req, reply, err)
 	n.mu.Unlock()
+	if waits {
+		n.report(shard, name) // others' tokens wait for what this instance has seen
+	}
 }
 
 // settleReturned settles what a report gave back; n.mu is held. Only reports carry more
@@ -181,22 +194,22 @@
 // refill carries one report and takes in what is granted. It goes on when the request
 // that waits for it has given up: what is granted serves the next one.
 func (n *Node) refill(
-	ctx context.Context, name string, demands []*prepaidpb.Demand, timeout time.Duration,
+	ctx context.Context, name string, req *prepaidpb.RefillRequest, timeout time.Duration,
 ) (*prepaidpb.RefillReply, error) {
 	type result struct {
 		reply *prepaidpb.RefillReply
 		err   error
 	}
+	req.Asker, req.Drawer = n.Self, name
 	done := make(chan result, 1)
 	go func() {
 		callCtx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		req := &prepaidpb.RefillRequest{Asker: n.Self, Drawer: name, Demands: demands}
 		reply, err := n.Peers.Refill(callCtx, name, req)
 		if err == nil && reply.Declined {
 			err = errDeclined
 		}
-		n.takeIn(name, demands, reply, err)
+		n.takeIn(name, int(req.Shard), reply, err)
 		done <- result{reply, err}
 	}()
 	select {
@@ -208,14 +221,12 @@
 }
 
 // takeIn takes a drawer's answer in.
-func (n *Node) takeIn(name string, demands []*prepaidpb.Demand, reply *prepaidpb.RefillReply, err error) {
+func (n *Node) takeIn(name string, shard int, reply *prepaidpb.RefillReply, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.Now()
 	d := n.drawer(name)
-	if reply.GetDrawer() != "" && len(demands) > 0 {
-		n.noteDrawer(n.ShardOf(demands[0].Budget), reply.Drawer)
-	}
+	n.noteDrawer(shard, reply.GetDrawer())
 	if errors.Is(err, errDeclined) && n.pointsElsewhere(name, reply) {
 		return // it is well, and another one draws
 	}
@@ -260,6 +271,7 @@
 		p.free += tokens
 		n.Observer.Borrowed(supply.Budget, name, tokens)
 	}
+	d.drawn[supply.Budget] = max(d.drawn[supply.Budget], supply.Drawn)
 	p.keep, p.keptAt = supply.Keep, now
 	p.left, p.seenAt, p.prepaid = supply.Left, now, supply.Prepaid
 	if supply.Exhausted {
--- a/pkg/prepaid/safety_test.go
+++ b/pkg/prepaid/safety_test.go
@@ -34,6 +34,8 @@
 	open    []openRequest
 	spent   map[string]int64
 	allowed map[string]int64
+	// allLive says that nobody dies or is cut off.
+	allLive bool
 }
 
 func budgetName(n int) string { return fmt.Sprintf("account-%d", n) }
@@ -63,6 +65,7 @@
 		h.member().Tick(context.Background())
 	case n < 87:
 		h.fleet.down = !h.fleet.down
+	case n < 93 && h.allLive:
 	case n < 91:
 		m := h.member()
 		m.cut = !m.cut
@@ -149,9 +152,18 @@
 	h.fleet.amounts = prepaid.Amounts{Version: h.fleet.amounts.Version + 1, Tokens: tokens}
 }
 
-// overspent returns a budget that was spent beyond what was prepaid, requests that
-// run counted at their most; empty if none was.
+// overspent returns a budget that was spent beyond what was prepaid; empty if none was.
 func (h *history) overspent() string {
+	for id, sum := range h.sums() {
+		if sum > h.allowed[id] {
+			return fmt.Sprintf("%s: %d of %d", id, sum, h.allowed[id])
+		}
+	}
+	return ""
+}
+
+// sums returns what was spent and what runs, requests that run counted at their most.
+func (h *history) sums() map[string]int64 {
 	sums := map[string]int64{}
 	for id, tokens := range h.spent {
 		sums[id] = tokens
@@ -159,12 +171,7 @@
 	for _, r := range h.open {
 		sums[r.budget] += r.tokens
 	}
-	for id, sum := range sums {
-		if sum > h.allowed[id] {
-			return fmt.Sprintf("%s: %d of %d", id, sum, h.allowed[id])
-		}
-	}
-	return ""
+	return sums
 }
 
 func playHistory(seed uint64) (failure string) {
--- a/pkg/prepaid/shard.go
+++ b/pkg/prepaid/shard.go
@@ -57,6 +57,15 @@
 	// Drawer is the instance that draws for the others. Whoever reads the object, also by
 	// losing a write, learns whom to ask. It decides nothing about safety.
 	Drawer Drawer `json:"drawer,omitzero"`
+	// Era is the store's era that the object was made in; 0 in a store that tells none, or has
+	// never gone back.
+	Era uint64 `json:"era,omitempty"`
+	// Unsettled says that draws of the seconds before the era may be missing still, Told which
+	// incarnations have told what they have seen.
+	Unsettled bool            `json:"unsettled,omitempty"`
+	Told      map[string]bool `json:"told,omitempty"`
+	// Reserves are tokens, by an instance's name and by budget, that stay undrawn.
+	Reserves map[string]map[string]int64 `json:"reserves,omitempty"`
 	// Forgotten is the turn of the newest writer that has been forgotten.
 	Forgotten uint64 `json:"forgotten,omitempty"`
 }
@@ -158,15 +167,19 @@
 	AheadPart int64
 }
 
+// Start is where a writer's first try to write to a shard found it: a row that a try left there
+// is of the same era and a later turn, or has been forgotten since.
+type Start struct{ Era, Turn uint64 }
+
 // Apply carries a writer's wishes out. It is computed on the state that the
-// conditional write replaces, and changes nothing if it is applied again. since is the
-// shard's turn before the writer's first try to write to it.
-func (s *Shard) Apply(writer string, since uint64, wishes map[string]Wish) {
+// conditional write replaces, and changes nothing if it is applied again. start is where the
+// writer's first try found the shard. Nothing is drawn while the shard is unsettled.
+func (s *Shard) Apply(writer string, start Start, wishes map[string]Wish) {
 	row, known := s.Writers[writer]
 	if row.Counters == nil {
 		row.Counters = map[string]Counter{}
 	}
-	forgotten := !known && s.Forgotten > since
+	forgotten := !known && s.Era == start.Era && s.Forgotten > start.Turn
 	for id, wish := range wishes {
 		counter, moved := row.Counters[id]
 		if !moved && forgotten {
@@ -194,12 +207,21 @@
 	if !exists {
 		return counter
 	}
+	if lost := wish.Known.Drawn - counter.Drawn; lost > 0 {
+		// The store went back behind this draw, whose tokens are being spent.
+		b.Granted += lost
+		counter.Drawn = wish.Known.Drawn
+	}
 	if back := wish.Returned - counter.Returned; back > 0 {
 		b.Granted -= back
 		counter.Returned = wish.Returned
 	}
+	s.Budgets[id] = b
+	if s.Unsettled {
+		return counter
+	}
 	wish.found(counter.Drawn - wish.Known.Drawn)
-	tokens := wish.draw(b.Free())
+	tokens := wish.draw(s.Free(id))
 	b.Granted += tokens
 	counter.Drawn += tokens
 	s.Budgets[id] = b
--- a/pkg/prepaid/size_test.go
+++ b/pkg/prepaid/size_test.go
@@ -19,7 +19,7 @@
 		for id := range amounts.Tokens {
 			wishes[id] = Wish{Need: 900, Returned: 400, Known: Counter{}}
 		}
-		s.Apply(fmt.Sprintf("edge-zone-%03d-01ARZ3NDEKTSV4RRFFQ69G5FAV", i), 0, wishes)
+		s.Apply(fmt.Sprintf("edge-zone-%03d-01ARZ3NDEKTSV4RRFFQ69G5FAV", i), Start{}, wishes)
 	}
 	return s
 }
@@ -38,7 +38,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				s.Apply("edge-zone-000-01ARZ3NDEKTSV4RRFFQ69G5FAV", 0, map[string]Wish{"account0000": {Need: 1, AheadPart: 1}})
+				s.Apply("edge-zone-000-01ARZ3NDEKTSV4RRFFQ69G5FAV", Start{}, map[string]Wish{"account0000": {Need: 1, AheadPart: 1}})
 				if _, err := s.Encode(); err != nil {
 					b.Fatal(err)
 				}
--- a/pkg/prepaid/storm_test.go
+++ b/pkg/prepaid/storm_test.go
@@ -254,6 +254,9 @@
 // Borrowed implements prepaid.Observer.
 func (m *starter) Borrowed(string, string, int64) {}
 
+// Recovered implements prepaid.Observer.
+func (m *starter) Recovered(prepaid.Recovered) {}
+
 // Resting implements prepaid.Observer.
 func (m *starter) Resting(string, time.Duration, error) {}
 
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -40,16 +40,16 @@
 	return fmt.Sprintf("ledger shard %d is drawn by %s", e.Shard, e.Drawer)
 }
 
-// firstTurn is a shard's turn before this instance's first try to write to it: a row that
-// a try has left there has a later one.
-func (n *Node) firstTurn(shard int, s *Shard) uint64 {
+// startOf is where this instance's first try to write to a shard found it: a row that
+// a try has left there has a later turn.
+func (n *Node) startOf(shard int, s *Shard) Start {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	state := &n.shards[shard]
 	if !state.tried {
-		state.tried, state.firstTurn = true, s.Turn
+		state.tried, state.start = true, Start{Era: s.Era, Turn: s.Turn}
 	}
-	return state.firstTurn
+	return state.start
 }
 
 // shardState is an instance's side of one shard. Writes come one at a time, each
@@ -58,9 +58,11 @@
 type shardState struct {
 	flight *flight
 	away   bool
-	// tried says that a write was tried, when the shard's turn was firstTurn.
-	tried     bool
-	firstTurn uint64
+	// tried says that a write was tried, start where it found the shard.
+	tried bool
+	start Start
+	// recovery is this instance's part in settling the shard after the store went back.
+	recovery recovery
 	// reporting says that a report to the drawer is on its way.
 	reporting bool
 	// askers are the instances that have this one draw for them, drawnFor how many
@@ -115,6 +117,9 @@
 		if late || (state.away && state.flight == nil) {
 			return false, ErrAway
 		}
+		if state.flight == nil && n.justUnsettled(shard) {
+			return false, ErrUnsettled
+		}
 		if state.flight == nil {
 			n.begin(shard, budget, need)
 			writes++
@@ -233,20 +238,29 @@
 func (n *Node) write(ctx context.Context, shard int, wishes map[string]Wish) error {
 	holder := n.holder(shard)
 	var after *Shard
+	var recovered Recovered
 	err := n.Ledger.Update(ctx, shard, n.triesFor(shard), func(s *Shard) error {
 		if err := n.takeDrawing(shard, s); err != nil {
 			return err
 		}
 		s.SetPrepaid(n.Amounts(shard))
-		s.Apply(n.Self, n.firstTurn(shard, s), wishes)
+		recovered = n.recover(shard, s)
+		s.Apply(n.Self, n.startOf(shard, s), wishes)
 		s.SetHolder(n.Name, holder.withDrawn(s.Writers[n.Self], wishes))
 		after = s
 		return nil
 	})
-	if err == nil {
-		n.adopt(shard, after)
+	if err != nil {
+		return err
+	}
+	n.adopt(shard, after)
+	if recovered.Tokens > 0 || recovered.Settled {
+		n.Observer.Recovered(recovered)
+	}
+	if after.Unsettled {
+		return ErrUnsettled
 	}
-	return err
+	return nil
 }
 
 // Tries of one write against other instances' writes.
@@ -281,6 +295,7 @@
 func (n *Node) adopt(shard int, after *Shard) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.adoptRecovery(shard, after)
 	for id, counter := range after.Writers[n.Self].Counters {
 		n.adoptOne(shard, id, counter, after)
 	}
@@ -300,7 +315,7 @@
 func (n *Node) adoptOne(shard int, id string, counter Counter, after *Shard) {
 	p := n.purse(id)
 	drawn, returned := p.adopt(counter)
-	p.note(after.Budgets[id], int(n.sharers(shard)), n.Now())
+	p.note(after.Budgets[id].Prepaid, after.Free(id), int(n.sharers(shard)), n.Now())
 	p.elsewherePerSecond, p.heldElsewhere = after.holdersElsewhere(n.Name, id, n.Fleet.Counts)
 	if drawn == 0 && returned == 0 {
 		return
--- a/pkg/registry/entry.go
+++ b/pkg/registry/entry.go
@@ -1,7 +1,11 @@
 // Package registry holds which upstreams are in service, as the store lists them.
 package registry
 
-import "time"
+import (
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
 
 // Upstream is one incarnation of an upstream.
 type Upstream struct {
@@ -21,6 +25,8 @@
 	Slots int `json:"slots"`
 	// Leaving upstreams finish what runs and take nothing new.
 	Leaving bool `json:"leaving"`
+	// Written is the position of its entry's last change.
+	Written store.Position `json:"-"`
 	// SlowFor is how much longer the upstream is slow after its start.
 	SlowFor time.Duration `json:"slow_for"`
 }
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -4,6 +4,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // lapseHold is how long an entry that vanished is kept while the store has only
@@ -16,10 +18,10 @@
 	now func() time.Time
 
 	mu sync.Mutex
-	// version is the store's version that the entries are of; 0 before the first
+	// position is the store's that the entries are of; of no version before the first
 	// whole list.
-	version uint64
-	entries map[string]Upstream
+	position store.Position
+	entries  map[string]Upstream
 	// vanished holds until when an entry that vanished after an outage is kept.
 	vanished map[string]time.Time
 	// returned is when the store last came back from an outage.
@@ -28,6 +30,10 @@
 	byName   map[string][]Upstream // in-service upstreams by service, by id
 	// restarted holds the addresses of upstreams that started again under their id.
 	restarted []string
+	// departed holds upstreams that left, doubted where an entry stands in the store that says
+	// less than what was known before the store went back (crossEra).
+	departed map[string]departure
+	doubted  map[string]store.Position
 	// left holds the ids of upstreams that were in service and are not any more.
 	left []string
 }
@@ -39,6 +45,7 @@
 		entries:  map[string]Upstream{},
 		vanished: map[string]time.Time{},
 		byName:   map[string][]Upstream{},
+		departed: map[string]departure{},
 	}
 }
 
@@ -59,16 +66,19 @@
 	}
 }
 
-// Replace takes a whole list of a version in; entries that it lacks have
+// Replace takes a whole list of a position in; entries that it lacks have
 // vanished. An older list than the present one is passed over: a peer's may lag,
 // and would bring upstreams back that have left.
-func (r *Registry) Replace(list []Upstream, version uint64) {
+func (r *Registry) Replace(list []Upstream, position store.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version < r.version {
+	if position.Before(r.position) {
 		return
 	}
-	r.version = version
+	if !r.position.IsZero() && position.Era != r.position.Era {
+		r.crossEra(list)
+	}
+	r.position = position
 	present := map[string]bool{}
 	for _, u := range list {
 		present[u.ID] = true
@@ -91,6 +101,7 @@
 }
 
 func (r *Registry) put(u Upstream) {
+	u = r.doubt(u)
 	if before, known := r.entries[u.ID]; known && before.Born != u.Born {
 		r.restarted = append(r.restarted, before.Address)
 	}
@@ -121,6 +132,9 @@
 // drop takes an entry out; r.mu is held.
 func (r *Registry) drop(id string) {
 	r.leave(id)
+	if entry, known := r.entries[id]; known {
+		r.depart(entry)
+	}
 	delete(r.entries, id)
 	delete(r.vanished, id)
 }
@@ -210,29 +224,16 @@
 	return r.byName[service]
 }
 
-// Reached notes that every change up to a version has been taken in.
-func (r *Registry) Reached(version uint64) {
+// Reached notes that every change up to a position has been taken in.
+func (r *Registry) Reached(position store.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version = max(r.version, version)
-}
-
-// All returns every entry and their version, for a peer that the store does not
-// answer.
-func (r *Registry) All() ([]Upstream, uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	all := make([]Upstream, 0, len(r.entries))
-	for _, u := range r.entries {
-		all = append(all, u)
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
-	return all, r.version
+	r.position = store.Later(r.position, position)
 }
 
 // Synced reports that a whole list has been read once.
 func (r *Registry) Synced() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.version > 0
+	return !r.position.IsZero()
 }
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 type clock struct{ now time.Time }
@@ -13,7 +15,7 @@
 func newTestRegistry() (*Registry, *clock) {
 	c := &clock{now: time.Unix(100, 0)}
 	r := New(func() time.Time { return c.now })
-	r.Replace([]Upstream{{ID: "a", Service: "s", Address: "1"}, {ID: "b", Service: "s", Address: "2"}}, 5)
+	r.Replace([]Upstream{{ID: "a", Service: "s", Address: "1"}, {ID: "b", Service: "s", Address: "2"}}, store.At(5))
 	return r, c
 }
 
@@ -36,7 +38,7 @@
 	r.StoreOut()
 	c.advance(5 * time.Second)
 	r.StoreBack()
-	r.Replace(nil, 9)
+	r.Replace(nil, store.At(9))
 	if got := len(r.InService("s")); got != 2 {
 		t.Fatalf("%d in service after the outage", got)
 	}
@@ -55,8 +57,8 @@
 func TestOlderListBringsNothingBack(t *testing.T) {
 	r, _ := newTestRegistry()
 	r.Remove("a")
-	r.Reached(8)
-	r.Replace([]Upstream{{ID: "a", Service: "s", Address: "1"}}, 6)
+	r.Reached(store.At(8))
+	r.Replace([]Upstream{{ID: "a", Service: "s", Address: "1"}}, store.At(6))
 	for _, u := range r.InService("s") {
 		if u.ID == "a" {
 			t.Error("an older list brought it back")
@@ -95,7 +97,7 @@
 // told once, whichever way it went, and one that was leaving already is not told again.
 func TestUpstreamsThatLeftAreToldOnce(t *testing.T) {
 	r := New(time.Now)
-	r.Replace([]Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}, 1)
+	r.Replace([]Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}, store.At(1))
 	r.Put(Upstream{ID: "a", Leaving: true})
 	r.Remove("b")
 	r.Discard("c")
@@ -108,3 +110,42 @@
 		t.Errorf("told again: %v", left)
 	}
 }
+
+// A request reaches an upstream that had said that it leaves, or had gone, before the store came
+// back from a copy in which it is in service. It stays out until it is seen to write otherwise;
+// the others, whose entries the copy lacks, stay in for as long as they need to write again.
+func TestLeavingStaysLeavingWhenTheStoreGoesBack(t *testing.T) {
+	r, c := newTestRegistry()
+	entry := func(id string, version store.Version) Upstream {
+		return Upstream{ID: id, Service: "s", Address: id, Written: store.Position{Era: 2, Version: version}}
+	}
+	for _, id := range []string{"c", "d"} {
+		r.Put(Upstream{ID: id, Service: "s", Address: id})
+	}
+	for _, id := range []string{"a", "b"} {
+		r.Put(Upstream{ID: id, Service: "s", Address: id, Leaving: true})
+	}
+	r.Remove("b")
+	inService := func() string {
+		ids := ""
+		for _, u := range r.InService("s") {
+			ids += u.ID
+		}
+		return ids
+	}
+	began := []Upstream{entry("a", 3), entry("b", 3), entry("c", 3)}
+	r.Replace(began, store.Position{Era: 2, Version: 4})
+	if got := inService(); got != "cd" {
+		t.Errorf("in service after the store went back: %s", got)
+	}
+	r.Replace([]Upstream{entry("a", 3), entry("b", 3), entry("c", 3), entry("d", 5)}, store.Position{Era: 2, Version: 6})
+	if got := inService(); got != "cd" {
+		t.Errorf("in service by a second list: %s", got)
+	}
+	r.Put(entry("a", 7))
+	c.advance(lapseHold)
+	r.Expire()
+	if got := inService(); got != "acd" {
+		t.Errorf("in service after it wrote again: %s", got)
+	}
+}
--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -168,10 +168,20 @@
 // Confirm implements the copies service.
 func (r *Router) Confirm(_ context.Context, confirmation *followpb.Confirmation) (*followpb.ConfirmReply, error) {
 	r.table.Heard(confirmation.From)
+	r.tokens.HeardEra(eraIn(confirmation))
 	r.publisher.Take(confirmation)
 	return &followpb.ConfirmReply{}, nil
 }
 
+// eraIn is the latest era of the store that a confirmation tells of.
+func eraIn(confirmation *followpb.Confirmation) uint64 {
+	era := uint64(0)
+	for _, state := range confirmation.Copies {
+		era = max(era, state.Era)
+	}
+	return era
+}
+
 // FetchChanges implements the copies service.
 func (r *Router) FetchChanges(_ context.Context, request *followpb.FetchRequest) (*followpb.FetchReply, error) {
 	return r.publisher.HandOn(request)
--- a/pkg/router/meeting.go
+++ b/pkg/router/meeting.go
@@ -47,8 +47,9 @@
 	// first is when another was first met; nil before.
 	first atomic.Pointer[time.Time]
 	// nobody says that the store lists nobody that answers.
-	nobody     atomic.Bool
-	registered bool
+	nobody atomic.Bool
+	// registered says that the store has this instance's entry; it may lose it.
+	registered atomic.Bool
 }
 
 // joined reports whether the others are known.
@@ -128,7 +129,7 @@
 // instances that all lack their seeds meets in this way: each finds what was written before its
 // own entry, so of two at least one finds the other.
 func (r *Router) meetThroughStore(ctx context.Context) {
-	if !r.meeting.registered {
+	if !r.meeting.registered.Load() {
 		r.register(ctx)
 	}
 	list, err := r.store.List(ctx, memberKind)
@@ -152,7 +153,7 @@
 
 // registerIfRanked writes this instance's entry if it is one of those that have one.
 func (r *Router) registerIfRanked(ctx context.Context) {
-	if !r.meeting.registered && r.joined() && r.table.RankInRegion(registrarKey) < registrars {
+	if !r.meeting.registered.Load() && r.joined() && r.table.RankInRegion(registrarKey) < registrars {
 		r.register(ctx)
 	}
 }
@@ -168,5 +169,5 @@
 		r.log.Event(eventlog.MembersUnknown, "", eventlog.Fields{"step": "register", "cause": err.Error()})
 		return
 	}
-	r.meeting.registered = true
+	r.meeting.registered.Store(true)
 }
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -40,9 +40,9 @@
 
 // Platform is what the adapter to the platform provides.
 type Platform struct {
-	// NewStore returns a client of the store at an address; onState is told
-	// whether it answers.
-	NewStore func(address string, onState func(error)) store.Watcher
+	// NewStore returns a client of the store at an address, which tells what answers say of
+	// the store itself.
+	NewStore func(address string, listener store.Listener) store.Watcher
 	// Config and Upstreams return followers of the two kinds.
 	Config    func(s store.Watcher, take func(*routing.Config), bad func(error)) *follow.Follower
 	Upstreams func(s store.Watcher, r *registry.Registry, changed func(), bad func(error)) *follow.Follower
@@ -106,7 +106,7 @@
 	r.background, r.end = context.WithCancel(context.Background())
 	r.life = life.New(r.log)
 	r.tie = life.NewStoreTie(r.log)
-	r.store = p.NewStore(s.StoreAddress, r.noteStore)
+	r.store = p.NewStore(s.StoreAddress, store.Listener{State: r.noteStore, Era: r.noteEra})
 	r.provisionFleet()
 	r.provisionForward()
 	r.provisionCopies()
@@ -153,12 +153,13 @@
 		Ahead:   time.Duration(s.AheadSeconds) * time.Second,
 	}
 	r.tokens = prepaid.NewNode(cfg, prepaid.Deps{
-		Ledger:   newLedger(r.store, s.LedgerShards),
-		Peers:    lenders{client: r.peers, table: r.table},
-		Fleet:    fleetView{table: r.table, joined: r.joined, meet: r.meetAt},
-		Observer: tokenLog{r.log},
-		Amounts:  r.amounts,
-		Now:      time.Now,
+		Ledger:    newLedger(r.store, s.LedgerShards),
+		Peers:     lenders{client: r.peers, table: r.table},
+		Fleet:     fleetView{table: r.table, joined: r.joined, meet: r.meetAt},
+		Observer:  tokenLog{r.log},
+		Amounts:   r.amounts,
+		VerifyEra: r.verifyEra,
+		Now:       time.Now,
 	})
 }
 
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -2,110 +2,18 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
-	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
-	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
-// ledgerKind is the kind of the ledger's objects.
-const ledgerKind = "ledgers"
-
-// Bounds of one change of the ledger.
-const (
-	// ledgerPause is the longest pause between two tries; it grows to this.
-	ledgerPause = 16 * time.Millisecond
-)
-
-// ledger keeps the newest known state of each shard, so that a change usually
-// takes one call: the write itself, whose conflict tells the present state.
-type ledger struct {
-	store  store.Store
-	shards []shardCache
-}
-
-type shardCache struct {
-	mu     sync.Mutex
-	known  bool
-	object store.Object
-}
-
-func newLedger(s store.Store, shards int) *ledger {
-	return &ledger{store: s, shards: make([]shardCache, shards)}
-}
-
-// Update implements prepaid.Ledger.
-func (l *ledger) Update(ctx context.Context, shard, tries int, change func(*prepaid.Shard) error) error {
-	cache := &l.shards[shard]
-	cache.mu.Lock()
-	defer cache.mu.Unlock()
-	key := shardKey(shard)
-	var err error
-	for try := range tries {
-		if try > 0 && !pause.For(ctx, rand.N(min(time.Millisecond<<try, ledgerPause))) {
-			return errors.Join(ctx.Err(), err)
-		}
-		if err = l.tryUpdate(ctx, key, cache, change); err == nil {
-			return nil
-		}
-		var elsewhere *prepaid.DrawnElsewhereError
-		if errors.As(err, &elsewhere) {
-			// What is kept may be old: the next write reads who draws now. Else two
-			// instances with old states could send each other's askers back and forth.
-			cache.known = false
-			return err
-		}
-		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUncertain) {
-			cache.known = false
-			return err
-		}
-	}
-	return errors.Join(prepaid.ErrBusy, err)
-}
-
-func (l *ledger) tryUpdate(ctx context.Context, key string, cache *shardCache, change func(*prepaid.Shard) error) error {
-	if !cache.known {
-		object, err := l.store.Get(ctx, key)
-		if err != nil && !errors.Is(err, store.ErrNotFound) {
-			return err
-		}
-		cache.object, cache.known = object, true
-	}
-	state, err := prepaid.DecodeShard(cache.object.Value)
-	if err != nil {
-		return err
-	}
-	if err := change(state); err != nil {
-		return err
-	}
-	value, err := state.Encode()
-	if err != nil {
-		return err
-	}
-	version, err := l.store.Put(ctx, key, value, cache.object.Position)
-	if err != nil {
-		var conflict *store.ConflictError
-		cache.known = errors.As(err, &conflict)
-		if cache.known {
-			cache.object = conflict.Present
-		}
-		return err
-	}
-	cache.object = store.Object{Key: key, Version: version, Value: value}
-	return nil
-}
-
 // lenders implements prepaid.Peers.
 type lenders struct {
 	client *peer.Client
@@ -202,8 +110,6 @@
 	return incarnations(v.table.WinnersElsewhere(shardKey(shard)))
 }
 
-func shardKey(shard int) string { return fmt.Sprintf("%s/%04d", ledgerKind, shard) }
-
 func incarnations(members []*memberpb.Member) []string {
 	names := make([]string, 0, len(members))
 	for _, m := range members {
@@ -233,6 +139,13 @@
 	})
 }
 
+// Recovered implements prepaid.Observer.
+func (o tokenLog) Recovered(r prepaid.Recovered) {
+	o.log.Event(eventlog.LedgerRecovered, "", eventlog.Fields{
+		"shard": r.Shard, "era": r.Era, "tokens": r.Tokens, "settled": r.Settled, "missing": r.Missing,
+	})
+}
+
 // loans answers other instances.
 type loans struct{ node *prepaid.Node }
 
