Going back in the soak; who does not reach the store tells through others; safeguards of the recovery

The soak draws a store that goes back in a third of its plans with failures, from numbers of its own: the other faults of each seed stay. What was spent in a lost time beside a death is counted apart.

--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -153,6 +153,9 @@
 	era uint64
 	// heardEra is the latest that another instance told.
 	heardEra uint64
+	// floor is the era below which no write's answer is taken over any more, takenEra the latest
+	// that a drawer has confirmed by taking in what this instance told.
+	floor, takenEra uint64
 	// verifying says that the store is being asked for its era.
 	verifying bool
 	// drawers are those that this instance asks.
--- a/pkg/prepaid/recovery.go
+++ b/pkg/prepaid/recovery.go
@@ -63,7 +63,7 @@
 		n.mu.Unlock()
 		return
 	}
-	n.era = era
+	n.era, n.floor = era, max(n.floor, era)
 	for shard := range n.shards {
 		n.shards[shard].recovery.mustTell = n.hasDrawn(shard)
 	}
@@ -78,7 +78,7 @@
 func (n *Node) NoteFirstEra(era uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.era = max(n.era, era)
+	n.era, n.floor = max(n.era, era), max(n.floor, era)
 }
 
 // hasDrawn reports whether this instance may have a row in a shard; n.mu is held.
@@ -296,8 +296,8 @@
 }
 
 // telling puts what this instance has seen into a report if the drawer waits for it; n.mu is held.
-// Its own row is told only once the store has told it the era itself, and no write is on its way:
-// from then on an answer of the older era is not taken in, so nothing is drawn behind what is told.
+// From then on no answer of an older era is taken over, so nothing is drawn behind what is told. That
+// needs no word of the store: an instance that does not reach it would keep all others from drawing.
 func (n *Node) telling(shard int, name string, req *prepaidpb.RefillRequest) {
 	r := &n.shards[shard].recovery
 	if r.asked == 0 || (r.toldEra == r.asked && r.toldTo == name) {
@@ -305,15 +305,12 @@
 	}
 	if n.hasDrawn(shard) && n.era < r.asked {
 		n.verifyEra()
-		return
-	}
-	if n.shards[shard].flight != nil {
-		return
 	}
 	if r.tellings++; r.tellings > mostTellings {
 		r.asked = 0
 		return
 	}
+	n.floor = max(n.floor, r.asked)
 	req.ToldEra = r.asked
 	if own := n.ownRow(shard); len(own) > 0 {
 		req.Rows = append(req.Rows, tellRow(n.Self, own))
@@ -348,6 +345,7 @@
 	}
 	if reply.TakenEra != 0 && reply.TakenEra == req.ToldEra {
 		r.toldEra, r.toldTo, r.tellings = req.ToldEra, name, 0
+		n.takenEra = max(n.takenEra, req.ToldEra)
 		r.mustTell = r.mustTell && r.toldEra < n.era
 	}
 	if reply.SettledEra >= r.asked && reply.SettledEra >= r.era {
@@ -363,8 +361,8 @@
 // firstEra is that of a store which has never gone back.
 const firstEra = 1
 
-// HeardEra says that another instance told of an era. Whoever has drawn has the store asked before
-// it believes that; one that has not has nothing to lose, and tells each drawer so.
+// HeardEra says that another instance told of an era: each shard's drawer is told what this one has
+// seen, and passes it over unless the store told it the same. Whoever has drawn asks the store too.
 func (n *Node) HeardEra(era uint64) {
 	n.mu.Lock()
 	if era <= n.era || era <= n.heardEra {
@@ -384,8 +382,8 @@
 	}
 }
 
-// verifyEra has the store asked for its era, once at a time. What it does not confirm is
-// forgotten; n.mu is held.
+// verifyEra has the store asked for its era, once at a time. What neither it nor a drawer confirms
+// is forgotten: an era that the store never had would keep this instance from drawing; n.mu is held.
 func (n *Node) verifyEra() {
 	if n.verifying {
 		return
@@ -399,8 +397,10 @@
 		if err != nil {
 			return // the next report asks again
 		}
+		confirmed := max(era, n.era, n.takenEra)
+		n.floor = min(n.floor, confirmed)
 		for shard := range n.shards {
-			if r := &n.shards[shard].recovery; r.asked > max(era, n.era) {
+			if r := &n.shards[shard].recovery; r.asked > confirmed {
 				r.asked = 0
 			}
 		}
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -253,7 +253,9 @@
 	if err != nil {
 		return err
 	}
-	n.adopt(shard, after)
+	if !n.adopt(shard, after) {
+		return ErrUnsettled // it is found in the ledger later, if it is there
+	}
 	if recovered.Tokens > 0 || recovered.Settled {
 		n.Observer.Recovered(recovered)
 	}
@@ -291,14 +293,19 @@
 	return len(candidates) > 0 && !slices.Contains(candidates, n.Self)
 }
 
-// adopt takes over what a write left in the ledger.
-func (n *Node) adopt(shard int, after *Shard) {
+// adopt takes over what a write left in the ledger. It reports false for the object of an era that
+// is over: others have been told already what this instance had drawn until then.
+func (n *Node) adopt(shard int, after *Shard) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if max(after.Era, firstEra) < n.floor {
+		return false
+	}
 	n.adoptRecovery(shard, after)
 	for id, counter := range after.Writers[n.Self].Counters {
 		n.adoptOne(shard, id, counter, after)
 	}
+	return true
 }
 
 // withDrawn is how the instance stands once it has taken over what a write drew.
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -63,7 +63,7 @@
 // checkRuns compares what clients were told with what the upstreams ran.
 func (r *run) checkRuns() {
 	runs := r.fleet.runs()
-	spent := int64(0)
+	spent, unseen := int64(0), int64(0)
 	for _, s := range r.sendings {
 		ran := runs[s.id]
 		r.checkCount(s, ran)
@@ -75,11 +75,17 @@
 			r.violate("%s: cut off by a planned stop: %v", s, s.err)
 		}
 		if s.key == poorKey && len(ran) > 0 {
-			spent += promptTokens + s.events()
+			cost := promptTokens + s.events()
+			spent += cost
+			unseen += r.unseen(s, cost)
 		}
 	}
-	if _, prepaid := r.fleet.operator.state(); spent > prepaid {
+	_, prepaid := r.fleet.operator.state()
+	over := spent - prepaid
+	if over > unseen {
 		r.violate("account %s spent %d tokens of %d", poorAccount, spent, prepaid)
+	} else if over > 0 {
+		r.apart = over
 	}
 }
 
--- a/pkg/soak/fleet.go
+++ b/pkg/soak/fleet.go
@@ -28,8 +28,10 @@
 
 	mu        sync.Mutex
 	upstreams []*upstream // those in service
-	all       []*standin.Upstream
-	made      int
+	all       []*upstream
+	// leaving are those that have said that they leave and are still there.
+	leaving map[*upstream]bool
+	made    int
 }
 
 // instance is one instance as a process of its own, behind relays.
@@ -55,7 +57,7 @@
 }
 
 func newFleet(opts Options) (*fleet, error) {
-	f := &fleet{opts: opts}
+	f := &fleet{opts: opts, leaving: map[*upstream]bool{}}
 	address := loopback.Address()
 	var err error
 	if f.store, err = standin.Start(address); err != nil {
@@ -189,7 +191,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.upstreams = append(f.upstreams, u)
-	f.all = append(f.all, u.Upstream)
+	f.all = append(f.all, u)
 	return nil
 }
 
@@ -229,7 +231,7 @@
 // runs returns what all upstreams have run, by request.
 func (f *fleet) runs() map[string][]standin.Run {
 	f.mu.Lock()
-	all := append([]*standin.Upstream{}, f.all...)
+	all := append([]*upstream{}, f.all...)
 	f.mu.Unlock()
 	runs := map[string][]standin.Run{}
 	for _, u := range all {
--- a/pkg/soak/plan.go
+++ b/pkg/soak/plan.go
@@ -41,6 +41,7 @@
 	WritesLate      Kind = "writes-late"      // writes take effect later, unanswered
 	WatchesLost     Kind = "watches-lost"     // watches are never answered, their connections stand
 	HistoryGone     Kind = "history-gone"     // watches have to list anew
+	WentBack        Kind = "store-went-back"  // the store is away and comes back from a copy
 	Change          Kind = "change"           // a route goes or comes back, an account is topped up
 )
 
@@ -108,10 +109,35 @@
 			strikes += upTo(rng, seriesGap)
 		}
 	}
+	if len(kinds) == len(allKinds) {
+		plan = append(plan, goingBack(seed, length)...)
+	}
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
 	return plan
 }
 
+// backIn is in one of how many plans with failures the store goes back, mostBack how often then.
+const (
+	backIn   = 3
+	mostBack = 3
+)
+
+// goingBack draws when the store goes back in a run, from numbers of its own: the other faults of a
+// seed stay what they are.
+func goingBack(seed uint64, length time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	if rng.IntN(backIn) != 0 {
+		return nil
+	}
+	var plan []Fault
+	for range 1 + rng.IntN(mostBack) {
+		at := warmUp + upTo(rng, max(length-warmUp, time.Second))
+		lasts := shortestFault + upTo(rng, longestFault-shortestFault)
+		plan = append(plan, Fault{At: at, For: lasts, Kind: WentBack, Target: rng.IntN(1 << 16)})
+	}
+	return plan
+}
+
 // upTo draws a time below a bound.
 func upTo(rng *rand.Rand, bound time.Duration) time.Duration {
 	return time.Duration(rng.Int64N(int64(bound)))
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -41,12 +41,14 @@
 	Requests   int
 	Statuses   map[string]int
 	Violations []string
+	// Apart is what was overspent after the store went back while instances died, in tokens.
+	Apart int64
 }
 
 // String implements fmt.Stringer.
 func (r *Report) String() string {
-	return fmt.Sprintf("seed %d: %d faults, %d requests %v, %d violations",
-		r.Seed, r.Faults, r.Requests, r.Statuses, len(r.Violations))
+	return fmt.Sprintf("seed %d: %d faults, %d requests %v, %d violations, %d tokens apart",
+		r.Seed, r.Faults, r.Requests, r.Statuses, len(r.Violations), r.Apart)
 }
 
 // struck is when a fault was in force, and where.
@@ -65,7 +67,9 @@
 	mu         sync.Mutex
 	sendings   []*sending
 	struck     []*struck
+	lost       []lostTime
 	violations []string
+	apart      int64
 }
 
 // mostViolations bounds what is remembered: one cause can break a promise for each
@@ -194,7 +198,7 @@
 
 func (r *run) report(faults int) *Report {
 	report := &Report{
-		Seed: r.opts.Seed, Faults: faults, Requests: len(r.sendings), Statuses: map[string]int{}, Violations: r.violations,
+		Seed: r.opts.Seed, Faults: faults, Requests: len(r.sendings), Statuses: map[string]int{}, Violations: r.violations, Apart: r.apart,
 	}
 	for _, s := range r.sendings {
 		name := fmt.Sprint(s.status)
--- a/pkg/soak/strike.go
+++ b/pkg/soak/strike.go
@@ -156,9 +156,11 @@
 		return
 	}
 	told := time.Now()
+	r.fleet.setLeaving(u, true)
 	r.fleet.store.Announce(u.Upstream, u.service, u.domain, u.relayAddress, true)
 	pause.For(ctx, drainTime)
 	before := len(u.Runs())
+	r.fleet.setLeaving(u, false)
 	r.fleet.store.Withdraw(u.Upstream)
 	pause.For(ctx, lingerTime)
 	if late := len(u.Runs()) - before; late > 0 && !r.troubled(told.Add(-settleTime), time.Now()) {
@@ -182,6 +184,9 @@
 		faults.LateWrites, faults.LateMillis = struckWrites, lateMillis
 	case WatchesLost:
 		faults.LoseWatches = true
+	case WentBack:
+		r.goBack(f)
+		return
 	case HistoryGone:
 		r.fleet.store.ForgetHistory()
 		return
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -76,6 +76,16 @@
 try drawer-is-named pkg/prepaid/named.go 's/if name == "" \|\| name == n\.Name \{/if true {/' pkg/prepaid TestOneDomainStepsInForAll
 try unknown-drawer-is-met pkg/prepaid/named.go 's/ \|\| n\.meets\(shard, s\.Drawer\)//' pkg/prepaid TestDrawersThatDoNotKnowEachOtherGiveWay
 try joining-do-not-draw pkg/prepaid/drawer.go 's/if !n\.Fleet\.Joined\(\) \{/if false {/' pkg/prepaid TestCollisionsEndAfterAStartOfAll
+try lost-draws-are-brought-back pkg/prepaid/shard.go 's/if lost := wish\.Known\.Drawn - counter\.Drawn; lost > 0 \{/if lost := int64(0); lost > 0 {/' pkg/prepaid TestNeverMoreThanPrepaidWhenTheStoreGoesBack
+try unsettled-draws-nothing pkg/prepaid/shard.go 's/if s\.Unsettled \{\n\t\treturn counter/if false {\n\t\treturn counter/' pkg/prepaid TestNeverMoreThanPrepaidWhenTheStoreGoesBack
+try all-are-waited-for pkg/prepaid/recovery.go 's/if waited && n\.allTold\(s\.Told\) \{/if waited {/' pkg/prepaid TestNeverMoreThanPrepaidWhenTheStoreGoesBack
+try told-is-for-one-era pkg/prepaid/recovery.go 's/r\.since, r\.told = true, s\.Era, now, nil/r.since = true, s.Era, now/' pkg/prepaid TestWhoToldForAnEarlierEraTellsAgain
+try older-draws-are-not-taken-over pkg/prepaid/write.go 's/if max\(after\.Era, firstEra\) < n\.floor \{/if false {/' pkg/prepaid TestDrawOfAnEraThatIsOverIsNotTakenOver
+try dealt-tokens-tell-their-draw pkg/prepaid/drawer.go 's/Drawn: p\.counter\.Drawn\}/Drawn: 0}/' pkg/prepaid TestDrawsOfTheDeadAreBroughtBack
+try leaving-stays-leaving pkg/registry/registry.go 's/u = r\.doubt\(u\)/_ = r.doubt/' pkg/registry TestLeavingStaysLeavingWhenTheStoreGoesBack
+try later-eras-are-later pkg/store/position.go 's/if p\.Era != other\.Era \{/if false {/' pkg/follow TestCopiesFollowTheStoreIntoALaterEra
+try later-era-is-no-answer platform/store.go 's/if era != since\.Era \{/if false {/' platform TestAnswersOfALaterEraAreNoAnswers
+try higher-number-is-handed-on pkg/follow/contents.go 's/c\.kept\[now\.Key\] = true\n\tnow\.Value = before\.Value/_ = before/' pkg/follow TestDocumentOfAHigherNumberIsHandedOn
 try documents-are-watched-shortly pkg/configsync/syncer.go 's/watchWait = 2 \* time/watchWait = 20 * time/' pkg/configsync TestLostWatchHidesNoDocument
 try faulty-entry-is-out platform/copies.go 's/c\.Registry\.Discard\(id\)\n\t\treturn/return/' platform TestFaultyEntriesAreToldOnceAndTheOthersHold
 exit $status
