--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -76,6 +76,9 @@
 	OutageEnded func(ago time.Duration)
 	// Answered is told of each answered call, and whether it brought a change. It may be nil.
 	Answered func(changed bool)
+	// EraReached is told when another instance's copy brought this one into a later era of the
+	// store; it may be nil.
+	EraReached func(store.Era)
 	// Unheard is told that confirmations fail to come, a while before the store is asked. It
 	// asks other instances and returns at once; it may be nil.
 	Unheard func(ctx context.Context)
@@ -279,6 +282,9 @@
 		f.Copy.Apply(changes)
 	}
 	f.fresh.handed(upTo, lastChangeOf(c))
+	if upTo.Era > since.Era && f.EraReached != nil {
+		f.EraReached(upTo.Era)
+	}
 	return true
 }
 
--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderring/lavenderring/pkg/follow"
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/pause"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // The copies of the store, by what the instances call them.
@@ -50,6 +51,7 @@
 		}
 	}
 	copied.Obtain = func(ctx context.Context) bool { return r.obtain(ctx, name) }
+	copied.EraReached = func(era store.Era) { r.tokens.HeardEra(uint64(era)) }
 	copied.Renewed = func(reason follow.Reason, waited time.Duration) {
 		r.log.Event(eventlog.WatchRenewed, "", eventlog.Fields{
 			"copy": name, "reason": reason, "waited_ms": waited.Milliseconds(),
