Claims outlast a store that goes back; objects of their own for each era in one place; the era on heartbeats

A job ran twice: the store came back from a copy that was older than its claim, and a retry claimed the key anew. Cause: the claim was taken to stay once acknowledged. Each instance brings back the claims that it has seen lately, by an object of the new era; a key that this one lacks waits until all living instances have told, and is answered as 'may have run' if its time ends before.

--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,28 +22,48 @@
 // one request of a key is told to run, and once an outcome is recorded every
 // later press finds that one.
 func TestAtMostOneRequestOfAKeyRuns(t *testing.T) {
+	checkClaims(t, 60, false)
+}
+
+// A job runs twice: its key was claimed, the store came back from a copy that is older than the
+// claim, and a retry claimed it anew. Proof: whoever claimed brings the claim back, and a key that
+// the store lacks is free only once all living instances have done so.
+func TestAtMostOneRequestOfAKeyRunsWhenTheStoreGoesBack(t *testing.T) {
+	checkClaims(t, 300, true)
+}
+
+func checkClaims(t *testing.T, histories int, goesBack bool) {
+	t.Helper()
 	parameters := gopter.DefaultTestParametersWithSeed(5)
-	parameters.MinSuccessfulTests = 60
+	parameters.MinSuccessfulTests = histories
 	properties := gopter.NewProperties(parameters)
 	properties.Property("one run for each key", prop.ForAll(func(seed uint64) string {
 		failure := ""
-		synctest.Test(t, func(t *testing.T) { failure = claimHistory(t, seed) })
+		synctest.Test(t, func(t *testing.T) { failure = claimHistory(t, seed, goesBack) })
 		return failure
 	}, gen.UInt64()))
 	properties.TestingRun(t)
 }
 
+// others are the other instances of a history.
+type others []string
+
+// Others implements Fleet.
+func (o others) Others() []string { return o }
+
 // presses is how often the callers of one history press.
 const presses = 60
 
-func claimHistory(t *testing.T, seed uint64) string {
+func claimHistory(t *testing.T, seed uint64, goesBack bool) string {
 	rng := rand.New(rand.NewPCG(seed, 8))
 	store := storefake.New(seed)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	defer time.Sleep(2 * tellSpread) // what was begun ends
 	var claimers []*Claimer
-	for range 3 {
-		c := NewClaimer(store, 2, time.Now)
+	names := others{"a", "b", "c"}
+	for n, name := range names {
+		c := NewClaimer(name, store, slices.Delete(slices.Clone(names), n, n+1), 2, time.Now)
 		go c.Run(ctx)
 		claimers = append(claimers, c)
 	}
@@ -73,6 +94,12 @@
 	}
 	for pressed < presses {
 		store.SetFaults(rng.IntN(6) == 0, 0.4*rng.Float64())
+		if goesBack && rng.IntN(8) == 0 {
+			store.GoBack(1 + rng.IntN(6))
+			for _, c := range claimers {
+				c.NoteEra()
+			}
+		}
 		if failure := press(); failure != "" {
 			return failure
 		}
--- a/pkg/claim/claimer.go
+++ b/pkg/claim/claimer.go
@@ -51,16 +51,20 @@
 // Claimer claims keys and records outcomes. Operations on one shard that come
 // together are committed by one write. It is safe for concurrent use.
 type Claimer struct {
-	store  store.Store
+	self   string
+	store  store.Lister
+	fleet  Fleet
 	shards []*ring.Ring[operation]
-	now    func() time.Time
+	// seen are the recent claims of each shard; touched by its goroutine only.
+	seen []map[string]*Claim
+	now  func() time.Time
 
 	unsent sync.WaitGroup
 }
 
-// NewClaimer returns a claimer over so many shards; Run must be called.
-func NewClaimer(store store.Store, shards int, now func() time.Time) *Claimer {
-	c := &Claimer{store: store, now: now}
+// NewClaimer returns the claimer of an incarnation over so many shards; Run must be called.
+func NewClaimer(self string, store store.Lister, fleet Fleet, shards int, now func() time.Time) *Claimer {
+	c := &Claimer{self: self, store: store, fleet: fleet, seen: make([]map[string]*Claim, shards), now: now}
 	for i := 0; i < shards; i++ {
 		c.shards = append(c.shards, ring.New[operation](queueLength))
 	}
@@ -105,12 +109,19 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	key := shardKey(shard)
-	err := store.Update(ctx, c.store, key, func(value []byte) ([]byte, error) {
-		decoded, err := decodeShard(value)
+	var after *Shard
+	err := store.UpdateEraObject(ctx, c.store, key, func(object store.Object) ([]byte, error) {
+		decoded, err := decodeShard(object.Value)
 		if err != nil {
 			return nil, err
 		}
+		after = decoded
+		decoded.enterEra(object.Position.Era)
 		decoded.prune(c.now())
+		if decoded.Unsettled {
+			decoded.bringBack(c.seen[shard])
+			decoded.settle(c.self, c.fleet.Others())
+		}
 		for _, op := range group {
 			op.apply(decoded)
 		}
@@ -118,11 +129,14 @@
 		if err == nil && !fits {
 			err = &FullError{Step: "claim", Peer: key}
 		}
-		if err == nil && string(encoded) == string(value) {
+		if err == nil && !object.Position.IsZero() && string(encoded) == string(object.Value) {
 			err = store.ErrUnchanged
 		}
 		return encoded, err
 	})
+	if err == nil {
+		c.seen[shard] = after.recent(c.now())
+	}
 	for _, op := range group {
 		op.done <- err
 	}
@@ -143,24 +157,42 @@
 
 // Take claims a key before dispatch. It returns the standing claim and whether
 // it is the taker's own. After an error nothing is known about the claim, the
-// request must not be dispatched, and the caller releases it.
+// request must not be dispatched, and the caller releases it. With ErrUnsettled an earlier request
+// under the key may have run.
 func (c *Claimer) Take(ctx context.Context, key string, claim Claim) (Claim, bool, error) {
+	for {
+		r, err := c.takeOnce(ctx, key, claim)
+		if err != nil || !r.unsettled {
+			return r.claim, r.taken, err
+		}
+		if !pause.For(ctx, unsettledPoll) {
+			return Claim{}, false, ErrUnsettled
+		}
+	}
+}
+
+func (c *Claimer) takeOnce(ctx context.Context, key string, claim Claim) (takeResult, error) {
 	claim.AtMillis = c.now().UnixMilli()
 	result := make(chan takeResult, 1)
 	err := c.do(ctx, key, func(s *Shard) {
+		if s.Unsettled && s.Claims[key] == nil {
+			replace(result, takeResult{unsettled: true})
+			return
+		}
 		standing, taken := s.take(key, claim)
 		replace(result, takeResult{claim: *standing, taken: taken})
 	})
 	if err != nil {
-		return Claim{}, false, err
+		return takeResult{}, err
 	}
-	r := <-result
-	return r.claim, r.taken, nil
+	return <-result, nil
 }
 
 type takeResult struct {
 	claim Claim
 	taken bool
+	// unsettled says that the key may have been claimed before the store went back.
+	unsettled bool
 }
 
 // replace keeps the newest result: an update that met a conflict runs again.
@@ -172,12 +204,10 @@
 	result <- r
 }
 
-// Read returns the claim that stands for a key; nil if there is none.
+// Read returns the claim that stands for a key; nil if there is none. ErrUnsettled means that there
+// may be one that the store has lost.
 func (c *Claimer) Read(ctx context.Context, key string) (*Claim, error) {
-	object, err := c.store.Get(ctx, shardKey(shardOf(key, len(c.shards))))
-	if errors.Is(err, store.ErrNotFound) {
-		return nil, nil
-	}
+	object, err := store.ReadEraObject(ctx, c.store, shardKey(shardOf(key, len(c.shards))))
 	if err != nil {
 		return nil, err
 	}
@@ -185,6 +215,10 @@
 	if err != nil {
 		return nil, err
 	}
+	shard.enterEra(object.Position.Era)
+	if shard.Unsettled && shard.Claims[key] == nil {
+		return nil, ErrUnsettled
+	}
 	return shard.Claims[key], nil
 }
 
--- a/pkg/claim/shard.go
+++ b/pkg/claim/shard.go
@@ -57,6 +57,11 @@
 // Shard is one claim object.
 type Shard struct {
 	Claims map[string]*Claim `json:"claims"`
+	// Era is the store's era that the object was made in, Unsettled says that claims of the
+	// seconds before may be missing still, Told which incarnations have told theirs.
+	Era       uint64          `json:"era,omitempty"`
+	Unsettled bool            `json:"unsettled,omitempty"`
+	Told      map[string]bool `json:"told,omitempty"`
 }
 
 // FullError refuses a claim: the shard has no room for another.
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
@@ -42,6 +43,11 @@
 		Holder:      e.Self,
 		Fingerprint: fingerprint,
 	})
+	if errors.Is(err, claim.ErrUnsettled) {
+		return problem(consts.StatusConflict, kindKeyUnknown,
+			"the platform's store was restored, and whether an earlier request under this key ran is not known yet; "+
+				"ask again under the same key", outcome.Unknown, storeRetryAfter)
+	}
 	if err != nil {
 		e.Claims.Release(e.background, key, r.id) // the write may have taken effect
 		return notRun(consts.StatusServiceUnavailable, kindStore,
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -25,6 +26,7 @@
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/ring"
 	"github.com/lavenderring/lavenderring/pkg/settings"
+	"github.com/lavenderring/lavenderring/pkg/store"
 	"github.com/lavenderring/lavenderring/pkg/tlsfiles"
 	"github.com/lavenderring/lavenderring/pkg/tokens"
 	"github.com/lavenderring/lavenderring/platform"
@@ -58,16 +60,20 @@
 	traffic peer.Traffic
 	table   *member.Table
 	gossip  *member.Gossip
-	config  *configsync.State
-	syncer  *configsync.Syncer
-	budgets *budget.Node
-	journal *bill.Journal
-	keeper  *bill.Keeper
-	claims  *claim.Claimer
-	entry   *entry.Entry
-	fetches *ring.Ring[fetch]
-	nudge   *ring.Ring[struct{}]
-	noted   member.Notes // touched by the heartbeat duty only
+	// storeEra is the latest era of the store that its answers told, askingEra says that the store
+	// is being asked for it.
+	storeEra  atomic.Uint64
+	askingEra atomic.Bool
+	config    *configsync.State
+	syncer    *configsync.Syncer
+	budgets   *budget.Node
+	journal   *bill.Journal
+	keeper    *bill.Keeper
+	claims    *claim.Claimer
+	entry     *entry.Entry
+	fetches   *ring.Ring[fetch]
+	nudge     *ring.Ring[struct{}]
+	noted     member.Notes // touched by the heartbeat duty only
 	// registered is when the store's list last took this instance; touched by the
 	// meeting duty only.
 	registered time.Time
@@ -129,7 +135,8 @@
 
 func (i *Instance) provisionFleet() {
 	s := i.settings
-	i.store = platform.NewClient(s.PlatformAddress, s.StoreTimeout(), func(err error) { i.tie.Note(err) })
+	listener := store.Listener{State: func(err error) { i.tie.Note(err) }, Era: i.noteEra}
+	i.store = platform.NewListeningClient(s.PlatformAddress, s.StoreTimeout(), listener)
 	i.table = member.NewTable(member.Config{
 		Self: &memberpb.Member{
 			Incarnation: i.incarnation,
@@ -148,6 +155,8 @@
 		Table:       i.table,
 		Send:        i.peers.Heartbeat,
 		Generations: i.generations,
+		Era:         i.storeEra.Load,
+		HeardEra:    i.heardEra,
 		Newer: func(address string, services []string) {
 			i.fetches.TryPut(fetch{address: address, services: services})
 		},
@@ -176,7 +185,7 @@
 	billPeer := func() string { return i.table.Partner("bills/", "") }
 	i.journal = bill.NewJournal(i.incarnation, i.store, i.peers, billPeer)
 	i.keeper = bill.NewKeeper(i.store)
-	i.claims = claim.NewClaimer(i.store, s.ClaimShards, time.Now)
+	i.claims = claim.NewClaimer(i.incarnation, i.store, liveOthers{i.table}, s.ClaimShards, time.Now)
 	i.entry = entry.New(i.background, entry.Deps{
 		Self:    i.incarnation,
 		Domain:  s.Domain,
--- a/pkg/member/gossip.go
+++ b/pkg/member/gossip.go
@@ -27,6 +27,10 @@
 	// what another has. Both may be nil.
 	Readings func() []*memberpb.Reading
 	Learned  func(from string, readings []*memberpb.Reading)
+	// Era tells the latest era of the store that this instance knows, HeardEra is told of one
+	// that another knows. Both may be nil.
+	Era      func() uint64
+	HeardEra func(uint64)
 	// Newer is told of what the instance at an address has under a higher
 	// generation than this one; it may be nil.
 	Newer func(address string, names []string)
@@ -48,6 +52,9 @@
 		TableHash:   g.Table.Hash(),
 		Settled:     g.settled.Load(),
 	}
+	if g.Era != nil {
+		d.Era = g.Era()
+	}
 	if g.Readings != nil {
 		d.Readings = g.Readings()
 	}
@@ -87,6 +94,9 @@
 	for _, m := range d.Known {
 		g.Table.Learn(m, false)
 	}
+	if g.HeardEra != nil && d.Era > 0 {
+		g.HeardEra(d.Era)
+	}
 	if g.Learned != nil && d.From != nil && len(d.Readings) > 0 {
 		g.Learned(d.From.Name, d.Readings)
 	}
--- a/pkg/router/era.go
+++ b/pkg/router/era.go
@@ -20,6 +20,7 @@
 		r.log.Event(eventlog.StoreEraFault, "", eventlog.Fields{"era": news.To, "cause": news.Fault.Error()})
 		return
 	}
+	r.storeEra.Store(uint64(news.To))
 	metrics.GetOrRegisterGauge("store.era", r.metrics).Update(int64(news.To))
 	if news.From == 0 {
 		r.tokens.NoteFirstEra(uint64(news.To))
--- a/pkg/router/ledger.go
+++ b/pkg/router/ledger.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,16 +19,11 @@
 // ledgerPause is the longest pause between two tries of one change of the ledger; it grows to this.
 const ledgerPause = 16 * time.Millisecond
 
-// firstEra is that of a store which has never gone back. Its objects bear no era in their names.
-const firstEra store.Era = 1
-
 // ledger keeps the newest known state of each shard, so that a change usually
-// takes one call: the write itself, whose conflict tells the present state.
-//
-// The objects of each era have names of their own. A write of an older era that arrives late, or
-// whose version has been given out again, meets another object and replaces nothing.
+// takes one call: the write itself, whose conflict tells the present state. Each era of the store has
+// objects of its own (store.ReadEraObject).
 type ledger struct {
-	store  store.Watcher
+	store  store.Lister
 	shards []shardCache
 }
 
@@ -40,7 +33,7 @@
 	object store.Object
 }
 
-func newLedger(s store.Watcher, shards int) *ledger {
+func newLedger(s store.Lister, shards int) *ledger {
 	return &ledger{store: s, shards: make([]shardCache, shards)}
 }
 
@@ -74,7 +67,7 @@
 
 func (l *ledger) tryUpdate(ctx context.Context, shard int, cache *shardCache, change func(*prepaid.Shard) error) error {
 	if !cache.known {
-		object, err := l.read(ctx, shard)
+		object, err := store.ReadEraObject(ctx, l.store, shardKey(shard))
 		if err != nil {
 			return err
 		}
@@ -84,8 +77,8 @@
 	if err != nil {
 		return err
 	}
-	if era := uint64(cache.object.Position.Era); era > uint64(firstEra) && state.Era != era {
-		state.Begin(era)
+	if era := cache.object.Position.Era; era > store.FirstEra && state.Era != uint64(era) {
+		state.Begin(uint64(era))
 	}
 	if err := change(state); err != nil {
 		return err
@@ -107,61 +100,5 @@
 	return nil
 }
 
-// read returns a shard's object of the present era. If there is none yet, what it returns is to be
-// created, with the newest older one's value.
-func (l *ledger) read(ctx context.Context, shard int) (store.Object, error) {
-	for era := firstEra; ; {
-		object, err := l.store.Get(ctx, eraKey(shard, era))
-		if err != nil && !errors.Is(err, store.ErrNotFound) {
-			return store.Object{}, err
-		}
-		if told := object.Position.Era; told > era {
-			era = told // the object of this one is the one that counts
-			continue
-		}
-		if err == nil || era == firstEra {
-			object.Key = eraKey(shard, era)
-			return object, nil
-		}
-		return l.newestOlder(ctx, shard, object.Position)
-	}
-}
-
-// newestOlder returns what the object of an era is made of, to be created at a position.
-func (l *ledger) newestOlder(ctx context.Context, shard int, at store.Position) (store.Object, error) {
-	list, err := l.store.List(ctx, ledgerKind)
-	if err != nil {
-		return store.Object{}, err
-	}
-	made := store.Object{Key: eraKey(shard, at.Era), Position: at}
-	newest := store.Era(0)
-	for _, object := range list.Objects {
-		era, ofShard := eraOf(object.Key, shard)
-		if ofShard && era < at.Era && era > newest {
-			newest, made.Value = era, object.Value
-		}
-	}
-	return made, nil
-}
-
-// shardKey is the key of a shard's object in a store that has never gone back, and what instances
-// are ranked for to draw it.
+// shardKey is the key of a shard, and what instances are ranked for to draw it.
 func shardKey(shard int) string { return fmt.Sprintf("%s/%04d", ledgerKind, shard) }
-
-// eraKey is the key of a shard's object in an era.
-func eraKey(shard int, era store.Era) string {
-	if era <= firstEra {
-		return shardKey(shard)
-	}
-	return fmt.Sprintf("%s-%d", shardKey(shard), era)
-}
-
-// eraOf reads the era from the key of a shard's object.
-func eraOf(key string, shard int) (era store.Era, ofShard bool) {
-	rest, ofShard := strings.CutPrefix(key, shardKey(shard))
-	if !ofShard || rest == "" {
-		return firstEra, ofShard
-	}
-	number, err := strconv.ParseUint(strings.TrimPrefix(rest, "-"), 10, 64)
-	return store.Era(number), err == nil
-}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -79,6 +80,8 @@
 	server *peer.Server
 
 	tie *life.StoreTie
+	// storeEra is the latest era of the store that its answers told this instance.
+	storeEra atomic.Uint64
 	// copies are the followers of the configuration and of the upstreams, by what the
 	// instances call the two.
 	copies    map[string]*follow.Follower
@@ -144,6 +147,8 @@
 		Probe:    r.peers.Probe,
 		Readings: r.readings,
 		Learned:  r.learned,
+		Era:      r.storeEra.Load,
+		HeardEra: func(era uint64) { r.tokens.HeardEra(era) },
 	}
 	cfg := prepaid.Config{
 		Self:    r.incarnation,
--- a/pkg/store/storefake/store.go
+++ b/pkg/store/storefake/store.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"strings"
 	"sync"
 
 	"github.com/lavenderring/lavenderring/pkg/store"
@@ -20,6 +22,9 @@
 	rng     *rand.Rand
 	objects map[string]store.Object
 	version store.Version
+	// era is the store's; past holds what stood before each write.
+	era  store.Era
+	past []snapshot
 	// Down makes every call fail without effect.
 	down bool
 	// lose is the probability that a write takes effect and its answer is lost.
@@ -30,6 +35,46 @@
 	chance  float64
 }
 
+// snapshot is the store as it was.
+type snapshot struct {
+	objects map[string]store.Object
+	version store.Version
+}
+
+// GoBack puts the store back behind some writes, under the next era.
+func (s *Store) GoBack(writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if writes = min(writes, len(s.past)); writes > 0 {
+		at := s.past[len(s.past)-writes]
+		s.objects, s.version = maps.Clone(at.objects), at.version
+		s.past = s.past[:len(s.past)-writes]
+	}
+	s.era = max(s.era, store.FirstEra) + 1
+}
+
+// List implements store.Lister.
+func (s *Store) List(_ context.Context, kind string) (store.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return store.Listing{}, errDown
+	}
+	list := store.Listing{Position: store.Position{Era: s.era, Version: s.version}}
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, kind+"/") {
+			list.Objects = append(list.Objects, s.inEra(object))
+		}
+	}
+	return list, nil
+}
+
+// inEra returns an object at the position that the present era gives it; s.mu is held.
+func (s *Store) inEra(object store.Object) store.Object {
+	object.Position.Era = s.era
+	return object
+}
+
 // New returns an empty store.
 func New(seed uint64) *Store {
 	return &Store{rng: rand.New(rand.NewPCG(seed, 3)), objects: map[string]store.Object{}}
@@ -58,9 +103,9 @@
 	}
 	object, found := s.objects[key]
 	if !found {
-		return store.Object{}, store.ErrNotFound
+		return store.Object{Key: key, Position: store.Position{Era: s.era}}, store.ErrNotFound
 	}
-	return object, nil
+	return s.inEra(object), nil
 }
 
 // Put implements store.Store.
@@ -71,15 +116,16 @@
 	if s.down {
 		return store.NoPosition, errDown
 	}
-	if s.objects[key].Position != expect {
+	if expect.Era < s.era || s.objects[key].Position.Version != expect.Version {
 		return store.NoPosition, store.ErrConflict
 	}
+	s.past = append(s.past, snapshot{objects: maps.Clone(s.objects), version: s.version})
 	s.version++
 	s.objects[key] = store.Object{Key: key, Position: store.At(s.version), Value: append([]byte(nil), value...)}
 	if s.rng.Float64() < s.lose {
 		return store.NoPosition, store.ErrUncertain
 	}
-	return store.At(s.version), nil
+	return store.Position{Era: s.era, Version: s.version}, nil
 }
 
 func (s *Store) interleave() {
--- a/pkg/store/update.go
+++ b/pkg/store/update.go
@@ -24,11 +24,15 @@
 // answer, so it must recognise its own earlier write in the value.
 type Modify func(value []byte) ([]byte, error)
 
+// ModifyObject is a Modify that sees the whole object; one of no version does not exist, and may
+// have the value that it is to be made of.
+type ModifyObject func(object Object) ([]byte, error)
+
 // updater is one update on its way.
 type updater struct {
 	store  Store
-	key    string
-	modify Modify
+	read   func(ctx context.Context) (Object, error)
+	modify ModifyObject
 	// present is what the answer to a conflict told; nil to read.
 	present *Object
 }
@@ -38,43 +42,61 @@
 // as they are. A write of uncertain fate is settled by reading back: modify
 // sees the object as it is and finds its own mark or not.
 func Update(ctx context.Context, s Store, key string, modify Modify) error {
+	read := func(ctx context.Context) (Object, error) {
+		object, err := s.Get(ctx, key)
+		object.Key = key
+		if errors.Is(err, ErrNotFound) {
+			err = nil
+		}
+		return object, err
+	}
+	return update(ctx, &updater{store: s, read: read, modify: func(o Object) ([]byte, error) { return modify(o.Value) }})
+}
+
+// UpdateEraObject is Update of the object that stands for a key in the store's present era.
+func UpdateEraObject(ctx context.Context, s Lister, key string, modify ModifyObject) error {
+	read := func(ctx context.Context) (Object, error) { return ReadEraObject(ctx, s, key) }
+	return update(ctx, &updater{store: s, read: read, modify: modify})
+}
+
+func update(ctx context.Context, u *updater) error {
 	policy := backoff.NewExponentialBackOff()
 	policy.InitialInterval = updateFirstDelay
 	policy.MaxInterval = updateMaxDelay
-	u := &updater{store: s, key: key, modify: modify}
 	attempt := func() (struct{}, error) { return struct{}{}, u.once(ctx) }
 	_, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(policy), backoff.WithMaxTries(updateMaxTries))
 	return err
 }
 
 func (u *updater) once(ctx context.Context) error {
-	object, err := u.read(ctx)
-	if err != nil && !errors.Is(err, ErrNotFound) {
+	object, err := u.next(ctx)
+	if err != nil {
 		return retryable(ctx, err)
 	}
-	value, err := u.modify(object.Value)
+	value, err := u.modify(object)
 	if errors.Is(err, ErrUnchanged) {
 		return nil
 	}
 	if err != nil {
 		return backoff.Permanent(err)
 	}
-	_, err = u.store.Put(ctx, u.key, value, object.Position)
+	_, err = u.store.Put(ctx, object.Key, value, object.Position)
 	var conflict *ConflictError
-	if errors.As(err, &conflict) {
+	if errors.As(err, &conflict) && conflict.Present.Position.Era == object.Position.Era {
 		u.present = &conflict.Present
+		u.present.Key = object.Key
 	}
 	return retryable(ctx, err)
 }
 
-// read returns the object as it stands; what a conflict told is used once.
-func (u *updater) read(ctx context.Context) (Object, error) {
+// next returns the object as it stands; what a conflict told is used once.
+func (u *updater) next(ctx context.Context) (Object, error) {
 	if u.present != nil {
 		object := *u.present
 		u.present = nil
 		return object, nil
 	}
-	return u.store.Get(ctx, u.key)
+	return u.read(ctx)
 }
 
 // retryable marks as permanent whatever another try cannot mend in time: an
