Requests are bounded when an instance's own link is full; it says that it is not ready

Cause: nothing told an own full link from bad upstreams, so each request tried several and all ended late (congestion collapse).

When hardly any connection to many upstreams is fast, a limit on requests in progress follows what was in progress, down and up; the rest is refused at once as not run, answers close their connections, and the instance is not ready, so the balancer sends callers elsewhere.

--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -44,6 +44,9 @@
 	ReadTimeout time.Duration
 	Format      Format
 	Pipeline    Pipeline
+	// Overloaded reports whether callers are better served elsewhere: answers are then the last
+	// of their connections. It may be nil.
+	Overloaded func() bool
 }
 
 // Door serves clients.
@@ -116,6 +119,10 @@
 	return c.Conn.Close()
 }
 
+// overloaded reports whether callers are better served elsewhere: one that keeps its connection comes
+// back to this instance with each request.
+func (d *Door) overloaded() bool { return d.opts.Overloaded != nil && d.opts.Overloaded() }
+
 func (d *Door) track(conn net.Conn) net.Conn {
 	d.mu.Lock()
 	d.conns[conn] = true
@@ -158,7 +165,7 @@
 	for _, h := range header {
 		w.c.Response.Header.Add(h.Name, h.Value)
 	}
-	if w.door.draining.Load() {
+	if w.door.draining.Load() || w.door.overloaded() {
 		w.c.SetConnectionClose()
 	}
 }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -152,7 +152,11 @@
 	if most > 0 && a.c.f.Conns.Open(address) >= max(most/max(a.c.f.Instances(), 1), 1) {
 		return &failure{step: stepDial, peer: address, err: errConnections, full: true}
 	}
+	began := a.c.f.Now()
 	conn, err := httpconn.Dial(ctx, address, min(dialTimeout, a.c.remaining()))
+	if load := a.c.f.Load; load != nil && ctx.Err() == nil {
+		load.Connected(address, a.c.f.Now().Sub(began))
+	}
 	if err != nil {
 		return &failure{step: stepDial, peer: address, err: err}
 	}
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -136,6 +136,7 @@
 var (
 	errNoUpstream  = errors.New("no upstream is in service")
 	errAllTried    = errors.New("every upstream was tried")
+	errOverloaded  = errors.New("this instance's own link is full")
 	errLeft        = errors.New("upstream left service before the sending")
 	errNoTime      = errors.New("no time left")
 	errConnections = errors.New("too many connections to the upstream")
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/overload"
 	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/registry"
@@ -60,6 +61,8 @@
 	Conns    *httpconn.Pool
 	Log      *eventlog.Log
 	Metrics  metrics.Registry
+	// Load bounds what is taken on when this instance's own link is full; nil for no bound.
+	Load *overload.Limit
 	// Retries bounds what is sent once more; Instances tells how many instances
 	// share the bound.
 	Retries   retrylimit.Settings
@@ -161,6 +164,13 @@
 
 // Serve takes one request to its answer; ctx ends when the client has left.
 func (f *Forwarder) Serve(ctx context.Context, r *Request, client Client) {
+	if f.Load != nil {
+		if !f.Load.Begin() {
+			f.refuse(r, client, &Refusal{Reason: Overloaded, RetryAfter: soonRetry, Step: "admit", Err: errOverloaded})
+			return
+		}
+		defer f.Load.End()
+	}
 	call, refusal := f.admit(ctx, r)
 	if refusal != nil {
 		f.refuse(r, client, refusal)
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -23,7 +23,7 @@
 }
 
 func (r *Router) isReady(_ context.Context, c *app.RequestContext) {
-	if r.State() != life.Ready {
+	if r.State() != life.Ready || r.load.Overloaded() {
 		c.SetStatusCode(consts.StatusServiceUnavailable)
 		return
 	}
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -20,6 +20,8 @@
 	statusEvery = 10 * time.Second
 	// syncCheck is how often a starting instance looks whether it may serve.
 	syncCheck = 20 * time.Millisecond
+	// loadNoted is how often the log tells whether the instance is overloaded.
+	loadNoted = 500 * time.Millisecond
 	// membersNoted is how often the log tells which members have joined or gone.
 	membersNoted = time.Second
 )
@@ -75,6 +77,7 @@
 	r.duty(r.meet)
 	r.duty(r.gossip.Run)
 	r.every(membersNoted, r.noteMembers)
+	r.every(loadNoted, r.noteLoad)
 	r.every(tokenTick, r.tokens.Tick)
 	r.every(housekeeping, r.housekeep)
 	r.every(statusEvery, r.tellStatus)
@@ -160,6 +163,14 @@
 	r.log.Event(eventlog.InstanceStatus, "", fields)
 }
 
+// noteLoad tells in the log when the instance begins to be overloaded and when that is over.
+func (r *Router) noteLoad(context.Context) {
+	if overloaded := r.load.Overloaded(); overloaded != r.overloaded {
+		r.overloaded = overloaded
+		r.log.Event(eventlog.InstanceOverload, "", eventlog.Fields{"overloaded": overloaded, "active": r.door.Active()})
+	}
+}
+
 func (r *Router) noteMembers(context.Context) { r.noted.Look(r.table, r.log) }
 
 // stop ends the instance in the time that it has.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/lavenderring/lavenderring/pkg/life"
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+	"github.com/lavenderring/lavenderring/pkg/overload"
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/registry"
@@ -73,6 +74,9 @@
 	tokens   *prepaid.Node
 	conns    *httpconn.Pool
 	forward  *forward.Forwarder
+	load     *overload.Limit
+	// overloaded is what the log told last; touched by one duty only.
+	overloaded bool
 
 	door   *door.Door
 	ready  *httpserve.Server
@@ -105,6 +109,7 @@
 		metrics:     metrics.NewRegistry(),
 		registry:    registry.New(time.Now),
 		conns:       httpconn.NewPool(time.Now),
+		load:        overload.New(time.Now),
 	}
 	r.background, r.end = context.WithCancel(context.Background())
 	r.life = life.New(r.log)
@@ -178,6 +183,7 @@
 		Conns:    r.conns,
 		Log:      r.log,
 		Metrics:  r.metrics,
+		Load:     r.load,
 		Retries: retrylimit.Settings{
 			Ratio:  r.settings.RetryRatio,
 			Extra:  r.settings.RetryExtra,
@@ -201,6 +207,7 @@
 		ReadTimeout: readTimeout,
 		Format:      r.platform.Format,
 		Pipeline:    r.forward,
+		Overloaded:  r.load.Overloaded,
 	})
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
