--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -183,7 +183,7 @@
 	if !f.Gate.Enter() {
 		return errNotNow
 	}
-	list, err := hedged(ctx, f.timing().Hedge, func(ctx context.Context) (store.Listing, error) {
+	list, err := hedged(ctx, f.hedge(), func(ctx context.Context) (store.Listing, error) {
 		return f.Store.List(ctx, f.Kind)
 	})
 	f.Gate.Leave(err == nil)
@@ -233,13 +233,25 @@
 	return nil
 }
 
+// hedge is after how long a call without an answer is made a second time. While the store does not
+// answer, calls are no more than probes: made twice, each outage has twice the calls.
+func (f *Follower) hedge() time.Duration {
+	if f.Gate.Closed() {
+		return neverHedged
+	}
+	return f.timing().Hedge
+}
+
+// neverHedged is longer than any call.
+const neverHedged = time.Hour
+
 // ask makes the call of a watch. Who has not asked for long, or was not answered, does not wait
 // for news: what it may lack is there, and the sooner a call is known to be lost, the sooner the
 // next is sent.
 func (f *Follower) ask(ctx context.Context, since store.Position) (store.Changes, error) {
 	timing := f.timing()
 	if age, read := f.fresh.readAge(); f.Gate.Closed() || !read || age > timing.Wait {
-		return hedged(ctx, timing.Hedge, func(ctx context.Context) (store.Changes, error) {
+		return hedged(ctx, f.hedge(), func(ctx context.Context) (store.Changes, error) {
 			return f.Store.Watch(ctx, f.Kind, since, 0)
 		})
 	}
--- a/pkg/follow/timing.go
+++ b/pkg/follow/timing.go
@@ -36,8 +36,7 @@
 	longestHedge = 350 * time.Millisecond
 )
 
-// Parts of a bound. For the shortest that the users' deployments set (2 s) they give a wait of
-// 0.7 s, 1.09, 1.22 and 1.35 s by rank, and 0.35 s before a call is made a second time.
+// Parts of a bound.
 const (
 	hedgePart    = 0.175 // of the bound
 	behindPart   = 0.2   // of the bound
@@ -52,9 +51,9 @@
 // Whoever is last to know must know within the bound less requestTime, also if no confirmation
 // reaches it and its first call to the store is lost. That is Last, Hedge and one answer; a
 // published change that nobody hands on takes a confirmation that was lost (Wait), the pause
-// before the change is published (gather), Behind, Hedge and one answer. When these times were
-// constants, the last rank's was above the shortest bound, and a lost call cost 1.7 s more: work
-// went to upstreams 2.4 s after they had said that they leave.
+// before the change is published (gather), Behind, Hedge and one answer. Timeouts that are chosen
+// apart from each other add up to more than the bound in some of these cases: work then goes to an
+// upstream that has long said that it leaves.
 type Timing struct {
 	// Wait is how long a watch of an instance that publishes waits.
 	Wait time.Duration
