What is told during a write is not lost, idle instances tell too, a reserve ends when its instance tells

Found by reading. A drawer forgot what an asker had told it while a write was on its way, and counted it as told: its draws could have been made a second time. An instance that the store itself had told the new era, and that has no callers of a ledger object's accounts, told nobody, so that object would never have been settled.

--- a/pkg/prepaid/merge.go
+++ b/pkg/prepaid/merge.go
@@ -67,6 +67,9 @@
 func (s *Shard) Settle(reserves map[string]map[string]int64) {
 	s.Unsettled, s.Told = false, nil
 	for name, reserve := range reserves {
+		if len(reserve) == 0 {
+			continue
+		}
 		if s.Reserves == nil {
 			s.Reserves = map[string]map[string]int64{}
 		}
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -154,8 +154,11 @@
 	// heardEra is the latest that another instance told.
 	heardEra uint64
 	// floor is the era below which no write's answer is taken over any more, takenEra the latest
-	// that a drawer has confirmed by taking in what this instance told.
-	floor, takenEra uint64
+	// that a drawer has confirmed by taking in what this instance told, toldMost the latest that
+	// one may have taken in.
+	floor, takenEra, toldMost uint64
+	// bornEra is the era that the store was in when it first answered this process.
+	bornEra uint64
 	// verifying says that the store is being asked for its era.
 	verifying bool
 	// drawers are those that this instance asks.
--- a/pkg/prepaid/recovery.go
+++ b/pkg/prepaid/recovery.go
@@ -22,9 +22,6 @@
 	// unheardDraws is for how long an instance that has not told may have drawn without being
 	// seen: what its demand takes in that time is reserved.
 	unheardDraws = 4 * time.Second
-	// mostTellings bounds how often a drawer is told in vain: one that never sees the era is told
-	// of an era that the store does not have.
-	mostTellings = 20
 	// mostRowsTold bounds the rows of others that one report tells: those that wrote last.
 	mostRowsTold = 16
 )
@@ -42,17 +39,22 @@
 	unsettled bool
 	era       uint64
 	since, at time.Time
-	// told are incarnations that told this one, evidence is what they have seen.
+	// told are incarnations that told this one, evidence is what they have seen, by writer.
 	told     map[string]bool
-	evidence map[string]Row
-	// asked is the era that the drawer named waits for this one to tell; toldEra and toldTo are
-	// what was told last, and to whom.
+	evidence map[string]evidence
+	// serial counts what was told; mergedTo is how much of it the write on its way has.
+	serial, mergedTo int
+	// asked is the era for which this instance is to tell what it has seen, until the object is
+	// known to be settled; 0 for none. toldEra and toldTo are what a drawer took in last, and
+	// which one.
 	asked, toldEra uint64
 	toldTo         string
-	// tellings counts how often it was told in vain.
-	tellings int
-	// mustTell says that this instance has a row that the present era may lack.
-	mustTell bool
+}
+
+// evidence is what was told of one writer's row; serial is when.
+type evidence struct {
+	Row
+	serial int
 }
 
 // NoteEra says that an answer of the store is of a later era than those before: what it had
@@ -64,9 +66,7 @@
 		return
 	}
 	n.era, n.floor = era, max(n.floor, era)
-	for shard := range n.shards {
-		n.shards[shard].recovery.mustTell = n.hasDrawn(shard)
-	}
+	n.askAll(era)
 	n.mu.Unlock()
 	for shard := range n.shards {
 		go n.tell(shard)
@@ -78,11 +78,20 @@
 func (n *Node) NoteFirstEra(era uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.era, n.floor = max(n.era, era), max(n.floor, era)
+	n.era, n.floor, n.bornEra = max(n.era, era), max(n.floor, era), era
 }
 
-// hasDrawn reports whether this instance may have a row in a shard; n.mu is held.
-func (n *Node) hasDrawn(shard int) bool { return n.shards[shard].tried }
+// askAll has this instance tell of every shard, also that it has nothing to tell: others wait for
+// that; n.mu is held.
+func (n *Node) askAll(era uint64) {
+	if era <= firstEra {
+		return
+	}
+	for shard := range n.shards {
+		r := &n.shards[shard].recovery
+		r.asked = max(r.asked, era)
+	}
+}
 
 // tell has a shard learn what this instance has seen: through the drawer if there is one, else
 // by a write.
@@ -94,7 +103,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	state := &n.shards[shard]
-	if state.flight == nil && state.recovery.pending(n.era) && n.mayDraw(shard) {
+	if state.flight == nil && state.recovery.pending() && n.mayDraw(shard) {
 		n.begin(shard, "", 0) // it asks the store, whoever told of an era
 	}
 }
@@ -117,10 +126,14 @@
 	defer n.mu.Unlock()
 	r := &n.shards[shard].recovery
 	done := Recovered{Shard: shard, Era: s.Era}
-	for writer, row := range r.evidence {
-		done.Tokens += s.Merge(writer, row)
+	for writer, told := range r.evidence {
+		done.Tokens += s.Merge(writer, told.Row)
 	}
+	r.mergedTo = r.serial
 	if !s.Unsettled {
+		if n.bornEra < s.Era {
+			delete(s.Reserves, n.Name) // this write tells what was reserved for
+		}
 		return done
 	}
 	r.see(s, n.Now())
@@ -140,9 +153,9 @@
 	return done
 }
 
-// pending reports that this instance has something to write: its own row, that it has nothing to
-// tell, or what all have told; era is the latest that the store told it.
-func (r *recovery) pending(era uint64) bool { return r.mustTell || r.unsettled || r.asked > era }
+// pending reports that this instance has something to write: what it has seen itself, or what
+// others have told it.
+func (r *recovery) pending() bool { return r.asked != 0 || r.unsettled }
 
 // eras returns the era of the object if it waits for what all have seen, else that in which it can
 // be drawn from; 0 for the other one.
@@ -185,11 +198,11 @@
 		}
 		reserve := map[string]int64{}
 		for id, perSecond := range holder.PerSecond {
-			reserve[id] = int64(float64(perSecond) * unheardDraws.Seconds())
-		}
-		if len(reserve) > 0 {
-			reserves[name] = reserve
+			if n.Fleet.Counts(name) { // one that has been gone for long drew nothing lately
+				reserve[id] = int64(float64(perSecond) * unheardDraws.Seconds())
+			}
 		}
+		reserves[name] = reserve
 	}
 	return reserves
 }
@@ -230,14 +243,18 @@
 	r := &n.shards[shard].recovery
 	r.last = after
 	r.at = n.Now()
-	r.evidence = nil
-	if after.Era >= n.era {
-		r.mustTell = false
+	for writer, told := range r.evidence {
+		if told.serial <= r.mergedTo { // what was told during the write waits for the next
+			delete(r.evidence, writer)
+		}
 	}
 	if after.Unsettled {
 		r.see(after, r.at)
 		return
 	}
+	if after.Era >= r.asked {
+		r.asked = 0
+	}
 	if r.unsettled {
 		r.unsettled, r.told = false, nil
 	}
@@ -277,8 +294,9 @@
 // takeEvidence keeps the highest that was told of a row until a write has brought it in.
 func (r *recovery) takeEvidence(told *prepaidpb.SeenRow, own bool) {
 	if r.evidence == nil {
-		r.evidence = map[string]Row{}
+		r.evidence = map[string]evidence{}
 	}
+	r.serial++
 	kept := r.evidence[told.Writer]
 	if kept.Counters == nil {
 		kept.Counters = map[string]Counter{}
@@ -291,7 +309,7 @@
 		}
 		kept.Counters[c.Budget] = counter
 	}
-	kept.Own = kept.Own || own
+	kept.Own, kept.serial = kept.Own || own, r.serial
 	r.evidence[told.Writer] = kept
 }
 
@@ -303,14 +321,10 @@
 	if r.asked == 0 || (r.toldEra == r.asked && r.toldTo == name) {
 		return
 	}
-	if n.hasDrawn(shard) && n.era < r.asked {
+	if n.era < r.asked {
 		n.verifyEra()
 	}
-	if r.tellings++; r.tellings > mostTellings {
-		r.asked = 0
-		return
-	}
-	n.floor = max(n.floor, r.asked)
+	n.floor, n.toldMost = max(n.floor, r.asked), max(n.toldMost, r.asked)
 	req.ToldEra = r.asked
 	if own := n.ownRow(shard); len(own) > 0 {
 		req.Rows = append(req.Rows, tellRow(n.Self, own))
@@ -343,16 +357,19 @@
 	if err != nil || reply == nil {
 		return false
 	}
-	if reply.TakenEra != 0 && reply.TakenEra == req.ToldEra {
-		r.toldEra, r.toldTo, r.tellings = req.ToldEra, name, 0
+	switch {
+	case req.ToldEra == 0:
+	case reply.TakenEra == req.ToldEra:
+		r.toldEra, r.toldTo = req.ToldEra, name
 		n.takenEra = max(n.takenEra, req.ToldEra)
-		r.mustTell = r.mustTell && r.toldEra < n.era
+	case n.toldMost == req.ToldEra:
+		n.toldMost = n.takenEra // passed over: nobody counts on it
 	}
 	if reply.SettledEra >= r.asked && reply.SettledEra >= r.era {
 		r.asked, r.unsettled = 0, false
 	}
 	if reply.UnsettledEra > r.asked {
-		r.asked, r.tellings = reply.UnsettledEra, 0
+		r.asked = reply.UnsettledEra
 		return true
 	}
 	return false
@@ -362,7 +379,7 @@
 const firstEra = 1
 
 // HeardEra says that another instance told of an era: each shard's drawer is told what this one has
-// seen, and passes it over unless the store told it the same. Whoever has drawn asks the store too.
+// seen, and passes it over unless the store told it the same. The store is asked too.
 func (n *Node) HeardEra(era uint64) {
 	n.mu.Lock()
 	if era <= n.era || era <= n.heardEra {
@@ -370,12 +387,7 @@
 		return
 	}
 	n.heardEra = era
-	if era > firstEra {
-		for shard := range n.shards {
-			r := &n.shards[shard].recovery
-			r.asked, r.tellings = max(r.asked, era), 0
-		}
-	}
+	n.askAll(era)
 	n.mu.Unlock()
 	for shard := range n.shards {
 		go n.tell(shard)
@@ -398,7 +410,7 @@
 			return // the next report asks again
 		}
 		confirmed := max(era, n.era, n.takenEra)
-		n.floor = min(n.floor, confirmed)
+		n.floor = min(n.floor, max(confirmed, n.toldMost))
 		for shard := range n.shards {
 			if r := &n.shards[shard].recovery; r.asked > confirmed {
 				r.asked = 0
--- a/pkg/prepaid/recovery_test.go
+++ b/pkg/prepaid/recovery_test.go
@@ -156,15 +156,21 @@
 						synctest.Wait()
 					}
 				}
-				for _, m := range f.nodes {
-					spend(t, m, 100)
+				for n, m := range f.nodes {
+					if n%3 != 2 { // the others have no callers, and are waited for as well
+						spend(t, m, 100)
+					}
 				}
 				everyTick(4)
 				granted := f.granted()
 				f.goBack(1000)
 				f.nodes[0].sawEra()
-				for _, m := range f.nodes[1:] {
-					m.HeardEra(f.storeEra())
+				for n, m := range f.nodes[1:] {
+					if n%2 == 0 {
+						m.sawEra()
+					} else {
+						m.HeardEra(f.storeEra())
+					}
 				}
 				everyTick(2)
 				if got := f.granted(); got < granted {
@@ -305,3 +311,35 @@
 		}
 	})
 }
+
+// An account spends more than it prepaid: an instance tells the drawer what it had drawn while a
+// write of the drawer's is on its way, which no more carries it, and counts as having told. Proof:
+// what was told meanwhile is in the next write.
+func TestWhatIsToldDuringAWriteIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 3, map[string]int64{account: 10_000})
+		for _, m := range f.nodes {
+			spend(t, m, 100)
+		}
+		drawn := f.rows()["i1"].Counters[account].Drawn
+		f.drawers = []string{"i0"}
+		f.goBack(1000)
+		f.hold = 1
+		f.nodes[0].sawEra()
+		time.Sleep(heldFor / 2)
+		f.nodes[1].HeardEra(f.storeEra())
+		time.Sleep(2 * heldFor)
+		f.hold = 0
+		for range 3 {
+			f.advance(500 * time.Millisecond)
+			for _, m := range f.nodes {
+				m.Tick(t.Context())
+			}
+			time.Sleep(heldFor)
+		}
+		if got := f.rows()["i1"].Counters[account].Drawn; got != drawn {
+			t.Errorf("the ledger has %d tokens drawn by the one that told, of %d", got, drawn)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/pkg/prepaid/tick.go
+++ b/pkg/prepaid/tick.go
@@ -41,7 +41,7 @@
 	for shard := range amounts {
 		amounts[shard] = n.Amounts(shard)
 		draws[shard] = drawers[shard] == "" && n.mayDraw(shard)
-		due[shard] = draws[shard] && (n.shards[shard].away || n.shards[shard].recovery.pending(n.era))
+		due[shard] = draws[shard] && (n.shards[shard].away || n.shards[shard].recovery.pending())
 	}
 	for _, p := range n.purses {
 		p.tick(interval)
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -89,6 +89,7 @@
 try claims-are-brought-back pkg/claim/recovery.go 's/\t\t\ts\.Claims\[key\] = claim/\t\t\t_ = claim/' pkg/claim TestAtMostOneRequestOfAKeyRunsWhenTheStoreGoesBack
 try unsettled-keys-are-not-free pkg/claim/claimer.go 's/if s\.Unsettled && s\.Claims\[key\] == nil \{\n\t\t\treplace/if false {\n\t\t\treplace/' pkg/claim TestAtMostOneRequestOfAKeyRunsWhenTheStoreGoesBack
 try own-full-link-is-noticed pkg/overload/limit.go 's/\tcase slow:/\tcase slow \&\& false:/' pkg/overload TestOverloadedInstanceServesWhatItsLinkCarries
+try told-meanwhile-is-kept pkg/prepaid/recovery.go 's/told\.serial <= r\.mergedTo/told.serial >= 0/' pkg/prepaid TestWhatIsToldDuringAWriteIsNotLost
 try documents-are-watched-shortly pkg/configsync/syncer.go 's/watchWait = 2 \* time/watchWait = 20 * time/' pkg/configsync TestLostWatchHidesNoDocument
 try faulty-entry-is-out platform/copies.go 's/c\.Registry\.Discard\(id\)\n\t\treturn/return/' platform TestFaultyEntriesAreToldOnceAndTheOthersHold
 exit $status
