--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -175,7 +175,9 @@
 		n.mu.Lock()
 		n.shards[shard].flight = nil
 		n.noteAway(shard, f.err != nil && !answered(f.err))
-		n.settleNow(shard)
+		if f.err == nil || errors.Is(f.err, ErrUnsettled) {
+			n.settleNow(shard) // after a write that failed, the next tick tries again
+		}
 		n.mu.Unlock()
 		close(f.done)
 	}()
