An outage's end counts once and as of its time, and only if the store was away for all

Callers' work went to upstreams 2.05 to 2.5 s after they had left; 2 s are allowed. Cause: upstreams may leave by removing their entry. Within 2.2 s of an outage's end a removed entry is kept, since it may only have lapsed in the outage. But the end was counted from when it was heard of and not from when it was, a word of it that came after the own one had been forgotten (3 s) was taken for another outage, and an instance that the store did not answer alone took its return for the end of one and told all others. Class: a relative time whose reference is lost, and a repeated message that outlives its deduplication.

Now the end is a moment, ends closer than two seconds are one, and while others have confirmed a copy the store was not away.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -66,10 +66,11 @@
 	// before this one sends short watches; nil or 0 for always.
 	ConfirmTimeout func() time.Duration
 	// Lost is told of each failed call, Found of the first that succeeds after, or of others'
-	// reaching the store; Renewed is told each time that this instance begins to ask the store
-	// itself, why, and for how long others' word did. Each may be nil.
+	// reaching the store, and whether the store had been away for all; Renewed is told each time
+	// that this instance begins to ask the store itself, why, and for how long others' word did.
+	// Each may be nil.
 	Lost    func(err error)
-	Found   func()
+	Found   func(outage bool)
 	Renewed func(reason Reason, waited time.Duration)
 	// OutageEnded is told that the store is back for another instance that this one has its
 	// changes from, and for how long. It may be nil.
@@ -141,9 +142,15 @@
 }
 
 func (f *Follower) found() {
-	f.fresh.returned()
+	// While others confirmed this copy the store was away for this instance only, and no entry of
+	// a live upstream has lapsed: taken for an outage's end, entries that are removed would be kept
+	// everywhere, and the upstreams that have left would get work.
+	outage := !f.ConfirmedLately()
+	if outage {
+		f.fresh.returned(0)
+	}
 	if f.Found != nil {
-		f.Found()
+		f.Found(outage)
 	}
 }
 
@@ -151,11 +158,7 @@
 // may not have noticed, since it asks the store for nothing itself. Each end is told several
 // times, and counts once.
 func (f *Follower) outageEnded(ago time.Duration) {
-	if _, known := f.fresh.sinceOutage(); known {
-		return
-	}
-	f.fresh.returned()
-	if f.OutageEnded != nil {
+	if f.fresh.returned(ago) && f.OutageEnded != nil {
 		f.OutageEnded(ago)
 	}
 }
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -60,7 +60,7 @@
 			{changes: store.Changes{Position: store.At(21)}},
 		}}
 		c := &counts{}
-		f := &Follower{Store: s, Kind: "k", Copy: c, Lost: func(error) { c.lost++ }, Found: func() { c.found++ }}
+		f := &Follower{Store: s, Kind: "k", Copy: c, Lost: func(error) { c.lost++ }, Found: func(bool) { c.found++ }}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		f.Run(ctx)
--- a/pkg/follow/freshness.go
+++ b/pkg/follow/freshness.go
@@ -64,11 +64,25 @@
 	s.changed = store.Later(s.changed, changed)
 }
 
-// returned notes that an outage is over.
-func (s *freshness) returned() {
+// returned notes that an outage ended some time ago, and reports whether that is news: each end is
+// told several times, by instances that noticed it at different times, also after this one has
+// forgotten it.
+func (s *freshness) returned(ago time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.returnedAt = time.Now()
+	at := time.Now().Add(-ago)
+	if !s.returnedAt.IsZero() && at.Sub(s.returnedAt) < sameOutage {
+		return false
+	}
+	s.returnedAt = at
+	return true
+}
+
+// confirmedWithin reports whether another instance read the store lately.
+func (s *freshness) confirmedWithin(age time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.confirmed.IsZero() && time.Since(s.confirmed) <= age
 }
 
 // sinceOutage returns how long ago the last outage was over; false if that is long ago.
@@ -79,6 +93,10 @@
 	return ago, !s.returnedAt.IsZero() && ago < outageTold
 }
 
+// sameOutage is how far apart instances notice the end of one outage: some probe the store once in
+// 0.4 s, in calls that are given up after a second.
+const sameOutage = 2 * time.Second
+
 // outageTold is for how long others are told of an outage's end: entries of live upstreams that
 // lapsed in it are written again within about two seconds.
 const outageTold = 3 * time.Second
--- a/pkg/follow/guard.go
+++ b/pkg/follow/guard.go
@@ -89,6 +89,10 @@
 	return f.fresh.confirm(lastChange, age)
 }
 
+// ConfirmedLately reports whether another instance read the store lately: then it is not away, if it
+// does not answer this one.
+func (f *Follower) ConfirmedLately() bool { return f.fresh.confirmedWithin(f.timing().Last) }
+
 // Age returns for how long nothing has confirmed that the copy is complete; false before
 // it has been read once.
 func (f *Follower) Age() (time.Duration, bool) { return f.fresh.age() }
--- a/pkg/follow/lost_test.go
+++ b/pkg/follow/lost_test.go
@@ -153,7 +153,7 @@
 		t.Run(c.description, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s, copied := newLossyStore(), &newest{}
-				f := &Follower{Store: s, Kind: "k", Copy: copied, Lost: func(error) {}, Found: func() {}}
+				f := &Follower{Store: s, Kind: "k", Copy: copied, Lost: func(error) {}, Found: func(bool) {}}
 				ctx, cancel := context.WithCancel(t.Context())
 				var running sync.WaitGroup
 				running.Go(func() { f.Run(ctx) })
--- a/pkg/follow/outage_test.go
+++ b/pkg/follow/outage_test.go
@@ -27,7 +27,7 @@
 		publisher := NewPublisher("p", map[string]*Follower{"k": f}, &copyMember{fleet: &fleetOfCopies{}}, TimingFor(longestStaleness))
 		f.fresh.reach(store.At(1), store.At(1))
 		ended := time.Now()
-		f.fresh.returned() // noticed by itself
+		f.fresh.returned(0) // noticed by itself
 		for range 7 {
 			time.Sleep(500 * time.Millisecond)
 			publisher.Take(toldOutage(time.Since(ended) - 400*time.Millisecond))
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -26,8 +26,9 @@
 	vanished map[string]time.Time
 	// returned is when the store last came back from an outage.
 	returned time.Time
-	out      bool
-	byName   map[string][]Upstream // in-service upstreams by service, by id
+	// out says that the store is away for all.
+	out    bool
+	byName map[string][]Upstream // in-service upstreams by service, by id
 	// restarted holds the addresses of upstreams that started again under their id.
 	restarted []string
 	// departed holds upstreams that left, doubted where an entry stands in the store that says
@@ -49,21 +50,25 @@
 	}
 }
 
-// StoreOut notes that the store does not answer.
+// StoreOut notes that the store is away for all.
 func (r *Registry) StoreOut() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.out = true
 }
 
-// StoreBack notes that the store answers again.
-func (r *Registry) StoreBack() {
+// OutageEnded notes that the store came back some time ago after it had been away for all.
+func (r *Registry) OutageEnded(ago time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.out {
-		r.out = false
-		r.returned = r.now()
-	}
+	r.out, r.returned = false, r.now().Add(-ago)
+}
+
+// StoreReached notes that the store is not away; others may have reached it all the while.
+func (r *Registry) StoreReached() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out = false
 }
 
 // Replace takes a whole list of a position in; entries that it lacks have
@@ -176,9 +181,13 @@
 	if until, waits := r.vanished[id]; waits && r.now().Before(until) {
 		return
 	}
-	recent := r.out || r.now().Sub(r.returned) < lapseHold
-	if recent && !r.returned.IsZero() && !entry.Leaving && r.vanished[id].IsZero() {
-		r.vanished[id] = r.returned.Add(lapseHold)
+	from := r.returned
+	if r.out { // what is read first tells that it is back
+		from = r.now()
+	}
+	recent := r.now().Sub(from) < lapseHold
+	if recent && !from.IsZero() && !entry.Leaving && r.vanished[id].IsZero() {
+		r.vanished[id] = from.Add(lapseHold)
 		return
 	}
 	r.drop(id)
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -37,8 +37,8 @@
 	r, c := newTestRegistry()
 	r.StoreOut()
 	c.advance(5 * time.Second)
-	r.StoreBack()
 	r.Replace(nil, store.At(9))
+	r.OutageEnded(0)
 	if got := len(r.InService("s")); got != 2 {
 		t.Fatalf("%d in service after the outage", got)
 	}
@@ -85,8 +85,7 @@
 // vanish are kept for a while. This one did not vanish: it is out at once.
 func TestDiscardedEntryIsNotKeptAfterAnOutage(t *testing.T) {
 	r, _ := newTestRegistry()
-	r.StoreOut()
-	r.StoreBack()
+	r.OutageEnded(0)
 	r.Discard("a")
 	if left := r.InService("s"); len(left) != 1 || left[0].ID != "b" {
 		t.Errorf("in service: %v", left)
--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -28,10 +28,7 @@
 	}
 	config := r.platform.Config(r.store, r.applyConfig, bad)
 	upstreams := r.platform.Upstreams(r.store, r.registry, r.upstreamsChanged, bad)
-	upstreams.OutageEnded = func(time.Duration) {
-		r.registry.StoreOut()
-		r.registry.StoreBack()
-	}
+	upstreams.OutageEnded = r.registry.OutageEnded
 	r.copies = map[string]*follow.Follower{copyRouting: config, copyUpstreams: upstreams}
 	for name, copied := range r.copies {
 		r.joinCopy(name, copied)
@@ -42,12 +39,16 @@
 // joinCopy ties one follower to the log and to the other duties.
 func (r *Router) joinCopy(name string, copied *follow.Follower) {
 	copied.Lost = func(err error) { r.lostStore(name, err) }
-	copied.Found = func() {
+	copied.Found = func(outage bool) {
 		// Another instance's word that the store answers it counts too: what this one
 		// needs of the store it has through others.
 		r.noteStore(nil)
-		if name == copyUpstreams {
-			r.registry.StoreBack()
+		switch {
+		case name != copyUpstreams:
+		case outage:
+			r.registry.OutageEnded(0)
+		default:
+			r.registry.StoreReached()
 		}
 	}
 	copied.Obtain = func(ctx context.Context) bool { return r.obtain(ctx, name) }
@@ -62,7 +63,7 @@
 // lostStore notes that the store does not answer for a copy, and asks another instance.
 func (r *Router) lostStore(name string, err error) {
 	r.tellWatchFailed(name, err)
-	if name == copyUpstreams {
+	if name == copyUpstreams && !r.copies[name].ConfirmedLately() {
 		r.registry.StoreOut()
 	}
 	ctx, cancel := context.WithTimeout(r.background, askAroundTimeout)
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -90,6 +90,8 @@
 try unsettled-keys-are-not-free pkg/claim/claimer.go 's/if s\.Unsettled && s\.Claims\[key\] == nil \{\n\t\t\treplace/if false {\n\t\t\treplace/' pkg/claim TestAtMostOneRequestOfAKeyRunsWhenTheStoreGoesBack
 try own-full-link-is-noticed pkg/overload/limit.go 's/\tcase slow:/\tcase slow \&\& false:/' pkg/overload TestOverloadedInstanceServesWhatItsLinkCarries
 try told-meanwhile-is-kept pkg/prepaid/recovery.go 's/told\.serial <= r\.mergedTo/told.serial >= 0/' pkg/prepaid TestWhatIsToldDuringAWriteIsNotLost
+try an-end-counts-once pkg/follow/freshness.go 's/at\.Sub\(s\.returnedAt\) < sameOutage/at.Before(s.returnedAt)/' pkg/follow TestEndOfAnOutageCountsOnceAndAsOfItsTime
+try cut-off-alone-is-no-outage pkg/follow/follow.go 's/outage := !f\.ConfirmedLately\(\)/outage := true/' pkg/follow TestInstanceThatIsCutOffAloneHasNoOutage
 try documents-are-watched-shortly pkg/configsync/syncer.go 's/watchWait = 2 \* time/watchWait = 20 * time/' pkg/configsync TestLostWatchHidesNoDocument
 try faulty-entry-is-out platform/copies.go 's/c\.Registry\.Discard\(id\)\n\t\treturn/return/' platform TestFaultyEntriesAreToldOnceAndTheOthersHold
 exit $status
