--- a/pkg/follow/era_test.go
+++ b/pkg/follow/era_test.go
@@ -43,8 +43,7 @@
 		size := c.size
 		t.Run(fmt.Sprintf("%d, silent for %v", size, c.silent), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fleet := startFleet(t.Context(), history{size: size, answerTime: answerTime})
-				fleet.loseEvery = 100
+				fleet := startFleet(t.Context(), history{size: size, answerTime: answerTime, loseEvery: 100})
 				defer fleet.end()
 				time.Sleep(silentAfter)
 				for range 30 {
--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -80,7 +80,7 @@
 	if h.bound == 0 {
 		h.bound = longestStaleness
 	}
-	fleet := &fleetOfCopies{store: newLossyStore(), loseMessages: h.loseMessages}
+	fleet := &fleetOfCopies{store: newLossyStore(), loseMessages: h.loseMessages, loseEvery: h.loseEvery}
 	fleet.store.answerTime = h.answerTime
 	for place := range h.size {
 		fleet.members = append(fleet.members, newCopyMember(fleet, place, h))
@@ -231,6 +231,8 @@
 	kills bool
 	// loseMessages is the share of confirmations that do not arrive.
 	loseMessages float64
+	// loseEvery says that each so-manieth confirmation does not arrive; 0 for none.
+	loseEvery int64
 }
 
 func checkStaleness(t *testing.T, h history, seed uint64) {
