Sight: a request that breaks off tells whether its upstream crashed, and by which fingerprint it is known again

The logs of the incident could not tell equal requests from each other (each sending has an id of its own), nor a crashed upstream from a connection that was reset. When a connection ends before the whole answer, the upstream is looked at once for all connections that ended together: who refuses a connection has crashed. Event 210 tells that with a fingerprint of account, host, method, target and body, which the claims of keyed requests share (claim.Fingerprint moved). Nothing is computed for requests that do not break off.

--- a/pkg/capacity/micro.go
+++ b/pkg/capacity/micro.go
@@ -18,6 +18,7 @@
 	"github.com/lavenderring/lavenderring/pkg/configsync"
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
 	"github.com/lavenderring/lavenderring/pkg/document"
+	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/ledger"
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
@@ -183,7 +184,7 @@
 		s.Claims[claim.Key("service/account", fmt.Sprint(n))] = &claim.Claim{
 			Request:     "01M8W0TS8NPADF4MF295G3Y99W",
 			Holder:      typicalIncarnation,
-			Fingerprint: claim.Fingerprint("POST", "/jobs", nil),
+			Fingerprint: fingerprint.Content("POST", "/jobs", nil).String(),
 			Outcome:     outcome.Ran,
 			Answer:      &claim.Answer{Status: 200, ContentType: "application/json", Body: make([]byte, 200)},
 			AtMillis:    1_796_236_731_704,
--- a/pkg/claim/claimer.go
+++ b/pkg/claim/claimer.go
@@ -34,14 +34,6 @@
 	return hex.EncodeToString(sum[:16])
 }
 
-// Fingerprint returns what tells one request's content from another's.
-func Fingerprint(method, path string, body []byte) string {
-	digest := sha256.New()
-	_, _ = digest.Write([]byte(method + "\x00" + path + "\x00"))
-	_, _ = digest.Write(body)
-	return hex.EncodeToString(digest.Sum(nil)[:16])
-}
-
 // operation is one change of a shard that waits for the next group write.
 type operation struct {
 	apply func(*Shard)
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
 	"github.com/lavenderring/lavenderring/pkg/document"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/upstream"
 )
 
@@ -56,8 +57,8 @@
 	if call.repeatable || r.key == "" {
 		return call.run(ctx)
 	}
-	fingerprint := claim.Fingerprint(consts.MethodPost, chatPath, r.c.Request.Body())
-	return e.once(ctx, r, fingerprint, call.runOnce)
+	content := fingerprint.Content(consts.MethodPost, chatPath, r.c.Request.Body())
+	return e.once(ctx, r, content.String(), call.runOnce)
 }
 
 // parse checks the request and writes the body that the engine gets: streamed,
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
 	"github.com/lavenderring/lavenderring/pkg/document"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
 	"github.com/lavenderring/lavenderring/pkg/upstream"
 )
@@ -75,8 +76,8 @@
 	if p.repeatable || p.r.key == "" {
 		return p.run(ctx)
 	}
-	fingerprint := claim.Fingerprint(p.call.Method, p.call.Path+"?"+p.call.Query, p.call.Body)
-	return p.e.once(ctx, p.r, fingerprint, p.runOnce)
+	content := fingerprint.Content(p.call.Method, p.call.Path+"?"+p.call.Query, p.call.Body)
+	return p.e.once(ctx, p.r, content.String(), p.runOnce)
 }
 
 func (p *plainCall) runOnce(ctx context.Context) (*claim.Answer, *Problem) {
--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -28,6 +28,7 @@
 	RequestReplayed   Number = 207
 	CallerGone        Number = 208
 	RequestRepeated   Number = 209
+	RequestBrokeOff   Number = 210
 	ReservationDenied Number = 300
 	RequestBilled     Number = 301
 	UsageAboveBound   Number = 302
@@ -90,6 +91,7 @@
 	RequestReplayed:   {"request-replayed", "a retry got the recorded answer of a request that ran", "none"},
 	CallerGone:        {"caller-gone", "the caller went away; the upstream was cancelled", "none"},
 	RequestRepeated:   {"request-repeated", "an attempt failed and another upstream is asked", "by the step and cause fields"},
+	RequestBrokeOff:   {"request-broke-off", "a connection to an upstream ended before the whole answer; state tells whether the upstream crashed, answers or is silent, fingerprint is the same for equal requests of one account", "see OPERATIONS, upstreams end one after the other"},
 	ReservationDenied: {"reservation-denied", "the account's budget had no tokens to reserve", "top up, or see OPERATING, refusals"},
 	RequestBilled:     {"request-billed", "a request's cost was taken from its reservation", "none"},
 	UsageAboveBound:   {"usage-above-bound", "an upstream reported more tokens than were reserved; billed at the bound", "correct min_bytes_per_token or the engine"},
--- /dev/null
+++ b/pkg/fingerprint/fingerprint_test.go
@@ -0,0 +1,26 @@
+package fingerprint
+
+import "testing"
+
+// Requests that differ in any part are told apart, also where a byte moves from one part into
+// the next.
+func TestDifferentRequestsDiffer(t *testing.T) {
+	seen := map[Fingerprint]string{}
+	for name, f := range map[string]Fingerprint{
+		"one":             Of("a", "h", Content("POST", "/x", []byte("body"))),
+		"another body":    Of("a", "h", Content("POST", "/x", []byte("bodY"))),
+		"another target":  Of("a", "h", Content("POST", "/xb", []byte("ody"))),
+		"another method":  Of("a", "h", Content("PUT", "/x", []byte("body"))),
+		"another account": Of("b", "h", Content("POST", "/x", []byte("body"))),
+		"another host":    Of("a", "i", Content("POST", "/x", []byte("body"))),
+		"a moved byte":    Of("ah", "", Content("POST", "/x", []byte("body"))),
+	} {
+		if other, taken := seen[f]; taken {
+			t.Errorf("%s and %s are taken for equal", name, other)
+		}
+		seen[f] = name
+	}
+	if Of("a", "h", Content("POST", "/x", []byte("body"))) != Of("a", "h", Content("POST", "/x", []byte("body"))) {
+		t.Error("equal requests differ")
+	}
+}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -47,7 +47,9 @@
 	// written is closed when the request has been sent; sendErr is how.
 	written chan struct{}
 	sendErr error
-	reuse   time.Duration
+	// sentAt is when the sending began.
+	sentAt time.Time
+	reuse  time.Duration
 }
 
 // attempt sends the request to one more upstream. It returns nil when the final
@@ -63,6 +65,9 @@
 	c.tried = append(c.tried, place.ID)
 	a := &attempt{c: c, place: place, reuse: -1}
 	failed = a.run(ctx)
+	if failed != nil && failed.ended && ctx.Err() == nil {
+		a.brokeOff(failed)
+	}
 	a.end(ctx, failed)
 	return failed
 }
@@ -192,6 +197,7 @@
 func (a *attempt) send() {
 	c := a.c
 	c.sent++
+	a.sentAt = c.f.Now()
 	c.mayHaveRun = true // taken back only by the upstream's word
 	d := Dispatch{Instance: a.place.ID, Remaining: c.remaining(), Priority: -1, LastEventID: c.resumeAt()}
 	if c.account != nil {
@@ -270,7 +276,9 @@
 		}
 		return a.unknown(step, errSilent)
 	}
-	return a.unknown(step, err)
+	failed := a.unknown(step, err)
+	failed.ended = true
+	return failed
 }
 
 // whole reads the answer whole before its first byte goes out, so that one that
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/routing"
@@ -43,6 +44,8 @@
 	events      int64
 	lastEventID string
 	pace        pace
+	// print is the request's fingerprint once it was needed.
+	print *fingerprint.Fingerprint
 }
 
 // setDeadline bounds the request by what the client and the route allow.
@@ -124,6 +127,8 @@
 	full bool
 	// final forbids another attempt.
 	final bool
+	// ended says that the upstream's side of the connection ended.
+	ended bool
 }
 
 // wholeAnswer is an upstream's answer that has been read whole.
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -75,7 +75,8 @@
 // Forwarder serves requests. It is safe for concurrent use.
 type Forwarder struct {
 	Deps
-	meters meters
+	meters  meters
+	lookout lookout
 
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
@@ -118,6 +119,7 @@
 	return &Forwarder{
 		Deps:     deps,
 		services: map[string]*service{},
+		lookout:  lookout{looks: map[string]*look{}},
 		meters: meters{
 			accepted:   counter("forward.accepted"),
 			refused:    counter("forward.refused"),
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -139,6 +139,7 @@
 
 func (r *Router) housekeep(context.Context) {
 	r.conns.Sweep()
+	r.forward.Sweep()
 	if gone := r.registry.Expire(); len(gone) > 0 {
 		for _, address := range gone {
 			r.conns.Forget(address)
