A request that crashes the upstreams that run it is found by all instances and not sent on any more

Callers saw: one caller's request ended every engine that began to run it, each time that it was sent, at any instance, for as long as the caller went on; the streams that ran beside it broke off, and for 85 s a tenth and more of two kinds of sound requests got no whole answer.

Cause: nothing knew a request again. An attempt decided by its own sending only, a sending started from nothing at any instance, and placement blamed the upstream. A poison message, without any of the counts that message brokers keep, in a fleet without a place to keep one.

Change: package quarantine. A crash (the connection ends before the whole answer and the upstream's address then refuses) makes the request suspected, by a fingerprint of account, host, method, target and body. Suspected requests run one at a time in the fleet; a whole answer clears them; three crashes in a row, each of a run that began when the ones before were known, condemn. Crashes at the same moment thus count as one, so a failure domain that loses power condemns nobody. One other instance's word alone does not condemn. Every figure only grows, and records merge by the higher one, so they may come in any order and again: who learns something new tells some others at once, heartbeats carry a hash and tables that differ are compared whole. Verdicts are stored once each, for a fleet whose instances were all lost; a store that goes back gets them again. Condemned requests are refused at once, as not run, without a time to come back at.

--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -29,6 +29,11 @@
 	CallerGone        Number = 208
 	RequestRepeated   Number = 209
 	RequestBrokeOff   Number = 210
+	RequestSuspected  Number = 211
+	RequestCleared    Number = 212
+	RequestReleased   Number = 213
+	QuarantineLearned Number = 214
+	QuarantineFault   Number = 215
 	ReservationDenied Number = 300
 	RequestBilled     Number = 301
 	UsageAboveBound   Number = 302
@@ -92,6 +97,11 @@
 	CallerGone:        {"caller-gone", "the caller went away; the upstream was cancelled", "none"},
 	RequestRepeated:   {"request-repeated", "an attempt failed and another upstream is asked", "by the step and cause fields"},
 	RequestBrokeOff:   {"request-broke-off", "a connection to an upstream ended before the whole answer; state tells whether the upstream crashed, answers or is silent, fingerprint is the same for equal requests of one account", "see OPERATIONS, upstreams end one after the other"},
+	RequestSuspected:  {"request-suspected", "an upstream crashed while a request ran there; crashes tells how many did in a row, condemned that it does not run again", "see OPERATIONS, upstreams end one after the other"},
+	RequestCleared:    {"request-cleared", "a suspected request was answered whole, so others crashed the upstreams", "none"},
+	RequestReleased:   {"request-released", "an operator released a request from quarantine", "none"},
+	QuarantineLearned: {"quarantine-learned", "another instance, or the store, told of suspected or condemned requests; count tells how many, condemned names those that do not run here any more", "none"},
+	QuarantineFault:   {"quarantine-fault", "a step of keeping the quarantine failed or another instance told something unusable; it is tried again", "by the step and cause fields"},
 	ReservationDenied: {"reservation-denied", "the account's budget had no tokens to reserve", "top up, or see OPERATING, refusals"},
 	RequestBilled:     {"request-billed", "a request's cost was taken from its reservation", "none"},
 	UsageAboveBound:   {"usage-above-bound", "an upstream reported more tokens than were reserved; billed at the bound", "correct min_bytes_per_token or the engine"},
--- a/pkg/fingerprint/fingerprint_test.go
+++ b/pkg/fingerprint/fingerprint_test.go
@@ -20,7 +20,8 @@
 		}
 		seen[f] = name
 	}
-	if Of("a", "h", Content("POST", "/x", []byte("body"))) != Of("a", "h", Content("POST", "/x", []byte("body"))) {
+	again := Of("a", "h", Content("POST", "/x", []byte("body")))
+	if seen[again] != "one" {
 		t.Error("equal requests differ")
 	}
 }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -58,16 +58,19 @@
 	if c.remaining() <= leastAttemptTime {
 		return &failure{step: "choose", err: errNoTime, final: true}
 	}
+	run, failed := c.beginRun()
+	if failed != nil {
+		return failed
+	}
 	place, failed := c.choose()
 	if failed != nil {
+		run.Ended()
 		return failed
 	}
 	c.tried = append(c.tried, place.ID)
 	a := &attempt{c: c, place: place, reuse: -1}
 	failed = a.run(ctx)
-	if failed != nil && failed.ended && ctx.Err() == nil {
-		a.brokeOff(failed)
-	}
+	a.concludeRun(run, failed, ctx.Err() != nil)
 	a.end(ctx, failed)
 	return failed
 }
@@ -295,10 +298,10 @@
 	switch {
 	case promisesNotRun(head.Status):
 		// The upstream did not say that it has not run, so neither may this status.
-		return a.unknown("status", errRefused)
+		return a.unknown("status", errRefused).withAnswer()
 	case head.Status >= http.StatusInternalServerError:
 		a.c.ownFailure = answer
-		return a.unknown("status", errOwnFailure)
+		return a.unknown("status", errOwnFailure).withAnswer()
 	}
 	a.c.deliver(answer)
 	return nil
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -129,6 +129,13 @@
 	final bool
 	// ended says that the upstream's side of the connection ended.
 	ended bool
+	// answered says that the upstream gave a whole answer, which was no success.
+	answered bool
+}
+
+func (f *failure) withAnswer() *failure {
+	f.answered = true
+	return f
 }
 
 // wholeAnswer is an upstream's answer that has been read whole.
@@ -189,11 +196,17 @@
 		return
 	}
 	refusal := &Refusal{Step: last.step, Peer: last.peer, Err: last.err}
+	quarantined, inQuarantine := quarantineRefusal(last.err)
 	switch {
 	case c.mayHaveRun && c.remaining() <= leastAttemptTime:
 		refusal.Reason = Timeout
 	case c.mayHaveRun:
 		refusal.Reason = Unknown
+	case inQuarantine:
+		refusal.Reason = quarantined
+		if quarantined == Suspected {
+			refusal.RetryAfter = soonRetry
+		}
 	case errors.Is(last.err, errNoUpstream):
 		refusal.Reason, refusal.RetryAfter = NoUpstream, soonRetry
 	case c.remaining() <= leastAttemptTime:
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -1,108 +1,86 @@
 package forward
 
 import (
-	"context"
 	"errors"
-	"sync"
-	"syscall"
-	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/quarantine"
 )
 
-// How an upstream is looked at whose connection ended.
-const (
-	// lookTimeout bounds the look; a process that has ended refuses within a round trip.
-	lookTimeout = 150 * time.Millisecond
-	// lookHolds is how long one look stands for all connections that ended together. The
-	// next incarnation may listen at the same address after that.
-	lookHolds = 250 * time.Millisecond
-)
-
-// upstreamState is what a look at an upstream showed.
-type upstreamState string
-
-const (
-	// stateCrashed means that nothing listens at its address any more.
-	stateCrashed upstreamState = "crashed"
-	// stateAnswers means that it takes connections: only this one ended.
-	stateAnswers upstreamState = "answers"
-	// stateSilent means that it could not be told in time.
-	stateSilent upstreamState = "silent"
-)
-
-// lookout looks at upstreams whose connections ended, once for all that end together.
-type lookout struct {
-	mu    sync.Mutex
-	looks map[string]*look // by address
-}
-
-type look struct {
-	began time.Time
-	done  chan struct{}
-	state upstreamState
-}
+// stepQuarantine is before anything is sent.
+const stepQuarantine = "quarantine"
 
-// lookAt tells what became of the upstream at an address.
-func (f *Forwarder) lookAt(address string) upstreamState {
-	l := &f.lookout
-	l.mu.Lock()
-	present := l.looks[address]
-	if present != nil && f.Now().Sub(present.began) < lookHolds {
-		l.mu.Unlock()
-		<-present.done
-		return present.state
+// refuseCondemned refuses a request that crashed the upstreams that ran it.
+func (c *call) refuseCondemned() *Refusal {
+	table := c.f.Quarantine
+	if !table.Watching() || table.StateOf(c.Fingerprint()) != quarantine.Condemned {
+		return nil
 	}
-	present = &look{began: f.Now(), done: make(chan struct{})}
-	l.looks[address] = present
-	l.mu.Unlock()
-	present.state = f.dialed(address)
-	close(present.done)
-	return present.state
+	err := &quarantine.RefusedError{Fingerprint: c.Fingerprint(), Err: quarantine.ErrCondemned}
+	return &Refusal{Reason: Quarantined, Step: stepQuarantine, Err: err}
 }
 
-// dialed opens a connection to tell whether anything listens, and keeps it for a request.
-func (f *Forwarder) dialed(address string) upstreamState {
-	conn, err := httpconn.Dial(context.Background(), address, lookTimeout)
-	switch {
-	case err == nil:
-		f.meters.newConns.Inc(1)
-		f.Conns.Opened(address)
-		f.Conns.Keep(conn, 0)
-		return stateAnswers
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return stateCrashed
-	default:
-		return stateSilent
+// beginRun asks whether the request may run now; it may have become suspected since it came.
+func (c *call) beginRun() (quarantine.Run, *failure) {
+	run, err := c.f.Quarantine.Begin(c, c.f.Now())
+	if err != nil {
+		return run, &failure{step: stepQuarantine, err: err, final: true}
 	}
+	return run, nil
 }
 
-// Sweep drops what stands for nothing any more; it is called now and then.
-func (f *Forwarder) Sweep() {
-	l := &f.lookout
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for address, look := range l.looks {
-		if f.Now().Sub(look.began) >= lookHolds {
-			delete(l.looks, address)
+// concludeRun notes what an attempt showed of the request.
+func (a *attempt) concludeRun(run quarantine.Run, failed *failure, left bool) {
+	switch {
+	case failed == nil || failed.answered:
+		if run.Answered() {
+			a.c.f.meters.cleared.Inc(1)
+			a.c.f.Log.Event(eventlog.RequestCleared, a.c.r.ID, eventlog.Fields{"fingerprint": a.c.Fingerprint().String()})
 		}
+	case failed.ended && !left && a.lookAtUpstream(failed) == httpconn.Crashed:
+		a.crashed(run)
+	default:
+		run.Ended()
 	}
 }
 
-// brokeOff finds out what ended an attempt whose connection ended before the whole answer.
-func (a *attempt) brokeOff(failed *failure) {
-	state := a.c.f.lookAt(a.place.Address)
+// lookAtUpstream finds out whether the upstream crashed or only the connection ended.
+func (a *attempt) lookAtUpstream(failed *failure) httpconn.PeerState {
+	state := a.c.f.Lookout.Look(a.place.Address)
 	a.c.f.Log.Event(eventlog.RequestBrokeOff, a.c.r.ID, eventlog.Fields{
 		"state": state, "upstream": a.place.ID, "address": a.place.Address, "step": failed.step,
-		"fingerprint": a.c.fingerprint().String(), "route": a.c.route.Name, "account": a.c.accountName(),
+		"fingerprint": a.c.Fingerprint().String(), "route": a.c.route.Name, "account": a.c.accountName(),
 		"ran_ms": a.c.f.Now().Sub(a.sentAt).Milliseconds(), "sent": a.c.sent,
 	})
+	return state
+}
+
+func (a *attempt) crashed(run quarantine.Run) {
+	f := a.c.f
+	f.meters.crashes.Inc(1)
+	origin := quarantine.Origin{Account: a.c.accountName(), Route: a.c.route.Name}
+	record := run.Crashed(origin, a.place.ID, f.Now())
+	f.Log.Event(eventlog.RequestSuspected, a.c.r.ID, eventlog.Fields{
+		"fingerprint": record.Fingerprint.String(), "crashes": record.InARow(), "upstream": a.place.ID,
+		"condemned": f.Quarantine.StateOf(record.Fingerprint) == quarantine.Condemned,
+	})
+}
+
+// quarantineRefusal is the answer to a request that may not run, none of whose attempts may have.
+func quarantineRefusal(err error) (Reason, bool) {
+	switch {
+	case errors.Is(err, quarantine.ErrCondemned):
+		return Quarantined, true
+	case errors.Is(err, quarantine.ErrTrialRuns):
+		return Suspected, true
+	}
+	return "", false
 }
 
-// fingerprint recognizes the request when it is sent again.
-func (c *call) fingerprint() fingerprint.Fingerprint {
+// Fingerprint implements quarantine.Request.
+func (c *call) Fingerprint() fingerprint.Fingerprint {
 	if c.print == nil {
 		print := fingerprint.Of(c.accountName(), c.r.Host, fingerprint.Content(c.r.Method, c.r.Target, c.r.Body))
 		c.print = &print
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderring/lavenderring/pkg/overload"
 	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
+	"github.com/lavenderring/lavenderring/pkg/quarantine"
 	"github.com/lavenderring/lavenderring/pkg/registry"
 	"github.com/lavenderring/lavenderring/pkg/retrylimit"
 	"github.com/lavenderring/lavenderring/pkg/routing"
@@ -61,6 +62,10 @@
 	Conns    *httpconn.Pool
 	Log      *eventlog.Log
 	Metrics  metrics.Registry
+	// Lookout tells crashed upstreams from connections that ended; nil for one of its own.
+	Lookout *httpconn.Lookout
+	// Quarantine finds requests that crash upstreams; nil for one of its own.
+	Quarantine *quarantine.Table
 	// Load bounds what is taken on when this instance's own link is full; nil for no bound.
 	Load *overload.Limit
 	// Retries bounds what is sent once more; Instances tells how many instances
@@ -75,8 +80,7 @@
 // Forwarder serves requests. It is safe for concurrent use.
 type Forwarder struct {
 	Deps
-	meters  meters
-	lookout lookout
+	meters meters
 
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
@@ -108,7 +112,7 @@
 
 type meters struct {
 	accepted, refused, answered, streamed, unknown, left, repeated, resumed metrics.Counter
-	newConns                                                                metrics.Counter
+	newConns, crashes, cleared                                              metrics.Counter
 	whole, firstEvent, added                                                metrics.Timer
 }
 
@@ -116,10 +120,15 @@
 func New(deps Deps) *Forwarder {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, deps.Metrics) }
 	timer := func(name string) metrics.Timer { return metrics.GetOrRegisterTimer(name, deps.Metrics) }
+	if deps.Lookout == nil {
+		deps.Lookout = httpconn.NewLookout(deps.Conns, deps.Now)
+	}
+	if deps.Quarantine == nil {
+		deps.Quarantine = quarantine.NewTable("", nil)
+	}
 	return &Forwarder{
 		Deps:     deps,
 		services: map[string]*service{},
-		lookout:  lookout{looks: map[string]*look{}},
 		meters: meters{
 			accepted:   counter("forward.accepted"),
 			refused:    counter("forward.refused"),
@@ -130,6 +139,8 @@
 			repeated:   counter("forward.repeated"),
 			resumed:    counter("forward.resumed"),
 			newConns:   counter("forward.new_connections"),
+			crashes:    counter("quarantine.crashes"),
+			cleared:    counter("quarantine.cleared"),
 			whole:      timer("forward.whole"),
 			firstEvent: timer("forward.first_event"),
 			added:      timer("forward.before_sending"),
@@ -218,6 +229,9 @@
 	if f.endsBefore(c.deadline) {
 		return nil, &Refusal{Reason: Stopping, RetryAfter: soonRetry}
 	}
+	if refusal := c.refuseCondemned(); refusal != nil {
+		return nil, refusal
+	}
 	return c, c.reserve(ctx)
 }
 
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -8,7 +8,7 @@
 // Reason says why the system ends a request itself.
 type Reason string
 
-// The reasons. Those up to NotRunTimeout are given only to requests of which no
+// The reasons. Those up to Suspected are given only to requests of which no
 // attempt may have run.
 const (
 	NoConfiguration Reason = "no-configuration"
@@ -26,6 +26,12 @@
 	NotRunTimeout Reason = "not-run-in-time"
 	// Stopping means that the instance ends before the request might.
 	Stopping Reason = "instance-stopping"
+	// Quarantined means that the request crashed the upstreams that ran it and does not run
+	// again, however often it is sent.
+	Quarantined Reason = "quarantined"
+	// Suspected means that the request may have crashed an upstream, and that equal ones run
+	// one at a time.
+	Suspected Reason = "suspected"
 	// Unknown means that an attempt failed and may have run.
 	Unknown Reason = "outcome-unknown"
 	// Timeout means that time ran out on an attempt that may have run.
--- a/pkg/member/gossip.go
+++ b/pkg/member/gossip.go
@@ -14,6 +14,14 @@
 // start at once some agree while they know next to nobody.
 const compareAfter = 3
 
+// Quarantine is a table that is to be the same at all instances, as heartbeats tell of it.
+type Quarantine interface {
+	// Hash is equal for equal tables; stored says that the table has what the store has.
+	Hash() (hash uint64, stored bool)
+	// Heard takes in what the instance at an address tells.
+	Heard(address string, hash uint64, stored bool)
+}
+
 // Gossip exchanges digests with the other instances.
 type Gossip struct {
 	Table *Table
@@ -31,6 +39,8 @@
 	// that another knows. Both may be nil.
 	Era      func() uint64
 	HeardEra func(uint64)
+	// Quarantine is told of other instances' quarantine, and tells of this one's; it may be nil.
+	Quarantine Quarantine
 	// Newer is told of what the instance at an address has under a higher
 	// generation than this one; it may be nil.
 	Newer func(address string, names []string)
@@ -55,6 +65,9 @@
 	if g.Era != nil {
 		d.Era = g.Era()
 	}
+	if g.Quarantine != nil {
+		d.QuarantineHash, d.QuarantineStored = g.Quarantine.Hash()
+	}
 	if g.Readings != nil {
 		d.Readings = g.Readings()
 	}
@@ -97,6 +110,9 @@
 	if g.HeardEra != nil && d.Era > 0 {
 		g.HeardEra(d.Era)
 	}
+	if g.Quarantine != nil && d.From != nil {
+		g.Quarantine.Heard(d.From.PeerAddress, d.QuarantineHash, d.QuarantineStored)
+	}
 	if g.Learned != nil && d.From != nil && len(d.Readings) > 0 {
 		g.Learned(d.From.Name, d.Readings)
 	}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -19,6 +19,7 @@
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
+	"github.com/lavenderring/lavenderring/pkg/quarantine/quarantinepb"
 )
 
 // Bounds of the client.
@@ -269,6 +270,16 @@
 	return err
 }
 
+// ExchangeQuarantine tells the instance at an address of requests that crashed upstreams.
+func (c *Client) ExchangeQuarantine(
+	ctx context.Context, address string, records *quarantinepb.Records,
+) (*quarantinepb.Records, error) {
+	return at(ctx, c, "exchange-quarantine", address, heartbeatTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*quarantinepb.Records, error) {
+			return quarantinepb.NewDRPCQuarantineClient(conn).Exchange(ctx, records)
+		})
+}
+
 // FetchChanges asks the instance at an address for what changed of a copy of the store.
 func (c *Client) FetchChanges(
 	ctx context.Context, address string, request *followpb.FetchRequest,
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
+	"github.com/lavenderring/lavenderring/pkg/quarantine/quarantinepb"
 )
 
 // Handlers answers the slices' messages. All but Members may be nil.
@@ -22,6 +23,8 @@
 	Members memberpb.DRPCMembersServer
 	Loans   prepaidpb.DRPCLoansServer
 	Copies  followpb.DRPCCopiesServer
+	// Quarantine answers tables of requests that crash upstreams.
+	Quarantine quarantinepb.DRPCQuarantineServer
 }
 
 // Server answers other instances.
@@ -49,6 +52,11 @@
 			return nil, err
 		}
 	}
+	if handlers.Quarantine != nil {
+		if err := quarantinepb.DRPCRegisterQuarantine(mux, handlers.Quarantine); err != nil {
+			return nil, err
+		}
+	}
 	if handlers.Bills != nil {
 		if err := billpb.DRPCRegisterBills(mux, handlers.Bills); err != nil {
 			return nil, err
--- /dev/null
+++ b/pkg/quarantine/record.go
@@ -0,0 +1,130 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/fingerprint"
+)
+
+// CondemnAfter is how many crashes in a row condemn a request. Fewer would condemn requests that
+// twice met another one that crashes upstreams.
+const CondemnAfter = 3
+
+// mostReporters bounds the instances that a record names. Two are enough to condemn.
+const mostReporters = 4
+
+// Record is what is known of one request. Every figure only grows, and merging takes the higher
+// one: records may come in any order, and again.
+type Record struct {
+	Fingerprint fingerprint.Fingerprint
+	// Account and Route say whose request it is and where it is sent, for operators.
+	Account, Route string
+	// Crashes holds, by the instance that saw it, the ordinal of the last crash. A run that
+	// began when n crashes were known and ends in one is the (n+1)th: upstreams that crash at
+	// the same moment under equal requests count as one.
+	Crashes map[string]uint32
+	// Cleared is up to which ordinal crashes say nothing, since the request was answered
+	// after them, or an operator released it.
+	Cleared uint32
+	// Started and Ended are the ordinals of the last trials that began and ended. A trial is
+	// a run of a request that is suspected.
+	Started, Ended uint32
+	// LastCrash is when the last crash was seen, by the clock of the instance that saw it.
+	LastCrash time.Time
+	// Upstream is the incarnation that crashed last.
+	Upstream string
+}
+
+// State is what follows from a record.
+type State string
+
+// States of a request.
+const (
+	// Clear requests run like any other.
+	Clear State = "clear"
+	// Suspected requests run one at a time.
+	Suspected State = "suspected"
+	// Condemned requests do not run.
+	Condemned State = "condemned"
+)
+
+// last is the ordinal of the last crash.
+func (r *Record) last() uint32 {
+	var last uint32
+	for _, ordinal := range r.Crashes {
+		last = max(last, ordinal)
+	}
+	return last
+}
+
+// InARow is how many crashes count.
+func (r *Record) InARow() uint32 {
+	last := r.last()
+	return last - min(last, r.Cleared)
+}
+
+// StateAt tells what an instance does with the request. The word of one other instance does not
+// condemn: a faulty one would take requests away from all.
+func (r *Record) StateAt(instance string) State {
+	inARow := r.InARow()
+	switch {
+	case inARow == 0:
+		return Clear
+	case inARow < CondemnAfter:
+		return Suspected
+	}
+	reporters := 0
+	for _, ordinal := range r.Crashes {
+		if ordinal > r.Cleared {
+			reporters++
+		}
+	}
+	if reporters > 1 || r.Crashes[instance] > r.Cleared {
+		return Condemned
+	}
+	return Suspected
+}
+
+// merge raises the record to what another one knows, and reports whether that was more.
+func (r *Record) merge(other *Record) (changed bool) {
+	before := maps.Clone(r.Crashes)
+	for instance, ordinal := range other.Crashes {
+		r.Crashes[instance] = max(r.Crashes[instance], ordinal)
+	}
+	r.boundReporters()
+	changed = !maps.Equal(before, r.Crashes)
+	changed = raise(&r.Cleared, other.Cleared) || changed
+	changed = raise(&r.Started, other.Started) || changed
+	changed = raise(&r.Ended, other.Ended) || changed
+	if other.LastCrash.After(r.LastCrash) {
+		r.LastCrash, r.Upstream = other.LastCrash, other.Upstream
+	}
+	return changed
+}
+
+func raise(figure *uint32, to uint32) bool {
+	if to <= *figure {
+		return false
+	}
+	*figure = to
+	return true
+}
+
+// boundReporters drops the reporters of the lowest ordinals beyond the bound. Those of the
+// highest ones stay whatever the order of merges.
+func (r *Record) boundReporters() {
+	for len(r.Crashes) > mostReporters {
+		lowest := slices.MinFunc(slices.Sorted(maps.Keys(r.Crashes)), func(a, b string) int {
+			return int(r.Crashes[a]) - int(r.Crashes[b])
+		})
+		delete(r.Crashes, lowest)
+	}
+}
+
+func (r *Record) clone() Record {
+	copied := *r
+	copied.Crashes = maps.Clone(r.Crashes)
+	return copied
+}
--- /dev/null
+++ b/pkg/quarantine/table.go
@@ -0,0 +1,333 @@
+// Package quarantine finds requests that crash the upstreams which run them, and keeps them from
+// running again. It knows no network and no clock.
+//
+// A request under which an upstream crashed is suspected: it may have been the cause, or have run
+// beside it. Suspected requests run one at a time in the whole fleet. An answer clears a request;
+// CondemnAfter crashes in a row condemn it, for good, unless an operator releases it.
+package quarantine
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/fingerprint"
+)
+
+// trialTimeout is how long a trial that was told of holds others back without its end: the
+// instance that runs it may be gone.
+const trialTimeout = 5 * time.Second
+
+// Reasons for which a request does not run.
+var (
+	// ErrCondemned means that it will not run later either.
+	ErrCondemned = errors.New("request crashed the upstreams that ran it")
+	// ErrTrialRuns means that it may run when its present run has ended.
+	ErrTrialRuns = errors.New("request is suspected of crashing upstreams and runs elsewhere")
+)
+
+// RefusedError tells which request does not run.
+type RefusedError struct {
+	// Fingerprint is by what operators find it.
+	Fingerprint fingerprint.Fingerprint
+	// Err is ErrCondemned or ErrTrialRuns.
+	Err error
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return fmt.Sprintf("quarantine %s: %v", e.Fingerprint, e.Err) }
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Err }
+
+// Table holds the records of one instance. It is safe for concurrent use.
+type Table struct {
+	self string
+	// watched counts the records that are not clear; while there are none, no request needs
+	// to be recognized.
+	watched atomic.Int64
+
+	mu      sync.Mutex
+	records map[fingerprint.Fingerprint]*entry
+	// accounts counts the records of each account.
+	accounts map[string]int
+	news     map[fingerprint.Fingerprint]bool
+	onNews   func()
+	// onCondemned is called after a crash seen here condemned a request.
+	onCondemned func()
+}
+
+// entry is a record with what only this instance knows of it.
+type entry struct {
+	Record
+	// heldUntil is when a trial of another instance holds no longer.
+	heldUntil time.Time
+}
+
+// NewTable returns the empty table of an instance. onNews, if not nil, is called after a change
+// that the others do not know; it must not block.
+func NewTable(self string, onNews func()) *Table {
+	if onNews == nil {
+		onNews = func() {}
+	}
+	return &Table{
+		self:     self,
+		records:  map[fingerprint.Fingerprint]*entry{},
+		accounts: map[string]int{},
+		news:     map[fingerprint.Fingerprint]bool{},
+		onNews:   onNews,
+
+		onCondemned: func() {},
+	}
+}
+
+// OnCondemned sets what is called after a crash seen here condemned a request; it must not block.
+// It is set before the table is used.
+func (t *Table) OnCondemned(call func()) { t.onCondemned = call }
+
+// Watching reports whether any request is suspected or condemned. It takes no lock.
+func (t *Table) Watching() bool { return t.watched.Load() > 0 }
+
+// StateOf tells what this instance does with a request.
+func (t *Table) StateOf(f fingerprint.Fingerprint) State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.records[f]
+	if e == nil {
+		return Clear
+	}
+	return e.StateAt(t.self)
+}
+
+// Request is a request that may have to be recognized.
+type Request interface {
+	Fingerprint() fingerprint.Fingerprint
+}
+
+// Run is one run of a request at an upstream. Exactly one of its methods is to be called.
+type Run struct {
+	table   *Table
+	request Request
+	// before is how many crashes were known when the run began.
+	before uint32
+	// trial is its ordinal; 0 for a run of a request that is not suspected.
+	trial uint32
+}
+
+// Origin says, for operators, whose request it is and where it is sent.
+type Origin struct{ Account, Route string }
+
+// Begin asks whether a request may run. Its fingerprint is asked for only while any request is
+// watched. Errors: *RefusedError.
+func (t *Table) Begin(request Request, now time.Time) (Run, error) {
+	run := Run{table: t, request: request}
+	if !t.Watching() {
+		return run, nil
+	}
+	f := request.Fingerprint()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.records[f]
+	if e == nil {
+		return run, nil
+	}
+	run.before = e.last()
+	switch e.StateAt(t.self) {
+	case Clear:
+		return run, nil
+	case Condemned:
+		return Run{}, &RefusedError{Fingerprint: f, Err: ErrCondemned}
+	}
+	if e.Started > e.Ended && now.Before(e.heldUntil) {
+		return Run{}, &RefusedError{Fingerprint: f, Err: ErrTrialRuns}
+	}
+	e.Started = max(e.Started, e.Ended) + 1
+	e.heldUntil = now.Add(trialTimeout)
+	run.trial = e.Started
+	t.tell(f)
+	return run, nil
+}
+
+// Crashed notes that the upstream crashed while the request ran there, and returns the record.
+func (r Run) Crashed(origin Origin, upstream string, now time.Time) Record {
+	t := r.table
+	f := r.request.Fingerprint()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := r.before
+	if e := t.records[f]; e != nil {
+		before = max(before, e.Cleared) // what was cleared was not looked up when the run began
+	}
+	crash := Record{
+		Fingerprint: f,
+		Account:     origin.Account,
+		Route:       origin.Route,
+		Crashes:     map[string]uint32{t.self: before + 1},
+		Ended:       r.trial,
+		LastCrash:   now,
+		Upstream:    upstream,
+	}
+	t.merge(&crash, now)
+	e := t.records[f]
+	if e == nil {
+		return crash // the table has no room for it
+	}
+	if e.StateAt(t.self) == Condemned {
+		t.onCondemned()
+	}
+	return e.clone()
+}
+
+// Answered notes that an upstream gave a whole answer: the request is not what crashed the others.
+// It reports whether that cleared the request of a suspicion.
+func (r Run) Answered() bool {
+	t := r.table
+	if !t.Watching() {
+		return false
+	}
+	f := r.request.Fingerprint()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.records[f]
+	if e == nil {
+		return false
+	}
+	suspected := e.InARow() > 0
+	t.change(e, func() bool {
+		ended := raise(&e.Ended, r.trial)
+		return raise(&e.Cleared, e.last()) || ended
+	})
+	return suspected
+}
+
+// Ended notes that the run ended in another way, from which nothing follows.
+func (r Run) Ended() {
+	t := r.table
+	if r.trial == 0 {
+		return
+	}
+	f := r.request.Fingerprint()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.records[f]; e != nil {
+		t.change(e, func() bool { return raise(&e.Ended, r.trial) })
+	}
+}
+
+// Release has a condemned or suspected request run again like any other. It reports whether there
+// was one.
+func (t *Table) Release(f fingerprint.Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.records[f]
+	if e == nil || e.InARow() == 0 {
+		return false
+	}
+	t.change(e, func() bool { return raise(&e.Cleared, e.last()) })
+	return true
+}
+
+// change applies a change to an entry and has it told; t.mu is held.
+func (t *Table) change(e *entry, apply func() bool) {
+	before := e.InARow() > 0
+	if !apply() {
+		return
+	}
+	t.count(before, e.InARow() > 0)
+	t.tell(e.Fingerprint)
+}
+
+// count keeps the number of watched records.
+func (t *Table) count(before, after bool) {
+	switch {
+	case before && !after:
+		t.watched.Add(-1)
+	case !before && after:
+		t.watched.Add(1)
+	}
+}
+
+func (t *Table) tell(f fingerprint.Fingerprint) {
+	t.news[f] = true
+	t.onNews()
+}
+
+// Merge takes in what another instance, or the store, knows, and returns the records of which
+// this was news. They are to be told on where the sender did not tell all itself.
+func (t *Table) Merge(records []Record, now time.Time, tellOn bool) (changed []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range records {
+		f := records[i].Fingerprint
+		told := t.news[f]
+		if !t.merge(&records[i], now) {
+			continue
+		}
+		if e := t.records[f]; e != nil { // the table may have no room for it
+			changed = append(changed, e.clone())
+		}
+		if !tellOn && !told {
+			delete(t.news, f)
+		}
+	}
+	return changed
+}
+
+// merge takes one record in; t.mu is held.
+func (t *Table) merge(record *Record, now time.Time) (changed bool) {
+	e := t.records[record.Fingerprint]
+	if e == nil {
+		if e = t.add(record); e == nil {
+			return false
+		}
+	}
+	started := e.Started
+	t.change(e, func() bool {
+		changed = e.Record.merge(record)
+		return changed
+	})
+	if e.Started > started {
+		e.heldUntil = now.Add(trialTimeout)
+	}
+	return changed
+}
+
+// News returns what the other instances are to be told, and forgets it.
+func (t *Table) News() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Record, 0, len(t.news))
+	for f := range t.news {
+		if e := t.records[f]; e != nil {
+			out = append(out, e.clone())
+		}
+	}
+	clear(t.news)
+	return out
+}
+
+// All returns every record.
+func (t *Table) All() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Record, 0, len(t.records))
+	for _, e := range t.records {
+		out = append(out, e.clone())
+	}
+	return out
+}
+
+// Condemned returns the records of condemned requests.
+func (t *Table) Condemned() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Record
+	for _, e := range t.records {
+		if e.StateAt(t.self) == Condemned {
+			out = append(out, e.clone())
+		}
+	}
+	return out
+}
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -64,7 +64,7 @@
 			return false
 		}
 	}
-	return true
+	return r.awaitQuarantine(ctx)
 }
 
 // startDuties starts a goroutine for each duty.
@@ -76,6 +76,9 @@
 	r.duty(r.publisher.Run)
 	r.duty(r.meet)
 	r.duty(r.gossip.Run)
+	r.duty(r.quarantine.Run)
+	r.duty(r.quarantine.Spread)
+	r.duty(r.recoverVerdicts)
 	r.every(membersNoted, r.noteMembers)
 	r.every(loadNoted, r.noteLoad)
 	r.every(tokenTick, r.tokens.Tick)
@@ -139,7 +142,6 @@
 
 func (r *Router) housekeep(context.Context) {
 	r.conns.Sweep()
-	r.forward.Sweep()
 	if gone := r.registry.Expire(); len(gone) > 0 {
 		for _, address := range gone {
 			r.conns.Forget(address)
--- a/pkg/router/era.go
+++ b/pkg/router/era.go
@@ -29,6 +29,7 @@
 	r.log.Event(eventlog.StoreWentBack, "", eventlog.Fields{"from": news.From, "era": news.To})
 	r.meeting.registered.Store(false)
 	r.tokens.NoteEra(uint64(news.To))
+	r.quarantine.StoreAgain()
 }
 
 // verifyEra has the store asked for its era, of which another instance told.
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -25,6 +25,7 @@
 	"github.com/lavenderring/lavenderring/pkg/overload"
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
+	"github.com/lavenderring/lavenderring/pkg/quarantine/keeper"
 	"github.com/lavenderring/lavenderring/pkg/registry"
 	"github.com/lavenderring/lavenderring/pkg/retrylimit"
 	"github.com/lavenderring/lavenderring/pkg/routing"
@@ -72,9 +73,11 @@
 	table    *member.Table
 	gossip   *member.Gossip
 	tokens   *prepaid.Node
-	conns    *httpconn.Pool
-	forward  *forward.Forwarder
-	load     *overload.Limit
+	// quarantine knows the requests that crash upstreams.
+	quarantine *keeper.Keeper
+	conns      *httpconn.Pool
+	forward    *forward.Forwarder
+	load       *overload.Limit
 	// overloaded is what the log told last; touched by one duty only.
 	overloaded bool
 
@@ -146,6 +149,15 @@
 		Now: time.Now,
 	})
 	r.peers = peer.NewClient(r.table.Address, r.table.Heard, &r.traffic, nil)
+	r.quarantine = keeper.New(keeper.Deps{
+		Self:     s.Name,
+		Members:  r.table,
+		Exchange: r.peers.ExchangeQuarantine,
+		Store:    r.store,
+		Log:      r.log,
+		Metrics:  r.metrics,
+		Now:      time.Now,
+	})
 	r.gossip = &member.Gossip{
 		Table:    r.table,
 		Send:     r.peers.Heartbeat,
@@ -154,6 +166,8 @@
 		Learned:  r.learned,
 		Era:      r.storeEra.Load,
 		HeardEra: func(era uint64) { r.tokens.HeardEra(era) },
+
+		Quarantine: r.quarantine,
 	}
 	cfg := prepaid.Config{
 		Self:    r.incarnation,
@@ -184,6 +198,9 @@
 		Log:      r.log,
 		Metrics:  r.metrics,
 		Load:     r.load,
+
+		Lookout:    httpconn.NewLookout(r.conns, time.Now),
+		Quarantine: r.quarantine.Table(),
 		Retries: retrylimit.Settings{
 			Ratio:  r.settings.RetryRatio,
 			Extra:  r.settings.RetryExtra,
@@ -198,7 +215,7 @@
 func (r *Router) bind() error {
 	s := r.settings
 	var err error
-	handlers := peer.Handlers{Members: r, Loans: loans{r.tokens}, Copies: r}
+	handlers := peer.Handlers{Members: r, Loans: loans{r.tokens}, Copies: r, Quarantine: keeper.Service{Keeper: r.quarantine}}
 	if r.server, err = peer.Listen(s.PeerAddress, handlers, &r.traffic, nil); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
