Quarantine in the own door as well, operators' view and release of it

The same cause stood in entry, with a retry rule of its own: its requests go through the same table now, once, idempotent and streamed ones, keyed ones after their claim. The problem is request-quarantined (422, not run), its detail names the id under which lavenderring quarantine list | show | release finds it. Stand-ins of both halves end on a given body. Tests: the own door (three kinds of requests), a loss of all instances after the store went back, a start beside others, release at all instances, innocents that run beside a fatal request.

--- a/cmd/lavenderring/main.go
+++ b/cmd/lavenderring/main.go
@@ -63,6 +63,21 @@
 	Path  string `arg:"positional" default:"status" help:"what to show: status, accounts, metrics, events, or bills?request=ID"`
 }
 
+type quarantineListArgs struct{}
+
+type quarantineOneArgs struct {
+	ID string `arg:"positional,required" help:"the request's id in the quarantine, hexadecimal"`
+}
+
+type quarantineArgs struct {
+	List    *quarantineListArgs `arg:"subcommand:list" help:"list the requests that are suspected or do not run"`
+	Show    *quarantineOneArgs  `arg:"subcommand:show" help:"show one of them"`
+	Release *quarantineOneArgs  `arg:"subcommand:release" help:"have one run again at all instances"`
+	Admin   string              `arg:"--admin,required" help:"an instance's administration address, IP:port"`
+	Token   string              `arg:"--token,env:LAVENDERRING_TOKEN" help:"the operators' token"`
+	JSON    bool                `arg:"--json" help:"print JSON instead of a table"`
+}
+
 type timelineArgs struct {
 	Logs     []string `arg:"positional,required" help:"event log files of the processes"`
 	Request  string   `arg:"--request" help:"show one request only"`
@@ -70,11 +85,12 @@
 }
 
 type args struct {
-	Serve    *serveArgs    `arg:"subcommand:serve" help:"run an instance until it is told to stop (SIGTERM)"`
-	Route    *routeArgs    `arg:"subcommand:route" help:"run an instance on the users' platform until it is told to stop (SIGTERM)"`
-	Config   *configArgs   `arg:"subcommand:config" help:"check, apply or show a service document"`
-	Status   *adminArgs    `arg:"subcommand:status" help:"ask an instance"`
-	Timeline *timelineArgs `arg:"subcommand:timeline" help:"merge event logs into one time line"`
+	Serve      *serveArgs      `arg:"subcommand:serve" help:"run an instance until it is told to stop (SIGTERM)"`
+	Route      *routeArgs      `arg:"subcommand:route" help:"run an instance on the users' platform until it is told to stop (SIGTERM)"`
+	Config     *configArgs     `arg:"subcommand:config" help:"check, apply or show a service document"`
+	Status     *adminArgs      `arg:"subcommand:status" help:"ask an instance"`
+	Quarantine *quarantineArgs `arg:"subcommand:quarantine" help:"list, show or release requests that crash upstreams"`
+	Timeline   *timelineArgs   `arg:"subcommand:timeline" help:"merge event logs into one time line"`
 }
 
 // Description implements arg.Described.
@@ -125,6 +141,8 @@
 		return operator.Show(ctx, os.Stdout, a.Config.Show.Platform, a.Config.Show.Service)
 	case a.Status != nil:
 		return operator.Ask(ctx, os.Stdout, a.Status.Admin, a.Status.Token, a.Status.Path)
+	case a.Quarantine != nil:
+		return runQuarantine(ctx, a.Quarantine)
 	case a.Timeline != nil:
 		return operator.Timeline(os.Stdout, a.Timeline.Logs, a.Timeline.Request, a.Timeline.Instance)
 	default:
@@ -132,6 +150,18 @@
 	}
 }
 
+func runQuarantine(ctx context.Context, q *quarantineArgs) error {
+	at := operator.Admin{Address: q.Admin, Token: q.Token}
+	switch {
+	case q.Show != nil:
+		return operator.ShowQuarantined(ctx, os.Stdout, at, q.Show.ID, q.JSON)
+	case q.Release != nil:
+		return operator.Release(ctx, os.Stdout, at, q.Release.ID)
+	default:
+		return operator.ListQuarantine(ctx, os.Stdout, at, q.JSON)
+	}
+}
+
 func serve(ctx context.Context, path string) error {
 	s, err := settings.Load(path)
 	if err != nil {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -22,8 +22,14 @@
 	Listen string `arg:"--listen,required" help:"IP:port to listen on"`
 }
 
-type engineArgs struct {
+// serviceArgs are of a stand-in that serves requests.
+type serviceArgs struct {
 	listenArgs
+	Fatal string `arg:"--fatal" help:"text in a request's body that ends the stand-in"`
+}
+
+type engineArgs struct {
+	serviceArgs
 	Slots       int `arg:"--slots" default:"8" help:"requests that generate at once"`
 	TokenMillis int `arg:"--token-millis" default:"10" help:"time for one token, in milliseconds"`
 }
@@ -35,10 +41,10 @@
 }
 
 type args struct {
-	Platform *listenArgs `arg:"subcommand:platform" help:"the platform's object API; POST /faults switches faults"`
-	Engine   *engineArgs `arg:"subcommand:engine" help:"a model engine; POST /faults switches faults"`
-	Plain    *listenArgs `arg:"subcommand:plain" help:"a plain service; POST /_faults switches faults, GET /_runs shows runs"`
-	Relay    *relayArgs  `arg:"subcommand:relay" help:"a relay between two addresses"`
+	Platform *listenArgs  `arg:"subcommand:platform" help:"the platform's object API; POST /faults switches faults"`
+	Engine   *engineArgs  `arg:"subcommand:engine" help:"a model engine; POST /faults switches faults"`
+	Plain    *serviceArgs `arg:"subcommand:plain" help:"a plain service; POST /_faults switches faults, GET /_runs shows runs"`
+	Relay    *relayArgs   `arg:"subcommand:relay" help:"a relay between two addresses"`
 }
 
 func main() {
@@ -63,9 +69,9 @@
 		_, err = standin.Start(a.Platform.Listen)
 	case a.Engine != nil:
 		e := a.Engine
-		_, err = engine.Start(engine.Config{Address: e.Listen, Slots: e.Slots, TokenMillis: e.TokenMillis})
+		_, err = engine.Start(engine.Config{Address: e.Listen, Slots: e.Slots, TokenMillis: e.TokenMillis, Fatal: e.Fatal})
 	case a.Plain != nil:
-		_, err = plain.Start(a.Plain.Listen)
+		_, err = plain.Start(a.Plain.Listen, a.Plain.Fatal)
 	case a.Relay != nil:
 		_, err = relay.Start(a.Relay.Listen, a.Relay.Control, a.Relay.To)
 	}
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -118,6 +118,9 @@
 // run reserves, and makes attempts until the answer is delivered whole or nothing
 // more may be tried.
 func (a *chatCall) run(ctx context.Context) *Problem {
+	if p := a.e.refuseCondemned(a.r); p != nil {
+		return p
+	}
 	if p := a.cost.hold(ctx, a.bound); p != nil {
 		return p
 	}
@@ -148,6 +151,11 @@
 
 // attempt runs the request on one engine.
 func (a *chatCall) attempt(ctx context.Context) (again bool, p *Problem) {
+	run, p := a.e.beginRun(a.r)
+	if p != nil {
+		a.cost.spend(0)
+		return false, p
+	}
 	lease, err := a.dispatch.Acquire(ctx, dispatch.Want{
 		Pool:    a.pool.Name,
 		Prefix:  a.prefix,
@@ -156,6 +164,7 @@
 		StartBy: a.r.deadline,
 	})
 	if err != nil {
+		run.Ended()
 		a.cost.spend(0)
 		return false, acquireProblem(a.r, err)
 	}
@@ -163,6 +172,7 @@
 	a.e.Log.Event(eventlog.RequestDispatched, a.r.id, eventlog.Fields{"upstream": lease.Upstream.Name})
 	delivery := &delivery{a: a, lease: lease}
 	err = delivery.run(ctx)
+	a.e.concludeRun(ctx, a.r, run, lease.Upstream.Name, lease.Upstream.Address, delivery.handed, err)
 	if err == nil {
 		a.e.done(lease, dispatch.Result{Load: -1})
 		a.cost.spend(delivery.cost(a.bound))
--- a/pkg/entry/delivery.go
+++ b/pkg/entry/delivery.go
@@ -21,11 +21,14 @@
 	lease   *dispatch.Lease
 	usage   *chat.Usage
 	resumes int
+	// handed says that the engine got the request.
+	handed bool
 }
 
 func (d *delivery) run(ctx context.Context) error {
 	for {
 		err := d.read(ctx)
+		d.handed = d.handed || !neverLeft(err)
 		if err == nil || !d.resumable(ctx, err) {
 			return err
 		}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -23,8 +23,10 @@
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
 	"github.com/lavenderring/lavenderring/pkg/document"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/ledger"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
+	"github.com/lavenderring/lavenderring/pkg/quarantine"
 )
 
 // Bounds of the front.
@@ -59,9 +61,13 @@
 	Journal *bill.Journal
 	Claims  *claim.Claimer
 	Silent  Silent
-	Log     *eventlog.Log
-	Metrics metrics.Registry
-	Now     func() time.Time
+	// Lookout tells crashed upstreams from connections that ended.
+	Lookout *httpconn.Lookout
+	// Quarantine finds requests that crash upstreams.
+	Quarantine *quarantine.Table
+	Log        *eventlog.Log
+	Metrics    metrics.Registry
+	Now        func() time.Time
 }
 
 // Entry serves callers of one instance.
@@ -83,6 +89,7 @@
 // meters counts what callers see.
 type meters struct {
 	accepted, refused, ran, unknown, retried, resumed metrics.Counter
+	crashes                                           metrics.Counter
 	firstToken, whole                                 metrics.Timer
 }
 
@@ -100,6 +107,7 @@
 			unknown:    metrics.GetOrRegisterCounter("requests.unknown", r),
 			retried:    metrics.GetOrRegisterCounter("requests.retried", r),
 			resumed:    metrics.GetOrRegisterCounter("requests.resumed", r),
+			crashes:    metrics.GetOrRegisterCounter("quarantine.crashes", r),
 			firstToken: metrics.GetOrRegisterTimer("requests.first_token", r),
 			whole:      metrics.GetOrRegisterTimer("requests.whole", r),
 		},
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -90,6 +90,9 @@
 // run reserves, and dispatches until an upstream answers or nothing more may be
 // tried.
 func (p *plainCall) run(ctx context.Context) *Problem {
+	if problem := p.e.refuseCondemned(p.r); problem != nil {
+		return problem
+	}
 	if problem := p.cost.hold(ctx, p.pool.PriceTokens); problem != nil {
 		return problem
 	}
@@ -124,6 +127,10 @@
 // attempt calls one upstream. again says that another may be tried: the
 // request may be repeated, or not a byte of it has left.
 func (p *plainCall) attempt(ctx context.Context) (again bool, problem *Problem) {
+	run, problem := p.e.beginRun(p.r)
+	if problem != nil {
+		return false, problem
+	}
 	lease, err := p.dispatch.Acquire(ctx, dispatch.Want{
 		Pool:    p.pool.Name,
 		Urgent:  p.pool.Urgent,
@@ -131,6 +138,7 @@
 		StartBy: p.r.deadline,
 	})
 	if err != nil {
+		run.Ended()
 		return false, acquireProblem(p.r, err)
 	}
 	p.tried = append(p.tried, lease.Upstream.Name)
@@ -138,6 +146,7 @@
 	ctx, cancel := context.WithDeadline(ctx, p.r.deadline)
 	defer cancel()
 	answer, err := upstream.CallPlain(ctx, lease.Upstream.Address, p.call, &p.r.facts)
+	p.e.concludeRun(ctx, p.r, run, lease.Upstream.Name, lease.Upstream.Address, !neverLeft(err), err)
 	if err != nil {
 		p.e.done(lease, dispatch.Result{Failed: true, Load: -1})
 		return p.mayTryAgain(err), p.e.upstreamProblem(p.r, err)
--- a/pkg/entry/problem.go
+++ b/pkg/entry/problem.go
@@ -48,6 +48,8 @@
 	kindKeyReused     = "idempotency-key-reused"
 	kindInProgress    = "request-in-progress"
 	kindKeyUnknown    = "outcome-unknown"
+	kindQuarantined   = "request-quarantined"
+	kindSuspected     = "request-suspected"
 )
 
 // problem makes a Problem; retryAfter 0 means that coming back does not help.
--- a/pkg/instance/admin.go
+++ b/pkg/instance/admin.go
@@ -16,6 +16,7 @@
 	"github.com/lavenderring/lavenderring/pkg/ledger"
 	"github.com/lavenderring/lavenderring/pkg/life"
 	"github.com/lavenderring/lavenderring/pkg/member"
+	"github.com/lavenderring/lavenderring/pkg/quarantine/keeper"
 )
 
 // Status is what an instance shows of itself.
@@ -28,6 +29,7 @@
 	Generations map[string]uint64  `json:"generations"`
 	Members     []member.View      `json:"members"`
 	Grants      []budget.GrantView `json:"grants"`
+	Quarantine  keeper.Summary     `json:"quarantine"`
 }
 
 // Account is one account's budget as the ledger has it. Numbers are tokens.
@@ -48,6 +50,8 @@
 	i.admin.GET("/events", i.guarded(i.showEvents))
 	i.admin.GET("/accounts", i.guarded(i.showAccounts))
 	i.admin.GET("/bills", i.guarded(i.showBill))
+	i.admin.GET("/quarantine", i.guarded(i.quarantine.ServeList))
+	i.admin.POST("/quarantine/release", i.guarded(i.quarantine.ServeRelease))
 }
 
 // guarded lets only bearers of the operators' token in.
@@ -92,6 +96,7 @@
 		Generations: map[string]uint64{},
 		Members:     i.table.View(),
 		Grants:      i.budgets.Holder().View(),
+		Quarantine:  i.quarantine.Summary(),
 	}
 	status.StoreUp = i.tie.Up()
 	for _, f := range i.config.Snapshot().Services {
--- a/pkg/instance/duties.go
+++ b/pkg/instance/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/ledger"
 	"github.com/lavenderring/lavenderring/pkg/pause"
 )
@@ -45,6 +46,9 @@
 
 func (i *Instance) syncOnce(ctx context.Context) bool {
 	i.readInstanceList(ctx)
+	if err := i.quarantine.Recover(ctx); err != nil {
+		i.log.Event(eventlog.QuarantineFault, "", eventlog.Fields{"step": "recover", "cause": err.Error()})
+	}
 	if i.syncer.Load(ctx) == nil {
 		return true // a platform without a document yet is in sync too
 	}
@@ -60,6 +64,8 @@
 	i.duty(func(ctx context.Context) { _ = i.server.Serve(ctx) })
 	i.duty(i.syncer.Run)
 	i.duty(i.claims.Run)
+	i.duty(i.quarantine.Run)
+	i.duty(i.quarantine.Spread)
 	i.duty(i.fetchDuty)
 	i.duty(i.entry.PollLoads)
 	i.duty(i.heartbeatDuty)
--- a/pkg/instance/era.go
+++ b/pkg/instance/era.go
@@ -21,6 +21,7 @@
 	}
 	i.log.Event(eventlog.StoreWentBack, "", eventlog.Fields{"from": news.From, "era": news.To})
 	i.claims.NoteEra()
+	i.quarantine.StoreAgain()
 }
 
 // heardEra has the store asked for its era, of which another instance told; noteEra hears what it
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -19,11 +19,13 @@
 	"github.com/lavenderring/lavenderring/pkg/configsync"
 	"github.com/lavenderring/lavenderring/pkg/entry"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/httpserve"
 	"github.com/lavenderring/lavenderring/pkg/life"
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/peer"
+	"github.com/lavenderring/lavenderring/pkg/quarantine/keeper"
 	"github.com/lavenderring/lavenderring/pkg/ring"
 	"github.com/lavenderring/lavenderring/pkg/settings"
 	"github.com/lavenderring/lavenderring/pkg/store"
@@ -70,10 +72,12 @@
 	journal   *bill.Journal
 	keeper    *bill.Keeper
 	claims    *claim.Claimer
-	entry     *entry.Entry
-	fetches   *ring.Ring[fetch]
-	nudge     *ring.Ring[struct{}]
-	noted     member.Notes // touched by the heartbeat duty only
+	// quarantine knows the requests that crash upstreams.
+	quarantine *keeper.Keeper
+	entry      *entry.Entry
+	fetches    *ring.Ring[fetch]
+	nudge      *ring.Ring[struct{}]
+	noted      member.Notes // touched by the heartbeat duty only
 	// registered is when the store's list last took this instance; touched by the
 	// meeting duty only.
 	registered time.Time
@@ -151,12 +155,22 @@
 		Now:       time.Now,
 	})
 	i.peers = peer.NewClient(i.table.Address, i.table.Heard, &i.traffic, i.peerClientTLS)
+	i.quarantine = keeper.New(keeper.Deps{
+		Self:     s.Name,
+		Members:  i.table,
+		Exchange: i.peers.ExchangeQuarantine,
+		Store:    i.store,
+		Log:      i.log,
+		Metrics:  i.metrics,
+		Now:      time.Now,
+	})
 	i.gossip = &member.Gossip{
 		Table:       i.table,
 		Send:        i.peers.Heartbeat,
 		Generations: i.generations,
 		Era:         i.storeEra.Load,
 		HeardEra:    i.heardEra,
+		Quarantine:  i.quarantine,
 		Newer: func(address string, services []string) {
 			i.fetches.TryPut(fetch{address: address, services: services})
 		},
@@ -194,6 +208,10 @@
 		Journal: i.journal,
 		Claims:  i.claims,
 		Silent:  i.table.Silent,
+		Lookout: httpconn.NewLookout(nil, time.Now),
+
+		Quarantine: i.quarantine.Table(),
+
 		Log:     i.log,
 		Metrics: i.metrics,
 		Now:     time.Now,
@@ -202,7 +220,9 @@
 
 func (i *Instance) bind() error {
 	var err error
-	handlers := peer.Handlers{Budgets: i.budgets, Bills: i.keeper, Members: i}
+	handlers := peer.Handlers{
+		Budgets: i.budgets, Bills: i.keeper, Members: i, Quarantine: keeper.Service{Keeper: i.quarantine},
+	}
 	if i.server, err = peer.Listen(i.settings.PeerAddress, handlers, &i.traffic, i.peerServerTLS); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
--- a/pkg/operator/ask.go
+++ b/pkg/operator/ask.go
@@ -16,29 +16,46 @@
 // maxAnswerBytes bounds what an instance may answer.
 const maxAnswerBytes = 64 << 20
 
+// Admin is an instance's administration address, and the operators' token for it.
+type Admin struct{ Address, Token string }
+
 // Ask prints what an instance's administration address answers.
 func Ask(ctx context.Context, out io.Writer, address, token, path string) error {
+	body, err := Admin{Address: address, Token: token}.call(ctx, consts.MethodGet, path)
+	if err != nil {
+		return err
+	}
+	return printJSON(out, body)
+}
+
+// call returns the body of a successful answer.
+func (a Admin) call(ctx context.Context, method, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
-	req.SetMethod(consts.MethodGet)
-	req.SetRequestURI("http://" + address + "/" + path)
-	req.Header.Set("Authorization", "Bearer "+token)
-	end, err := httpcall.Call(ctx, httpcall.Options{Address: address, MaxResponseBytes: maxAnswerBytes}, req, resp)
+	req.SetMethod(method)
+	req.SetRequestURI("http://" + a.Address + "/" + path)
+	req.Header.Set("Authorization", "Bearer "+a.Token)
+	end, err := httpcall.Call(ctx, httpcall.Options{Address: a.Address, MaxResponseBytes: maxAnswerBytes}, req, resp)
 	defer end()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if resp.StatusCode() != consts.StatusOK {
-		return fmt.Errorf("%s answered %d %s", address, resp.StatusCode(), resp.Body())
+		return nil, fmt.Errorf("%s answered %d %s", a.Address, resp.StatusCode(), resp.Body())
 	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+// printJSON prints a body indented, or as it is if it is no JSON.
+func printJSON(out io.Writer, body []byte) error {
 	var pretty bytes.Buffer
-	if json.Indent(&pretty, resp.Body(), "", "  ") != nil {
+	if json.Indent(&pretty, body, "", "  ") != nil {
 		pretty.Reset()
-		pretty.Write(resp.Body())
+		pretty.Write(body)
 	}
-	_, err = fmt.Fprintln(out, pretty.String())
+	_, err := fmt.Fprintln(out, pretty.String())
 	return err
 }
--- /dev/null
+++ b/pkg/operator/quarantine.go
@@ -0,0 +1,63 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/lavenderring/lavenderring/pkg/quarantine/keeper"
+)
+
+// ListQuarantine prints the requests that an instance suspects or does not run.
+func ListQuarantine(ctx context.Context, out io.Writer, at Admin, asJSON bool) error {
+	body, err := at.call(ctx, consts.MethodGet, "quarantine")
+	if err != nil {
+		return err
+	}
+	var views []keeper.View
+	if err := json.Unmarshal(body, &views); err != nil {
+		return fmt.Errorf("read the answer of %s: %w", at.Address, err)
+	}
+	return printQuarantine(out, body, views, asJSON)
+}
+
+// ShowQuarantined prints one of them.
+func ShowQuarantined(ctx context.Context, out io.Writer, at Admin, id string, asJSON bool) error {
+	body, err := at.call(ctx, consts.MethodGet, "quarantine?id="+url.QueryEscape(id))
+	if err != nil {
+		return err
+	}
+	var view keeper.View
+	if err := json.Unmarshal(body, &view); err != nil {
+		return fmt.Errorf("read the answer of %s: %w", at.Address, err)
+	}
+	return printQuarantine(out, body, []keeper.View{view}, asJSON)
+}
+
+// Release has a request run again at all instances.
+func Release(ctx context.Context, out io.Writer, at Admin, id string) error {
+	if _, err := at.call(ctx, consts.MethodPost, "quarantine/release?id="+url.QueryEscape(id)); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(out, "released", id)
+	return err
+}
+
+func printQuarantine(out io.Writer, body []byte, views []keeper.View, asJSON bool) error {
+	if asJSON {
+		return printJSON(out, body)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "ID\tSTATE\tCRASHES\tACCOUNT\tROUTE\tLAST UPSTREAM\tLAST CRASH") // Flush tells errors
+	for _, v := range views {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\t%s\t%s\n",
+			v.ID, v.State, v.Crashes, v.Account, v.Route, v.Upstream, v.LastCrash.UTC().Format(time.RFC3339))
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/pkg/quarantine/keeper/view.go
@@ -0,0 +1,117 @@
+package keeper
+
+import (
+	"context"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/lavenderring/lavenderring/pkg/fingerprint"
+	"github.com/lavenderring/lavenderring/pkg/quarantine"
+)
+
+// View is a record as operators see it.
+type View struct {
+	// ID is the request's fingerprint in hexadecimal.
+	ID      string           `json:"id"`
+	State   quarantine.State `json:"state"`
+	Account string           `json:"account"`
+	Route   string           `json:"route"`
+	// Crashes is how many upstreams crashed in a row, Upstream the last of them.
+	Crashes  uint32 `json:"crashes"`
+	Upstream string `json:"upstream"`
+	// LastCrash is by the clock of the instance that saw it.
+	LastCrash time.Time `json:"last_crash"`
+	// Instances names those that saw crashes.
+	Instances []string `json:"instances"`
+}
+
+// Summary is what status shows of the quarantine.
+type Summary struct {
+	Suspected int `json:"suspected"`
+	Condemned int `json:"condemned"`
+	// Oldest is the last crash of the longest condemned request; zero for none.
+	Oldest time.Time `json:"oldest,omitzero"`
+}
+
+// List returns the watched requests: the condemned first, the last crashed first among equals.
+func (k *Keeper) List() []View {
+	views := []View{}
+	for _, r := range k.Table().All() {
+		if r.InARow() > 0 {
+			views = append(views, k.view(&r))
+		}
+	}
+	slices.SortFunc(views, func(a, b View) int {
+		if a.State != b.State {
+			if a.State == quarantine.Condemned {
+				return -1
+			}
+			return 1
+		}
+		return b.LastCrash.Compare(a.LastCrash)
+	})
+	return views
+}
+
+func (k *Keeper) view(r *quarantine.Record) View {
+	view := View{
+		ID: r.Fingerprint.String(), State: r.StateAt(k.Self), Account: r.Account, Route: r.Route,
+		Crashes: r.InARow(), Upstream: r.Upstream, LastCrash: r.LastCrash,
+	}
+	for instance := range r.Crashes {
+		view.Instances = append(view.Instances, instance)
+	}
+	slices.Sort(view.Instances)
+	return view
+}
+
+// Summary counts the watched requests.
+func (k *Keeper) Summary() Summary {
+	var s Summary
+	for _, view := range k.List() {
+		if view.State != quarantine.Condemned {
+			s.Suspected++
+			continue
+		}
+		s.Condemned++
+		if s.Oldest.IsZero() || view.LastCrash.Before(s.Oldest) {
+			s.Oldest = view.LastCrash
+		}
+	}
+	return s
+}
+
+// ServeList answers GET /quarantine with all watched requests, or with the one of the query
+// parameter id.
+func (k *Keeper) ServeList(_ context.Context, c *app.RequestContext) {
+	views := k.List()
+	id := c.Query("id")
+	if id == "" {
+		c.JSON(consts.StatusOK, views)
+		return
+	}
+	at := slices.IndexFunc(views, func(v View) bool { return v.ID == id })
+	if at < 0 {
+		c.String(consts.StatusNotFound, "no such request is watched")
+		return
+	}
+	c.JSON(consts.StatusOK, views[at])
+}
+
+// ServeRelease answers POST /quarantine/release?id=ID.
+func (k *Keeper) ServeRelease(_ context.Context, c *app.RequestContext) {
+	decoded, err := hex.DecodeString(c.Query("id"))
+	if err != nil || len(decoded) != fingerprint.Size {
+		c.String(consts.StatusBadRequest, "id is not a request's fingerprint")
+		return
+	}
+	if !k.Release(fingerprint.Fingerprint(decoded)) {
+		c.String(consts.StatusNotFound, "no such request is watched")
+		return
+	}
+	c.JSON(consts.StatusOK, map[string]string{"released": c.Query("id")})
+}
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -20,6 +20,8 @@
 	r.ready.GET(r.platform.ReadyPath, r.isReady)
 	r.admin.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(consts.StatusOK) })
 	r.admin.GET("/metrics", r.showMetrics)
+	r.admin.GET("/quarantine", r.quarantine.ServeList)
+	r.admin.POST("/quarantine/release", r.quarantine.ServeRelease)
 }
 
 func (r *Router) isReady(_ context.Context, c *app.RequestContext) {
@@ -36,6 +38,9 @@
 	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, r.metrics).Update(value) }
 	gauge("requests.active", r.door.Active())
 	gauge("members.live", int64(len(r.table.Live())))
+	watched := r.quarantine.Summary()
+	gauge("quarantine.suspected", int64(watched.Suspected))
+	gauge("quarantine.condemned", int64(watched.Condemned))
 	if table := r.config.Table(); table != nil {
 		gauge("config.version", int64(table.Config.Version))
 	}
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -160,6 +160,9 @@
 	for name, age := range r.copyAges() {
 		fields[name+"_age_ms"] = age
 	}
+	if watched := r.quarantine.Summary(); watched.Suspected+watched.Condemned > 0 {
+		fields["quarantine_suspected"], fields["quarantine_condemned"] = watched.Suspected, watched.Condemned
+	}
 	if table := r.config.Table(); table != nil {
 		fields["config_version"] = table.Config.Version
 	}
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -6,7 +6,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,8 +38,14 @@
 	Slots int
 	// TokenMillis is the time for one token, in milliseconds. Default 10.
 	TokenMillis int
+	// Fatal is a text; a request whose body has it ends the whole process, as a fault of the
+	// engine's would. Empty for none.
+	Fatal string
 }
 
+// exitFatal is the exit code after a fatal request.
+const exitFatal = 3
+
 // Faults switches what goes wrong.
 type Faults struct {
 	// CutAfterTokens cuts the next stream's connection once, so many tokens in.
@@ -146,6 +154,9 @@
 }
 
 func (s *Server) complete(ctx context.Context, c *app.RequestContext) {
+	if s.cfg.Fatal != "" && strings.Contains(string(c.Request.Body()), s.cfg.Fatal) {
+		os.Exit(exitFatal)
+	}
 	var req chat.Request
 	if err := json.Unmarshal(c.Request.Body(), &req); err != nil {
 		c.SetStatusCode(consts.StatusBadRequest)
--- a/pkg/standin/plain/plain.go
+++ b/pkg/standin/plain/plain.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,20 +39,25 @@
 
 // Server is the stand-in.
 type Server struct {
-	http *httpserve.Server
+	http  *httpserve.Server
+	fatal string
 
 	mu     sync.Mutex
 	runs   []Run
 	faults Faults
 }
 
-// Start listens on an address.
-func Start(address string) (*Server, error) {
+// exitFatal is the exit code after a fatal request.
+const exitFatal = 3
+
+// Start listens on an address. A request whose body has the text fatal ends the whole process, as a
+// fault of the service's would; empty for none.
+func Start(address, fatal string) (*Server, error) {
 	http, err := httpserve.Listen(httpserve.Options{Address: address, MaxBodyBytes: maxBodyBytes})
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{http: http}
+	s := &Server{http: http, fatal: fatal}
 	http.POST("/_faults", httpserve.Take(s.SetFaults))
 	http.GET("/_runs", s.getRuns)
 	http.NoRoute(s.run)
@@ -81,6 +88,9 @@
 		Path:   string(c.Path()),
 		Body:   string(c.Request.Body()),
 	}
+	if s.fatal != "" && strings.Contains(run.Body, s.fatal) {
+		os.Exit(exitFatal)
+	}
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	count := len(s.runs)
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -1,13 +1,20 @@
 package test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/pause"
+	"github.com/lavenderring/lavenderring/pkg/quarantine"
+	"github.com/lavenderring/lavenderring/pkg/quarantine/keeper"
 	"github.com/lavenderring/lavenderring/platform/standin"
 )
 
@@ -107,3 +114,198 @@
 		}
 	}
 }
+
+// condemn sends a body to one instance after the other until it is refused for good.
+func (f *routed) condemn(route, body string) {
+	f.t.Helper()
+	f.awaitRouted("refused for good", func() bool {
+		for n, i := range f.instances {
+			a := f.send(i, fmt.Sprintf("c-%d-%d", n, time.Now().UnixNano()), route, body)
+			if a.status != http.StatusServiceUnavailable || a.retryAfter != "" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// quarantineCommand runs the operators' command at an instance and returns what it prints.
+func quarantineCommand(i *routedInstance, args ...string) (string, error) {
+	all := append([]string{"quarantine", "--admin", i.admin}, args...)
+	out, err := exec.Command(filepath.Join(binaries, "lavenderring"), all...).CombinedOutput()
+	return string(out), err
+}
+
+// watched returns the requests that an instance suspects or does not run.
+func (f *routed) watched(i *routedInstance) []keeper.View {
+	f.t.Helper()
+	out, err := quarantineCommand(i, "--json", "list")
+	if err != nil {
+		f.t.Fatalf("%v: %s", err, out)
+	}
+	var views []keeper.View
+	f.must(json.Unmarshal([]byte(out), &views))
+	return views
+}
+
+func (f *routed) awaitVerdict() {
+	f.t.Helper()
+	f.awaitRouted("stored verdict", func() bool {
+		_, err := f.client.Get(f.t.Context(), "quarantine/verdicts")
+		return err == nil
+	})
+}
+
+// Guards against a request that ends upstreams again once all instances were lost, with what they
+// knew, or after the store has gone back to before the verdict as well.
+func TestCondemnedRequestStaysSoAfterALossOfAll(t *testing.T) {
+	f := newRouted(t, 3, 1_000_000)
+	crashed := f.armUpstreams()
+	f.condemn("safe", fatalBody)
+	f.awaitVerdict()
+	f.store.GoBack(standin.Return{AwayMillis: 100, AgeMillis: time.Since(time.Unix(0, 0)).Milliseconds()})
+	f.writeAgain()
+	f.awaitVerdict()
+	before := crashed.of(fatalBody)
+	for _, i := range f.instances {
+		i.kill()
+	}
+	for _, i := range f.instances {
+		i.process = f.run(i)
+	}
+	for _, i := range f.instances {
+		f.awaitRouted("ready", func() bool { return i.isReady() })
+	}
+	// An instance is bound once it has been in touch for some seconds.
+	f.awaitRouted("known again", func() bool {
+		for _, i := range f.instances {
+			if views := f.watched(i); len(views) != 1 || views[0].State != quarantine.Condemned {
+				return false
+			}
+		}
+		return true
+	})
+	for n := range 9 {
+		f.send(f.instances[n%3], fmt.Sprintf("again-%d", n), "safe", fatalBody)
+	}
+	if after := crashed.of(fatalBody); after != before {
+		t.Errorf("%d upstreams ended before, %d after", before, after)
+	}
+}
+
+// Guards against an instance that starts alone among others, knows nothing and sends a condemned
+// request on.
+func TestStartingInstanceKnowsWhatIsCondemned(t *testing.T) {
+	f := newRouted(t, 2, 1_000_000)
+	crashed := f.armUpstreams()
+	f.condemn("once", fatalBody)
+	before := crashed.of(fatalBody)
+	i := f.instances[0]
+	i.kill()
+	i.process = f.run(i)
+	f.awaitRouted("ready", func() bool { return i.isReady() })
+	for n := range 5 {
+		f.send(i, fmt.Sprintf("again-%d", n), "once", fatalBody)
+	}
+	if after := crashed.of(fatalBody); after != before {
+		t.Errorf("%d upstreams ended before, %d after", before, after)
+	}
+}
+
+// Guards against innocent requests that are refused because they ran beside a fatal one, or
+// because the same upstreams were restarted under them.
+func TestRequestsBesideAFatalOneAreServedAgain(t *testing.T) {
+	f := newRouted(t, 2, 1_000_000)
+	f.armUpstreams()
+	for n := range 12 {
+		var beside sync.WaitGroup
+		beside.Go(func() { f.send(f.instances[n%2], fmt.Sprintf("fatal-%d", n), "safe", fatalBody) })
+		beside.Go(func() { f.send(f.instances[1-n%2], fmt.Sprintf("beside-%d", n), "safe", "beside") })
+		beside.Wait()
+	}
+	for n, i := range f.instances {
+		f.awaitRouted("served", func() bool {
+			return f.send(i, fmt.Sprintf("after-%d-%d", n, time.Now().UnixNano()), "safe", "beside").status == http.StatusOK
+		})
+	}
+}
+
+// Guards against a released request that an instance or the store keeps refusing.
+func TestReleasedRequestRunsAtAllInstances(t *testing.T) {
+	f := newRouted(t, 2, 1_000_000)
+	f.armUpstreams()
+	f.condemn("safe", fatalBody)
+	id := f.watched(f.instances[0])[0].ID
+	if out, err := quarantineCommand(f.instances[0], "show", id); err != nil || !strings.Contains(out, "condemned") {
+		t.Errorf("show: %v: %s", err, out)
+	}
+	if out, err := quarantineCommand(f.instances[0], "release", id); err != nil {
+		t.Errorf("release: %v: %s", err, out)
+	}
+	for _, i := range f.instances {
+		f.awaitRouted("nothing watched", func() bool { return len(f.watched(i)) == 0 })
+	}
+	if out, err := quarantineCommand(f.instances[0], "release", id); err == nil {
+		t.Errorf("a second release is done: %s", out)
+	}
+}
+
+// Guards against a request that ends every upstream that runs it through the own door: plain
+// services, requests that may not be repeated, and streams of engines.
+func TestOwnDoorSendsAFatalRequestAFewTimesOnly(t *testing.T) {
+	f := newFleet(t, options{instances: 3, engines: 2, services: 2, prepaid: 1_000_000})
+	s := &supervisor{}
+	supervise(f, s, f.services, "plain")
+	supervise(f, s, f.engines, "engine")
+	t.Cleanup(s.running.Wait)
+	sendings := map[string]func(n int) answer{
+		"idempotent": func(n int) answer {
+			return call(f.instances[n%3].address, crewKey, http.MethodPost, "/services/jobs/x", "", []byte(fatalBody))
+		},
+		"once, with a key each": func(n int) answer {
+			return assign(f.instances[n%3].address, fmt.Sprint("key-", n), fatalBody)
+		},
+		"stream": func(n int) answer { return ask(f.instances[n%3].address, crewKey, true, 20, fatalBody) },
+	}
+	for name, send := range sendings {
+		var last answer
+		before := s.crashes.Load()
+		for n := range 15 {
+			last = send(n)
+			time.Sleep(betweenSendings)
+		}
+		if ended := s.crashes.Load() - before; ended == 0 || ended > mostCrashes {
+			t.Errorf("%s: %d upstreams ended", name, ended)
+		}
+		if last.status != http.StatusUnprocessableEntity || !last.refusedUnrun() || last.problem.Title != "request-quarantined" {
+			t.Errorf("%s: the last sending got %d %s", name, last.status, last.body)
+		}
+	}
+}
+
+// supervisor starts upstreams again that ended, and counts that.
+type supervisor struct {
+	crashes atomic.Int64
+	running sync.WaitGroup
+}
+
+// supervise takes the place of upstreams that the fleet has started, until the test ends.
+func supervise(f *fleet, s *supervisor, upstreams []*process, kind string) {
+	for _, u := range upstreams {
+		u.kill()
+		s.running.Go(func() { s.keep(f.t, kind, u.address) })
+		f.awaitListening(u.address)
+	}
+}
+
+func (s *supervisor) keep(t testing.TB, kind, address string) {
+	for t.Context().Err() == nil {
+		cmd := exec.CommandContext(t.Context(), filepath.Join(binaries, "standin"), kind, "--listen", address, "--fatal", fatalBody)
+		if cmd.Run() != nil && t.Context().Err() == nil {
+			s.crashes.Add(1)
+		}
+		if !pause.For(t.Context(), downFor) {
+			return
+		}
+	}
+}
--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -35,7 +35,7 @@
 
 type routedInstance struct {
 	*process
-	clients, ready, peers, settings string
+	clients, ready, peers, admin, settings string
 }
 
 // Figures of the fleet's configuration.
@@ -138,7 +138,7 @@
 }
 
 func (f *routed) startInstance(n int) *routedInstance {
-	i := &routedInstance{clients: freeAddress(), ready: freeAddress(), peers: freeAddress()}
+	i := &routedInstance{clients: freeAddress(), ready: freeAddress(), peers: freeAddress(), admin: freeAddress()}
 	text := fmt.Sprintf(`name = "edge-%d"
 region = "r"
 domain = %q
@@ -148,7 +148,7 @@
 admin_address = %q
 store_address = %q
 grace_seconds = 6.0
-`, n, domainOf(n), i.clients, i.ready, i.peers, freeAddress(), f.address)
+`, n, domainOf(n), i.clients, i.ready, i.peers, i.admin, f.address)
 	i.settings = filepath.Join(f.t.TempDir(), fmt.Sprintf("edge-%d.toml", n))
 	f.must(os.WriteFile(i.settings, []byte(text), 0o600))
 	i.process = f.run(i)
