A change whose confirmation is lost is told again at once

Seen: one of 295 instances was not in the store's later era after 1 s, once it lacked a change after another second (TestCopiesFollowTheStoreIntoALaterEra, one run of four). Cause: a confirmation that is lost was repeated by nothing but the next one, 0.7 s later; with one message of a hundred lost, the second is lost as well for one instance of some thirty fleets of 295, and the third comes too late. Change: the publisher knows which confirmations were not answered; one that told of a change is sent again at once, older by the time that has passed, so that it confirms nothing longer than the first. In the model a lost confirmation now takes its timeout to be noticed.

--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -20,6 +20,9 @@
 // linkBytes is what the smallest link of the users' machines carries in a second (10 Mbit/s).
 const linkBytes = 1_250_000
 
+// confirmTimeout is how long a confirmation that is lost goes unanswered.
+const confirmTimeout = 500 * time.Millisecond
+
 // silentAfter is how long the others of a fleet rank an instance that has died.
 const silentAfter = 3 * time.Second
 
@@ -154,10 +157,11 @@
 }
 
 // Confirm implements Peers.
-func (m *copyMember) Confirm(_ context.Context, address string, confirmation *followpb.Confirmation) {
+func (m *copyMember) Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation) error {
 	every := m.fleet.loseEvery
 	if rand.Float64() < m.fleet.loseMessages || (every > 0 && m.fleet.sent.Add(1)%every == 0) {
-		return
+		pause.For(ctx, confirmTimeout)
+		return context.DeadlineExceeded
 	}
 	time.Sleep(2 * time.Millisecond)
 	if m.fleet.handsOff.Load() {
@@ -166,9 +170,13 @@
 			state.Changes = nil
 		}
 	}
-	if other := m.fleet.at(address); !other.dead() && !other.unheard.Load() {
-		other.publisher.Take(confirmation)
+	other := m.fleet.at(address)
+	if other.dead() || other.unheard.Load() {
+		pause.For(ctx, confirmTimeout)
+		return context.DeadlineExceeded
 	}
+	other.publisher.Take(confirmation)
+	return nil
 }
 
 func (f *fleetOfCopies) at(address string) *copyMember {
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -56,9 +56,9 @@
 	Addresses() []string
 	// AddressOf returns where an incarnation is reached; empty if that is not known.
 	AddressOf(incarnation string) string
-	// Confirm sends a confirmation to one of them; it returns within a bounded time, and
-	// is not repeated if it fails, since the next one comes soon.
-	Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation)
+	// Confirm sends a confirmation to one of them, and returns within a bounded time whether
+	// that has it.
+	Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation) error
 	// Fetch asks one of them for what changed; it returns within a bounded time.
 	Fetch(ctx context.Context, address string, request *followpb.FetchRequest) (*followpb.FetchReply, error)
 }
@@ -121,29 +121,31 @@
 		case <-ctx.Done():
 			return
 		}
-		if confirmation := p.confirmation(); confirmation != nil {
-			p.publish(ctx, confirmation)
+		if confirmation, news := p.confirmation(); confirmation != nil {
+			p.publish(ctx, confirmation, news)
 		}
 	}
 }
 
-// confirmation returns what this instance has to publish; nil for nothing. Copies that it
-// watches for long are confirmed by another, and what was read too long ago confirms none.
-func (p *Publisher) confirmation() *followpb.Confirmation {
+// confirmation returns what this instance has to publish, nil for nothing, and whether that tells of
+// a change. Copies that it watches for long are confirmed by another, and what was read too long ago
+// confirms none.
+func (p *Publisher) confirmation() (c *followpb.Confirmation, news bool) {
 	if p.peers.Rank() >= publishers {
-		return nil
+		return nil, false
 	}
 	var states []*followpb.CopyState
 	for name, follower := range p.followers {
 		position, age, read := follower.LastChange()
 		if read && age < p.timing.Last && follower.WatchesShort() {
+			news = news || p.published[name].Before(position)
 			states = append(states, p.state(name, follower, position, age))
 		}
 	}
 	if len(states) == 0 {
-		return nil
+		return nil, false
 	}
-	return &followpb.Confirmation{From: p.self, Copies: states}
+	return &followpb.Confirmation{From: p.self, Copies: states}, news
 }
 
 // state tells of one copy, with what changed since it was last told of unless that is large.
@@ -169,10 +171,30 @@
 
 // publish sends a confirmation to all at once and waits for none: one that does not answer
 // delays neither the others nor the next confirmation.
-func (p *Publisher) publish(ctx context.Context, confirmation *followpb.Confirmation) {
+func (p *Publisher) publish(ctx context.Context, confirmation *followpb.Confirmation, news bool) {
+	began := time.Now()
 	for _, address := range p.peers.Addresses() {
-		go p.peers.Confirm(ctx, address, confirmation)
+		go func() {
+			err := p.peers.Confirm(ctx, address, confirmation)
+			if err != nil && news {
+				// The next one comes soon, but if that is lost as well the change is late.
+				_ = p.peers.Confirm(ctx, address, aged(confirmation, time.Since(began)))
+			}
+		}()
+	}
+}
+
+// aged returns a confirmation that is sent some time after it was made: what it confirms, it
+// confirms as of then.
+func aged(confirmation *followpb.Confirmation, by time.Duration) *followpb.Confirmation {
+	later := proto.CloneOf(confirmation)
+	for _, state := range later.Copies {
+		state.AgeMs += by.Milliseconds()
+		if state.SinceOutageMs > 0 {
+			state.SinceOutageMs += by.Milliseconds()
+		}
 	}
+	return later
 }
 
 // Take takes in another instance's confirmation.
--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -162,10 +162,12 @@
 }
 
 // Confirm implements follow.Peers. Who does not answer is told of by the heartbeats.
-func (p copyPeers) Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation) {
-	if err := p.r.peers.Confirm(ctx, address, confirmation); err != nil {
+func (p copyPeers) Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation) error {
+	err := p.r.peers.Confirm(ctx, address, confirmation)
+	if err != nil {
 		metrics.GetOrRegisterCounter("copies.confirmations_lost", p.r.metrics).Inc(1)
 	}
+	return err
 }
 
 // Confirm implements the copies service.
