A drawer does not write again and again to an object that it passes over

Class: a retry loop whose failure is its own trigger. Change: only a write that was taken over starts the next; after one that was passed over the next tick does.

--- a/pkg/prepaid/fake_test.go
+++ b/pkg/prepaid/fake_test.go
@@ -112,10 +112,38 @@
 		},
 		Now: f.clock,
 	})
-	f.nodes = append(f.nodes, m)
+	f.change(func() { f.nodes = append(f.nodes, m) })
 	return m
 }
 
+// members returns the instances that there are.
+func (f *fleet) members() []*member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes
+}
+
+// unreachable reports whether no message passes between two instances.
+func (f *fleet) unreachable(from, to *member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return from.cut || to.cut || to.dead
+}
+
+// knownGone reports whether the others are told that an instance is dead or cut off.
+func (f *fleet) knownGone(m *member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.deathsKnown && (m.dead || m.cut)
+}
+
+// losesLoan reports whether a loan's request, or its answer, is lost.
+func (f *fleet) losesLoan() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.luck.Float64() < f.loseLoan
+}
+
 func (f *fleet) clock() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -255,9 +283,9 @@
 // put reports whether a write succeeded and said so.
 func (m *member) put(era, version uint64, value []byte) bool {
 	f := m.fleet
-	lost, late := f.chance(f.lose), f.chance(0.5)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	lost, late := f.luck.Float64() < f.lose, f.luck.Float64() < 0.5
 	if era != f.era || version != f.shards[era].version {
 		return false
 	}
@@ -272,11 +300,11 @@
 // Lend implements prepaid.Peers.
 func (m *member) Lend(ctx context.Context, to, budget string, need, ahead int64) (int64, error) {
 	peer := m.fleet.find(to)
-	if m.cut || peer.cut || peer.dead || m.fleet.chance(m.fleet.loseLoan) {
+	if m.fleet.unreachable(m, peer) || m.fleet.losesLoan() {
 		return 0, errLost
 	}
 	tokens := peer.Node.Lend(ctx, budget, need, ahead)
-	if m.fleet.chance(m.fleet.loseLoan) {
+	if m.fleet.losesLoan() {
 		return 0, errLost // lent, and the answer lost
 	}
 	return tokens, nil
@@ -285,7 +313,7 @@
 // Recall implements prepaid.Peers.
 func (m *member) Recall(_ context.Context, to, budget string) error {
 	peer := m.fleet.find(to)
-	if m.cut || peer.cut || peer.dead {
+	if m.fleet.unreachable(m, peer) {
 		return errLost
 	}
 	peer.Recalled(budget)
@@ -293,7 +321,7 @@
 }
 
 func (f *fleet) find(name string) *member {
-	for _, m := range f.nodes {
+	for _, m := range f.members() {
 		if m.name == name {
 			return m
 		}
@@ -304,8 +332,8 @@
 // Others implements prepaid.Fleet. With deaths known, it does not name who is dead or cut off.
 func (m *member) Others() []string {
 	var names []string
-	for _, other := range m.fleet.nodes {
-		if other != m && (!m.fleet.deathsKnown || (!other.dead && !other.cut)) {
+	for _, other := range m.fleet.members() {
+		if other != m && !m.fleet.knownGone(other) {
 			names = append(names, other.name)
 		}
 	}
@@ -313,14 +341,18 @@
 }
 
 // Joined implements prepaid.Fleet.
-func (m *member) Joined() bool { return !m.fleet.unknown }
+func (m *member) Joined() bool {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return !m.fleet.unknown
+}
 
 // Known implements prepaid.Fleet.
-func (m *member) Known() int { return len(m.fleet.nodes) }
+func (m *member) Known() int { return len(m.fleet.members()) }
 
 // Live implements prepaid.Fleet; as Others.
 func (m *member) Live(name string) (string, bool) {
-	if other := m.fleet.find(name); m.fleet.deathsKnown && other != nil && (other.dead || other.cut) {
+	if other := m.fleet.find(name); other != nil && m.fleet.knownGone(other) {
 		return "", true
 	}
 	return name, name != ""
@@ -347,16 +379,23 @@
 	ctx context.Context, to string, req *prepaidpb.RefillRequest,
 ) (*prepaidpb.RefillReply, error) {
 	peer := m.fleet.find(to)
-	if m.cut || peer.cut || peer.dead || m.fleet.chance(m.fleet.loseLoan) {
+	if m.fleet.unreachable(m, peer) || m.fleet.losesLoan() {
 		return nil, errLost
 	}
 	reply := peer.Node.Refill(ctx, req)
-	if m.fleet.loseAnswers || m.fleet.chance(m.fleet.loseLoan) {
+	if m.fleet.losesAnswer() || m.fleet.losesLoan() {
 		return nil, errLost // dealt out, and the answer lost
 	}
 	return reply, nil
 }
 
+// losesAnswer reports whether the answers of drawers are lost.
+func (f *fleet) losesAnswer() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loseAnswers
+}
+
 // Moved implements prepaid.Observer.
 func (m *member) Moved(prepaid.Movement) {}
 
--- a/pkg/prepaid/recovery_test.go
+++ b/pkg/prepaid/recovery_test.go
@@ -342,3 +342,41 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Guards against a drawer that writes to the ledger without a pause, again and again, because what
+// it reads is of an era that it takes for over: another instance told of a later one that the store
+// never had.
+func TestLedgerOfAnEraTakenForOverIsNotWrittenWithoutAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 3, map[string]int64{account: 1_000_000})
+		f.change(func() { f.drawers, f.deathsKnown, f.hold = []string{"i0"}, true, 1 })
+		for _, m := range f.nodes {
+			spend(t, m, 100)
+		}
+		rest := func() {
+			f.advance(time.Second)
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+		f.goBack(1000)
+		f.nodes[0].sawEra() // its object waits for the others
+		rest()
+		f.change(func() { f.drawers = []string{"i1"} })
+		f.nodes[1].sawEra()
+		rest()
+		f.change(func() { f.loseAnswers = true })
+		f.nodes[2].sawEra() // it tells the second, which settles the object
+		rest()
+		f.nodes[0].HeardEra(f.storeEra() + 1)
+		rest()
+		f.change(func() { f.drawers, f.nodes[1].dead = []string{"i0"}, true })
+		f.change(func() { f.tries = 0 })
+		f.nodes[2].Tick(t.Context()) // it tells the first, whose word it lacks
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.tries > 4 {
+			t.Errorf("%d writes in 3 s", f.tries)
+		}
+	})
+}
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -175,8 +175,10 @@
 		n.mu.Lock()
 		n.shards[shard].flight = nil
 		n.noteAway(shard, f.err != nil && !answered(f.err))
-		if f.err == nil || errors.Is(f.err, ErrUnsettled) {
-			n.settleNow(shard) // after a write that failed, the next tick tries again
+		if f.err == nil || errors.Is(f.err, errUnsettledYet) {
+			// After any other write the next tick tries again: what kept that one from
+			// settling the object would keep the next one too.
+			n.settleNow(shard)
 		}
 		n.mu.Unlock()
 		close(f.done)
@@ -257,17 +259,25 @@
 		return err
 	}
 	if !n.adopt(shard, after) {
-		return ErrUnsettled // it is found in the ledger later, if it is there
+		return errPassedOver // what it drew is found in the ledger later, if it is there
 	}
 	if recovered.Tokens > 0 || recovered.Settled {
 		n.Observer.Recovered(recovered)
 	}
 	if after.Unsettled {
-		return ErrUnsettled
+		return errUnsettledYet
 	}
 	return nil
 }
 
+// Writes after which the shard cannot be drawn from.
+var (
+	// errUnsettledYet means that the object waits for what others have seen.
+	errUnsettledYet = fmt.Errorf("others have not told yet: %w", ErrUnsettled)
+	// errPassedOver means that the object is of an era that this instance takes for over.
+	errPassedOver = fmt.Errorf("an older era's object was passed over: %w", ErrUnsettled)
+)
+
 // Tries of one write against other instances' writes.
 const (
 	// writerTries is for one that is among the few that write to a shard.
