Crashes are judged by what else crashes at the time

Cause: a sound request that is repeated while upstreams crash of other causes collects three crashes as well. Change: a crash counts as the request's own only if no other upstream crashed within 80 ms without a suspect that explains it, and two crashes of its own are needed beside the third; six condemn whatever else crashes. A crash is judged 80 ms after it, when others have told of theirs.

--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -11,6 +11,7 @@
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 )
 
@@ -66,16 +67,20 @@
 			e.Log.Event(eventlog.RequestCleared, r.id, eventlog.Fields{"fingerprint": r.Fingerprint().String()})
 		}
 	case handed && !gone && e.Lookout.Look(address) == httpconn.Crashed:
-		e.crashed(r, run, upstream)
+		e.crashed(ctx, r, run, upstream)
 	default:
 		run.Ended()
 	}
 }
 
-func (e *Entry) crashed(r *request, run quarantine.Run, upstream string) {
+func (e *Entry) crashed(ctx context.Context, r *request, run quarantine.Run, upstream string) {
 	e.meters.crashes.Inc(1)
 	origin := quarantine.Origin{Account: r.budget, Route: string(r.c.Path())}
-	record := run.Crashed(origin, upstream, e.Now())
+	crash := run.Crashed(origin, upstream, e.Now())
+	if !crash.IsFirst() {
+		pause.For(ctx, quarantine.JudgeAfter)
+	}
+	record := crash.Judge()
 	e.Log.Event(eventlog.RequestSuspected, r.id, eventlog.Fields{
 		"fingerprint": record.Fingerprint.String(), "crashes": record.InARow(), "upstream": upstream,
 		"condemned": e.Quarantine.StateOf(record.Fingerprint) == quarantine.Condemned,
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -70,7 +70,7 @@
 	c.tried = append(c.tried, place.ID)
 	a := &attempt{c: c, place: place, reuse: -1}
 	failed = a.run(ctx)
-	a.concludeRun(run, failed, ctx.Err() != nil)
+	a.concludeRun(ctx, run, failed)
 	a.end(ctx, failed)
 	return failed
 }
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"context"
 	"errors"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 )
 
@@ -32,15 +34,15 @@
 }
 
 // concludeRun notes what an attempt showed of the request.
-func (a *attempt) concludeRun(run quarantine.Run, failed *failure, left bool) {
+func (a *attempt) concludeRun(ctx context.Context, run quarantine.Run, failed *failure) {
 	switch {
 	case failed == nil || failed.answered:
 		if run.Answered() {
 			a.c.f.meters.cleared.Inc(1)
 			a.c.f.Log.Event(eventlog.RequestCleared, a.c.r.ID, eventlog.Fields{"fingerprint": a.c.Fingerprint().String()})
 		}
-	case failed.ended && !left && a.lookAtUpstream(failed) == httpconn.Crashed:
-		a.crashed(run)
+	case failed.ended && ctx.Err() == nil && a.lookAtUpstream(failed) == httpconn.Crashed:
+		a.crashed(ctx, run)
 	default:
 		run.Ended()
 	}
@@ -57,11 +59,15 @@
 	return state
 }
 
-func (a *attempt) crashed(run quarantine.Run) {
+func (a *attempt) crashed(ctx context.Context, run quarantine.Run) {
 	f := a.c.f
 	f.meters.crashes.Inc(1)
 	origin := quarantine.Origin{Account: a.c.accountName(), Route: a.c.route.Name}
-	record := run.Crashed(origin, a.place.ID, f.Now())
+	crash := run.Crashed(origin, a.place.ID, f.Now())
+	if !crash.IsFirst() {
+		pause.For(ctx, quarantine.JudgeAfter)
+	}
+	record := crash.Judge()
 	f.Log.Event(eventlog.RequestSuspected, a.c.r.ID, eventlog.Fields{
 		"fingerprint": record.Fingerprint.String(), "crashes": record.InARow(), "upstream": a.place.ID,
 		"condemned": f.Quarantine.StateOf(record.Fingerprint) == quarantine.Condemned,
--- a/pkg/quarantine/bound.go
+++ b/pkg/quarantine/bound.go
@@ -27,7 +27,7 @@
 	if t.accounts[record.Account] >= mostOfAccount || len(t.records) >= mostRecords {
 		return nil
 	}
-	e := &entry{Record: Record{
+	e := &entry{crashed: map[string]bool{}, Record: Record{
 		Fingerprint: record.Fingerprint,
 		Account:     record.Account,
 		Route:       record.Route,
@@ -42,7 +42,7 @@
 // longest suspected. Condemned ones stay: a caller that fills the table would free its requests.
 func (t *Table) evict(matches func(*entry) bool) {
 	candidates := slices.DeleteFunc(slices.Collect(maps.Values(t.records)), func(e *entry) bool {
-		return !matches(e) || e.InARow() >= CondemnAfter
+		return !matches(e) || e.IsCondemned()
 	})
 	slices.SortFunc(candidates, func(a, b *entry) int {
 		return cmp.Or(cmp.Compare(a.InARow(), b.InARow()), a.LastCrash.Compare(b.LastCrash),
--- a/pkg/quarantine/hash.go
+++ b/pkg/quarantine/hash.go
@@ -32,6 +32,8 @@
 		_, _ = digest.WriteString(instance)
 		_, _ = digest.Write(binary.BigEndian.AppendUint32(nil, r.Crashes[instance]))
 	}
-	_, _ = digest.Write(binary.BigEndian.AppendUint32(nil, r.Cleared))
+	for _, figure := range []uint32{r.Cleared, r.Alone, r.Verdict} {
+		_, _ = digest.Write(binary.BigEndian.AppendUint32(nil, figure))
+	}
 	return digest.Sum64()
 }
--- a/pkg/quarantine/keeper/verdicts.go
+++ b/pkg/quarantine/keeper/verdicts.go
@@ -98,7 +98,7 @@
 		wanted[stored[i].Fingerprint.String()] = true
 	}
 	for i := range known {
-		if known[i].InARow() >= quarantine.CondemnAfter || wanted[known[i].Fingerprint.String()] {
+		if known[i].IsCondemned() || wanted[known[i].Fingerprint.String()] {
 			merged.Merge(known[i:i+1], time.Time{}, false)
 		}
 	}
--- a/pkg/quarantine/merge_test.go
+++ b/pkg/quarantine/merge_test.go
@@ -19,6 +19,8 @@
 		Account:     "crew",
 		Crashes:     map[string]uint32{},
 		Cleared:     rng.Uint32N(4),
+		Alone:       rng.Uint32N(4),
+		Verdict:     rng.Uint32N(5),
 		Started:     rng.Uint32N(5),
 		Ended:       rng.Uint32N(5),
 	}
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -8,9 +8,14 @@
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 )
 
-// CondemnAfter is how many crashes in a row condemn a request. Fewer would condemn requests that
-// twice met another one that crashes upstreams.
-const CondemnAfter = 3
+// How many crashes condemn.
+const (
+	// CondemnAfter is how many crashes in a row condemn a request at least. Fewer would condemn
+	// requests that twice met another one that crashes upstreams.
+	CondemnAfter = 3
+	// CondemnAtMost is how many condemn it whatever else crashes.
+	CondemnAtMost = 6
+)
 
 // mostReporters bounds the instances that a record names. Two are enough to condemn.
 const mostReporters = 4
@@ -28,6 +33,10 @@
 	// Cleared is up to which ordinal crashes say nothing, since the request was answered
 	// after them, or an operator released it.
 	Cleared uint32
+	// Alone is the ordinal among the crashes that came when no other upstream crashed.
+	Alone uint32
+	// Verdict is how many crashes there were when an instance condemned the request.
+	Verdict uint32
 	// Started and Ended are the ordinals of the last trials that began and ended. A trial is
 	// a run of a request that is suspected.
 	Started, Ended uint32
@@ -65,14 +74,16 @@
 	return last - min(last, r.Cleared)
 }
 
+// IsCondemned reports that some instance condemned the request and nothing has cleared it since.
+func (r *Record) IsCondemned() bool { return r.Verdict > r.Cleared || r.InARow() >= CondemnAtMost }
+
 // StateAt tells what an instance does with the request. The word of one other instance does not
 // condemn: a faulty one would take requests away from all.
 func (r *Record) StateAt(instance string) State {
-	inARow := r.InARow()
 	switch {
-	case inARow == 0:
+	case r.InARow() == 0:
 		return Clear
-	case inARow < CondemnAfter:
+	case !r.IsCondemned():
 		return Suspected
 	}
 	reporters := 0
@@ -96,6 +107,8 @@
 	r.boundReporters()
 	changed = !maps.Equal(before, r.Crashes)
 	changed = raise(&r.Cleared, other.Cleared) || changed
+	changed = raise(&r.Alone, other.Alone) || changed
+	changed = raise(&r.Verdict, other.Verdict) || changed
 	changed = raise(&r.Started, other.Started) || changed
 	changed = raise(&r.Ended, other.Ended) || changed
 	if other.LastCrash.After(r.LastCrash) {
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -3,7 +3,8 @@
 //
 // A request under which an upstream crashed is suspected: it may have been the cause, or have run
 // beside it. Suspected requests run one at a time in the whole fleet. An answer clears a request;
-// CondemnAfter crashes in a row condemn it, for good, unless an operator releases it.
+// CondemnAfter crashes in a row condemn it, for good, unless an operator releases it. Where other
+// upstreams crash at the same time without a suspect, more are needed.
 package quarantine
 
 import (
@@ -54,7 +55,9 @@
 	// accounts counts the records of each account.
 	accounts map[string]int
 	news     map[fingerprint.Fingerprint]bool
-	onNews   func()
+	// seen are the crashes of upstreams of the last seconds.
+	seen   crashesSeen
+	onNews func()
 	// onCondemned is called after a crash seen here condemned a request.
 	onCondemned func()
 }
@@ -64,6 +67,17 @@
 	Record
 	// heldUntil is when a trial of another instance holds no longer.
 	heldUntil time.Time
+	// crashed are incarnations that crashed under the request, the first of them.
+	crashed map[string]bool
+}
+
+// mostOwnCrashes bounds the incarnations that an entry names.
+const mostOwnCrashes = 32
+
+func (e *entry) noteCrash(upstream string) {
+	if upstream != "" && len(e.crashed) < mostOwnCrashes {
+		e.crashed[upstream] = true
+	}
 }
 
 // NewTable returns the empty table of an instance. onNews, if not nil, is called after a change
@@ -77,6 +91,7 @@
 		records:  map[fingerprint.Fingerprint]*entry{},
 		accounts: map[string]int{},
 		news:     map[fingerprint.Fingerprint]bool{},
+		seen:     crashesSeen{},
 		onNews:   onNews,
 
 		onCondemned: func() {},
@@ -150,30 +165,60 @@
 	return run, nil
 }
 
-// Crashed notes that the upstream crashed while the request ran there, and returns the record.
-func (r Run) Crashed(origin Origin, upstream string, now time.Time) Record {
+// Crashed notes that the upstream crashed while the request ran there. Judge is to be called after
+// JudgeAfter; until then an equal request does not run if this one is suspected.
+func (r Run) Crashed(origin Origin, upstream string, now time.Time) Crash {
 	t := r.table
 	f := r.request.Fingerprint()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.seen.note(upstream, r.trial != 0, now)
 	before := r.before
 	if e := t.records[f]; e != nil {
 		before = max(before, e.Cleared) // what was cleared was not looked up when the run began
 	}
-	crash := Record{
+	crash := Crash{run: r, at: now, record: Record{
 		Fingerprint: f,
 		Account:     origin.Account,
 		Route:       origin.Route,
 		Crashes:     map[string]uint32{t.self: before + 1},
-		Ended:       r.trial,
 		LastCrash:   now,
 		Upstream:    upstream,
-	}
-	t.merge(&crash, now)
-	e := t.records[f]
+	}}
+	t.merge(&crash.record, now)
+	return crash
+}
+
+// Crash is one that waits for its judgement.
+type Crash struct {
+	run    Run
+	at     time.Time
+	record Record
+}
+
+// IsFirst reports that the request was not suspected before: it needs no judgement then.
+func (c *Crash) IsFirst() bool { return c.run.trial == 0 }
+
+// Judge tells what follows for the request: a crash counts for more if no other upstream crashed at
+// that time of an unknown cause.
+func (c *Crash) Judge() Record {
+	t := c.run.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.records[c.record.Fingerprint]
 	if e == nil {
-		return crash // the table has no room for it
+		return c.record // the table has no room for it
+	}
+	verdict := Record{Fingerprint: c.record.Fingerprint, Ended: c.run.trial}
+	if !c.IsFirst() && !t.seen.othersAt(e.crashed, c.at) {
+		verdict.Alone = max(e.Alone, e.Cleared) + 1
 	}
+	alone := max(e.Alone, verdict.Alone)
+	alone -= min(alone, e.Cleared)
+	if e.InARow() >= CondemnAfter && alone >= t.seen.aloneNeeded(e.crashed, c.at) {
+		verdict.Verdict = e.last()
+	}
+	t.merge(&verdict, c.at)
 	if e.StateAt(t.self) == Condemned {
 		t.onCondemned()
 	}
@@ -262,6 +307,7 @@
 	for i := range records {
 		f := records[i].Fingerprint
 		told := t.news[f]
+		t.hear(&records[i], now)
 		if !t.merge(&records[i], now) {
 			continue
 		}
@@ -284,6 +330,7 @@
 		}
 	}
 	started := e.Started
+	e.noteCrash(record.Upstream)
 	t.change(e, func() bool {
 		changed = e.Record.merge(record)
 		return changed
@@ -294,6 +341,13 @@
 	return changed
 }
 
+// hear notes the crash that another instance's record tells of.
+func (t *Table) hear(record *Record, now time.Time) {
+	if e := t.records[record.Fingerprint]; record.Upstream != "" && (e == nil || record.last() > e.last()) {
+		t.seen.note(record.Upstream, record.InARow() > 1, now)
+	}
+}
+
 // News returns what the other instances are to be told, and forgets it.
 func (t *Table) News() []Record {
 	t.mu.Lock()
--- a/pkg/quarantine/wire.go
+++ b/pkg/quarantine/wire.go
@@ -44,6 +44,8 @@
 		Account:     r.Account,
 		Route:       r.Route,
 		Cleared:     r.Cleared,
+		Alone:       r.Alone,
+		Verdict:     r.Verdict,
 		Started:     r.Started,
 		Ended:       r.Ended,
 		LastCrashMs: r.LastCrash.UnixMilli(),
@@ -69,6 +71,8 @@
 			Route:       m.Route,
 			Crashes:     map[string]uint32{},
 			Cleared:     m.Cleared,
+			Alone:       m.Alone,
+			Verdict:     m.Verdict,
 			Started:     m.Started,
 			Ended:       m.Ended,
 			LastCrash:   time.UnixMilli(m.LastCrashMs),
@@ -91,7 +95,7 @@
 		return "a name is too long"
 	case len(m.Crashes) > mostReporters:
 		return "too many instances are named"
-	case max(m.Cleared, m.Started, m.Ended) > mostOrdinal:
+	case max(m.Cleared, m.Alone, m.Verdict, m.Started, m.Ended) > mostOrdinal:
 		return "an ordinal is out of range"
 	}
 	for _, crashes := range m.Crashes {
