A crash is explained by a request under which two have crashed, not by any suspect

Cause: where upstreams are killed one after the other nearly all that crash have some suspect, most of them sound, so crashes looked explained and few crashes of its own were asked of a request. Change: only a request with two crashes in a row explains a third; what is not explained raises how many are needed.

--- a/pkg/quarantine/seen.go
+++ b/pkg/quarantine/seen.go
@@ -17,12 +17,18 @@
 
 type crashSeen struct {
 	at time.Time
-	// explained says that a suspected request ran there.
+	// explained says that a request ran there under which others had crashed one after the
+	// other.
 	explained bool
 }
 
-// note takes in that a request was running at an upstream that crashed.
-func (s crashesSeen) note(upstream string, suspected bool, now time.Time) {
+// explains is how many crashes in a row make a request the likely cause of the next one. After one
+// crash all that ran beside the cause are suspected alike.
+const explains = 2
+
+// note takes in that a request was running at an upstream that crashed, and how many had crashed
+// under it before.
+func (s crashesSeen) note(upstream string, before uint32, now time.Time) {
 	for id, seen := range s {
 		if now.Sub(seen.at) > rememberFor {
 			delete(s, id)
@@ -32,12 +38,12 @@
 	if !known {
 		seen.at = now
 	}
-	seen.explained = seen.explained || suspected
+	seen.explained = seen.explained || before >= explains
 	s[upstream] = seen
 }
 
-// othersAt reports whether an upstream outside of own crashed at a time, and no suspected request was
-// there that explains it. A domain that loses power, and a release, are such.
+// othersAt reports whether an upstream outside of own crashed at a time, and nothing that ran
+// there explains it. A domain that loses power, and a release, are such.
 func (s crashesSeen) othersAt(own map[string]bool, at time.Time) bool {
 	for id, seen := range s {
 		if !own[id] && !seen.explained && seen.at.Sub(at).Abs() <= JudgeAfter {
@@ -59,10 +65,10 @@
 	}
 	switch {
 	case unexplained <= 2:
-		return 2
-	case unexplained <= 5:
-		return 3
+		return CondemnAfter - 1
+	case unexplained <= 4:
+		return CondemnAfter
 	default:
-		return 4
+		return CondemnAtMost - 1
 	}
 }
