The more upstreams crash, the more crashes of its own a request needs

Change: all others of the last ten seconds count, explained or not: up to four leave it at two, up to eight at three, more at five. Two poisoned bodies have three others each, so nothing changes for them.

--- a/pkg/quarantine/seen.go
+++ b/pkg/quarantine/seen.go
@@ -53,20 +53,26 @@
 	return false
 }
 
+// How common crashes are: so many others of the last seconds make a request's own say less.
+const (
+	fewOthers  = 4
+	someOthers = 8
+)
+
 // aloneNeeded is how many crashes of its own a request needs to be condemned; own are the upstreams
-// that crashed under it. Where upstreams crash one after the other without a suspect, a sound
-// request meets several of them.
+// that crashed under it. Where many others crash, for whatever cause, a sound request meets several
+// of them.
 func (s crashesSeen) aloneNeeded(own map[string]bool, now time.Time) uint32 {
-	unexplained := 0
+	others := 0
 	for id, seen := range s {
-		if !own[id] && !seen.explained && now.Sub(seen.at) <= rememberFor {
-			unexplained++
+		if !own[id] && now.Sub(seen.at) <= rememberFor {
+			others++
 		}
 	}
 	switch {
-	case unexplained <= 2:
+	case others <= fewOthers:
 		return CondemnAfter - 1
-	case unexplained <= 4:
+	case others <= someOthers:
 		return CondemnAfter
 	default:
 		return CondemnAtMost - 1
