Soak: requests that crash the upstreams that run them; safeguards of the quarantine

A third of the soak's seeds have one to three bodies that end what runs them, sent through any instance beside all other faults; upstreams come back under their id with another start. Fifteen safeguards, each of which a test misses when it is taken out.

--- a/pkg/follow/fleet_test.go
+++ b/pkg/follow/fleet_test.go
@@ -71,6 +71,10 @@
 	follow    *Follower
 	publisher *Publisher
 	stop      context.CancelFunc
+	// loses is how many further confirmations that tell of changes do not reach it, bare says
+	// that no other ones do.
+	loses atomic.Int32
+	bare  atomic.Bool
 	// unheard says that no confirmation reaches it, alone that it reaches no other instance.
 	unheard, alone atomic.Bool
 	// handedBytes counts what it has handed on.
@@ -171,7 +175,7 @@
 		}
 	}
 	other := m.fleet.at(address)
-	if other.dead() || other.unheard.Load() {
+	if other.dead() || other.unheard.Load() || other.drops(confirmation) {
 		pause.For(ctx, confirmTimeout)
 		return context.DeadlineExceeded
 	}
@@ -179,6 +183,14 @@
 	return nil
 }
 
+// drops reports whether a confirmation does not reach the instance.
+func (m *copyMember) drops(confirmation *followpb.Confirmation) bool {
+	if confirmation.Copies[0].Changes == nil {
+		return m.bare.Load()
+	}
+	return m.loses.Add(-1) >= 0
+}
+
 func (f *fleetOfCopies) at(address string) *copyMember {
 	var place int
 	_, _ = fmt.Sscan(address, &place)
@@ -428,3 +440,22 @@
 		t.Errorf("the copy is at %v", copied.get())
 	}
 }
+
+// Guards against a change that waits for the next confirmation, and the one after it, where the
+// first that told of it was lost.
+func TestChangeWhoseConfirmationIsLostIsToldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := startFleet(t.Context(), history{size: 9, answerTime: answerTime})
+		defer fleet.end()
+		time.Sleep(silentAfter)
+		m := fleet.members[5]
+		m.loses.Store(1)
+		m.bare.Store(true)
+		fleet.store.change()
+		version, _, _ := fleet.store.state()
+		time.Sleep(confirmTimeout + longestStaleness/20)
+		if late := fleet.behind(version); late > 0 {
+			t.Errorf("%d copies lack the change", late)
+		}
+	})
+}
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -265,7 +265,10 @@
 		inFleet(t, 7, seed, func(f *fleet) {
 			f.sendAgainAndAgain("fatal", sendEvery, 4*time.Second)
 			f.start(3)
-			for !f.at(3).spreader.Compared() {
+			for range contact / messageTime {
+				if f.at(3).spreader.Compared() {
+					break
+				}
 				time.Sleep(messageTime)
 			}
 			if state := f.at(3).spreader.Table().StateOf(bodyRequest("fatal").Fingerprint()); state != Condemned {
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -207,6 +207,20 @@
 	}
 }
 
+// Guards against a caller that frees its condemned requests by ever new ones.
+func TestTableFullOfCondemnedKeepsThem(t *testing.T) {
+	table := NewTable("a", nil)
+	for body := range mostOfAccount {
+		for n := range CondemnAfter {
+			crash(t, table, fmt.Sprint("fatal ", body), CondemnAfter*body+n)
+		}
+	}
+	crash(t, table, "one more", CondemnAfter*mostOfAccount)
+	if condemned := len(table.Condemned()); condemned != mostOfAccount {
+		t.Errorf("%d of %d are condemned", condemned, mostOfAccount)
+	}
+}
+
 // Guards against records of a faulty instance that stop others or stay for good.
 func TestUnusableRecordsArePassedOver(t *testing.T) {
 	good := Encode([]Record{{Fingerprint: bodyRequest("x").Fingerprint(), Crashes: map[string]uint32{"a": 1}}})
--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -28,13 +28,15 @@
 // sending is one request of a client, and what became of it.
 type sending struct {
 	id, route, key string
-	instance       *instance
-	began, ended   time.Time
-	status         int
-	body           string
-	sealed         bool
-	answerTo       string
-	err            error
+	// content is the request's body; empty for one of its own.
+	content      string
+	instance     *instance
+	began, ended time.Time
+	status       int
+	body         string
+	sealed       bool
+	answerTo     string
+	err          error
 	// left says that the client left early.
 	left bool
 }
@@ -78,8 +80,12 @@
 	s.began = time.Now()
 	defer func() { s.ended = time.Now() }()
 	names := platform.UpstreamHeaders
-	body := strings.NewReader("body of " + s.id)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.instance.clients+"/"+s.route+"/x", body)
+	content := s.content
+	if content == "" {
+		content = "body of " + s.id
+	}
+	url := "http://" + s.instance.clients + "/" + s.route + "/x"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(content))
 	if err != nil {
 		s.err = err
 		return
--- a/pkg/soak/fleet.go
+++ b/pkg/soak/fleet.go
@@ -32,6 +32,9 @@
 	// leaving are those that have said that they leave and are still there.
 	leaving map[*upstream]bool
 	made    int
+	closed  bool
+	// onCrash is told of an upstream that a request ended.
+	onCrash func(u *upstream, ran standin.Run)
 }
 
 // instance is one instance as a process of its own, behind relays.
@@ -56,8 +59,8 @@
 	relayAddress    string
 }
 
-func newFleet(opts Options) (*fleet, error) {
-	f := &fleet{opts: opts, leaving: map[*upstream]bool{}}
+func newFleet(opts Options, onCrash func(*upstream, standin.Run)) (*fleet, error) {
+	f := &fleet{opts: opts, leaving: map[*upstream]bool{}, onCrash: onCrash}
 	address := loopback.Address()
 	var err error
 	if f.store, err = standin.Start(address); err != nil {
@@ -186,7 +189,8 @@
 	if u.relay, err = relay.Start(u.relayAddress, "", u.Address); err != nil {
 		return fmt.Errorf("start a relay: %w", err)
 	}
-	u.SetFaults(standin.UpstreamFaults{Delay: workTime})
+	u.OnCrash = func(ran standin.Run) { f.onCrash(u, ran) }
+	u.SetFaults(standin.UpstreamFaults{Delay: workTime, Fatal: fatalMark})
 	f.store.Announce(u.Upstream, service, domain, u.relayAddress, false)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -252,6 +256,9 @@
 		i.toStore.Close()
 		_ = i.log.Close()
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
 	for _, u := range f.all {
 		u.Close()
 	}
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -41,14 +41,16 @@
 	Requests   int
 	Statuses   map[string]int
 	Violations []string
+	// Fatal is how many requests crashed upstreams, Crashes how many they crashed.
+	Fatal, Crashes int
 	// Apart is what was overspent after the store went back while instances died, in tokens.
 	Apart int64
 }
 
 // String implements fmt.Stringer.
 func (r *Report) String() string {
-	return fmt.Sprintf("seed %d: %d faults, %d requests %v, %d violations, %d tokens apart",
-		r.Seed, r.Faults, r.Requests, r.Statuses, len(r.Violations), r.Apart)
+	return fmt.Sprintf("seed %d: %d faults, %d requests %v, %d violations, %d tokens apart, %d fatal requests that crashed %d upstreams",
+		r.Seed, r.Faults, r.Requests, r.Statuses, len(r.Violations), r.Apart, r.Fatal, r.Crashes)
 }
 
 // struck is when a fault was in force, and where.
@@ -63,6 +65,9 @@
 	opts   Options
 	fleet  *fleet
 	probes int
+	// fatal are the requests that crash upstreams, crashes how often they did.
+	fatal   []*fatalRequest
+	crashes int
 
 	mu         sync.Mutex
 	sendings   []*sending
@@ -81,12 +86,12 @@
 
 // Run plays one run to its end.
 func Run(opts Options) (*Report, error) {
-	fleet, err := newFleet(opts)
-	if err != nil {
+	r := &run{opts: opts, fatal: newFatalRequests(opts.Seed)}
+	var err error
+	if r.fleet, err = newFleet(opts, r.crashed); err != nil {
 		return nil, err
 	}
-	defer fleet.close()
-	r := &run{opts: opts, fleet: fleet}
+	defer r.fleet.close()
 	if err := r.awaitReady(); err != nil {
 		return nil, err
 	}
@@ -95,6 +100,7 @@
 	time.Sleep(runsSettle)
 	r.checkRecovery()
 	r.checkRuns()
+	r.checkFatal()
 	return r.report(len(plan)), nil
 }
 
@@ -118,6 +124,9 @@
 	for n := range r.opts.Clients {
 		using.Go(func() { r.client(clients, n) })
 	}
+	for n, f := range r.fatal {
+		using.Go(func() { r.keepSending(clients, n, f) })
+	}
 	began := time.Now()
 	for _, f := range plan {
 		time.Sleep(time.Until(began.Add(f.At)))
@@ -199,6 +208,7 @@
 func (r *run) report(faults int) *Report {
 	report := &Report{
 		Seed: r.opts.Seed, Faults: faults, Requests: len(r.sendings), Statuses: map[string]int{}, Violations: r.violations, Apart: r.apart,
+		Fatal: len(r.fatal), Crashes: r.crashes,
 	}
 	for _, s := range r.sendings {
 		name := fmt.Sprint(s.status)
--- a/pkg/soak/strike.go
+++ b/pkg/soak/strike.go
@@ -108,10 +108,10 @@
 	u := r.fleet.upstream(f.Target)
 	link := func(faults relay.Faults) { disturb(ctx, u.relay, faults, f.For) }
 	answers := func(faults standin.UpstreamFaults) {
-		faults.Delay = workTime
+		faults.Delay, faults.Fatal = workTime, fatalMark
 		u.SetFaults(faults)
 		pause.For(ctx, f.For)
-		u.SetFaults(standin.UpstreamFaults{Delay: workTime})
+		u.SetFaults(standin.UpstreamFaults{Delay: workTime, Fatal: fatalMark})
 	}
 	switch f.Kind {
 	case UpstreamReset:
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -94,4 +94,20 @@
 try cut-off-alone-is-no-outage pkg/follow/follow.go 's/outage := !f\.ConfirmedLately\(\)/outage := true/' pkg/follow TestInstanceThatIsCutOffAloneHasNoOutage
 try documents-are-watched-shortly pkg/configsync/syncer.go 's/watchWait = 2 \* time/watchWait = 20 * time/' pkg/configsync TestLostWatchHidesNoDocument
 try faulty-entry-is-out platform/copies.go 's/c\.Registry\.Discard\(id\)\n\t\treturn/return/' platform TestFaultyEntriesAreToldOnceAndTheOthersHold
+q=pkg/quarantine
+try three-crashes-condemn $q/record.go 's/return r\.Verdict > r\.Cleared \|\| r\.InARow\(\) >= CondemnAtMost/return false/' test TestRequestThatCrashesUpstreamsIsSentOnAFewTimesOnly
+try own-door-counts-crashes pkg/entry/crash.go 's/e\.Lookout\.Look\(address\) == httpconn\.Crashed/e.Lookout.Look(address) == httpconn.Answering/' test TestOwnDoorSendsAFatalRequestAFewTimesOnly
+try crash-is-no-reset pkg/httpconn/lookout.go 's/return Answering/return Crashed/' pkg/httpconn TestLookoutTellsCrashedFromReset
+try suspects-run-one-at-a-time $q/table.go 's/e\.Started > e\.Ended && now\.Before\(e\.heldUntil\)/false/' $q TestSuspectedRequestsRunOneAtATime
+try crashes-are-told $q/spread.go 's/\t\t\ts\.tell\(ctx\)\n//; s/\t\t\ts\.compare\(ctx, address\)\n/\t\t\t_ = address\n/' $q TestFewUpstreamsCrashUnderOneRequest
+try differing-tables-are-compared $q/spread.go 's/\t\t\ts\.compare\(ctx, address\)\n/\t\t\t_ = address\n/' $q TestInstanceThatStartsLearnsWhatIsCondemned
+try answers-clear $q/table.go 's/return raise\(&e\.Cleared, e\.last\(\)\) \|\| ended/return ended/' $q TestAnswerClearsASuspectedRequest
+try crashes-together-condemn-nobody $q/table.go 's/ && !t\.seen\.othersAt\(e\.crashed, c\.at\)//' $q TestManyUpstreamsThatCrashTogetherCondemnNobody
+try one-word-condemns-nobody $q/record.go 's/reporters > 1 \|\| r\.Crashes\[instance\] > r\.Cleared/true/' $q TestWordOfOneInstanceDoesNotCondemn
+try condemned-are-not-evicted $q/bound.go 's/ \|\| e\.IsCondemned\(\)//' $q TestTableFullOfCondemnedKeepsThem
+try verdicts-are-stored-again pkg/router/era.go 's/\tr\.quarantine\.StoreAgain\(\)\n//' test TestCondemnedRequestStaysSoAfterALossOfAll
+try verdicts-are-recovered pkg/router/duties.go 's/\tr\.duty\(r\.recoverVerdicts\)\n//' test TestCondemnedRequestStaysSoAfterALossOfAll
+try starts-wait-for-the-quarantine pkg/router/duties.go 's/return r\.awaitQuarantine\(ctx\)/return true/; s/\tr\.duty\(r\.quarantine\.Spread\)\n//; s/\tr\.duty\(r\.recoverVerdicts\)\n//' test TestStartingInstanceKnowsWhatIsCondemned
+try lost-confirmations-are-sent-again pkg/follow/publisher.go 's/err != nil && news/err != nil && news && began.IsZero()/' pkg/follow TestChangeWhoseConfirmationIsLostIsToldAgain
+try passed-over-writes-pause pkg/prepaid/write.go 's/errors\.Is\(f\.err, errUnsettledYet\)/errors.Is(f.err, ErrUnsettled)/' pkg/prepaid TestLedgerOfAnEraTakenForOverIsNotWrittenWithoutAPause
 exit $status
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -20,6 +20,7 @@
 	}{
 		{"failures of every kind", 1, 4},
 		{"planned work only", 307, 4},
+		{"planned work beside requests that crash upstreams", 48, 4},
 		{"failures in a fleet whose domains have drawers", 200, 18},
 	}
 	for _, c := range cases {
