Repeats are shared among client accounts

Cause: the bound on repeats counts a service. One account whose requests all fail, as one's whose bodies crash upstreams do until they are condemned, took every repeat that the instance had, and the others, whose requests fail now and then, got none. Change: an account gets at most twice its part of the requests, a tenth at least; one that alone sends requests still has all. Failing without it: one account with three requests in ten, all failing, beside 39 others of which one request in fifty fails (test); with it at most one in a hundred of their repeats is refused.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -69,7 +69,7 @@
 func (c *call) run(ctx context.Context) {
 	defer c.settle()
 	c.f.meters.accepted.Inc(1)
-	c.service.limit.First()
+	c.service.limit.First(c.accountName())
 	for {
 		failure := c.attempt(ctx)
 		if failure == nil {
@@ -173,7 +173,7 @@
 	if last.step == stepDial || last.step == stepChosen {
 		return true // nothing reached the upstream; the retry bound is not touched
 	}
-	return c.service.limit.TryRepeat()
+	return c.service.limit.TryRepeat(c.accountName())
 }
 
 // leastAttemptTime is the time below which an attempt has no prospect: two
--- a/pkg/retrylimit/limit_test.go
+++ b/pkg/retrylimit/limit_test.go
@@ -28,11 +28,11 @@
 	for range 6000 {
 		now = now.Add(time.Duration(rng.IntN(20)) * time.Millisecond)
 		limit := limits[min(rng.IntN(instances), rng.IntN(instances))]
-		limit.First()
+		limit.First("")
 		requests = append(requests, moment{now, 1})
 		sent := 0
 		for range 3 {
-			if limit.TryRepeat() {
+			if limit.TryRepeat("") {
 				sent++
 			}
 		}
@@ -57,11 +57,56 @@
 	now := time.Unix(0, 0)
 	limit := New(Settings{Ratio: 0.2, Extra: 24, Window: time.Second}, func() int { return 1 }, func() time.Time { return now })
 	used := 0
-	for limit.TryRepeat() {
+	for limit.TryRepeat("") {
 		used++
 	}
 	now = now.Add(1100 * time.Millisecond)
-	if used == 0 || !limit.TryRepeat() {
+	if used == 0 || !limit.TryRepeat("") {
 		t.Errorf("%d were allowed at first, none after the window", used)
 	}
 }
+
+// Guards against one account whose requests all fail and that takes every repeat from the others.
+func TestOneAccountDoesNotTakeAllRepeats(t *testing.T) {
+	const accounts, abuser = 40, "abuser"
+	rng := rand.New(rand.NewPCG(8, 8))
+	now := time.Unix(0, 0)
+	limit := New(Settings{Ratio: 0.2, Extra: 58, Window: 10 * time.Second}, func() int { return 9 }, func() time.Time { return now })
+	failed, refused := 0, 0
+	for range 20_000 {
+		now = now.Add(5 * time.Millisecond)
+		account := string(rune('A' + rng.IntN(accounts-1)))
+		if rng.IntN(10) < 3 {
+			account = abuser
+		}
+		limit.First(account)
+		switch {
+		case account == abuser:
+			limit.TryRepeat(account)
+		case rng.IntN(50) == 0:
+			failed++
+			if !limit.TryRepeat(account) {
+				refused++
+			}
+		}
+	}
+	if refused*100 > failed {
+		t.Errorf("%d of %d repeats of the others were refused", refused, failed)
+	}
+}
+
+// An account that alone sends requests has all repeats.
+func TestOnlyAccountHasAllRepeats(t *testing.T) {
+	now := time.Unix(0, 0)
+	limit := New(Settings{Ratio: 0.2, Extra: 0, Window: 10 * time.Second}, func() int { return 9 }, func() time.Time { return now })
+	repeats := 0
+	for range 1000 {
+		limit.First("only")
+		if limit.TryRepeat("only") {
+			repeats++
+		}
+	}
+	if want := int(1000 * 0.2 * ratioUsed); repeats < want-1 {
+		t.Errorf("%d repeats, %d are allowed", repeats, want)
+	}
+}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -108,6 +108,7 @@
 try verdicts-are-stored-again pkg/router/era.go 's/\tr\.quarantine\.StoreAgain\(\)\n//' test TestCondemnedRequestStaysSoAfterALossOfAll
 try verdicts-are-recovered pkg/router/duties.go 's/\tr\.duty\(r\.recoverVerdicts\)\n//' test TestCondemnedRequestStaysSoAfterALossOfAll
 try starts-wait-for-the-quarantine pkg/router/duties.go 's/return r\.awaitQuarantine\(ctx\)/return true/; s/\tr\.duty\(r\.quarantine\.Spread\)\n//; s/\tr\.duty\(r\.recoverVerdicts\)\n//' test TestStartingInstanceKnowsWhatIsCondemned
+try accounts-share-repeats pkg/retrylimit/limit.go 's/used > 0 && float64/false && float64/' pkg/retrylimit TestOneAccountDoesNotTakeAllRepeats
 try lost-confirmations-are-sent-again pkg/follow/publisher.go 's/err != nil && news/err != nil && news && began.IsZero()/' pkg/follow TestChangeWhoseConfirmationIsLostIsToldAgain
 try passed-over-writes-pause pkg/prepaid/write.go 's/errors\.Is\(f\.err, errUnsettledYet\)/errors.Is(f.err, ErrUnsettled)/' pkg/prepaid TestLedgerOfAnEraTakenForOverIsNotWrittenWithoutAPause
 exit $status
