--- a/pkg/quarantine/bound.go
+++ b/pkg/quarantine/bound.go
@@ -6,12 +6,12 @@
 	"slices"
 )
 
-// Bounds of a table. A record takes some 300 bytes.
+// Bounds of a table.
 const (
-	// mostRecords bounds the table.
-	mostRecords = 8192
+	// mostRecords bounds the table, to some 3 MB.
+	mostRecords = 4096
 	// mostOfAccount bounds the records of one account, so that none crowds out another's.
-	mostOfAccount = 1024
+	mostOfAccount = 512
 	// evictedAtOnce is how many records make room together: looking for them reads all.
 	evictedAtOnce = 64
 )
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -43,9 +43,22 @@
 // Unwrap returns the cause.
 func (e *RefusedError) Unwrap() error { return e.Err }
 
+// Policy is how crashes are judged. Instances use DefaultPolicy; the others are what experiments
+// compare it with.
+type Policy struct {
+	// Trials says that suspected requests run one at a time.
+	Trials bool
+	// Alone says that crashes beside those of other upstreams count for less.
+	Alone bool
+}
+
+// DefaultPolicy is that of instances.
+var DefaultPolicy = Policy{Trials: true, Alone: true}
+
 // Table holds the records of one instance. It is safe for concurrent use.
 type Table struct {
-	self string
+	self   string
+	policy Policy
 	// watched counts the records that are not clear; while there are none, no request needs
 	// to be recognized.
 	watched atomic.Int64
@@ -82,12 +95,16 @@
 
 // NewTable returns the empty table of an instance. onNews, if not nil, is called after a change
 // that the others do not know; it must not block.
-func NewTable(self string, onNews func()) *Table {
+func NewTable(self string, onNews func()) *Table { return NewPolicyTable(self, DefaultPolicy, onNews) }
+
+// NewPolicyTable returns a table with a policy of its own, for experiments.
+func NewPolicyTable(self string, policy Policy, onNews func()) *Table {
 	if onNews == nil {
 		onNews = func() {}
 	}
 	return &Table{
 		self:     self,
+		policy:   policy,
 		records:  map[fingerprint.Fingerprint]*entry{},
 		accounts: map[string]int{},
 		news:     map[fingerprint.Fingerprint]bool{},
@@ -155,7 +172,7 @@
 	case Condemned:
 		return Run{}, &RefusedError{Fingerprint: f, Err: ErrCondemned}
 	}
-	if e.Started > e.Ended && now.Before(e.heldUntil) {
+	if t.policy.Trials && e.Started > e.Ended && now.Before(e.heldUntil) {
 		return Run{}, &RefusedError{Fingerprint: f, Err: ErrTrialRuns}
 	}
 	e.Started = max(e.Started, e.Ended) + 1
@@ -215,9 +232,7 @@
 	if !c.IsFirst() && !t.seen.othersAt(e.crashed, c.at) {
 		verdict.Alone = max(e.Alone, e.Cleared) + 1
 	}
-	alone := max(e.Alone, verdict.Alone)
-	alone -= min(alone, e.Cleared)
-	if e.InARow() >= CondemnAfter && alone >= t.seen.aloneNeeded(e.crashed, c.at) {
+	if e.InARow() >= CondemnAfter && t.enoughAlone(e, verdict.Alone, c.at) {
 		verdict.Verdict = e.last()
 	}
 	t.merge(&verdict, c.at)
@@ -227,6 +242,16 @@
 	return e.clone()
 }
 
+// enoughAlone reports whether a request has crashes enough that no other crash can explain; t.mu is
+// held.
+func (t *Table) enoughAlone(e *entry, latest uint32, now time.Time) bool {
+	if !t.policy.Alone {
+		return true
+	}
+	alone := max(e.Alone, latest)
+	return alone-min(alone, e.Cleared) >= t.seen.aloneNeeded(e.crashed, now)
+}
+
 // Answered notes that an upstream gave a whole answer: the request is not what crashed the others.
 // It reports whether that cleared the request of a suspicion.
 func (r Run) Answered() bool {
