--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -3,18 +3,22 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
 	"github.com/alexflint/go-arg"
 
 	"github.com/lavenderring/lavenderring/pkg/experiment"
+	"github.com/lavenderring/lavenderring/pkg/experiment/blame"
 )
 
 type args struct {
 	Minutes int    `arg:"--minutes" default:"60" help:"virtual length of a run, in minutes"`
 	Seeds   int    `arg:"--seeds" default:"3" help:"runs of each cell"`
 	Only    string `arg:"--only" help:"run only scenarios whose name contains this"`
+	Blame   int    `arg:"--quarantine" help:"instead: compare policies of the quarantine on so many seeds"`
+	Plot    string `arg:"--plot" help:"with --quarantine: SVG file to write"`
 	Safety  int    `arg:"--safety" help:"instead: so many short runs with random faults; exits 1 if one overspends"`
 }
 
@@ -27,8 +31,28 @@
 		}
 		return
 	}
-	if err := experiment.Tables(os.Stdout, experiment.Plan{Minutes: a.Minutes, Seeds: a.Seeds, Only: a.Only}); err != nil {
+	if a.Blame > 0 {
+		exitOn(compareBlame(a.Blame, a.Plot))
+		return
+	}
+	exitOn(experiment.Tables(os.Stdout, experiment.Plan{Minutes: a.Minutes, Seeds: a.Seeds, Only: a.Only}))
+}
+
+func exitOn(err error) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
+
+// compareBlame compares policies of the quarantine and plots them, if a file is named.
+func compareBlame(seeds int, plot string) error {
+	if plot == "" {
+		return blame.Compare(os.Stdout, nil, seeds, blame.Sizes)
+	}
+	file, err := os.Create(plot)
+	if err != nil {
+		return err
+	}
+	return errors.Join(blame.Compare(os.Stdout, file, seeds, blame.Sizes), file.Close())
+}
--- a/pkg/prepaid/fake_test.go
+++ b/pkg/prepaid/fake_test.go
@@ -156,12 +156,6 @@
 	f.mu.Unlock()
 }
 
-func (f *fleet) chance(p float64) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.luck.Float64() < p
-}
-
 // land lets late writes take effect whose condition still holds.
 func (f *fleet) land() {
 	f.mu.Lock()
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -14,7 +14,7 @@
 	// requests that twice met another one that crashes upstreams.
 	CondemnAfter = 3
 	// CondemnAtMost is how many condemn it whatever else crashes.
-	CondemnAtMost = 6
+	CondemnAtMost = 5
 )
 
 // mostReporters bounds the instances that a record names. Two are enough to condemn.
