--- a/pkg/soak/fatal.go
+++ b/pkg/soak/fatal.go
@@ -79,13 +79,21 @@
 			f.mu.Unlock()
 		}
 	}
-	u.relay.Close()
+	r.fleet.closeRelay(u)
 	time.Sleep(crashedFor)
 	if err := r.fleet.startAgain(u); err != nil {
 		r.violate("an upstream did not start again: %v", err)
 	}
 }
 
+// closeRelay has an upstream's address refuse connections. One that has just started again is
+// waited for: its first request may end it.
+func (f *fleet) closeRelay(u *upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.relay.Close()
+}
+
 // startAgain starts the next incarnation of an upstream under its id, unless the run has ended.
 func (f *fleet) startAgain(u *upstream) error {
 	f.mu.Lock()
