--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -38,6 +38,9 @@
 	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, r.metrics).Update(value) }
 	gauge("requests.active", r.door.Active())
 	gauge("members.live", int64(len(r.table.Live())))
+	if age, known := r.eraAge(); known {
+		gauge("store.era_age_s", int64(age.Seconds()))
+	}
 	watched := r.quarantine.Summary()
 	gauge("quarantine.suspected", int64(watched.Suspected))
 	gauge("quarantine.condemned", int64(watched.Condemned))
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -160,6 +160,9 @@
 	for name, age := range r.copyAges() {
 		fields[name+"_age_ms"] = age
 	}
+	if age, known := r.eraAge(); known {
+		fields["store_era"], fields["store_era_age_s"] = r.storeEra.Load(), int64(age.Seconds())
+	}
 	if watched := r.quarantine.Summary(); watched.Suspected+watched.Condemned > 0 {
 		fields["quarantine_suspected"], fields["quarantine_condemned"] = watched.Suspected, watched.Condemned
 	}
--- a/pkg/router/era.go
+++ b/pkg/router/era.go
@@ -21,6 +21,7 @@
 		return
 	}
 	r.storeEra.Store(uint64(news.To))
+	r.eraSeen.Store(time.Now().UnixMilli())
 	metrics.GetOrRegisterGauge("store.era", r.metrics).Update(int64(news.To))
 	if news.From == 0 {
 		r.tokens.NoteFirstEra(uint64(news.To))
@@ -42,3 +43,9 @@
 	}
 	return uint64(object.Position.Era), nil
 }
+
+// eraAge returns for how long this process has known the store's era; false before the first.
+func (r *Router) eraAge() (time.Duration, bool) {
+	seen := r.eraSeen.Load()
+	return time.Since(time.UnixMilli(seen)), seen != 0
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -89,6 +89,8 @@
 	tie *life.StoreTie
 	// storeEra is the latest era of the store that its answers told this instance.
 	storeEra atomic.Uint64
+	// eraSeen is when this process first saw that era, in Unix milliseconds.
+	eraSeen atomic.Int64
 	// copies are the followers of the configuration and of the upstreams, by what the
 	// instances call the two.
 	copies    map[string]*follow.Follower
