Soak: a stream that an upstream's crash cuts off is not held against a planned stop

Trace: both broke off within one millisecond when a fatal request ended their engine, the three other engines refused connections (ended by fatal requests as well), and event 205 has 'every upstream was tried'; the instance drained and ended in time. So the case is allowed, and the check of planned stops excludes requests during which an upstream crashed. The check of other runs is as it was.

--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -71,7 +71,8 @@
 			r.violate("%s: told %d, which means not run, and ran %d times", s, s.status, len(ran))
 		}
 		cutOff := s.err != nil && !s.left && len(ran) > 0
-		if cutOff && r.stoppedAt(s.instance, s.began, s.ended) && !r.troubled(s.began.Add(-settleTime), s.ended) {
+		excused := r.troubled(s.began.Add(-settleTime), s.ended) || r.crashedBetween(s.began, s.ended)
+		if cutOff && r.stoppedAt(s.instance, s.began, s.ended) && !excused {
 			r.violate("%s: cut off by a planned stop: %v", s, s.err)
 		}
 		if s.key == poorKey && len(ran) > 0 {
--- a/pkg/soak/fatal.go
+++ b/pkg/soak/fatal.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,6 +87,20 @@
 	}
 }
 
+// crashedBetween reports whether an upstream crashed in a time: what ran there is cut off, whatever
+// its instance does.
+func (r *run) crashedBetween(from, to time.Time) bool {
+	for _, f := range r.fatal {
+		f.mu.Lock()
+		struck := slices.ContainsFunc(f.crashes, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+		f.mu.Unlock()
+		if struck {
+			return true
+		}
+	}
+	return false
+}
+
 // closeRelay has an upstream's address refuse connections. One that has just started again is
 // waited for: its first request may end it.
 func (f *fleet) closeRelay(u *upstream) {
