--- a/pkg/soak/fatal.go
+++ b/pkg/soak/fatal.go
@@ -27,6 +27,8 @@
 	// fatalKnownAfter is how many crashes make a request known, lateCrashes how many more may
 	// come later than settleTime after them.
 	fatalKnownAfter, lateCrashes = 3, 3
+	// crashNoted is how long after a crash it may be noted: its clients may see it before.
+	crashNoted = 100 * time.Millisecond
 )
 
 // fatalRequest is sent again and again with the same body.
@@ -92,7 +94,7 @@
 func (r *run) crashedBetween(from, to time.Time) bool {
 	for _, f := range r.fatal {
 		f.mu.Lock()
-		struck := slices.ContainsFunc(f.crashes, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+		struck := slices.ContainsFunc(f.crashes, func(at time.Time) bool { return at.After(from) && at.Before(to.Add(crashNoted)) })
 		f.mu.Unlock()
 		if struck {
 			return true
