--- a/pkg/experiment/blame/request.go
+++ b/pkg/experiment/blame/request.go
@@ -66,7 +66,7 @@
 			return // it crashed with the upstream
 		}
 		if r.fatal {
-			w.fatal[r.body] = append(w.fatal[r.body], w.now)
+			w.fatal[r.body] = append(w.fatal[r.body], w.Now())
 			w.crash(u)
 			return
 		}
@@ -82,7 +82,7 @@
 func (w *world) choose() *upstream {
 	var up []*upstream
 	for _, u := range w.upstreams {
-		if w.now >= u.downUntil {
+		if w.Now() >= u.downUntil {
 			up = append(up, u)
 		}
 	}
@@ -98,13 +98,13 @@
 
 // crash ends an upstream and all that runs there.
 func (w *world) crash(u *upstream) {
-	if w.now < u.downUntil {
+	if w.Now() < u.downUntil {
 		return
 	}
 	victims := u.running
 	name := fmt.Sprint(u.name, "-", u.incarnation)
 	u.incarnation++
-	u.downUntil = w.now + downFor
+	u.downUntil = w.Now() + downFor
 	u.running = map[*attempt]bool{}
 	for _, a := range ordered(victims) {
 		if !a.request.fatal && !a.request.beside {
--- a/pkg/experiment/blame/world.go
+++ b/pkg/experiment/blame/world.go
@@ -4,11 +4,11 @@
 package blame
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/emulator"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 )
@@ -78,34 +78,10 @@
 	r.Late += o.Late
 }
 
-// event is something that happens at a time.
-type event struct {
-	at   time.Duration
-	seq  int
-	what func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // world is one history.
 type world struct {
+	emulator.World
 	rng       *rand.Rand
-	now       time.Duration
-	due       events
-	seq       int
 	tables    []*quarantine.Table
 	upstreams []*upstream
 	fatal     map[string][]time.Duration
@@ -145,22 +121,15 @@
 	if scenario.Others != nil {
 		scenario.Others(w)
 	}
-	for w.due.Len() > 0 {
-		next := heap.Pop(&w.due).(event)
-		w.now = next.at
-		next.what()
-	}
+	w.Run()
 	w.count()
 	return w.result
 }
 
-func (w *world) after(wait time.Duration, what func()) {
-	w.seq++
-	heap.Push(&w.due, event{at: w.now + wait, seq: w.seq, what: what})
-}
+func (w *world) after(wait time.Duration, what func()) { w.At(w.Now()+wait, what) }
 
 // clock is the time as tables see it.
-func (w *world) clock() time.Time { return time.Unix(0, 0).Add(w.now) }
+func (w *world) clock() time.Time { return time.Unix(0, 0).Add(w.Now()) }
 
 // upTo draws a time below a bound.
 func (w *world) upTo(bound time.Duration) time.Duration {
@@ -169,7 +138,7 @@
 
 // sendSound has sound requests come with a mean time between them.
 func (w *world) sendSound(between time.Duration) {
-	if w.now > length {
+	if w.Now() > length {
 		return
 	}
 	w.result.Sound++
@@ -183,7 +152,7 @@
 
 // sendFatal has one fatal request come again and again.
 func (w *world) sendFatal(body string, between time.Duration) {
-	if w.now > length {
+	if w.Now() > length {
 		return
 	}
 	w.send(&request{body: body, fatal: true, tries: 1})
