--- a/pkg/quarantine/keeper/keeper.go
+++ b/pkg/quarantine/keeper/keeper.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 	"github.com/lavenderring/lavenderring/pkg/quarantine/quarantinepb"
+	"github.com/lavenderring/lavenderring/pkg/ring"
 	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
@@ -37,8 +38,8 @@
 type Keeper struct {
 	Deps
 	spreader *quarantine.Spreader
-	// verdicts receives that a condemned request is to be stored.
-	verdicts chan struct{}
+	// verdicts takes that a condemned request is to be stored.
+	verdicts *ring.Ring[struct{}]
 	meters   meters
 }
 
@@ -49,7 +50,7 @@
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, deps.Metrics) }
 	k := &Keeper{
 		Deps:     deps,
-		verdicts: make(chan struct{}, 1),
+		verdicts: ring.New[struct{}](1),
 		meters: meters{
 			learned:  counter("quarantine.learned"),
 			released: counter("quarantine.released"),
@@ -87,7 +88,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-k.verdicts:
+		case <-k.verdicts.Items():
 			k.storeVerdicts(ctx)
 		}
 	}
--- a/pkg/quarantine/keeper/verdicts.go
+++ b/pkg/quarantine/keeper/verdicts.go
@@ -32,12 +32,8 @@
 	Records []byte `json:"records"`
 }
 
-func (k *Keeper) requestStoring() {
-	select {
-	case k.verdicts <- struct{}{}:
-	default: // it is due already
-	}
-}
+// requestStoring has Run store the verdicts; a full ring says that it will.
+func (k *Keeper) requestStoring() { k.verdicts.TryPut(struct{}{}) }
 
 // storeVerdicts brings the stored object up to what this instance knows. Writes merge, so it does
 // not matter who writes, in which order, and whether the store has gone back.
--- a/pkg/quarantine/spread.go
+++ b/pkg/quarantine/spread.go
@@ -8,6 +8,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/quarantine/quarantinepb"
+	"github.com/lavenderring/lavenderring/pkg/ring"
 )
 
 // How records reach all instances: who learns something new tells some others at once (push
@@ -43,9 +44,9 @@
 	bad     func(from string, err error)
 	learned func([]Record)
 
-	news chan struct{}
-	// differs receives the address of an instance whose table is another one.
-	differs chan string
+	news *ring.Ring[struct{}]
+	// differs takes the address of an instance whose table is another one.
+	differs *ring.Ring[string]
 	// compared says that this instance has seen another one's table, stored that the table
 	// has what the store has.
 	compared, stored atomic.Bool
@@ -66,8 +67,8 @@
 		now:     now,
 		bad:     bad,
 		learned: learned,
-		news:    make(chan struct{}, 1),
-		differs: make(chan string, 1),
+		news:    ring.New[struct{}](1),
+		differs: ring.New[string](1),
 		pause:   comparePause,
 	}
 	s.table = NewTable(self, s.wake)
@@ -81,12 +82,8 @@
 // alike or was made so.
 func (s *Spreader) Compared() bool { return s.compared.Load() }
 
-func (s *Spreader) wake() {
-	select {
-	case s.news <- struct{}{}:
-	default: // it is awake
-	}
-}
+// wake has Run tell what is new; a full ring says that it will.
+func (s *Spreader) wake() { s.news.TryPut(struct{}{}) }
 
 // Run tells and compares until ctx ends.
 func (s *Spreader) Run(ctx context.Context) {
@@ -94,10 +91,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.news:
+		case <-s.news.Items():
 			s.tell(ctx)
 			pause.For(ctx, collect)
-		case address := <-s.differs:
+		case address := <-s.differs.Items():
 			s.compare(ctx, address)
 		}
 	}
@@ -137,12 +134,8 @@
 		s.mu.Unlock()
 		return
 	}
-	if !s.mayCompare() {
-		return
-	}
-	select {
-	case s.differs <- address:
-	default: // another one is being compared
+	if s.mayCompare() {
+		s.differs.TryPut(address) // a full ring means that another one is compared first
 	}
 }
 
