Quarantine: both doors share the refusal and the wait for a judgement; the own door hashes a request once

forward and entry each built the refusal of a condemned request and waited for a crash's judgement with the same lines, and entry hashed the body anew for every question, where forward kept the fingerprint.

--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -12,7 +12,6 @@
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
-	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 )
 
@@ -21,17 +20,21 @@
 
 // Fingerprint implements quarantine.Request.
 func (r *request) Fingerprint() fingerprint.Fingerprint {
-	target := string(r.c.URI().RequestURI())
-	return fingerprint.Of(r.budget, "", fingerprint.Content(string(r.c.Method()), target, r.c.Request.Body()))
+	if r.print == nil {
+		content := fingerprint.Content(string(r.c.Method()), string(r.c.URI().RequestURI()), r.c.Request.Body())
+		print := fingerprint.Of(r.budget, "", content)
+		r.print = &print
+	}
+	return *r.print
 }
 
 // refuseCondemned refuses a request that crashed the upstreams that ran it, before anything is
 // reserved for it.
 func (e *Entry) refuseCondemned(r *request) *Problem {
-	if !e.Quarantine.Watching() || e.Quarantine.StateOf(r.Fingerprint()) != quarantine.Condemned {
-		return nil
+	if err := e.Quarantine.Refuse(r); err != nil {
+		return quarantineProblem(r, err)
 	}
-	return quarantineProblem(r, &quarantine.RefusedError{Fingerprint: r.Fingerprint(), Err: quarantine.ErrCondemned})
+	return nil
 }
 
 // beginRun asks whether the request may run now; it may have become suspected since it came.
@@ -80,10 +83,7 @@
 	e.meters.crashes.Inc(1)
 	origin := quarantine.Origin{Account: r.budget, Route: string(r.c.Path())}
 	crash := run.Crashed(origin, upstream, e.Now())
-	if !crash.IsFirst() {
-		pause.For(ctx, quarantine.JudgeAfter)
-	}
-	record := crash.Judge()
+	record := crash.Await(ctx)
 	e.Log.Event(eventlog.RequestSuspected, r.id, eventlog.Fields{
 		"fingerprint": record.Fingerprint.String(), "crashes": record.InARow(), "upstream": upstream,
 		"condemned": e.Quarantine.StateOf(record.Fingerprint) == quarantine.Condemned,
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
 	"github.com/lavenderring/lavenderring/pkg/document"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/ledger"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
@@ -195,6 +196,8 @@
 	// wrote says that a part of the answer is on its way to the caller, so
 	// nothing but the rest of it may follow.
 	wrote bool
+	// print is the request's fingerprint once it was needed.
+	print *fingerprint.Fingerprint
 }
 
 // handle is the frame around every caller's request.
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -7,7 +7,6 @@
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
-	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 )
 
@@ -16,12 +15,10 @@
 
 // refuseCondemned refuses a request that crashed the upstreams that ran it.
 func (c *call) refuseCondemned() *Refusal {
-	table := c.f.Quarantine
-	if !table.Watching() || table.StateOf(c.Fingerprint()) != quarantine.Condemned {
-		return nil
+	if err := c.f.Quarantine.Refuse(c); err != nil {
+		return &Refusal{Reason: Quarantined, Step: stepQuarantine, Err: err}
 	}
-	err := &quarantine.RefusedError{Fingerprint: c.Fingerprint(), Err: quarantine.ErrCondemned}
-	return &Refusal{Reason: Quarantined, Step: stepQuarantine, Err: err}
+	return nil
 }
 
 // beginRun asks whether the request may run now; it may have become suspected since it came.
@@ -64,10 +61,7 @@
 	f.meters.crashes.Inc(1)
 	origin := quarantine.Origin{Account: a.c.accountName(), Route: a.c.route.Name}
 	crash := run.Crashed(origin, a.place.ID, f.Now())
-	if !crash.IsFirst() {
-		pause.For(ctx, quarantine.JudgeAfter)
-	}
-	record := crash.Judge()
+	record := crash.Await(ctx)
 	f.Log.Event(eventlog.RequestSuspected, a.c.r.ID, eventlog.Fields{
 		"fingerprint": record.Fingerprint.String(), "crashes": record.InARow(), "upstream": a.place.ID,
 		"condemned": f.Quarantine.StateOf(record.Fingerprint) == quarantine.Condemned,
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -1,5 +1,5 @@
 // Package quarantine finds requests that crash the upstreams which run them, and keeps them from
-// running again. It knows no network and no clock.
+// running again. It knows no network.
 //
 // A request under which an upstream crashed is suspected: it may have been the cause, or have run
 // beside it. Suspected requests run one at a time in the whole fleet. An answer clears a request;
@@ -8,6 +8,7 @@
 package quarantine
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 )
 
 // trialTimeout is how long a trial that was told of holds others back without its end: the
@@ -133,6 +135,19 @@
 	return e.StateAt(t.self)
 }
 
+// Refuse returns why a request does not run now or later: a *RefusedError if it is condemned. Its
+// fingerprint is asked for only while any request is watched.
+func (t *Table) Refuse(request Request) error {
+	if !t.Watching() {
+		return nil
+	}
+	f := request.Fingerprint()
+	if t.StateOf(f) != Condemned {
+		return nil
+	}
+	return &RefusedError{Fingerprint: f, Err: ErrCondemned}
+}
+
 // Request is a request that may have to be recognized.
 type Request interface {
 	Fingerprint() fingerprint.Fingerprint
@@ -218,6 +233,14 @@
 // IsFirst reports that the request was not suspected before: it needs no judgement then.
 func (c *Crash) IsFirst() bool { return c.run.trial == 0 }
 
+// Await waits until the crash can be judged, or ctx ends, and judges it.
+func (c *Crash) Await(ctx context.Context) Record {
+	if !c.IsFirst() {
+		pause.For(ctx, JudgeAfter)
+	}
+	return c.Judge()
+}
+
 // Judge tells what follows for the request: a crash counts for more if no other upstream crashed at
 // that time of an unknown cause.
 func (c *Crash) Judge() Record {
