--- a/pkg/soak/fatal.go
+++ b/pkg/soak/fatal.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/pause"
-	"github.com/lavenderring/lavenderring/pkg/standin/relay"
 	"github.com/lavenderring/lavenderring/platform/standin"
 )
 
@@ -119,16 +118,10 @@
 		return nil
 	}
 	next := &upstream{service: u.service, domain: u.domain, relayAddress: u.relayAddress}
-	var err error
-	if next.Upstream, err = standin.StartUpstream(u.ID, u.Address, u.Events); err != nil {
+	if err := f.startUpstream(next, u.ID, u.Address); err != nil {
 		return err
 	}
 	next.Born = time.Now().UnixMilli()
-	next.OnCrash = func(ran standin.Run) { f.onCrash(next, ran) }
-	next.SetFaults(standin.UpstreamFaults{Delay: workTime, Fatal: fatalMark})
-	if next.relay, err = relay.Start(u.relayAddress, "", next.Address); err != nil {
-		return err
-	}
 	f.all = append(f.all, next)
 	for k, other := range f.upstreams {
 		if other == u {
--- a/pkg/soak/fleet.go
+++ b/pkg/soak/fleet.go
@@ -177,25 +177,33 @@
 	f.made++
 	id := fmt.Sprintf("u%d", f.made)
 	f.mu.Unlock()
+	u := &upstream{service: service, domain: domain, relayAddress: loopback.Address()}
+	if err := f.startUpstream(u, id, loopback.Address()); err != nil {
+		return err
+	}
+	f.store.Announce(u.Upstream, service, domain, u.relayAddress, false)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upstreams = append(f.upstreams, u)
+	f.all = append(f.all, u)
+	return nil
+}
+
+// startUpstream starts an upstream's process at an address, and the relay before it.
+func (f *fleet) startUpstream(u *upstream, id, address string) error {
 	events := 0
-	if service == engineService {
+	if u.service == engineService {
 		events = streamEvents
 	}
-	u := &upstream{service: service, domain: domain, relayAddress: loopback.Address()}
 	var err error
-	if u.Upstream, err = standin.StartUpstream(id, loopback.Address(), events); err != nil {
+	if u.Upstream, err = standin.StartUpstream(id, address, events); err != nil {
 		return fmt.Errorf("start an upstream: %w", err)
 	}
+	u.OnCrash = func(ran standin.Run) { f.onCrash(u, ran) }
+	u.SetFaults(standin.UpstreamFaults{Delay: workTime, Fatal: fatalMark})
 	if u.relay, err = relay.Start(u.relayAddress, "", u.Address); err != nil {
 		return fmt.Errorf("start a relay: %w", err)
 	}
-	u.OnCrash = func(ran standin.Run) { f.onCrash(u, ran) }
-	u.SetFaults(standin.UpstreamFaults{Delay: workTime, Fatal: fatalMark})
-	f.store.Announce(u.Upstream, service, domain, u.relayAddress, false)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.upstreams = append(f.upstreams, u)
-	f.all = append(f.all, u)
 	return nil
 }
 
