--- a/pkg/quarantine/keeper/view.go
+++ b/pkg/quarantine/keeper/view.go
@@ -72,14 +72,15 @@
 // Summary counts the watched requests.
 func (k *Keeper) Summary() Summary {
 	var s Summary
-	for _, view := range k.List() {
-		if view.State != quarantine.Condemned {
+	for _, r := range k.Table().All() {
+		switch r.StateAt(k.Self) {
+		case quarantine.Suspected:
 			s.Suspected++
-			continue
-		}
-		s.Condemned++
-		if s.Oldest.IsZero() || view.LastCrash.Before(s.Oldest) {
-			s.Oldest = view.LastCrash
+		case quarantine.Condemned:
+			s.Condemned++
+			if s.Oldest.IsZero() || r.LastCrash.Before(s.Oldest) {
+				s.Oldest = r.LastCrash
+			}
 		}
 	}
 	return s
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -204,13 +204,12 @@
 	f := r.request.Fingerprint()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := r.before
+	cleared := uint32(0)
 	if e := t.records[f]; e != nil {
-		before = max(before, e.Cleared) // what was cleared was not looked up when the run began
-		t.seen.note(upstream, before-e.Cleared, now)
-	} else {
-		t.seen.note(upstream, 0, now)
+		cleared = e.Cleared
 	}
+	before := max(r.before, cleared) // what was cleared was not looked up when the run began
+	t.seen.note(upstream, before-cleared, now)
 	crash := Crash{run: r, at: now, record: Record{
 		Fingerprint: f,
 		Account:     origin.Account,
@@ -394,7 +393,7 @@
 // hear notes the crash that another instance's record tells of.
 func (t *Table) hear(record *Record, now time.Time) {
 	if e := t.records[record.Fingerprint]; record.Upstream != "" && (e == nil || record.last() > e.last()) {
-		t.seen.note(record.Upstream, record.InARow()-min(record.InARow(), 1), now)
+		t.seen.note(record.Upstream, max(record.InARow(), 1)-1, now)
 	}
 }
 
