Quarantine: a verdict without a crash condemns nothing

Found on reading: a faulty instance's record with a verdict and no crash counted as condemned where records are evicted, so 512 of them filled an account's part of the table for good, and a filter kept them out of the stored object at that one place. Whether a request is condemned asks for a crash now, and the filter is gone. The test failed before: the next request under which an upstream crashed was not taken in.

--- a/pkg/quarantine/keeper/verdicts.go
+++ b/pkg/quarantine/keeper/verdicts.go
@@ -98,7 +98,7 @@
 			merged.Merge(known[i:i+1], time.Time{}, false)
 		}
 	}
-	out := slices.DeleteFunc(merged.All(), func(r quarantine.Record) bool { return r.InARow() == 0 && !wanted[r.Fingerprint.String()] })
+	out := merged.All()
 	slices.SortFunc(out, func(a, b quarantine.Record) int {
 		if c := b.LastCrash.Compare(a.LastCrash); c != 0 {
 			return c
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -75,7 +75,10 @@
 }
 
 // IsCondemned reports that some instance condemned the request and nothing has cleared it since.
-func (r *Record) IsCondemned() bool { return r.Verdict > r.Cleared || r.InARow() >= CondemnAtMost }
+func (r *Record) IsCondemned() bool {
+	inARow := r.InARow()
+	return inARow >= CondemnAtMost || (inARow > 0 && r.Verdict > r.Cleared)
+}
 
 // StateAt tells what an instance does with the request. The word of one other instance does not
 // condemn: a faulty one would take requests away from all.
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -283,3 +283,16 @@
 		_ = table.StateOf(f)
 	}
 }
+
+// Guards against verdicts without a crash, of a faulty instance, that fill the table and stay in it.
+func TestVerdictWithoutACrashIsEvicted(t *testing.T) {
+	table := NewTable("a", nil)
+	for n := range mostOfAccount {
+		f := bodyRequest(fmt.Sprint("told ", n)).Fingerprint()
+		table.Merge([]Record{{Fingerprint: f, Account: origin.Account, Verdict: CondemnAfter}}, began, true)
+	}
+	crash(t, table, "fatal", 1)
+	if state := table.StateOf(bodyRequest("fatal").Fingerprint()); state != Suspected {
+		t.Errorf("a request under which an upstream crashed is %s", state)
+	}
+}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -95,7 +95,7 @@
 try documents-are-watched-shortly pkg/configsync/syncer.go 's/watchWait = 2 \* time/watchWait = 20 * time/' pkg/configsync TestLostWatchHidesNoDocument
 try faulty-entry-is-out platform/copies.go 's/c\.Registry\.Discard\(id\)\n\t\treturn/return/' platform TestFaultyEntriesAreToldOnceAndTheOthersHold
 q=pkg/quarantine
-try three-crashes-condemn $q/record.go 's/return r\.Verdict > r\.Cleared \|\| r\.InARow\(\) >= CondemnAtMost/return false/' test TestRequestThatCrashesUpstreamsIsSentOnAFewTimesOnly
+try three-crashes-condemn $q/record.go 's/return inARow >= CondemnAtMost \|\| \(inARow > 0 && r\.Verdict > r\.Cleared\)/return inARow < 0/' test TestRequestThatCrashesUpstreamsIsSentOnAFewTimesOnly
 try own-door-counts-crashes pkg/entry/crash.go 's/e\.Lookout\.Look\(lease\.Upstream\.Address\) == httpconn\.Crashed/e.Lookout.Look(lease.Upstream.Address) == httpconn.Answering/' test TestOwnDoorSendsAFatalRequestAFewTimesOnly
 try crash-is-no-reset pkg/httpconn/lookout.go 's/return Answering/return Crashed/' pkg/httpconn TestLookoutTellsCrashedFromReset
 try suspects-run-one-at-a-time $q/table.go 's/e\.Started > e\.Ended && now\.Before\(e\.heldUntil\)/false/' $q TestSuspectedRequestsRunOneAtATime
