Follow: versions of an outage are read once, and by those that publish; any of twenty ranks takes over

What callers see: a dropped route is served on for seconds by instances of a large fleet after a cut of all, or beside a store that refuses those that read it most. Class: all fall back on one shared resource at once, with an amplified answer. Mend: a copy of few objects is read as a list once it lacks a published change or has been unconfirmed for 3 s; a store that does not answer is asked for the smallest copy; only the last change of an object comes into force; a copy that is on its way is waited for; an unanswered call has others asked for all copies; twenty ranks may publish, each a little after the one before it, where three did. The stand-in's list holds the object that its watches tell of.

--- a/pkg/follow/contents.go
+++ b/pkg/follow/contents.go
@@ -11,6 +11,9 @@
 // copy. Of 300 upstreams that all start again each is deleted once.
 const mostDeletions = 1024
 
+// fewObjects is up to how many objects a copy is read whole rather than by its changes.
+const fewObjects = 4
+
 // contents is what a copy consists of, as the store gave it, so that it can be handed on. It is
 // safe for concurrent use.
 type contents struct {
@@ -70,6 +73,45 @@
 	c.objects[object.Key], c.kept[object.Key] = object, true
 }
 
+// few reports that the copy is of few objects.
+func (c *contents) few() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.objects) <= fewObjects
+}
+
+// bytes returns how large the copy is.
+func (c *contents) bytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := 0
+	for _, object := range c.objects {
+		total += len(object.Value)
+	}
+	return total
+}
+
+// lastChangeIn returns the position of the last change that a list shows, or a later one: that of
+// a deletion is not told, so the list's own stands for it.
+func (c *contents) lastChangeIn(list store.Listing) store.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.position.IsZero() || c.position.Era != list.Position.Era {
+		return list.Position
+	}
+	last, listed := store.NoPosition, 0
+	for _, object := range list.Objects {
+		last = store.Later(last, object.Position)
+		if _, had := c.objects[object.Key]; had {
+			listed++
+		}
+	}
+	if listed < len(c.objects) {
+		return list.Position
+	}
+	return last
+}
+
 // apply takes changes up to a version.
 func (c *contents) apply(changes store.Changes) {
 	c.mu.Lock()
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -40,6 +40,8 @@
 	// confirmGrace is how long after the store is back those that do not publish wait for the word
 	// of those that do.
 	confirmGrace = 300 * time.Millisecond
+	// wholeAfter is for how long a copy of few objects is unconfirmed before it is read whole.
+	wholeAfter = 3 * time.Second
 	// gatePoll is how often a follower looks whether it may ask, or needs to.
 	gatePoll = 50 * time.Millisecond
 	// firstPause and longestPause bound the pace of failing calls, which doubles in
@@ -94,6 +96,9 @@
 	Number func(value []byte) uint64
 	// Gate is shared by the followers of one instance; it may be nil.
 	Gate *Gate
+	// Probes reports whether this follower is the one that asks a store which does not answer; nil
+	// for always.
+	Probes func() bool
 
 	beat     beat
 	fresh    freshness
@@ -118,6 +123,10 @@
 		var untrusted *UntrustedError
 		switch {
 		case errors.Is(err, errNotNow):
+			if f.Gate.Closed() && !failing {
+				failing = true
+				f.lost(err)
+			}
 			pause.For(ctx, gatePoll)
 		case err == nil:
 			if failing {
@@ -134,9 +143,7 @@
 			f.mustList = true
 		default:
 			failing = true
-			if f.Lost != nil {
-				f.Lost(err)
-			}
+			f.lost(err)
 			paced := wait/2 + rand.N(wait/2)
 			pause.For(ctx, max(paced-time.Since(began), firstPause))
 			wait = min(2*wait, longestPause)
@@ -144,6 +151,12 @@
 	}
 }
 
+func (f *Follower) lost(err error) {
+	if f.Lost != nil {
+		f.Lost(err)
+	}
+}
+
 func (f *Follower) found() {
 	// While others confirmed this copy the store was away for this instance only, and no entry of
 	// a live upstream has lapsed: taken for an outage's end, entries that are removed would be kept
@@ -186,7 +199,12 @@
 	if !f.mustList && f.Obtain != nil && f.Obtain(ctx) {
 		return nil
 	}
-	if !f.Gate.Enter() {
+	return f.list(ctx)
+}
+
+// list reads the whole copy.
+func (f *Follower) list(ctx context.Context) error {
+	if !f.enter() {
 		return errNotNow
 	}
 	list, err := hedged(ctx, f.hedge(), func(ctx context.Context) (store.Listing, error) {
@@ -197,14 +215,39 @@
 		return err
 	}
 	f.mustList = false
-	f.applying.Lock()
-	f.replace(list)
-	f.fresh.reach(list.Position, list.Position)
-	f.applying.Unlock()
-	f.answered(true)
+	f.answered(f.applyList(list))
 	return nil
 }
 
+// enter reports whether a call to the store may be made now; its end is told to the gate. A store
+// that does not answer is asked for one copy only.
+func (f *Follower) enter() bool {
+	if f.Gate.Closed() && f.Probes != nil && !f.Probes() {
+		return false
+	}
+	return f.Gate.Enter()
+}
+
+// applyList takes in a whole list, unless this copy is already further, and reports whether it
+// brought a change.
+func (f *Follower) applyList(list store.Listing) (changed bool) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	since := f.fresh.upTo()
+	if list.Position.Before(since) {
+		return false
+	}
+	last := f.contents.lastChangeIn(list)
+	if since.Before(last) {
+		f.replace(list)
+	} else {
+		f.contents.apply(store.Changes{Position: list.Position})
+		f.Copy.Apply(store.Changes{Position: list.Position})
+	}
+	f.fresh.reach(list.Position, last)
+	return since.Before(last)
+}
+
 // replace takes a whole list; f.applying is held.
 func (f *Follower) replace(list store.Listing) {
 	f.contents.number = f.Number
@@ -220,7 +263,13 @@
 
 // watch asks the store what changed, and waits for it shortly.
 func (f *Follower) watch(ctx context.Context, since store.Position) error {
-	if f.awaitsPublishers() || !f.Gate.Enter() {
+	if f.awaitsPublishers() {
+		return errNotNow
+	}
+	if f.readsWhole() {
+		return f.list(ctx)
+	}
+	if !f.enter() {
 		return errNotNow
 	}
 	changes, err := f.ask(ctx, since)
@@ -239,6 +288,17 @@
 	return nil
 }
 
+// readsWhole reports that the list costs less than a watch: of an object that has changed often, as
+// the configuration in a storm of versions, a watch tells each version. Read by each of hundreds of
+// instances once a cut of all is over, these fill the store's link for seconds.
+func (f *Follower) readsWhole() bool {
+	if !f.contents.few() {
+		return false
+	}
+	age, known := f.fresh.age()
+	return !known || age > wholeAfter || f.fresh.lacksPublished()
+}
+
 // awaitsPublishers reports that the store has just come back: the few that publish confirm the copies
 // of all the others in a moment, and each that asked for itself were a call for each copy.
 func (f *Follower) awaitsPublishers() bool {
@@ -283,7 +343,7 @@
 		return false
 	}
 	f.contents.apply(changes)
-	f.Copy.Apply(changes)
+	f.Copy.Apply(lastOfEach(changes))
 	f.fresh.reach(changes.Position, lastChange(changes))
 	return true
 }
@@ -312,6 +372,24 @@
 	return true
 }
 
+// lastOfEach keeps the last change of each object: what is superseded need not come into force.
+func lastOfEach(changes store.Changes) store.Changes {
+	last := make(map[string]int, len(changes.Changes))
+	for n, change := range changes.Changes {
+		last[change.Object.Key] = n
+	}
+	if len(last) == len(changes.Changes) {
+		return changes
+	}
+	out := store.Changes{Position: changes.Position}
+	for n, change := range changes.Changes {
+		if last[change.Object.Key] == n {
+			out.Changes = append(out.Changes, change)
+		}
+	}
+	return out
+}
+
 // lastChange returns the position of the last change, or a later one: that of a deletion is
 // not told, so the answer's own stands for it.
 func lastChange(changes store.Changes) store.Position {
--- a/pkg/follow/freshness.go
+++ b/pkg/follow/freshness.go
@@ -143,6 +143,13 @@
 	return Unconfirmed, unconfirmed
 }
 
+// lacksPublished reports that another instance published a change which this copy lacks.
+func (s *freshness) lacksPublished() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.since.Before(s.published)
+}
+
 // lacking returns a channel that receives when the copy may lack a change.
 func (s *freshness) lacking() <-chan struct{} {
 	s.mu.Lock()
--- a/pkg/follow/handon.go
+++ b/pkg/follow/handon.go
@@ -24,6 +24,9 @@
 	// catchUpPause spreads the next question of one that was refused: a copy of 40 kB takes
 	// 35 ms on the smallest link.
 	catchUpPause = 40 * time.Millisecond
+	// fetchTimeout bounds one question with its answer: a copy that is on its way over a full link is
+	// waited for, since who gives up in the middle begins again.
+	fetchTimeout = 2 * time.Second
 )
 
 // hand hands copies on. It is safe for concurrent use.
@@ -138,6 +141,11 @@
 // startCatchUp brings a copy up to a position that another instance published, unless that is
 // being done.
 func (p *Publisher) startCatchUp(name, from string, upTo store.Position) {
+	p.once(name, func() { p.catchUp(name, p.peers.AddressOf(from), upTo) })
+}
+
+// once has a copy brought up to date in the background, unless that is being done.
+func (p *Publisher) once(name string, catchUp func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.catching[name] {
@@ -145,20 +153,27 @@
 	}
 	p.catching[name] = true
 	go func() {
-		p.catchUp(name, p.peers.AddressOf(from), upTo)
+		catchUp()
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.catching[name] = false
 	}()
 }
 
+// fetch is FetchFrom with a bound.
+func (p *Publisher) fetch(ctx context.Context, name, address string) (further bool, elsewhere []string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return p.FetchFrom(ctx, name, address)
+}
+
 // catchUp asks for what a copy lacks: first who published it, then whom that one handed it to,
 // then anybody. It ends when the copy has it, or when the store is to be asked.
 func (p *Publisher) catchUp(name, address string, upTo store.Position) {
 	ctx, cancel := context.WithTimeout(context.Background(), p.timing.Behind)
 	defer cancel()
 	for ctx.Err() == nil && p.followers[name].fresh.upTo().Before(upTo) {
-		further, elsewhere, err := p.FetchFrom(ctx, name, address)
+		further, elsewhere, err := p.fetch(context.Background(), name, address)
 		if err == nil && further {
 			continue
 		}
@@ -188,12 +203,17 @@
 	}
 }
 
-// AskAround asks one other instance, drawn anew each time, for what a copy lacks: the store does
-// not answer this one, and those that publish may not reach it.
-func (p *Publisher) AskAround(ctx context.Context, name string) {
+// AskAround asks another instance, drawn anew each time, for what the copies lack, and waits for no
+// answer: the store does not answer this one, and those that publish may not reach it.
+func (p *Publisher) AskAround(ctx context.Context) {
 	addresses := p.peers.Addresses()
 	if len(addresses) == 0 {
 		return
 	}
-	_, _, _ = p.FetchFrom(ctx, name, addresses[rand.IntN(len(addresses))]) // the next failed call asks another
+	address := addresses[rand.IntN(len(addresses))]
+	for name := range p.followers {
+		p.once(name, func() {
+			_, _, _ = p.fetch(ctx, name, address) // the next failed call asks another
+		})
+	}
 }
--- a/pkg/follow/histories_test.go
+++ b/pkg/follow/histories_test.go
@@ -28,6 +28,8 @@
 	worldPartly = 8 * time.Second
 	// worldSettled is how long after the last disturbance all copies are looked at.
 	worldSettled = worldContact + worldBound
+	// worldReaders is how many instances read the store most.
+	worldReaders = 3
 	// worldStart is when the first disturbance may come.
 	worldStart = 5 * time.Second
 )
@@ -172,7 +174,7 @@
 	w.mu.Unlock()
 	if readers {
 		slices.SortStableFunc(some, func(a, b *worldInstance) int {
-			return min(a.place, publishers) - min(b.place, publishers)
+			return min(a.place, worldReaders) - min(b.place, worldReaders)
 		})
 	}
 	return some[:max(1, len(some)*share/100)]
--- a/pkg/follow/lost_test.go
+++ b/pkg/follow/lost_test.go
@@ -78,7 +78,11 @@
 	if losing {
 		return store.Listing{}, lost(ctx, 0)
 	}
-	return store.Listing{Position: revision}, nil
+	list := store.Listing{Position: revision}
+	if store.At(1).Before(revision) { // the object that each change writes
+		list.Objects = []store.Object{{Position: revision, Value: s.value}}
+	}
+	return list, nil
 }
 
 // Watch implements store.Watcher.
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -16,9 +16,11 @@
 // first sends short watches and publishes what they say.
 const RankKey = "copies"
 
-// publishers is how many ranks publish. The rest only look after themselves: in an outage all
-// send short watches, and all publishing to all would be messages by the square of the fleet.
-const publishers = 3
+// publishers is how many ranks may publish: each rank takes over where those before it are not heard
+// of, since a store that refuses some instances refuses those first that read it most. Of half a fleet
+// refused, all these are in one of a million cases. The rest only look after themselves: in an outage
+// all send short watches, and all publishing to all would be messages by the square of the fleet.
+const publishers = 20
 
 // collect is the pause before a confirmation that brings no change: the watches of all copies end
 // together, and one message tells of all of them.
@@ -89,10 +91,24 @@
 		follower.Answered = p.answered
 		follower.Unheard = func(ctx context.Context) { p.askSome(ctx, name) }
 		follower.Gate = gate
+		follower.Probes = func() bool { return p.probe() == name }
 	}
 	return p
 }
 
+// probe returns the copy by which a store that does not answer is asked: the smallest, since the answer
+// that ends an outage comes to all instances at once.
+func (p *Publisher) probe() string {
+	probe, least := "", 0
+	for name, follower := range p.followers {
+		size := follower.contents.bytes()
+		if probe == "" || size < least || (size == least && name < probe) {
+			probe, least = name, size
+		}
+	}
+	return probe
+}
+
 // answered has what the store said published: a change at once, since a copy whose watch lost its
 // answer learns of it from the publication; that nothing changed, together with what the other
 // watches say.
--- a/pkg/follow/timing.go
+++ b/pkg/follow/timing.go
@@ -105,8 +105,11 @@
 	if rank <= 0 {
 		return 0
 	}
-	steps := time.Duration(min(rank, publishers) - 1)
-	return t.First + steps*(t.Last-t.First)/(publishers-1)
+	if rank >= publishers {
+		return t.Last
+	}
+	// The gaps shrink: whoever takes over has to be one of the first few, unless the store refuses many.
+	return t.Last - (t.Last-t.First)/time.Duration(rank)
 }
 
 // beat is the pace of one instance's watches. The watches of all its copies end on it together,
--- a/pkg/follow/world_test.go
+++ b/pkg/follow/world_test.go
@@ -301,12 +301,8 @@
 		f.Obtain = func(ctx context.Context) bool { return i.obtain(ctx, kind) }
 	}
 	publisher := NewPublisher(i.name(), followers, i, TimingFor(i.world.bound))
-	for kind, f := range followers {
-		f.Lost = func(error) {
-			ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
-			defer cancel()
-			publisher.AskAround(ctx, kind)
-		}
+	for _, f := range followers {
+		f.Lost = func(error) { publisher.AskAround(ctx) }
 	}
 	i.mu.Lock()
 	i.publisher, i.copies, i.stop, i.diedAt, i.bornAt = publisher, copies, stop, time.Time{}, time.Now()
--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -65,21 +65,19 @@
 	}
 }
 
-// lostStore notes that the store does not answer for a copy, and asks another instance.
+// lostStore notes that the store does not answer for a copy, and asks another instance for all.
 func (r *Router) lostStore(name string, err error) {
 	r.tellWatchFailed(name, err)
 	if name == copyUpstreams && !r.copies[name].ConfirmedLately() {
 		r.registry.StoreOut()
 	}
-	ctx, cancel := context.WithTimeout(r.background, askAroundTimeout)
-	defer cancel()
-	r.publisher.AskAround(ctx, name)
+	r.publisher.AskAround(r.background)
 }
 
 // How a first copy is obtained.
 const (
-	// askAroundTimeout bounds a question to another instance.
-	askAroundTimeout = 300 * time.Millisecond
+	// firstCopyTimeout bounds a question for a first copy to another instance.
+	firstCopyTimeout = 300 * time.Millisecond
 	// obtainEvery is how often an instance that starts asks others for a first copy.
 	obtainEvery = 100 * time.Millisecond
 	// obtainFor is how long it asks them before it asks the store, and obtainSpread the time
@@ -122,7 +120,7 @@
 func (r *Router) isSeed() bool { return slices.Contains(r.settings.Seeds, r.settings.PeerAddress) }
 
 func (r *Router) fetchCopy(ctx context.Context, name, address string) (further bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, askAroundTimeout)
+	ctx, cancel := context.WithTimeout(ctx, firstCopyTimeout)
 	defer cancel()
 	further, _, err = r.publisher.FetchFrom(ctx, name, address)
 	return further, err
