Member: who lives and who ranks where is kept until an entry changes

Cause: Live sorted 295 members with each request (the retry limit asks how many there are), five times a second for cold upstreams and with each telling of the quarantine; ranks were counted anew 20 times a second for each copy in an outage.

--- a/pkg/follow/handon.go
+++ b/pkg/follow/handon.go
@@ -40,9 +40,17 @@
 	got []string
 }
 
+// packedCopy is what changed of a copy, encoded.
 type packedCopy struct {
 	since, upTo store.Position
-	bytes       []byte
+	// whole says that it is all of the copy, for whoever asks.
+	whole bool
+	bytes []byte
+}
+
+// serves reports whether this is what an instance lacks that has the copy up to a position.
+func (p *packedCopy) serves(since, upTo store.Position) bool {
+	return p.upTo == upTo && (p.whole || p.since == since)
 }
 
 // pack returns what changed of a copy after a position. Many ask for the same: the last is kept.
@@ -51,7 +59,7 @@
 	defer h.mu.Unlock()
 	upTo, changed := f.fresh.positions()
 	last, kept := h.packed[name]
-	if kept && last.since == since && last.upTo == upTo {
+	if kept && last.serves(since, upTo) {
 		return last.bytes, nil
 	}
 	contents := f.contents.after(since)
@@ -63,10 +71,18 @@
 	if err != nil {
 		return nil, err
 	}
-	h.packed[name] = packedCopy{since: since, upTo: upTo, bytes: packed}
+	h.packed[name] = packedCopy{since: since, upTo: upTo, whole: contents.Whole, bytes: packed}
 	return packed, nil
 }
 
+// keep keeps what another instance handed on as it came: compressed anew by each of hundreds, a large
+// configuration took more processor time than bringing it into force.
+func (h *hand) keep(name string, since store.Position, contents *followpb.Contents, packed []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.packed[name] = packedCopy{since: since, upTo: positionOf(contents), whole: contents.Whole, bytes: packed}
+}
+
 // may reports whether this instance may hand so many bytes on now.
 func (h *hand) may(size int) bool {
 	h.mu.Lock()
@@ -133,7 +149,9 @@
 	if err != nil {
 		return false, nil, err
 	}
-	further = f.Take(contents)
+	if further = f.Take(contents); further {
+		p.hand.keep(name, since, contents, reply.Packed)
+	}
 	f.Confirm(lastChangeOf(contents), time.Duration(reply.AgeMs)*time.Millisecond)
 	return further, nil, nil
 }
--- a/pkg/follow/histories_test.go
+++ b/pkg/follow/histories_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/pause"
+	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
 // Flags of a long run: go test ./pkg/follow -run TestDrawnHistories -histories 1000 -size 295.
@@ -18,6 +19,7 @@
 	histories = flag.Int("histories", 0, "how many histories to draw; 0 for the short run")
 	size      = flag.Int("size", 295, "instances in each history, with -histories")
 	first     = flag.Uint64("first", 1, "seed of the first history, with -histories")
+	trace     = flag.Bool("trace", false, "print the course of the instance to which a change came last, if late")
 )
 
 // Bounds of a deployment of hundreds of instances.
@@ -38,11 +40,14 @@
 type lateness struct {
 	// calm holds each change and instance while the store was sound, partly while it refused some.
 	calm, partly []time.Duration
-	// worst tells of the latest one.
-	worst string
+	// worst tells of the latest one, latest is its instance.
+	worst  string
+	latest int
 	// wrong tells of copies that are not what the store has at the end.
 	wrong []string
 	calls int
+	// course is that of the latest instance, with -trace.
+	course []string
 }
 
 // playHistory plays the history of a seed.
@@ -55,7 +60,7 @@
 	w.disturb()
 	pause.For(ctx, worldSettled)
 	out := w.lateness()
-	out.calls = w.store.count()
+	out.calls, out.course = w.store.count(), w.instances[out.latest].course
 	for _, i := range w.instances {
 		for kind, copied := range i.copies {
 			if differs := copied.differs(); differs != "" {
@@ -303,16 +308,21 @@
 	defer w.mu.Unlock()
 	var out lateness
 	worst := 0.0
+	undone := w.undone()
 	note := func(into *[]time.Duration, a arrival, disturbed []span, bound time.Duration) {
 		written := w.written[a.change]
-		at, in := touched(disturbed, later(written, a.born), a.at)
+		until := a.at
+		if gone, ok := undone[a.change]; ok && gone.Before(until) {
+			until = gone
+		}
+		at, in := touched(disturbed, later(written, a.born), until)
 		if !in {
 			return
 		}
 		late := at.Sub(written)
 		*into = append(*into, late)
 		if part := late.Seconds() / bound.Seconds(); part > worst {
-			worst = part
+			worst, out.latest = part, a.instance
 			out.worst = fmt.Sprintf("%s at instance %d, written at %v, in force %v later, %v in touch, bound %v",
 				a.kind, a.instance, written.Format("05.000"), a.at.Sub(written), late, bound)
 		}
@@ -327,6 +337,27 @@
 	return out
 }
 
+// undone returns when each object was gone again that a change had created: who lacked it lacks
+// nothing from then on. w.mu is held.
+func (w *world) undone() map[store.Position]time.Time {
+	undone := map[store.Position]time.Time{}
+	for _, changes := range w.store.changes {
+		created, exists := map[string]store.Position{}, map[string]bool{}
+		for _, change := range changes {
+			key := change.Object.Key
+			if at, fresh := created[key]; fresh && change.Deleted {
+				undone[at] = w.written[change.Object.Position]
+			}
+			delete(created, key)
+			if !change.Deleted && !exists[key] {
+				created[key] = change.Object.Position
+			}
+			exists[key] = !change.Deleted
+		}
+	}
+	return undone
+}
+
 // A change is in force at all but a few of hundreds of instances, which serve a dropped route or
 // use an upstream that has left. Guards against each way in which the last instance to know knows
 // late: the store refuses those that read it first, changes are superseded before they have spread,
@@ -350,6 +381,11 @@
 				if late := greatest(played.partly); late > worldBound+worldPartly {
 					t.Errorf("beside refusals a change came into force %v late: %s", late, played.worst)
 				}
+				if t.Failed() {
+					for _, line := range played.course {
+						t.Log(line)
+					}
+				}
 				for _, wrong := range played.wrong[:min(3, len(played.wrong))] {
 					t.Errorf("at the end of seed %d: %s (%d in all)", seed, wrong, len(played.wrong))
 				}
--- a/pkg/follow/world_test.go
+++ b/pkg/follow/world_test.go
@@ -239,6 +239,8 @@
 	bornAt    time.Time
 	publisher *Publisher
 	copies    map[string]*worldCopy
+	// course tells what it did and heard, with -trace.
+	course []string
 	// packed is what was handed on last of each kind: it is compressed once.
 	packed map[string][]byte
 	stop   context.CancelFunc
@@ -314,6 +316,17 @@
 	i.world.running.Go(func() { publisher.Run(ctx) })
 }
 
+// note adds to an instance's course.
+func (i *worldInstance) note(format string, args ...any) {
+	if !*trace {
+		return
+	}
+	line := time.Now().Format("05.000 ") + fmt.Sprintf(format, args...)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.course = append(i.course, line)
+}
+
 func (i *worldInstance) obtain(ctx context.Context, kind string) bool {
 	for range 5 {
 		for range 3 {
@@ -384,7 +397,11 @@
 
 // ask makes one call to the store as far as its manner goes.
 func (i *worldInstance) ask(ctx context.Context, wait time.Duration) error {
-	switch i.called() {
+	m := i.called()
+	if m != storeAnswers {
+		i.note("call of the store, manner %d", m)
+	}
+	switch m {
 	case storeRefuses:
 		pause.For(ctx, answerTime)
 		return store.ErrUnavailable
@@ -410,6 +427,7 @@
 		return store.Listing{}, err
 	}
 	list := i.world.store.list(kind)
+	i.note("list of %s at %v", kind, list.Position)
 	store.AnswerBegun(ctx)
 	text := 0
 	for _, object := range list.Objects {
@@ -438,6 +456,7 @@
 	if m := i.called(); m != storeAnswers && m != storeSlow { // the answer is on its way into a disturbance
 		return store.Changes{}, lost(ctx, 0)
 	}
+	i.note("watch of %s since %v: %d changes up to %v", kind, since, len(changes.Changes), changes.Position)
 	text := 0
 	for _, change := range changes.Changes {
 		text += len(change.Object.Value) * worldTextFactor
@@ -530,6 +549,7 @@
 	if err != nil {
 		return nil, err
 	}
+	i.note("fetch of %s since %d from %s: %d bytes, busy %t", request.Name, request.Since, address, len(reply.Packed), reply.Busy)
 	defer func() {
 	}()
 	text := len(reply.Packed) * worldTextFactor
@@ -569,6 +589,7 @@
 		return err
 	}
 	_, publisher, _ := other.now()
+	other.note("confirmation: %v", confirmation)
 	publisher.Take(confirmation)
 	return nil
 }
@@ -592,17 +613,18 @@
 func (c *worldCopy) Replace(list store.Listing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reach(list.Position)
 	c.objects = map[string]store.Position{}
 	for _, object := range list.Objects {
 		c.objects[object.Key] = object.Position
 	}
-	c.reach(list.Position)
 }
 
 // Apply implements Copy.
 func (c *worldCopy) Apply(changes store.Changes) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reach(changes.Position)
 	for _, change := range changes.Changes {
 		if change.Deleted {
 			delete(c.objects, change.Object.Key)
@@ -610,7 +632,6 @@
 			c.objects[change.Object.Key] = change.Object.Position
 		}
 	}
-	c.reach(changes.Position)
 }
 
 // end notes what the instance lacked until now.
@@ -623,7 +644,8 @@
 	c.reach(store.At(revision))
 }
 
-// reach notes what came into force; c.mu is held.
+// reach notes what comes into force, before it is taken in; the end of an object that the copy has
+// never had is no news. c.mu is held.
 func (c *worldCopy) reach(position store.Position) {
 	w := c.instance.world
 	w.store.mu.Lock()
@@ -633,6 +655,9 @@
 	defer w.mu.Unlock()
 	for _, change := range changes {
 		at := change.Object.Position
+		if _, had := c.objects[change.Object.Key]; change.Deleted && !had {
+			continue
+		}
 		if c.reached.Before(at) && !position.Before(at) {
 			w.inForce = append(w.inForce, arrival{kind: c.kind, instance: c.instance.place, change: at, born: c.born, at: time.Now()})
 		}
--- a/pkg/member/ranking.go
+++ b/pkg/member/ranking.go
@@ -109,6 +109,10 @@
 func (t *Table) ranked(key string, most, within int) []*memberpb.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	query := rankedQuery{key, most, within}
+	if ranked, kept := t.views.ranked[query]; kept && t.keepsViews() {
+		return slices.Clone(ranked)
+	}
 	candidates := make([]candidate, 0, len(t.entries))
 	for incarnation, e := range t.entries {
 		replaced := t.byName[e.member.Name] != incarnation
@@ -124,7 +128,11 @@
 	for _, c := range candidates[:min(most, len(candidates))] {
 		ranked = append(ranked, c.member)
 	}
-	return ranked
+	if t.views.ranked == nil {
+		t.views.ranked = map[rankedQuery][]*memberpb.Member{}
+	}
+	t.views.ranked[query] = ranked
+	return slices.Clone(ranked)
 }
 
 // score is the member's score for a key. It is kept: ranks are asked for many times a second, and a
@@ -155,6 +163,9 @@
 func (t *Table) RankInRegion(key string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if rank, kept := t.views.ranks[key]; kept && t.keepsViews() {
+		return rank
+	}
 	own := t.entries[t.identity.Incarnation].score(key)
 	rank := 0
 	for incarnation, e := range t.entries {
@@ -162,6 +173,10 @@
 			rank++
 		}
 	}
+	if t.views.ranks == nil {
+		t.views.ranks = map[string]int{}
+	}
+	t.views.ranks[key] = rank
 	return rank
 }
 
--- a/pkg/member/state.go
+++ b/pkg/member/state.go
@@ -34,7 +34,7 @@
 func (t *Table) restate(e *entry, m *memberpb.Member) {
 	e.member, e.stated = m, t.now()
 	t.news.add(m.Incarnation)
-	t.hashed = false
+	t.changed()
 	if m.State == memberpb.State_SUSPECT {
 		t.suspected[m.Incarnation] = e
 	}
@@ -46,6 +46,7 @@
 	e.heard, e.missed = t.now(), false
 	if e.member.State != memberpb.State_ALIVE {
 		t.news.add(e.member.Incarnation)
+		t.views = views{}
 	}
 }
 
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -52,6 +52,7 @@
 	suspected map[string]*entry
 	hash      uint64
 	hashed    bool // hash is that of the present entries
+	views     views
 }
 
 // Config sizes a table.
@@ -142,7 +143,7 @@
 	t.entries[m.Incarnation] = e
 	t.byName[m.Name] = m.Incarnation
 	t.news.add(m.Incarnation)
-	t.hashed = false
+	t.changed()
 	return e
 }
 
@@ -268,10 +269,21 @@
 func (t *Table) Live() []*memberpb.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.live()
+	return slices.Clone(t.live())
 }
 
+// CountLive returns how many members Live returns.
+func (t *Table) CountLive() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.live())
+}
+
+// live returns the live members in a slice that is not to be changed; t.mu is held.
 func (t *Table) live() []*memberpb.Member {
+	if t.views.live != nil && t.keepsViews() {
+		return t.views.live
+	}
 	out := make([]*memberpb.Member, 0, len(t.entries))
 	for incarnation, e := range t.entries {
 		if !e.member.Leaving && !t.silent(incarnation) {
@@ -279,6 +291,7 @@
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Incarnation < out[j].Incarnation })
+	t.views.live = out
 	return out
 }
 
@@ -340,7 +353,7 @@
 	delete(t.entries, incarnation)
 	delete(t.suspected, incarnation)
 	t.news.drop(incarnation)
-	t.hashed = false
+	t.changed()
 	if t.byName[e.member.Name] == incarnation {
 		delete(t.byName, e.member.Name)
 	}
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -37,7 +37,7 @@
 func (r *Router) showMetrics(_ context.Context, c *app.RequestContext) {
 	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, r.metrics).Update(value) }
 	gauge("requests.active", r.door.Active())
-	gauge("members.live", int64(len(r.table.Live())))
+	gauge("members.live", int64(r.table.CountLive()))
 	if age, known := r.eraAge(); known {
 		gauge("store.era_age_s", int64(age.Seconds()))
 	}
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -160,7 +160,7 @@
 
 // tellStatus logs counters, so that the log alone shows a process's course.
 func (r *Router) tellStatus(context.Context) {
-	fields := eventlog.Fields{"active": r.door.Active(), "members": len(r.table.Live())}
+	fields := eventlog.Fields{"active": r.door.Active(), "members": r.table.CountLive()}
 	for name, value := range r.platform.StoreCalls(r.store) {
 		fields["store_"+name] = value
 	}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -217,7 +217,7 @@
 			Extra:  r.settings.RetryExtra,
 			Window: r.settings.RetryWindow(),
 		},
-		Instances: func() int { return len(r.table.Live()) },
+		Instances: r.table.CountLive,
 		StoreUp:   r.tie.Up,
 		Now:       time.Now,
 	})
