--- a/pkg/follow/histories_test.go
+++ b/pkg/follow/histories_test.go
@@ -363,7 +363,7 @@
 // late: the store refuses those that read it first, changes are superseded before they have spread,
 // instances start, die and are cut off meanwhile.
 func TestDrawnHistoriesBringEachChangeInTime(t *testing.T) {
-	count, instances, from := 6, 63, uint64(1)
+	count, instances, from := 6, min(63, largeFleet), uint64(1)
 	if *histories > 0 {
 		count, instances, from = *histories, *size, *first
 	}
@@ -419,7 +419,7 @@
 // seconds. Guards against each of them reading, from the store, every version that was written
 // meanwhile: together more than the store's link carries in time.
 func TestVersionsOfACutAreNotReadByEachInstance(t *testing.T) {
-	const instances, versions, configBytes, cut = 295, 4, 100_000, 9 * time.Second
+	const instances, versions, configBytes, cut = largeFleet, 8, 100_000, 24 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t.Context(), rand.New(rand.NewPCG(1, instances)), instances, worldBound)
 		w.write(worldRouting, "main", w.text(configBytes))
@@ -445,3 +445,42 @@
 		w.end()
 	})
 }
+
+// A store refuses those that read it, and hundreds that it serves ask it each for itself, for each copy
+// and again and again. Guards against ranks that keep the publishing to themselves: another one takes it
+// over, each change is in force everywhere in time, also at those that are refused, and the store has
+// a few times the calls of a calm fleet.
+func TestStoreThatRefusesItsReadersIsReadByAnother(t *testing.T) {
+	const instances, refusedFor, changeEvery, timesCalm = largeFleet, 10 * time.Second, time.Second, 6
+	for _, how := range []manner{storeRefuses, storeThrottles, storeResets, storeSilent} {
+		t.Run(fmt.Sprint("manner ", how), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t.Context(), rand.New(rand.NewPCG(1, instances)), instances, worldBound)
+				w.populate()
+				w.start()
+				pause.For(t.Context(), worldStart)
+				for _, i := range w.chosen(35, true) {
+					i.mu.Lock()
+					i.refused = how
+					i.mu.Unlock()
+				}
+				before := w.store.count()
+				for range int(refusedFor / changeEvery) {
+					w.write(worldRouting, "main", w.text(200))
+					pause.For(t.Context(), changeEvery)
+				}
+				calls := w.store.count() - before
+				pause.For(t.Context(), worldBound)
+				if late := greatest(w.lateness().calm); late > worldBound {
+					t.Errorf("a change came into force %v late", late)
+				}
+				calm := len(worldKinds) * int(refusedFor/longestWait)
+				if calls > timesCalm*calm {
+					t.Errorf("%d calls in %v, %d in a calm fleet", calls, refusedFor, calm)
+				}
+				t.Logf("%d calls in %v, worst %v", calls, refusedFor, greatest(w.lateness().calm))
+				w.end()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pkg/follow/race_off_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package follow
+
+// largeFleet is how many instances a large fleet has.
+const largeFleet = 295
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -61,7 +61,8 @@
 try a-third-is-held pkg/prepaid/tick.go 's/heldPart = 3/heldPart = 5/' pkg/prepaid TestAccountThatLastsOutlastsACut
 try restarted-is-another pkg/placement/pool.go 's/ \|\| s\.Born != u\.Born//' pkg/placement TestRestartedUpstreamBeginsWithNothing
 try kept-views-follow-the-entries pkg/member/state.go 's/\t\tt\.views = views\{\}\n//' pkg/member TestKeptViewsAreThoseOfTheEntries
-try versions-are-read-once pkg/follow/follow.go 's/if f\.readsWhole\(\) \{/if false {/; s/p\.probe\(\) == name/true/' pkg/follow TestVersionsOfACutAreNotReadByEachInstance
+try others-take-publishing-over pkg/follow/publisher.go 's/const publishers = 20/const publishers = 3/' pkg/follow TestStoreThatRefusesItsReadersIsReadByAnother
+try versions-are-read-once pkg/follow/follow.go 's/if f\.readsWhole\(\) \{/if false {/' pkg/follow TestVersionsOfACutAreNotReadByEachInstance
 try short-watches pkg/follow/timing.go 's/t\.Wait = min\(mostWait, /t.Wait = max(30*time.Second, /' pkg/follow TestLostAnswerHidesNoChange
 try times-follow-the-bound pkg/follow/timing.go 's/t\.Last = min\(mostLast, bound-reserved-t\.Hedge\)/t.Last = mostLast + 0*reserved/' pkg/follow TestLastInstanceToKnowKnowsInTime
 try each-kind-of-change-in-time pkg/follow/timing.go 's/t\.Last = min\(mostLast, bound-reserved-t\.Hedge\)/t.Last = mostLast + 0*reserved/' platform TestLastInstanceHasEachKindOfChangeInTime
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,4 +24,6 @@
   cat KNOWN-RED.txt
   skip=$(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|' -)
 fi
+# Virtual fleets at their full size: the race detector takes some thirty times as long.
+go test ${skip:+-skip "^($skip)\$"} ./pkg/follow
 go test -race -timeout 20m ${skip:+-skip "^($skip)\$"} ./...
