--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -38,6 +38,7 @@
 	for name, copied := range r.copies {
 		r.joinCopy(name, copied)
 	}
+	r.alarm = follow.Alarm{Tell: r.tellCopyAge}
 	r.publisher = follow.NewPublisher(r.incarnation, r.copies, copyPeers{r}, follow.TimingFor(r.settings.ChangeBound()))
 }
 
@@ -203,6 +204,15 @@
 	r.log.Event(eventlog.WatchFailed, "", fields)
 }
 
+func (r *Router) tellCopyAge(report follow.AgeReport) {
+	if report.Old {
+		metrics.GetOrRegisterCounter("copies.old", r.metrics).Inc(1)
+	}
+	r.log.Event(eventlog.CopyOld, "", eventlog.Fields{
+		"copy": report.Copy, "old": report.Old, "age_ms": report.Age.Milliseconds(), "store_answers": report.StoreAnswers,
+	})
+}
+
 // copyAges tells, by copy and in milliseconds, for how long nothing has confirmed it.
 func (r *Router) copyAges() map[string]int64 {
 	ages := map[string]int64{}
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -146,6 +146,9 @@
 func (r *Router) housekeep(context.Context) {
 	r.cold.Observe()
 	r.conns.Sweep()
+	for name, copied := range r.copies {
+		r.alarm.Look(name, copied)
+	}
 	if r.registry.ExpireEmptied() {
 		r.domainsChanged()
 	}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -99,7 +99,9 @@
 	// instances call the two.
 	copies    map[string]*follow.Follower
 	publisher *follow.Publisher
-	meeting   meeting
+	// alarm is touched by one duty only.
+	alarm   follow.Alarm
+	meeting meeting
 
 	noted member.Notes
 
