--- /dev/null
+++ b/pkg/quarantine/hash_test.go
@@ -0,0 +1,61 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/fingerprint"
+)
+
+// hashed is a request of a number.
+type hashed byte
+
+func (h hashed) Fingerprint() fingerprint.Fingerprint { return fingerprint.Fingerprint{byte(h) + 1} }
+
+// Guards against a hash that is kept although its record has changed: two instances would take
+// different tables for the same, and one of them send on a request that the other has condemned.
+func TestKeptHashIsThatOfTheRecord(t *testing.T) {
+	const steps, requests, upstreams = 4000, 6, 4
+	random := rand.New(rand.NewPCG(1, 2))
+	now := time.Unix(1_000_000, 0)
+	tables := []*Table{NewTable("a", nil), NewTable("b", nil)}
+	for step := range steps {
+		now = now.Add(time.Duration(random.IntN(400)) * time.Millisecond)
+		table := tables[random.IntN(2)]
+		upstream := Upstream{Address: fmt.Sprint("u", random.IntN(upstreams)), Incarnation: fmt.Sprint(random.IntN(3))}
+		run, err := table.Begin(hashed(random.IntN(requests)), now)
+		if err != nil {
+			continue // condemned, or on trial elsewhere
+		}
+		switch random.IntN(5) {
+		case 0:
+			run.Broke(Origin{}, upstream, now)
+			run.Ended()
+		case 1:
+			run.Answered()
+		case 2:
+			run.Ended()
+			table.Answered(upstream.Address, upstream.Incarnation, now)
+		case 3:
+			run.Ended()
+			table.Ended(upstream.Address, upstream.Incarnation, now)
+		default:
+			run.Ended()
+			tables[0].Merge(tables[1].All(), now, true)
+			table.Expire(now)
+		}
+		for n, each := range tables {
+			kept := each.Hash()
+			each.mu.Lock()
+			for _, e := range each.records {
+				e.kept = 0
+			}
+			each.mu.Unlock()
+			if fresh := each.Hash(); kept != fresh {
+				t.Fatalf("step %d: table %d keeps the hash %x, it is %x", step, n, kept, fresh)
+			}
+		}
+	}
+}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -96,6 +96,16 @@
 	undecidedAt []string
 	// crashed are incarnations that crashed under the request, the first of them.
 	crashed map[string]bool
+	// kept is the record's hash; 0 after a change.
+	kept uint64
+}
+
+// hash is the record's, kept until it changes: each heartbeat compares whole tables.
+func (e *entry) hash() uint64 {
+	if e.kept == 0 {
+		e.kept = e.Record.hash()
+	}
+	return e.kept
 }
 
 // mostOwnCrashes bounds the incarnations that an entry names.
@@ -394,6 +404,7 @@
 	if !apply() {
 		return
 	}
+	e.kept = 0
 	t.count(before, e.watched())
 	t.index(e)
 	t.tell(e.Fingerprint)
--- a/pkg/quarantine/undecided.go
+++ b/pkg/quarantine/undecided.go
@@ -177,6 +177,7 @@
 		}
 		before := e.watched()
 		e.forgetEndings(now)
+		e.kept = 0
 		t.count(before, e.watched())
 		t.index(e)
 	}
