--- a/pkg/follow/handon.go
+++ b/pkg/follow/handon.go
@@ -48,9 +48,10 @@
 	bytes []byte
 }
 
-// serves reports whether this is what an instance lacks that has the copy up to a position.
+// serves reports whether this is what an instance lacks that has the copy up to a position. Who lacks
+// nothing is not sent the whole.
 func (p *packedCopy) serves(since, upTo store.Position) bool {
-	return p.upTo == upTo && (p.whole || p.since == since)
+	return p.upTo == upTo && (p.since == since || (p.whole && since.Before(upTo)))
 }
 
 // pack returns what changed of a copy after a position. Many ask for the same: the last is kept.
