Follow: the copy that needs the store probes it

A fault of the mend of the copies: after one lost call of the configuration the gate is closed, and the smaller copy, whose turn it was to probe, is confirmed by others and asks for nothing; so the configuration waits until that one is unconfirmed. Test: failing without the condition.

--- a/pkg/follow/guard.go
+++ b/pkg/follow/guard.go
@@ -38,6 +38,9 @@
 	return left <= 0
 }
 
+// needsStore reports that only the store can bring this copy up to date, or confirm it.
+func (f *Follower) needsStore() bool { return f.fresh.upTo().IsZero() || f.WatchesShort() }
+
 func (f *Follower) timing() Timing {
 	if f.Timing == (Timing{}) {
 		return TimingFor(DefaultBound)
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -96,11 +96,14 @@
 	return p
 }
 
-// probe returns the copy by which a store that does not answer is asked: the smallest, since the answer
-// that ends an outage comes to all instances at once.
+// probe returns the copy by which a store that does not answer is asked: of those that need it the
+// smallest, since the answer that ends an outage comes to all instances at once.
 func (p *Publisher) probe() string {
 	probe, least := "", 0
 	for name, follower := range p.followers {
+		if !follower.needsStore() {
+			continue
+		}
 		size := follower.contents.bytes()
 		if probe == "" || size < least || (size == least && name < probe) {
 			probe, least = name, size
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -64,6 +64,7 @@
 try others-take-publishing-over pkg/follow/publisher.go 's/const publishers = 20/const publishers = 3/' pkg/follow TestStoreThatRefusesItsReadersIsReadByAnother
 try who-lacks-nothing-gets-nothing pkg/follow/handon.go 's/ && since\.Before\(upTo\)//' pkg/follow TestCopyIsHandedOnAsItCameAndToThoseThatLackIt
 try kept-hash-follows-the-record pkg/quarantine/table.go 's/\te\.kept = 0\n//' pkg/quarantine TestKeptHashIsThatOfTheRecord
+try who-needs-the-store-probes-it pkg/follow/publisher.go 's/if !follower\.needsStore\(\) \{/if false {/' pkg/follow TestCopyThatNeedsTheStoreProbesIt
 try versions-are-read-once pkg/follow/follow.go 's/if f\.readsWhole\(\) \{/if false {/' pkg/follow TestVersionsOfACutAreNotReadByEachInstance
 try short-watches pkg/follow/timing.go 's/t\.Wait = min\(mostWait, /t.Wait = max(30*time.Second, /' pkg/follow TestLostAnswerHidesNoChange
 try times-follow-the-bound pkg/follow/timing.go 's/t\.Last = min\(mostLast, bound-reserved-t\.Hedge\)/t.Last = mostLast + 0*reserved/' pkg/follow TestLastInstanceToKnowKnowsInTime
