--- a/pkg/follow/handon.go
+++ b/pkg/follow/handon.go
@@ -160,22 +160,22 @@
 // startCatchUp brings a copy up to a position that another instance published, unless that is
 // being done.
 func (p *Publisher) startCatchUp(name, from string, upTo store.Position) {
-	p.once(name, func() { p.catchUp(name, p.peers.AddressOf(from), upTo) })
+	p.once(p.catching, name, func() { p.catchUp(name, p.peers.AddressOf(from), upTo) })
 }
 
-// once has a copy brought up to date in the background, unless that is being done.
-func (p *Publisher) once(name string, catchUp func()) {
+// once does something for a copy in the background, unless that is being done.
+func (p *Publisher) once(doing map[string]bool, name string, do func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.catching[name] {
+	if doing[name] {
 		return
 	}
-	p.catching[name] = true
+	doing[name] = true
 	go func() {
-		catchUp()
+		do()
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.catching[name] = false
+		doing[name] = false
 	}()
 }
 
@@ -231,7 +231,7 @@
 	}
 	address := addresses[rand.IntN(len(addresses))]
 	for name := range p.followers {
-		p.once(name, func() {
+		p.once(p.asking, name, func() {
 			_, _, _ = p.fetch(ctx, name, address) // the next failed call asks another
 		})
 	}
--- a/pkg/follow/handon_test.go
+++ b/pkg/follow/handon_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/store"
@@ -52,3 +54,41 @@
 		t.Errorf("%d bytes were sent to who lacks nothing of %d, %v", len(fromSecond.packed), whole, err)
 	}
 }
+
+// halfSilentPeers reach the one who publishes; all others are asked in vain.
+type halfSilentPeers struct{ *handingPeers }
+
+func (p *halfSilentPeers) Addresses() []string     { return []string{"silent"} }
+func (p *halfSilentPeers) AddressOf(string) string { return "publisher" }
+func (p *halfSilentPeers) Rank() int               { return 1 }
+func (p *halfSilentPeers) Fetch(
+	ctx context.Context, address string, request *followpb.FetchRequest,
+) (*followpb.FetchReply, error) {
+	if address == "silent" {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return p.handingPeers.Fetch(ctx, address, request)
+}
+
+// Guards against a published change that is not fetched while an earlier question to another instance,
+// which a cut has swallowed, waits for its answer.
+func TestChangeIsFetchedBesideAQuestionInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, _ := newHanding(nil)
+		first.followers["k"].applyList(store.Listing{
+			Position: store.At(7), Objects: []store.Object{{Key: "k/main", Position: store.At(7), Value: []byte("7")}},
+		})
+		_, peers := newHanding(first)
+		f := &Follower{Kind: "k", Copy: &newest{}}
+		p := NewPublisher("p", map[string]*Follower{"k": f}, &halfSilentPeers{peers}, TimingFor(longestStaleness))
+		f.applyList(store.Listing{Position: store.At(2), Objects: []store.Object{{Key: "k/main", Position: store.At(2)}}})
+		p.AskAround(t.Context())
+		p.Take(&followpb.Confirmation{From: "first", Copies: []*followpb.CopyState{{Name: "k", LastChange: 7}}})
+		time.Sleep(longestStaleness / 10)
+		if have := f.fresh.upTo(); have != store.At(7) {
+			t.Errorf("the copy is at %v", have)
+		}
+		time.Sleep(fetchTimeout)
+	})
+}
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -46,8 +46,9 @@
 	published map[string]store.Position
 
 	mu sync.Mutex
-	// catching says which copies are being brought up to date.
-	catching map[string]bool
+	// catching says which copies are being brought up to date, asking for which another instance is
+	// being asked.
+	catching, asking map[string]bool
 }
 
 // Peers are the other instances, as a publisher needs them.
@@ -78,6 +79,7 @@
 		hand:      hand{packed: map[string]packedCopy{}},
 		published: map[string]store.Position{},
 		catching:  map[string]bool{},
+		asking:    map[string]bool{},
 	}
 	gate, beat := &Gate{}, newBeat(timing.Wait)
 	for name, follower := range followers {
