--- a/pkg/follow/histories_test.go
+++ b/pkg/follow/histories_test.go
@@ -235,7 +235,7 @@
 
 func (w *world) disturbStore() {
 	from := time.Now()
-	w.store.set([]manner{storeRefuses, storeThrottles, storeResets, storeSilent, storeSlow}[w.drawn(5)])
+	w.store.set([]manner{storeRefuses, storeThrottles, storeResets, storeSilent, storeSlow, storeLossy}[w.drawn(6)])
 	pause.For(w.ctx, w.between(time.Second, 7*time.Second))
 	w.store.set(storeAnswers)
 	w.noteStore(&w.unstable, from)
--- a/pkg/follow/world_test.go
+++ b/pkg/follow/world_test.go
@@ -27,6 +27,8 @@
 // Figures of a world.
 const (
 	worldMessageTime = 1400 * time.Microsecond
+	// worldObtain bounds a question for a first copy.
+	worldObtain = 300 * time.Millisecond
 	// worldTextFactor is how many bytes of the store's text one byte of a compressed copy stands for.
 	worldTextFactor = 10
 	// worldDecodeBytes and worldPackBytes are what a whole core decodes and compresses in a second.
@@ -36,6 +38,8 @@
 	// takes in of one writer's text.
 	worldStoreRate = 125_000_000
 	worldWriteRate = 350_000
+	// worldStoreLoss is how many of a hundred answers a lossy store loses.
+	worldStoreLoss = 30
 	// worldSlowStore is the answer time of a store that is slow.
 	worldSlowStore = 250 * time.Millisecond
 )
@@ -50,6 +54,7 @@
 	storeResets
 	storeSilent
 	storeSlow
+	storeLossy
 )
 
 // worldStore is a store of several kinds in virtual time.
@@ -330,9 +335,7 @@
 func (i *worldInstance) obtain(ctx context.Context, kind string) bool {
 	for range 5 {
 		for range 3 {
-			_, publisher, _ := i.now()
-			further, _, _ := publisher.FetchFrom(ctx, kind, fmt.Sprint(i.world.drawn(len(i.world.instances))))
-			if further {
+			if i.obtainFrom(ctx, kind, fmt.Sprint(i.world.drawn(len(i.world.instances)))) {
 				return true
 			}
 		}
@@ -341,6 +344,14 @@
 	return false
 }
 
+func (i *worldInstance) obtainFrom(ctx context.Context, kind, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, worldObtain)
+	defer cancel()
+	_, publisher, _ := i.now()
+	further, _, _ := publisher.FetchFrom(ctx, kind, address)
+	return further
+}
+
 func (i *worldInstance) kill() {
 	i.stop()
 	i.mu.Lock()
@@ -392,6 +403,12 @@
 	if i.refused != storeAnswers {
 		return i.refused
 	}
+	if m == storeLossy {
+		if i.world.drawn(100) < worldStoreLoss {
+			return storeSilent
+		}
+		return storeAnswers
+	}
 	return m
 }
 
@@ -540,7 +557,8 @@
 func (i *worldInstance) Fetch(ctx context.Context, address string, request *followpb.FetchRequest) (*followpb.FetchReply, error) {
 	other := i.world.at(address)
 	if !i.world.arrives(i, other) {
-		return nil, lostMessage(ctx)
+		<-ctx.Done() // what a cut swallows is waited for to the end
+		return nil, ctx.Err()
 	}
 	request.Asker = i.name()
 	pause.For(ctx, worldMessageTime)
