Follow: one lost call of one copy is no outage of the others

By reading: since the smallest copy probes for all, the others took its gate being closed for an outage, also after one lost call; its end would be told, and entries of upstreams that leave just then be kept for two seconds. Two calls in a row now.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -126,7 +126,7 @@
 		var untrusted *UntrustedError
 		switch {
 		case errors.Is(err, errNotNow):
-			if f.Gate.Closed() && !f.failing {
+			if f.Gate.Away() && !f.failing {
 				f.lost(err)
 			}
 			pause.For(ctx, gatePoll)
--- a/pkg/follow/gate.go
+++ b/pkg/follow/gate.go
@@ -10,11 +10,17 @@
 // within this time and the call's own timeout.
 const probeEvery = 400 * time.Millisecond
 
+// awayAfter is after how many calls in a row without an answer the store is away for all copies. One may
+// have been lost alone: taken for an outage, its end would have entries kept that are removed just then.
+const awayAfter = 2
+
 // Gate lets the followers of one instance ask a store that does not answer one at a time. It is
 // safe for concurrent use; a nil gate is always open.
 type Gate struct {
 	mu     sync.Mutex
 	closed bool
+	// unanswered counts the calls in a row that were not answered.
+	unanswered int
 	// inside says that a call is on its way to a closed gate's store, since entered.
 	inside  bool
 	entered time.Time
@@ -50,6 +56,20 @@
 		g.reopened = time.Now()
 	}
 	g.closed, g.inside = !answered, false
+	g.unanswered++
+	if answered {
+		g.unanswered = 0
+	}
+}
+
+// Away reports whether the store has answered none of several calls.
+func (g *Gate) Away() bool {
+	if g == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.unanswered >= awayAfter
 }
 
 // reopenedWithin reports whether the store answered again so short a time ago.
--- a/pkg/follow/gate_test.go
+++ b/pkg/follow/gate_test.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,3 +55,29 @@
 		}
 	})
 }
+
+// Guards against one lost call of one copy that is taken for an outage by the others: once its end is told,
+// upstreams that leave just then are kept. And against an outage that a copy which may not ask knows nothing of.
+func TestOneLostCallIsNoOutageOfTheOtherCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		told := 0
+		f := &Follower{Kind: "k", Copy: &newest{}, Gate: &Gate{}, Lost: func(error) { told++ }}
+		f.Probes = func() bool { return false } // another copy asks
+		f.fresh.reach(store.At(1), store.At(1))
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		f.Gate.Leave(false)
+		running.Go(func() { f.Run(ctx) })
+		time.Sleep(probeEvery)
+		if told != 0 {
+			t.Error("one lost call is taken for an outage")
+		}
+		f.Gate.Leave(false)
+		time.Sleep(2 * gatePoll)
+		if told != 1 {
+			t.Errorf("an outage is told %d times", told)
+		}
+		cancel()
+		running.Wait()
+	})
+}
