--- a/pkg/follow/gate_test.go
+++ b/pkg/follow/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,8 +61,8 @@
 // upstreams that leave just then are kept. And against an outage that a copy which may not ask knows nothing of.
 func TestOneLostCallIsNoOutageOfTheOtherCopies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		told := 0
-		f := &Follower{Kind: "k", Copy: &newest{}, Gate: &Gate{}, Lost: func(error) { told++ }}
+		var told atomic.Int32
+		f := &Follower{Kind: "k", Copy: &newest{}, Gate: &Gate{}, Lost: func(error) { told.Add(1) }}
 		f.Probes = func() bool { return false } // another copy asks
 		f.fresh.reach(store.At(1), store.At(1))
 		ctx, cancel := context.WithCancel(t.Context())
@@ -69,13 +70,13 @@
 		f.Gate.Leave(false)
 		running.Go(func() { f.Run(ctx) })
 		time.Sleep(probeEvery)
-		if told != 0 {
+		if told.Load() != 0 {
 			t.Error("one lost call is taken for an outage")
 		}
 		f.Gate.Leave(false)
 		time.Sleep(2 * gatePoll)
-		if told != 1 {
-			t.Errorf("an outage is told %d times", told)
+		if told.Load() != 1 {
+			t.Errorf("an outage is told %d times", told.Load())
 		}
 		cancel()
 		running.Wait()
