Tests: a failed quarantine test prints each instance's table and events

TestCrashIsKnownByTheNextIncarnation was red once in twenty beside load, and its output could not tell four hypotheses apart: an instance that does not take part, an upstream whose next incarnation is never noted, evidence that is counted twice, and late records. On failure it now prints what each instance watches and the events of its quarantine and of its members.

--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -65,7 +65,7 @@
 func start(t testing.TB, log io.Writer, program string, args ...string) *process {
 	t.Helper()
 	cmd := exec.Command(filepath.Join(binaries, program), args...)
-	cmd.Stderr = log
+	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append(os.Environ(), "GORACE=halt_on_error=1")
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -4,14 +4,17 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 	"github.com/lavenderring/lavenderring/pkg/quarantine/keeper"
@@ -97,6 +100,7 @@
 // sendThroughRouter sends a fatal request of each kind again and again.
 func sendThroughRouter(f *routed, most int) {
 	f.t.Helper()
+	defer f.explainQuarantine()
 	crashed := f.armUpstreams()
 	for _, route := range []string{"safe", "once", "stream", "resumable"} {
 		body := fatalBody + " on " + route
@@ -133,6 +137,30 @@
 	})
 }
 
+// explained are the events that tell how each instance came to its quarantine.
+var explained = []eventlog.Number{
+	eventlog.RequestBrokeOff, eventlog.RequestSuspected, eventlog.RequestCleared, eventlog.QuarantineLearned,
+	eventlog.QuarantineFault, eventlog.MemberJoined, eventlog.MemberSilent, eventlog.MemberLeft,
+	eventlog.MembersUnknown, eventlog.InstanceReady,
+}
+
+// explainQuarantine prints, if the test has failed, what each instance knows and how it came to it.
+func (f *routed) explainQuarantine() {
+	if !f.t.Failed() {
+		return
+	}
+	for _, i := range f.instances {
+		f.t.Logf("%s knows %+v", i.settings, f.watched(i))
+		log, err := os.ReadFile(i.settings + ".log")
+		f.must(err)
+		for line := range strings.Lines(string(log)) {
+			if slices.ContainsFunc(explained, func(c eventlog.Number) bool { return strings.Contains(line, fmt.Sprintf(`"event":%d,`, c)) }) {
+				f.t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // putProxies puts a relay before each upstream, which takes connections also while the process behind
 // it is away.
 func (f *routed) putProxies() {
