Meeting: a package of its own for how instances find each other

Moved out of the router without a change of behaviour, so that it can be played in virtual time without processes: a red run of TestCrashIsKnownByTheNextIncarnation shows two groups of instances that did not know each other.

--- a/pkg/router/copies.go
+++ b/pkg/router/copies.go
@@ -130,7 +130,7 @@
 // copyHolders returns where some other instances are reached that may have copies.
 func (r *Router) copyHolders() []string {
 	addresses := copyPeers{r}.Addresses()
-	for _, seed := range r.unmetSeeds() {
+	for _, seed := range r.meeting.UnmetSeeds() {
 		if !slices.Contains(addresses, seed) {
 			addresses = append(addresses, seed)
 		}
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -74,7 +74,7 @@
 		r.duty(copied.Run)
 	}
 	r.duty(r.publisher.Run)
-	r.duty(r.meet)
+	r.duty(r.meeting.Run)
 	r.duty(r.gossip.Run)
 	r.duty(r.quarantine.Run)
 	r.duty(r.quarantine.Spread)
--- a/pkg/router/era.go
+++ b/pkg/router/era.go
@@ -28,7 +28,7 @@
 		return // the first that this process sees
 	}
 	r.log.Event(eventlog.StoreWentBack, "", eventlog.Fields{"from": news.From, "era": news.To})
-	r.meeting.registered.Store(false)
+	r.meeting.StoreWentBack()
 	r.tokens.NoteEra(uint64(news.To))
 	r.quarantine.StoreAgain()
 }
--- a/pkg/router/quarantine.go
+++ b/pkg/router/quarantine.go
@@ -21,7 +21,7 @@
 // false if ctx ended first.
 func (r *Router) awaitQuarantine(ctx context.Context) bool {
 	for began := time.Now(); time.Since(began) < comparedWithin; {
-		if r.quarantine.Compared() || r.meeting.nobody.Load() {
+		if r.quarantine.Compared() || r.meeting.FoundNobody() {
 			break
 		}
 		if !pause.For(ctx, syncCheck) {
@@ -34,12 +34,12 @@
 // recoverVerdicts reads what the store has of condemned requests if no other instance knows it: all
 // were lost. Those few of a region that keep entries in the store read it, and tell the others.
 func (r *Router) recoverVerdicts(ctx context.Context) {
-	for !r.joined() {
+	for !r.meeting.Joined() {
 		if !pause.For(ctx, syncCheck) {
 			return
 		}
 	}
-	for !r.quarantine.Stored() && r.table.RankInRegion(registrarKey) < registrars {
+	for !r.quarantine.Stored() && r.meeting.IsRegistrar() {
 		err := r.quarantine.Recover(ctx)
 		if err == nil {
 			return
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/httpserve"
 	"github.com/lavenderring/lavenderring/pkg/life"
+	"github.com/lavenderring/lavenderring/pkg/meeting"
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/overload"
@@ -100,8 +101,9 @@
 	copies    map[string]*follow.Follower
 	publisher *follow.Publisher
 	// alarm is touched by one duty only.
-	alarm   follow.Alarm
-	meeting meeting
+	alarm follow.Alarm
+	// meeting finds the other instances.
+	meeting *meeting.Meeting
 
 	noted member.Notes
 
@@ -177,6 +179,10 @@
 
 		Quarantine: r.quarantine,
 	}
+	r.meeting = meeting.New(
+		meeting.Config{Name: s.Name, Address: s.PeerAddress, Seeds: s.Seeds},
+		meeting.Deps{Table: r.table, Gossip: r.gossip, Store: r.store, Log: r.log},
+	)
 	cfg := prepaid.Config{
 		Self:    r.incarnation,
 		Name:    s.Name,
@@ -187,7 +193,7 @@
 	r.tokens = prepaid.NewNode(cfg, prepaid.Deps{
 		Ledger:    newLedger(r.store, s.LedgerShards),
 		Peers:     lenders{client: r.peers, table: r.table},
-		Fleet:     fleetView{table: r.table, joined: r.joined, meet: r.meetAt},
+		Fleet:     fleetView{table: r.table, joined: r.meeting.Joined, meet: r.meetAt},
 		Observer:  tokenLog{r.log},
 		Amounts:   r.amounts,
 		VerifyEra: r.verifyEra,
@@ -225,6 +231,9 @@
 	})
 }
 
+// meetAt makes the instance at an address known.
+func (r *Router) meetAt(address string) { r.meeting.MeetAt(r.background, address) }
+
 // liveNames returns the names of all living instances.
 func (r *Router) liveNames() []string {
 	var names []string
