Meeting: groups that started apart, or were cut off for long, find each other

All that instances share was split in the same way: retry budgets, copies' publishers, drawers.

Cause: an instance without seeds, or whose seeds are gone, read the store's list only while it knew nobody, and took the first entry that answered. Under load some did not answer within 0.5 s; two pairs that found each other never looked again. The same for a fleet cut in two for longer than members are remembered (10 min).

Change: listed entries are asked together, up to eight drawn at a time, and three times before an instance takes itself for the only one; registrars, three a group, read the list again after 2 s and then each 10 s and send to entries that are no members. A calm fleet of 23 with seeds reads the list at registrars only.

--- a/pkg/meeting/meeting.go
+++ b/pkg/meeting/meeting.go
@@ -30,9 +30,17 @@
 	seedsFirst = 4
 	// storeRetry is how often it reads the store's list while it knows no other.
 	storeRetry = 2 * time.Second
-	// meetAgain is how often one that knows others sends to a seed that is none of them: two
-	// groups that started apart find each other through it.
+	// meetAgain is how often one that knows others looks for more: at seeds that are no members, and a
+	// registrar in the store's list as well. Groups that started apart, or were cut off from each other
+	// for longer than members are remembered, find each other through it. meetSoon is the time to the
+	// first such look: groups that start apart do so in the same seconds.
 	meetAgain = 10 * time.Second
+	meetSoon  = 2 * time.Second
+	// vainTries is how often instances that the store lists are asked in vain before this one takes
+	// itself for the only one: those that start at the same time do not answer yet.
+	vainTries = 3
+	// joinsAtOnce bounds the listed instances that are asked together. Others are drawn each time.
+	joinsAtOnce = 8
 	// settlesWithin is how long after the first contact the others count as known, though
 	// answers may still show other tables because instances come all the time. Tables are whole
 	// within 1.3 s where 295 start at once.
@@ -77,6 +85,8 @@
 
 	// first is when another was first met; nil before.
 	first atomic.Pointer[time.Time]
+	// looks counts the looks for more since then; touched by Run only.
+	looks int
 	// nobody says that the store lists nobody that answers.
 	nobody atomic.Bool
 	// registered says that the store has this instance's entry; it may lose it.
@@ -109,20 +119,47 @@
 // store where no seed answers.
 func (m *Meeting) Run(ctx context.Context) {
 	for failed := 0; ctx.Err() == nil; {
-		interval := meetAgain
+		var interval time.Duration
 		if !m.joinSeeds(ctx) && m.alone() {
 			failed++
-			interval = meetRetry
-			if failed >= seedsFirst || len(m.Seeds) == 0 {
-				m.meetThroughStore(ctx)
-				interval = storeRetry
-			}
+			interval = m.lookAlone(ctx, failed)
+		} else {
+			interval = m.lookForMore(ctx)
 		}
 		m.registerIfRanked(ctx)
 		pause.For(ctx, interval/2+rand.N(interval))
 	}
 }
 
+// lookAlone looks for others in the store, once seeds were asked in vain for long enough. It returns
+// the time to the next look.
+func (m *Meeting) lookAlone(ctx context.Context, failed int) time.Duration {
+	if failed < seedsFirst && len(m.Seeds) > 0 {
+		return meetRetry
+	}
+	m.meetThroughStore(ctx)
+	if m.alone() {
+		return storeRetry
+	}
+	return meetSoon
+}
+
+// lookForMore has a registrar send to those that the store lists and this group does not know. It
+// returns the time to the next look.
+func (m *Meeting) lookForMore(ctx context.Context) time.Duration {
+	m.looks++
+	if m.looks == 1 {
+		return meetSoon // most of the others are still on their way
+	}
+	if !m.IsRegistrar() {
+		return meetAgain
+	}
+	if listed, err := m.list(ctx); err == nil {
+		m.joinListed(ctx, listed)
+	}
+	return meetAgain
+}
+
 // MeetAt makes the instance at an address known; if it does not answer it is not.
 func (m *Meeting) MeetAt(ctx context.Context, address string) {
 	if err := m.Gossip.Join(ctx, address); err != nil {
@@ -139,12 +176,15 @@
 func (m *Meeting) alone() bool { return len(m.Table.Others()) == 0 }
 
 // joinSeeds sends to the seeds that are no members, and reports whether one answered.
-func (m *Meeting) joinSeeds(ctx context.Context) bool {
+func (m *Meeting) joinSeeds(ctx context.Context) bool { return m.joinAll(ctx, m.UnmetSeeds()) }
+
+// joinAll sends to all of some addresses at once, and reports whether one answered.
+func (m *Meeting) joinAll(ctx context.Context, addresses []string) bool {
 	var answered atomic.Bool
 	var asked sync.WaitGroup
-	for _, seed := range m.UnmetSeeds() {
+	for _, address := range addresses {
 		asked.Go(func() {
-			if m.Gossip.Join(ctx, seed) == nil {
+			if m.Gossip.Join(ctx, address) == nil {
 				answered.Store(true)
 				m.met()
 			}
@@ -155,15 +195,18 @@
 }
 
 // UnmetSeeds returns the seeds' addresses at which no member is known to live.
-func (m *Meeting) UnmetSeeds() []string {
+func (m *Meeting) UnmetSeeds() []string { return m.unmet(m.Seeds) }
+
+// unmet returns those of some addresses at which no member is known to live.
+func (m *Meeting) unmet(addresses []string) []string {
 	known := map[string]bool{m.Address: true}
 	for _, other := range m.Table.Others() {
 		known[other.PeerAddress] = true
 	}
 	var unmet []string
-	for _, seed := range m.Seeds {
-		if !known[seed] {
-			unmet = append(unmet, seed)
+	for _, address := range addresses {
+		if !known[address] {
+			unmet = append(unmet, address)
 		}
 	}
 	return unmet
@@ -176,23 +219,48 @@
 	if !m.registered.Load() {
 		m.register(ctx)
 	}
+	listed, err := m.list(ctx)
+	if err != nil {
+		return
+	}
+	for try := range vainTries {
+		if try > 0 {
+			pause.For(ctx, meetRetry)
+		}
+		if !m.alone() || m.joinListed(ctx, listed) {
+			return
+		}
+		if len(m.unmet(listed)) == 0 {
+			break
+		}
+	}
+	m.nobody.Store(true)
+}
+
+// list reads the addresses of the store's entries.
+func (m *Meeting) list(ctx context.Context) ([]string, error) {
 	list, err := m.Store.List(ctx, Kind)
 	if err != nil {
 		m.Log.Event(eventlog.MembersUnknown, "", eventlog.Fields{"step": "list instances", "cause": err.Error()})
-		return
+		return nil, err
 	}
+	var addresses []string
 	for _, object := range list.Objects {
 		var other memberpb.Member
 		if err := json.Unmarshal(object.Value, &other); err != nil {
 			m.Log.Event(eventlog.ConfigRejected, "", eventlog.Fields{"peer": object.Key, "cause": err.Error()})
 			continue
 		}
-		if other.PeerAddress != m.Address && m.Gossip.Join(ctx, other.PeerAddress) == nil {
-			m.met()
-			return // it knows the others
-		}
+		addresses = append(addresses, other.PeerAddress)
 	}
-	m.nobody.Store(true)
+	return addresses, nil
+}
+
+// joinListed sends to some listed instances that are no members, and reports whether one answered.
+func (m *Meeting) joinListed(ctx context.Context, listed []string) bool {
+	unmet := m.unmet(listed)
+	rand.Shuffle(len(unmet), func(i, j int) { unmet[i], unmet[j] = unmet[j], unmet[i] })
+	return m.joinAll(ctx, unmet[:min(joinsAtOnce, len(unmet))])
 }
 
 // registerIfRanked writes this instance's entry if it is one of those that have one.
