Prepaid: a draw is used only when another instance has seen it

What callers saw: an account spends more than it prepaid. Whoever drew tokens spends or lends them and dies before another instance hears of it, and the store comes back from before that draw: 13,000 tokens of 10,000 (TestDrawOfAWriterThatDiesAtOnce- IsNotSpentTwice on the code before, all five of its cases then; 16,000 with two draws in a row). The reserve of four seconds of demand does not cover a large draw.

Cause: nothing but the store and the writer knew a draw until the writer's next answer to an asker, up to half a second later, or never where it draws for itself.

Ways weighed (docs/RECOVERY.md): telling beside the store's call, rows on messages that go anyway, a larger reserve. Chosen: between the write and the first use of its tokens a witness remembers the writer's counters, in another failure domain first; two are asked, one is enough. A draw without a witness is not taken over, like one whose answer was lost, and the next write finds it; so nothing is stranded. One place covers spending, lending and dealing out, since all use what was taken over. What dealt tokens tell of their draw is kept in the same table.

Proof: the new tests; safeguards draws-are-witnessed, witnessed-draws-are-told and told-of-an-era-that-is-over each fail without it.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -235,6 +235,15 @@
 	})
 }
 
+// Witness has an instance remember what this one has drawn.
+func (c *Client) Witness(
+	ctx context.Context, incarnation string, req *prepaidpb.WitnessRequest,
+) (*prepaidpb.WitnessReply, error) {
+	return to(ctx, c, "witness", incarnation, func(ctx context.Context, conn drpc.Conn) (*prepaidpb.WitnessReply, error) {
+		return prepaidpb.NewDRPCLoansClient(conn).Witness(ctx, req)
+	})
+}
+
 // RecallTokens tells an instance that a budget is short.
 func (c *Client) RecallTokens(ctx context.Context, incarnation, budget string) error {
 	_, err := to(ctx, c, "recall-tokens", incarnation, func(ctx context.Context, conn drpc.Conn) (*prepaidpb.RecallReply, error) {
--- a/pkg/prepaid/fake_test.go
+++ b/pkg/prepaid/fake_test.go
@@ -54,6 +54,8 @@
 	hold float64
 	// loseAnswers loses each answer of a drawer.
 	loseAnswers bool
+	// seenBy holds, by writer and budget, who has seen how much of what it drew.
+	seenBy map[string]map[string]map[string]int64
 	// loseLoan is the chance that a loan's request, or its answer, is lost.
 	loseLoan float64
 }
@@ -87,6 +89,7 @@
 		amounts: prepaid.Amounts{Version: 1, Tokens: prepaidTokens},
 		era:     1,
 		shards:  map[uint64]fakeObject{},
+		seenBy:  map[string]map[string]map[string]int64{},
 	}
 	for range instances {
 		f.join()
@@ -368,6 +371,27 @@
 // OtherDrawers implements prepaid.Fleet; all instances are of one domain.
 func (m *member) OtherDrawers(int) []string { return nil }
 
+// Witnesses implements prepaid.Fleet.
+func (m *member) Witnesses(int) []string { return m.Others() }
+
+// Witness implements prepaid.Peers.
+func (m *member) Witness(
+	_ context.Context, to string, req *prepaidpb.WitnessRequest,
+) (*prepaidpb.WitnessReply, error) {
+	peer := m.fleet.find(to)
+	if m.fleet.unreachable(m, peer) || m.fleet.losesLoan() {
+		return nil, errLost
+	}
+	reply := peer.Node.Witness(req)
+	if !reply.Declined {
+		m.fleet.noteWitness(peer, req.Row)
+	}
+	if m.fleet.losesLoan() {
+		return nil, errLost // remembered, and the answer lost
+	}
+	return reply, nil
+}
+
 // Refill implements prepaid.Peers.
 func (m *member) Refill(
 	ctx context.Context, to string, req *prepaidpb.RefillRequest,
@@ -383,6 +407,34 @@
 	return reply, nil
 }
 
+// noteWitness notes what a witness has seen.
+func (f *fleet) noteWitness(witness *member, row *prepaidpb.SeenRow) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.seenBy[row.Writer] == nil {
+		f.seenBy[row.Writer] = map[string]map[string]int64{}
+	}
+	for _, c := range row.Counters {
+		if f.seenBy[row.Writer][c.Budget] == nil {
+			f.seenBy[row.Writer][c.Budget] = map[string]int64{}
+		}
+		f.seenBy[row.Writer][c.Budget][witness.name] = c.Drawn
+	}
+}
+
+// witnessesOf returns who has seen that a writer has drawn so much of a budget.
+func (f *fleet) witnessesOf(writer, budget string, drawn int64) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name, seen := range f.seenBy[writer][budget] {
+		if seen >= drawn {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // losesAnswer reports whether the answers of drawers are lost.
 func (f *fleet) losesAnswer() bool {
 	f.mu.Lock()
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -55,6 +55,8 @@
 	Refill(ctx context.Context, to string, req *prepaidpb.RefillRequest) (*prepaidpb.RefillReply, error)
 	// Recall asks an instance to return what it does not need.
 	Recall(ctx context.Context, to, budget string) error
+	// Witness has an instance remember a draw.
+	Witness(ctx context.Context, to string, req *prepaidpb.WitnessRequest) (*prepaidpb.WitnessReply, error)
 }
 
 // Fleet tells which other instances seem to live. Nothing safe depends on it.
@@ -80,6 +82,9 @@
 	Drawers(shard int) []string
 	// OtherDrawers returns the best of each other region.
 	OtherDrawers(shard int) []string
+	// Witnesses returns live instances that this one's draws are told to, the best first: those of
+	// other failure domains, and mostly the same ones.
+	Witnesses(shard int) []string
 }
 
 // Observer is told what the slice decides, for the event log.
@@ -163,6 +168,8 @@
 	verifying bool
 	// drawers are those that this instance asks.
 	drawers map[string]*drawer
+	// witnessed is what others have told that they drew.
+	witnessed witnessed
 }
 
 // NewNode returns a node without tokens.
@@ -177,6 +184,8 @@
 		began:    deps.Now(),
 		recalls:  map[string]recallTimes{},
 		drawers:  map[string]*drawer{},
+
+		witnessed: witnessed{},
 	}
 	for shard := range n.shards {
 		n.shards[shard].askers = map[string]*asker{}
--- a/pkg/prepaid/recovery.go
+++ b/pkg/prepaid/recovery.go
@@ -22,7 +22,8 @@
 	// unheardDraws is for how long an instance that has not told may have drawn without being
 	// seen: what its demand takes in that time is reserved.
 	unheardDraws = 4 * time.Second
-	// mostRowsTold bounds the rows of others that one report tells: those that wrote last.
+	// mostRowsTold bounds the rows seen in the store that one report tells: those that wrote last.
+	// Others have seen them there as well.
 	mostRowsTold = 16
 )
 
@@ -138,7 +139,7 @@
 		return done
 	}
 	r.see(s, n.Now())
-	for _, row := range n.seenRows(shard, s.Era) {
+	for _, row := range append(n.witnessedRows(shard), n.storedRows(shard, s.Era)...) {
 		done.Tokens += s.Merge(row.writer, row.Row)
 	}
 	s.Tell(n.Self)
@@ -216,9 +217,8 @@
 	Row
 }
 
-// seenRows is what this instance has seen of others' rows before an era: in the store, and by what
-// drawers dealt out; n.mu is held.
-func (n *Node) seenRows(shard int, era uint64) []seenRow {
+// storedRows is what this instance has seen of others' rows in the store before an era; n.mu is held.
+func (n *Node) storedRows(shard int, era uint64) []seenRow {
 	var rows []seenRow
 	if last := n.shards[shard].recovery.last; last != nil && last.Era < era {
 		for writer, row := range last.Writers {
@@ -227,17 +227,6 @@
 			}
 		}
 	}
-	for name, d := range n.drawers {
-		counters := map[string]Counter{}
-		for id, drawn := range d.drawn {
-			if n.ShardOf(id) == shard {
-				counters[id] = Counter{Drawn: drawn}
-			}
-		}
-		if len(counters) > 0 {
-			rows = append(rows, seenRow{name, Row{Counters: counters}})
-		}
-	}
 	return rows
 }
 
@@ -342,13 +331,13 @@
 	if own := n.ownRow(shard); len(own) > 0 {
 		req.Rows = append(req.Rows, tellRow(n.Self, own))
 	}
-	rows := n.seenRows(shard, r.asked)
+	stored := n.storedRows(shard, r.asked)
 	if last := r.last; last != nil {
-		slices.SortFunc(rows, func(a, b seenRow) int {
+		slices.SortFunc(stored, func(a, b seenRow) int {
 			return cmp.Compare(last.Writers[b.writer].Turn, last.Writers[a.writer].Turn)
 		})
 	}
-	for _, row := range rows[:min(len(rows), mostRowsTold)] {
+	for _, row := range append(n.witnessedRows(shard), stored[:min(len(stored), mostRowsTold)]...) {
 		req.Rows = append(req.Rows, tellRow(row.writer, row.Counters))
 	}
 }
--- a/pkg/prepaid/refill.go
+++ b/pkg/prepaid/refill.go
@@ -45,8 +45,6 @@
 	// drawer has answered for it; nothing is given back to it before. confirmed is the
 	// part of returned that the drawer has answered.
 	granted, returned, confirmed map[string]int64
-	// drawn is the drawer's own count of what it has drawn, as it last told.
-	drawn map[string]int64
 }
 
 func (n *Node) drawer(name string) *drawer {
@@ -54,7 +52,6 @@
 	if d == nil {
 		d = &drawer{
 			granted: map[string]int64{}, returned: map[string]int64{}, confirmed: map[string]int64{},
-			drawn: map[string]int64{},
 		}
 		n.drawers[name] = d
 	}
@@ -274,7 +271,7 @@
 		p.free += tokens
 		n.Observer.Borrowed(supply.Budget, name, tokens)
 	}
-	d.drawn[supply.Budget] = max(d.drawn[supply.Budget], supply.Drawn)
+	n.witnessed.note(name, supply.Budget, supply.Drawn, now)
 	p.keep, p.keptAt = supply.Keep, now
 	p.left, p.seenAt, p.prepaid = supply.Left, now, supply.Prepaid
 	if supply.Exhausted {
--- a/pkg/prepaid/storm_test.go
+++ b/pkg/prepaid/storm_test.go
@@ -248,6 +248,29 @@
 // OtherDrawers implements prepaid.Fleet.
 func (m *starter) OtherDrawers(int) []string { return nil }
 
+// Witness implements prepaid.Peers.
+func (m *starter) Witness(_ context.Context, to string, req *prepaidpb.WitnessRequest) (*prepaidpb.WitnessReply, error) {
+	time.Sleep(peerTime)
+	other := m.fleet.at(to)
+	if other.isDead() {
+		time.Sleep(100 * time.Millisecond)
+		return nil, errGone
+	}
+	return other.Node.Witness(req), nil
+}
+
+// Witnesses implements prepaid.Fleet.
+func (m *starter) Witnesses(int) []string {
+	var names []string
+	for _, other := range m.fleet.members {
+		if other != m && m.knows(other) {
+			names = append(names, other.name+"-1")
+		}
+	}
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names
+}
+
 // Moved implements prepaid.Observer.
 func (m *starter) Moved(prepaid.Movement) {}
 
--- a/pkg/prepaid/write.go
+++ b/pkg/prepaid/write.go
@@ -258,7 +258,8 @@
 	if err != nil {
 		return err
 	}
-	if !n.adopt(shard, after) {
+	seen := n.haveWitnessed(ctx, shard, after)
+	if !n.adopt(shard, after, seen == nil) {
 		return errPassedOver // what it drew is found in the ledger later, if it is there
 	}
 	if recovered.Tokens > 0 || recovered.Settled {
@@ -267,7 +268,7 @@
 	if after.Unsettled {
 		return errUnsettledYet
 	}
-	return nil
+	return seen
 }
 
 // Writes after which the shard cannot be drawn from.
@@ -306,9 +307,10 @@
 	return len(candidates) > 0 && !slices.Contains(candidates, n.Self)
 }
 
-// adopt takes over what a write left in the ledger. It reports false for the object of an era that
-// is over: others have been told already what this instance had drawn until then.
-func (n *Node) adopt(shard int, after *Shard) bool {
+// adopt takes over what a write left in the ledger; what it drew only if another instance has seen
+// that, else the next write finds it. It reports false for the object of an era that is over: others
+// have been told already what this instance had drawn until then.
+func (n *Node) adopt(shard int, after *Shard, seen bool) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if max(after.Era, firstEra) < n.floor {
@@ -316,6 +318,9 @@
 	}
 	n.adoptRecovery(shard, after)
 	for id, counter := range after.Writers[n.Self].Counters {
+		if !seen {
+			counter.Drawn = n.purse(id).counter.Drawn
+		}
 		n.adoptOne(shard, id, counter, after)
 	}
 	return true
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -12,6 +12,8 @@
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
+
+	"storj.io/drpc/drpcerr"
 )
 
 // lenders implements prepaid.Peers.
@@ -39,6 +41,18 @@
 	return l.client.RecallTokens(ctx, to, budget)
 }
 
+// Witness implements prepaid.Peers. An instance of a version that remembers no draws counts as a witness,
+// or a fleet that is being updated would not serve.
+func (l lenders) Witness(
+	ctx context.Context, to string, req *prepaidpb.WitnessRequest,
+) (*prepaidpb.WitnessReply, error) {
+	reply, err := l.client.Witness(ctx, to, req)
+	if drpcerr.Code(err) == drpcerr.Unimplemented {
+		return &prepaidpb.WitnessReply{}, nil
+	}
+	return reply, err
+}
+
 // fleetView implements prepaid.Fleet.
 type fleetView struct {
 	table *member.Table
@@ -110,6 +124,23 @@
 	return incarnations(v.table.WinnersElsewhere(shardKey(shard)))
 }
 
+// Witnesses implements prepaid.Fleet: the best of each other failure domain, then others of its own.
+func (v fleetView) Witnesses(shard int) []string {
+	var witnesses []string
+	own := v.table.Self()
+	for _, m := range v.table.WinnersByDomain(shardKey(shard) + own.Name) {
+		if m.Region != own.Region || m.Domain != own.Domain {
+			witnesses = append(witnesses, m.Incarnation)
+		}
+	}
+	for _, other := range v.Others() {
+		if !slices.Contains(witnesses, other) {
+			witnesses = append(witnesses, other)
+		}
+	}
+	return witnesses
+}
+
 func incarnations(members []*memberpb.Member) []string {
 	names := make([]string, 0, len(members))
 	for _, m := range members {
@@ -164,6 +195,10 @@
 	return l.node.Refill(ctx, req), nil
 }
 
+func (l loans) Witness(_ context.Context, req *prepaidpb.WitnessRequest) (*prepaidpb.WitnessReply, error) {
+	return l.node.Witness(req), nil
+}
+
 func (l loans) Recall(_ context.Context, req *prepaidpb.RecallRequest) (*prepaidpb.RecallReply, error) {
 	l.node.Recalled(req.Budget)
 	return &prepaidpb.RecallReply{}, nil
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -90,7 +90,12 @@
 try all-are-waited-for pkg/prepaid/recovery.go 's/if waited && n\.allTold\(s\.Told\) \{/if waited {/' pkg/prepaid TestNeverMoreThanPrepaidWhenTheStoreGoesBack
 try told-is-for-one-era pkg/prepaid/recovery.go 's/r\.told, r\.mergedTold = nil, 0/r.mergedTold = 0/' pkg/prepaid TestWhoToldForAnEarlierEraTellsAgain
 try older-draws-are-not-taken-over pkg/prepaid/write.go 's/if max\(after\.Era, firstEra\) < n\.floor \{/if false {/' pkg/prepaid TestDrawOfAnEraThatIsOverIsNotTakenOver
-try dealt-tokens-tell-their-draw pkg/prepaid/drawer.go 's/Drawn: p\.counter\.Drawn\}/Drawn: 0}/' pkg/prepaid TestDrawsOfTheDeadAreBroughtBack
+try dealt-tokens-tell-their-draw pkg/prepaid/drawer.go 's/Drawn: p\.counter\.Drawn\}/Drawn: 0}/' pkg/prepaid TestAskersKnowTheDrawOfWhatTheyWereDealt
+try draws-are-witnessed pkg/prepaid/write.go 's/seen := n\.haveWitnessed\(ctx, shard, after\)/var seen error/' pkg/prepaid TestDrawOfAWriterThatDiesAtOnceIsNotSpentTwice
+try witnessed-draws-are-told pkg/prepaid/recovery.go 's/append\(n\.witnessedRows\(shard\), stored/append([]seenRow(nil), stored/' pkg/prepaid TestDrawOfAWriterThatDiesAtOnceIsNotSpentTwice
+try told-of-an-era-that-is-over pkg/prepaid/witness.go 's/max\(req\.Era, firstEra\) < n\.floor \|\| //' pkg/prepaid TestDrawIsNotWitnessedOnceItsEraHasBeenTold
+try apart-groups-meet pkg/meeting/meeting.go 's/if !m\.IsRegistrar\(\) \{/if true {/' pkg/meeting TestHalvesFindEachOtherAfterALongCut
+try listed-are-asked-again pkg/meeting/meeting.go 's/vainTries = 3/vainTries = 0/' pkg/meeting TestInstancesThatStartTogetherAreOneFleet
 try leaving-stays-leaving pkg/registry/registry.go 's/u = r\.doubt\(u\)/_ = r.doubt/' pkg/registry TestLeavingStaysLeavingWhenTheStoreGoesBack
 try later-eras-are-later pkg/store/position.go 's/if p\.Era != other\.Era \{/if false {/' pkg/follow TestCopiesFollowTheStoreIntoALaterEra
 try later-era-is-no-answer platform/store.go 's/if era != since\.Era \{/if false {/' platform TestAnswersOfALaterEraAreNoAnswers
