Known red: the check of lost draws compares counters, not what is granted

TestDrawsOfTheDeadAreBroughtBack compared the grants before and after.

So the check was wrong in both directions: red for what is allowed, and green where new draws of others hid a lost one. It now asks that no writer's counter is lower than before, and that grants plus what was returned since are not.

--- a/pkg/prepaid/recovery_test.go
+++ b/pkg/prepaid/recovery_test.go
@@ -284,7 +284,7 @@
 			}
 			everyTick()
 		}
-		granted := f.granted()
+		before, granted := f.rows(), f.granted()
 		f.goBack(1000)
 		f.nodes[0].dead = true
 		f.nodes[1].sawEra()
@@ -294,12 +294,28 @@
 		for range 8 {
 			everyTick()
 		}
-		if got := f.granted(); got < granted {
-			t.Errorf("%d tokens granted of %d that were drawn before the drawer died", got, granted)
+		after := f.rows()
+		for writer, row := range before {
+			if got, drawn := after[writer].Counters[account].Drawn, row.Counters[account].Drawn; got < drawn {
+				t.Errorf("%s: %d tokens drawn of %d that were before the drawer died", writer, got, drawn)
+			}
+		}
+		// What the living have given back since is free by right.
+		returned := returnedIn(after) - returnedIn(before)
+		if got := f.granted() + returned; got < granted {
+			t.Errorf("%d tokens granted of %d that were drawn before the drawer died, %d returned", got, granted, returned)
 		}
 	})
 }
 
+// returnedIn sums what all writers have given back of the test's account.
+func returnedIn(rows map[string]prepaid.Writer) (sum int64) {
+	for _, row := range rows {
+		sum += row.Counters[account].Returned
+	}
+	return sum
+}
+
 // An account spends more than it prepaid: the store goes back twice in a row, and an instance that
 // had told what it had drawn before the first time, and drew between the two, is not waited for
 // after the second. Proof: what was told for an earlier era does not count for a later one.
