Forward: requests wait for the configuration of an instance that has just started

Now they do, for 0.7 s from the instance's start at most; one that has no configuration by then refuses at once, as before.

--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -85,6 +85,9 @@
 	// share the bound.
 	Retries   retrylimit.Settings
 	Instances func() int
+	// Synced is closed once the instance has a configuration and the upstreams; nil for one that has
+	// them from its start.
+	Synced <-chan struct{}
 	// StoreUp reports whether the platform's store answered the last call.
 	StoreUp func() bool
 	Now     func() time.Time
@@ -95,6 +98,8 @@
 	Deps
 	meters meters
 	sentTo sentTo
+	// began is when the instance started.
+	began time.Time
 
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
@@ -142,6 +147,7 @@
 	}
 	return &Forwarder{
 		Deps:     deps,
+		began:    deps.Now(),
 		services: map[string]*service{},
 		meters: meters{
 			accepted:   counter("forward.accepted"),
@@ -223,6 +229,7 @@
 
 // admit decides whether the request may be forwarded at all.
 func (f *Forwarder) admit(ctx context.Context, r *Request) (*call, *Refusal) {
+	f.awaitSynced(ctx)
 	table := f.Config.Table()
 	if table == nil {
 		if f.StoreUp() {
--- a/pkg/router/duties.go
+++ b/pkg/router/duties.go
@@ -64,6 +64,7 @@
 			return false
 		}
 	}
+	close(r.synced)
 	return r.awaitQuarantine(ctx)
 }
 
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -107,6 +107,9 @@
 
 	noted member.Notes
 
+	// synced is closed once the instance has a configuration and the upstreams.
+	synced chan struct{}
+
 	background context.Context
 	end        context.CancelFunc
 	duties     sync.WaitGroup
@@ -123,6 +126,7 @@
 		registry:    registry.New(time.Now),
 		conns:       httpconn.NewPool(time.Now),
 		load:        overload.New(time.Now),
+		synced:      make(chan struct{}),
 	}
 	r.background, r.end = context.WithCancel(context.Background())
 	r.life = life.New(r.log)
@@ -226,6 +230,7 @@
 			Window: r.settings.RetryWindow(),
 		},
 		Instances: r.table.CountLive,
+		Synced:    r.synced,
 		StoreUp:   r.tie.Up,
 		Now:       time.Now,
 	})
