--- a/pkg/soak/emptied.go
+++ b/pkg/soak/emptied.go
@@ -49,6 +49,7 @@
 	}
 	r.say("empty %s for %v", e.domain, e.lasts)
 	told := time.Now()
+	r.countEmptied(e.domain, 1)
 	r.fleet.store.Empty(e.domain)
 	pause.For(ctx, drainTime)
 	upstreams := r.fleet.upstreamsOf(e.domain)
@@ -57,6 +58,9 @@
 	if late := runsAt(upstreams) - before; late > 0 && !r.troubled(told.Add(-settleTime), time.Now()) {
 		r.violate("%d requests reached %s after it was emptied", late, e.domain)
 	}
+	if r.countEmptied(e.domain, -1) > 0 {
+		return // it is emptied for another time as well, whose end gives it back
+	}
 	for _, u := range r.fleet.upstreamsOf(e.domain) {
 		u.SetCold(coldPerSecond, coldFor)
 		r.fleet.announce(u)
@@ -68,6 +72,14 @@
 	}
 }
 
+// countEmptied changes for how many times a domain is emptied at present, and returns that.
+func (r *run) countEmptied(domain string, by int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.emptied[domain] += by
+	return r.emptied[domain]
+}
+
 func runsAt(upstreams []*upstream) int {
 	runs := 0
 	for _, u := range upstreams {
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -75,6 +75,8 @@
 	lost       []lostTime
 	violations []string
 	apart      int64
+	// emptied counts, by domain, the times that it is emptied for at present.
+	emptied map[string]int
 }
 
 // mostViolations bounds what is remembered: one cause can break a promise for each
@@ -86,7 +88,7 @@
 
 // Run plays one run to its end.
 func Run(opts Options) (*Report, error) {
-	r := &run{opts: opts, fatal: newFatalRequests(opts.Seed)}
+	r := &run{opts: opts, fatal: newFatalRequests(opts.Seed), emptied: map[string]int{}}
 	var err error
 	if r.fleet, err = newFleet(opts, r.crashed); err != nil {
 		return nil, err
