Route: a hangup during a start ends nothing

What callers saw: an instance that had been restarted was gone, and requests sent to it found nobody.

Cause: the program listened for SIGHUP only after it had read its settings and made the instance, some 20 ms after its start. A hangup that came before, as reloads and planned stops overlap, ended the process, which is what the system does by default.

The first milliseconds of the runtime itself remain. The own door does not use hangups.

--- a/cmd/lavenderring/main.go
+++ b/cmd/lavenderring/main.go
@@ -206,6 +206,9 @@
 // file has changed; what stands in it is where the process stands and listens,
 // which a running one cannot change, so it only checks the file.
 func route(ctx context.Context, path string) error {
+	// Before anything else: a hangup that nobody listens for ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	s, err := settings.LoadRouter(path)
 	if err != nil {
 		return err
@@ -219,8 +222,6 @@
 	if err != nil {
 		return err
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
 		for range hangups {
 			_, err := settings.LoadRouter(path)
