--- a/pkg/prepaid/witness_test.go
+++ b/pkg/prepaid/witness_test.go
@@ -130,8 +130,8 @@
 			}
 			f.tick()
 		}
-		f.tick() // reports without a draw
 		drawn := f.rows()["i0"].Counters[account].Drawn
+		f.tick() // the answers to all reports tell of it
 		f.goBack(1000)
 		for _, m := range append([]*member{f.nodes[0]}, f.witnessesOfAll("i0")...) {
 			f.change(func() { m.dead = true })
