Prepaid: a witness's question has no field that nobody reads

The shard of a witnessed draw follows from each budget's name, and no instance read the field that told it. Behaviour is unchanged. In the router an import stands with those of its kind.

--- a/pkg/prepaid/witness.go
+++ b/pkg/prepaid/witness.go
@@ -94,7 +94,7 @@
 		return nil
 	}
 	question := witnessQuestion{
-		req:     &prepaidpb.WitnessRequest{Shard: int32(shard), Era: after.Era, Row: row},
+		req:     &prepaidpb.WitnessRequest{Era: after.Era, Row: row},
 		answers: make(chan error, len(witnesses)),
 	}
 	err := errNoAnswer
--- a/pkg/router/tokens.go
+++ b/pkg/router/tokens.go
@@ -6,14 +6,14 @@
 	"slices"
 	"time"
 
+	"storj.io/drpc/drpcerr"
+
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
-
-	"storj.io/drpc/drpcerr"
 )
 
 // lenders implements prepaid.Peers.
