--- a/pkg/instance/run.go
+++ b/pkg/instance/run.go
@@ -184,6 +184,7 @@
 }
 
 func (i *Instance) stop() error {
+	began := time.Now()
 	i.lifecycle.Stop()
 	i.table.MarkLeaving()
 	i.heartbeatTrigger.TryPut(struct{}{})
@@ -191,6 +192,9 @@
 	drainCtx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	err := i.entry.Drain(drainCtx)
+	i.log.Event(eventlog.InstanceClosing, "", eventlog.Fields{
+		"after_ms": time.Since(began).Milliseconds(), "active": i.entry.NumActive(),
+	})
 	i.clientServer.Close()
 	i.flushOnStop()
 	i.cancelBackground()
--- a/pkg/router/background.go
+++ b/pkg/router/background.go
@@ -219,6 +219,7 @@
 	defer cancel()
 	r.tokens.Stop(ctx)
 	pause.For(context.Background(), answerFlushTime)
+	r.logClosing(began)
 	r.clientServer.Close()
 	r.cancelBackground()
 	r.lifecycle.Done()
@@ -226,3 +227,10 @@
 	r.adminServer.Close()
 	r.peers.Close()
 }
+
+// logClosing logs how many requests are cut off when the connections are closed.
+func (r *Router) logClosing(began time.Time) {
+	r.log.Event(eventlog.InstanceClosing, "", eventlog.Fields{
+		"after_ms": time.Since(began).Milliseconds(), "active": r.clientServer.NumActive(),
+	})
+}
