httpserve: a request is in progress until its answer is written

What callers saw: at a planned stop, an answer that was ready and still on its way to a slow client was broken off. A client that received 15 MiB lost the rest 3.7 s after SIGTERM at one door and 0.5 s after it at the other. Cause: both doors counted requests in their handlers, and the library writes an answer only after the handler has returned. So the last look of a stop found nothing in progress while an answer was being written, as the same look earlier missed requests that were read after it. Fix: the server counts requests until the library reports their end, which comes after the writing. Both doors use that count; the own door's counter, wait group and lock go.

--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -55,7 +55,6 @@
 	httpServer *httpserve.Server
 	draining   atomic.Bool
 	refusing   atomic.Bool
-	numActive  atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -91,8 +90,9 @@
 // and then its connection closed.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
-// NumActive returns the number of requests in progress.
-func (s *Server) NumActive() int64 { return s.numActive.Load() }
+// NumActive returns the number of requests in progress; a request is in progress until its answer has
+// been written to its end.
+func (s *Server) NumActive() int64 { return s.httpServer.NumActive() }
 
 // Close closes all connections and stops the server.
 func (s *Server) Close() {
@@ -131,8 +131,6 @@
 }
 
 func (s *Server) handle(ctx context.Context, c *app.RequestContext) {
-	s.numActive.Add(1)
-	defer s.numActive.Add(-1)
 	w := &responseWriter{ctx: ctx, c: c, server: s}
 	if s.refusing.Load() { // checked after the request was counted as active, see Refuse
 		w.Refuse(&forward.Refusal{Reason: forward.Stopping, RetryAfter: stoppingRetryAfter})
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -87,12 +87,9 @@
 // Entry serves the client requests of one instance.
 type Entry struct {
 	Deps
-	metrics   requestMetrics
-	draining  atomic.Bool
-	running   sync.WaitGroup
-	drainMu   sync.RWMutex
-	numActive atomic.Int64
-	retries   retryBudget
+	metrics  requestMetrics
+	refusing atomic.Bool
+	retries  retryBudget
 	// background outlives requests: outcomes are recorded and upstream requests
 	// canceled in it.
 	background context.Context
@@ -170,48 +167,9 @@
 	return p
 }
 
-// Drain makes the Entry refuse new requests and waits until those in progress
-// have ended or ctx is done. Requests are counted here because the HTTP library
-// cuts streams when its own shutdown timeout has passed; the server is shut down
-// only after Drain returns.
-func (e *Entry) Drain(ctx context.Context) error {
-	e.drainMu.Lock()
-	e.draining.Store(true)
-	e.drainMu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		e.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// NumActive returns the number of requests in progress.
-func (e *Entry) NumActive() int64 { return e.numActive.Load() }
-
-// trackRequest counts a request as in progress; it returns false if the instance
-// is draining. drainMu ensures that no request is added after Drain has begun to
-// wait.
-func (e *Entry) trackRequest() bool {
-	e.drainMu.RLock()
-	defer e.drainMu.RUnlock()
-	if e.draining.Load() {
-		return false
-	}
-	e.running.Add(1)
-	e.numActive.Add(1)
-	return true
-}
-
-func (e *Entry) untrackRequest() {
-	e.numActive.Add(-1)
-	e.running.Done()
-}
+// Refuse makes the Entry refuse all requests from now on as not run. Once the server then has no active
+// request, none is served any more.
+func (e *Entry) Refuse() { e.refusing.Store(true) }
 
 // request is a client request in progress.
 type request struct {
@@ -235,11 +193,10 @@
 // calls serve and writes the problem, if any, as the response.
 func (e *Entry) handle(serve func(context.Context, *request) *Problem) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
-		if !e.trackRequest() {
+		if e.refusing.Load() {
 			notRunProblem(consts.StatusServiceUnavailable, kindDraining, "this instance is stopping", drainRetryAfter).write(c)
 			return
 		}
-		defer e.untrackRequest()
 		r, p := e.admit(c)
 		if p == nil {
 			ctx, cancel := context.WithCancel(ctx)
--- /dev/null
+++ b/pkg/httpserve/active.go
@@ -0,0 +1,56 @@
+package httpserve
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/lavenderring/lavenderring/pkg/pause"
+)
+
+// idleCheckInterval is how often AwaitIdle counts the active requests.
+const idleCheckInterval = 20 * time.Millisecond
+
+// activeKey marks the context of a request that is counted as active.
+const activeKey = "httpserve.active"
+
+// activeCounter counts the active requests: those whose handler has started and whose response has not
+// been written to its end. The library writes a response after the handler has returned, and a slow
+// client may take long to receive it; a counter in the handler would miss that time. It implements the
+// library's Tracer, whose Finish is called after the writing.
+type activeCounter struct{ numActive atomic.Int64 }
+
+// handle counts the request as active.
+func (a *activeCounter) handle(ctx context.Context, c *app.RequestContext) {
+	a.numActive.Add(1)
+	c.Set(activeKey, true)
+	c.Next(ctx)
+}
+
+// Start implements tracer.Tracer.
+func (a *activeCounter) Start(ctx context.Context, _ *app.RequestContext) context.Context { return ctx }
+
+// Finish implements tracer.Tracer. The library also calls it when an idle connection ends, and then
+// the context has no mark.
+func (a *activeCounter) Finish(_ context.Context, c *app.RequestContext) {
+	if c.GetBool(activeKey) {
+		c.Set(activeKey, false)
+		a.numActive.Add(-1)
+	}
+}
+
+// NumActive returns the number of requests whose handler has started and whose response has not been
+// written to its end.
+func (s *Server) NumActive() int64 { return s.active.numActive.Load() }
+
+// AwaitIdle waits until no request is active; it returns ctx's error if ctx is done first.
+func (s *Server) AwaitIdle(ctx context.Context) error {
+	for s.NumActive() > 0 {
+		if !pause.For(ctx, idleCheckInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -14,6 +14,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/common/tracer/stats"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 )
@@ -56,6 +57,7 @@
 	// Hertz is the library's server, on which routes are registered.
 	*server.Hertz
 	listener net.Listener
+	active   *activeCounter
 	done     chan struct{}
 }
 
@@ -74,6 +76,7 @@
 	if readTimeout <= 0 {
 		readTimeout = defaultReadTimeout
 	}
+	active := &activeCounter{}
 	options := []hertzconfig.Option{
 		{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
 		server.WithListener(listener),
@@ -91,12 +94,15 @@
 		server.WithDisableDefaultDate(true),
 		server.WithDisableDefaultContentType(true),
 		server.WithSenseClientDisconnection(opts.CancelOnDisconnect),
+		server.WithTracer(active),
+		server.WithTraceLevel(stats.LevelDisabled),
 	}
 	if opts.TLS != nil {
 		options = append(options, server.WithTLS(opts.TLS))
 	}
 	hertz := server.New(options...)
-	return &Server{Hertz: hertz, listener: listener, done: make(chan struct{})}, nil
+	hertz.Use(active.handle)
+	return &Server{Hertz: hertz, listener: listener, active: active, done: make(chan struct{})}, nil
 }
 
 // limitFirstRead returns a function that sets the read deadline for a connection's
--- a/pkg/instance/admin.go
+++ b/pkg/instance/admin.go
@@ -85,7 +85,7 @@
 	metrics.GetOrRegisterGauge("config.services", i.metrics).Update(int64(len(i.config.Snapshot().Services)))
 	metrics.GetOrRegisterGauge("peers.bytes_in", i.metrics).Update(i.peerTraffic.In.Load())
 	metrics.GetOrRegisterGauge("peers.bytes_out", i.metrics).Update(i.peerTraffic.Out.Load())
-	metrics.GetOrRegisterGauge("requests.active", i.metrics).Update(i.entry.NumActive())
+	metrics.GetOrRegisterGauge("requests.active", i.metrics).Update(i.clientServer.NumActive())
 	c.JSON(consts.StatusOK, i.metrics.GetAll())
 }
 
@@ -94,7 +94,7 @@
 		Name:        i.settings.Name,
 		Incarnation: i.incarnation,
 		State:       i.State(),
-		Active:      i.entry.NumActive(),
+		Active:      i.clientServer.NumActive(),
 		Generations: map[string]uint64{},
 		Members:     i.table.View(),
 		Grants:      i.budgets.Holder().View(),
--- a/pkg/instance/run.go
+++ b/pkg/instance/run.go
@@ -191,9 +191,10 @@
 	pause.For(context.Background(), i.settings.DrainDelay())
 	drainCtx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	err := i.entry.Drain(drainCtx)
+	i.entry.Refuse()
+	err := i.clientServer.AwaitIdle(drainCtx)
 	i.log.Event(eventlog.InstanceClosing, "", eventlog.Fields{
-		"after_ms": time.Since(began).Milliseconds(), "active": i.entry.NumActive(),
+		"after_ms": time.Since(began).Milliseconds(), "active": i.clientServer.NumActive(),
 	})
 	i.clientServer.Close()
 	i.flushOnStop()
--- a/pkg/standin/plain/plain.go
+++ b/pkg/standin/plain/plain.go
@@ -38,6 +38,8 @@
 	DropAnswers int `json:"drop_answers"`
 	// WrongID answers the next request with another request's id.
 	WrongID bool `json:"wrong_id"`
+	// PaddingBytes is the size of the blanks that follow each answer.
+	PaddingBytes int `json:"padding_bytes"`
 }
 
 // Server is a running stand-in service.
@@ -110,6 +112,7 @@
 	s.runs = append(s.runs, run)
 	count := len(s.runs)
 	delay := time.Duration(s.faults.DelayMillis) * time.Millisecond
+	padding := strings.Repeat(" ", s.faults.PaddingBytes)
 	drop := s.faults.DropAnswers > 0
 	if drop {
 		s.faults.DropAnswers--
@@ -127,5 +130,5 @@
 	}
 	c.Header(chat.HeaderRequestID, id)
 	c.Header("Content-Type", "application/json")
-	c.String(consts.StatusOK, fmt.Sprintf(`{"run":%d,"path":%q}`, count, run.Path))
+	c.String(consts.StatusOK, fmt.Sprintf(`{"run":%d,"path":%q}`, count, run.Path)+padding)
 }
