Try: a stopping instance refuses streams that would probably outlast it

Cause: of the streams that a planned stop cuts off under load, about half were accepted after SIGTERM, within the 2.5 s in which any request is. Hypothesis: the pace of a route's latest streams tells which of them end in time; the others are better refused at once as not run.

--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -39,9 +39,6 @@
 	// tokensShortRetryAfter applies while other instances still return what they hold of a
 	// budget that is short: they report twice a second.
 	tokensShortRetryAfter = 1200 * time.Millisecond
-	// stopAcceptPeriod is how long after the start of a planned stop requests with any
-	// deadline are still accepted: the load balancer sends no more requests here after that.
-	stopAcceptPeriod = 2500 * time.Millisecond
 	// emptiedRetryAfter applies while operators have emptied the failure domains that would
 	// serve: they restore them after seconds at the earliest.
 	emptiedRetryAfter = 2 * time.Second
@@ -100,6 +97,7 @@
 	Deps
 	meters   meters
 	lastSent lastSentTimes
+	paces    *paces
 	// startedAt is when the instance started.
 	startedAt time.Time
 
@@ -110,23 +108,6 @@
 	services map[string]*serviceState
 }
 
-// plannedStop holds when a planned stop began and when it ends.
-type plannedStop struct{ beganAt, endsAt time.Time }
-
-// StopBy announces that the instance ends at a time. Requests that arrive later than
-// stopAcceptPeriod after the announcement and might last beyond that time are refused: if
-// they were cut off, their clients would not know whether they ran.
-func (f *Forwarder) StopBy(ends time.Time) {
-	f.stop.Store(&plannedStop{beganAt: f.Now(), endsAt: ends})
-}
-
-// mayStopBefore reports whether a planned stop began more than stopAcceptPeriod ago and may
-// end before the deadline of a request.
-func (f *Forwarder) mayStopBefore(deadline time.Time) bool {
-	stop := f.stop.Load()
-	return stop != nil && f.Now().Sub(stop.beganAt) > stopAcceptPeriod && deadline.After(stop.endsAt)
-}
-
 // serviceState is this instance's state for one service.
 type serviceState struct {
 	pool  *placement.Pool
@@ -153,6 +134,7 @@
 		Deps:      deps,
 		startedAt: deps.Now(),
 		services:  map[string]*serviceState{},
+		paces:     newPaces(),
 		meters: meters{
 			accepted:       counter("forward.accepted"),
 			refused:        counter("forward.refused"),
@@ -265,7 +247,7 @@
 	c.target, c.serviceState = target, f.serviceState(target.Name)
 	c.urgent = table.Urgent(route)
 	c.setDeadline()
-	if f.mayStopBefore(c.deadline) {
+	if c.mayOutlastStop() {
 		return nil, &Refusal{Reason: Stopping, RetryAfter: defaultRetryAfter}
 	}
 	if refusal := c.refuseCondemned(); refusal != nil {
