--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -39,6 +39,9 @@
 	// tokensShortRetryAfter applies while other instances still return what they hold of a
 	// budget that is short: they report twice a second.
 	tokensShortRetryAfter = 1200 * time.Millisecond
+	// stopAcceptPeriod is how long after the start of a planned stop requests with any
+	// deadline are still accepted: the load balancer sends no more requests here after that.
+	stopAcceptPeriod = 2500 * time.Millisecond
 	// emptiedRetryAfter applies while operators have emptied the failure domains that would
 	// serve: they restore them after seconds at the earliest.
 	emptiedRetryAfter = 2 * time.Second
@@ -97,7 +100,6 @@
 	Deps
 	meters   meters
 	lastSent lastSentTimes
-	paces    *paces
 	// startedAt is when the instance started.
 	startedAt time.Time
 
@@ -108,6 +110,23 @@
 	services map[string]*serviceState
 }
 
+// plannedStop holds when a planned stop began and when it ends.
+type plannedStop struct{ beganAt, endsAt time.Time }
+
+// StopBy announces that the instance ends at a time. Requests that arrive later than
+// stopAcceptPeriod after the announcement and might last beyond that time are refused: if
+// they were cut off, their clients would not know whether they ran.
+func (f *Forwarder) StopBy(ends time.Time) {
+	f.stop.Store(&plannedStop{beganAt: f.Now(), endsAt: ends})
+}
+
+// mayStopBefore reports whether a planned stop began more than stopAcceptPeriod ago and may
+// end before the deadline of a request.
+func (f *Forwarder) mayStopBefore(deadline time.Time) bool {
+	stop := f.stop.Load()
+	return stop != nil && f.Now().Sub(stop.beganAt) > stopAcceptPeriod && deadline.After(stop.endsAt)
+}
+
 // serviceState is this instance's state for one service.
 type serviceState struct {
 	pool  *placement.Pool
@@ -134,7 +153,6 @@
 		Deps:      deps,
 		startedAt: deps.Now(),
 		services:  map[string]*serviceState{},
-		paces:     newPaces(),
 		meters: meters{
 			accepted:       counter("forward.accepted"),
 			refused:        counter("forward.refused"),
@@ -247,7 +265,7 @@
 	c.target, c.serviceState = target, f.serviceState(target.Name)
 	c.urgent = table.Urgent(route)
 	c.setDeadline()
-	if c.mayOutlastStop() {
+	if f.mayStopBefore(c.deadline) {
 		return nil, &Refusal{Reason: Stopping, RetryAfter: defaultRetryAfter}
 	}
 	if refusal := c.refuseCondemned(); refusal != nil {
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -166,7 +166,6 @@
 		a.keepFor = head.KeepFor
 	}
 	took := c.f.Now().Sub(c.r.Arrived)
-	c.f.paces.record(c.route.Name, c.r, took)
 	c.f.meters.streamed.Inc(1)
 	c.f.meters.answerTime.Update(took)
 	fields := eventlog.Fields{
