prepaid: test that store calls are bounded whatever fails

The test lets the store fall silent or lose its answers, or the instances not reach each other, for seven seconds. Either the drawers or the limits on the others' writes keep the bound alone, so no single edit shows it.

--- a/pkg/prepaid/fleet_start_test.go
+++ b/pkg/prepaid/fleet_start_test.go
@@ -49,6 +49,11 @@
 	// writes and conflicts are counted by second since startedAt.
 	startedAt         time.Time
 	writes, conflicts map[int]int
+	// reads are counted like writes.
+	reads map[int]int
+	// disruption is in force from disruptedFrom to disruptedTo.
+	disruption                 disruption
+	disruptedFrom, disruptedTo time.Time
 }
 
 // startingInstance is one instance.
@@ -75,6 +80,7 @@
 		startedAt: time.Now(),
 		writes:    map[int]int{},
 		conflicts: map[int]int{},
+		reads:     map[int]int{},
 	}
 	for index := range size {
 		m := &startingInstance{
@@ -101,6 +107,7 @@
 func (f *startingFleet) load() ([]byte, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reads[f.second()]++
 	return f.value, f.version
 }
 
@@ -118,8 +125,13 @@
 }
 
 // Update implements prepaid.Ledger.
-func (m *startingInstance) Update(_ context.Context, _, tries int, change func(*prepaid.Shard) error) error {
+func (m *startingInstance) Update(ctx context.Context, _, tries int, change func(*prepaid.Shard) error) error {
 	for try := range tries {
+		if m.fleet.isDisrupted(storeSilent) {
+			_, _ = m.fleet.load()
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		if try > 0 {
 			time.Sleep(time.Duration(rand.N(16)) * time.Millisecond)
 		}
@@ -136,7 +148,12 @@
 			return err
 		}
 		time.Sleep(storeLatency)
-		if m.fleet.put(version, encoded) {
+		done := m.fleet.put(version, encoded)
+		if done && m.fleet.isDisrupted(answersLost) {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		if done {
 			return nil
 		}
 	}
@@ -149,7 +166,7 @@
 func (m *startingInstance) Refill(ctx context.Context, to string, req *prepaidpb.RefillRequest) (*prepaidpb.RefillReply, error) {
 	time.Sleep(peerRoundTrip)
 	other := m.fleet.at(to)
-	if other.hasCrashed() {
+	if other.hasCrashed() || m.fleet.isDisrupted(peersSilent) {
 		time.Sleep(100 * time.Millisecond)
 		return nil, errUnreachable
 	}
@@ -257,7 +274,7 @@
 func (m *startingInstance) Witness(_ context.Context, to string, req *prepaidpb.WitnessRequest) (*prepaidpb.WitnessReply, error) {
 	time.Sleep(peerRoundTrip)
 	other := m.fleet.at(to)
-	if other.hasCrashed() {
+	if other.hasCrashed() || m.fleet.isDisrupted(peersSilent) {
 		time.Sleep(100 * time.Millisecond)
 		return nil, errUnreachable
 	}
@@ -317,6 +334,11 @@
 	for _, m := range f.members {
 		running.Go(func() { m.serve(until) })
 	}
+	time.AfterFunc(f.disruptedTo.Sub(f.startedAt), func() {
+		for _, m := range f.members {
+			m.NoteStoreAvailable()
+		}
+	})
 	time.Sleep(crashAt)
 	f.mu.Lock()
 	for _, m := range f.members[:crashes] {
