test: the store is rolled back only when crashed upstreams are listed again

A crashed upstream is restarted 300 ms later and updates its entry; if the store is rolled back meanwhile, its call falls into the outage or finds the emptied store. The fleet is not involved. The test now waits until each crashed upstream is listed again. Its checks are unchanged.

--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -43,12 +43,29 @@
 type crashCounter struct {
 	mu     sync.Mutex
 	bodies map[string]int
+	// numDown is the number of crashed upstreams that have not been restarted yet.
+	numDown int
 }
 
 func (c *crashCounter) record(body string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bodies[body]++
+	c.numDown++
+}
+
+// recordRestart records that a crashed upstream is listed in the store again.
+func (c *crashCounter) recordRestart() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.numDown--
+}
+
+// allUp reports whether no crashed upstream has still to be restarted.
+func (c *crashCounter) allUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.numDown == 0
 }
 
 func (c *crashCounter) count(body string) int {
@@ -90,6 +107,7 @@
 	next.Born, next.Advertised = time.Now().UnixMilli(), old.Advertised
 	f.injectCrash(next, service, domain, c)
 	f.updateEntry(next, service, domain)
+	c.recordRestart()
 }
 
 // Guards against a request that crashes every upstream that runs it and that its client keeps sending,
@@ -245,6 +263,8 @@
 	crashed := f.injectCrashes()
 	f.sendUntilCondemned("safe", crashingBody)
 	f.awaitVerdict()
+	// The entry of an upstream cannot be updated during the rollback.
+	f.await("the crashed upstreams to be listed again", crashed.allUp)
 	f.store.RollBack(standin.Rollback{OutageMillis: 100, CopyAgeMillis: time.Since(time.Unix(0, 0)).Milliseconds()})
 	f.rewriteStore()
 	f.awaitVerdict()
