Quarantine: a push that is not acknowledged is sent once more, and its failure is logged

What callers saw: a request that crashes upstreams ended six of them, five are allowed (TestFewUpstreamsCrashUnderOneRequest, known red).

Change: a push is repeated once. What still fails is logged (event 215, steps push and compare, with the peer); it was swallowed before.

--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -77,7 +77,7 @@
 // start starts or restarts an instance with an empty table.
 func (f *fleet) start(number int) *node {
 	n := &node{fleet: f, number: number}
-	n.spreader = NewSpreader(fmt.Sprint("i", number), n, time.Now, func([]Record) {}, func(string, error) {})
+	n.spreader = NewSpreader(fmt.Sprint("i", number), n, time.Now, func([]Record) {}, func(Fault) {})
 	f.mu.Lock()
 	f.nodes[number] = n
 	f.mu.Unlock()
--- a/pkg/quarantine/keeper/keeper.go
+++ b/pkg/quarantine/keeper/keeper.go
@@ -64,7 +64,7 @@
 			lateCrashes: counter("quarantine.decided_late"),
 		},
 	}
-	k.spreader = quarantine.NewSpreader(deps.Self, peers{k}, deps.Now, k.onLearned, k.logDecodeError)
+	k.spreader = quarantine.NewSpreader(deps.Self, peers{k}, deps.Now, k.onLearned, k.logFault)
 	k.Table().OnCondemned(k.requestStore)
 	k.Table().OnCrashConfirmed(func(r quarantine.Record) { k.lateCrashes.TryPut(r) })
 	return k
@@ -142,8 +142,8 @@
 	}
 }
 
-func (k *Keeper) logDecodeError(from string, err error) {
-	k.Log.Event(eventlog.QuarantineFault, "", eventlog.Fields{"step": "decode", "peer": from, "cause": err.Error()})
+func (k *Keeper) logFault(f quarantine.Fault) {
+	k.Log.Event(eventlog.QuarantineFault, "", eventlog.Fields{"step": f.Step, "peer": f.Peer, "cause": f.Err.Error()})
 }
 
 // peers implements quarantine.Peers.
--- a/pkg/quarantine/keeper/verdicts.go
+++ b/pkg/quarantine/keeper/verdicts.go
@@ -43,7 +43,7 @@
 	err := store.Update(ctx, k.Store, verdictsKey, func(present []byte) ([]byte, error) {
 		stored, err := decodeVerdicts(present)
 		if err != nil {
-			k.logDecodeError(verdictsKey, err) // an unreadable object is overwritten
+			k.logFault(quarantine.Fault{Step: "decode", Peer: verdictsKey, Err: err}) // an unreadable object is overwritten
 		}
 		merged, err := encodeVerdicts(mergeVerdicts(stored, k.Table().All()))
 		if err == nil && bytes.Equal(merged, present) {
--- a/pkg/quarantine/spread.go
+++ b/pkg/quarantine/spread.go
@@ -17,6 +17,9 @@
 	// fanout is the number of instances to which new records are pushed. In a fleet of 300, a
 	// pushed record reaches all instances but one in 400, within the time of four messages.
 	fanout = 6
+	// pushAttempts is how often new records are sent to an instance that does not acknowledge them. Its
+	// connection may have ended since it was last used.
+	pushAttempts = 2
 	// pushInterval is the minimum time between two pushes, which batches simultaneous changes.
 	pushInterval = 10 * time.Millisecond
 	// minCompareInterval is the initial interval between two exchanges of whole tables. It doubles
@@ -35,16 +38,24 @@
 	Exchange(ctx context.Context, address string, records *quarantinepb.Records) (*quarantinepb.Records, error)
 }
 
+// Fault is a failed step of the dissemination. The comparison of tables makes up for it.
+type Fault struct {
+	// Step is "decode", "push" or "compare".
+	Step string
+	// Peer is the address of the other instance; empty if that began the exchange.
+	Peer string
+	// Err is the cause.
+	Err error
+}
+
 // Spreader synchronizes an instance's table with those of the other instances. It is created by
 // NewSpreader.
 type Spreader struct {
-	table *Table
-	peers Peers
-	now   func() time.Time
-	// onBadRecord is called for each invalid record received, onLearned with received records that
-	// changed the table.
-	onBadRecord func(from string, err error)
-	onLearned   func([]Record)
+	table     *Table
+	peers     Peers
+	now       func() time.Time
+	onFault   func(Fault)
+	onLearned func([]Record)
 
 	wakeups *ring.Queue[struct{}]
 	// differing holds the address of an instance whose table differs from this one's.
@@ -61,15 +72,14 @@
 }
 
 // NewSpreader returns a spreader with an empty table for the instance named self. onLearned is called
-// with received records that changed the table, onBadRecord with the address of the sender (empty if the
-// sender began the exchange) and the error for each invalid record.
+// with received records that changed the table, onFault for each failed step.
 func NewSpreader(
-	self string, peers Peers, now func() time.Time, onLearned func([]Record), onBadRecord func(from string, err error),
+	self string, peers Peers, now func() time.Time, onLearned func([]Record), onFault func(Fault),
 ) *Spreader {
 	s := &Spreader{
 		peers:           peers,
 		now:             now,
-		onBadRecord:     onBadRecord,
+		onFault:         onFault,
 		onLearned:       onLearned,
 		wakeups:         ring.New[struct{}](1),
 		differing:       ring.New[string](1),
@@ -104,8 +114,7 @@
 	}
 }
 
-// push sends the pending records to some other instances. An instance that the records do not reach
-// keeps a differing table, which the comparison of hashes in heartbeats detects.
+// push sends the pending records to some other instances.
 func (s *Spreader) push(ctx context.Context) {
 	records := s.table.TakePending()
 	if len(records) == 0 {
@@ -114,8 +123,21 @@
 	addresses, all := s.peers.Choose(fanout)
 	message := &quarantinepb.Records{Records: Encode(records, s.now()), ToldAll: all}
 	for _, address := range addresses {
-		go func() { _, _ = s.peers.Exchange(ctx, address, message) }()
+		go s.pushTo(ctx, address, message)
+	}
+}
+
+// pushTo sends records to one instance, up to pushAttempts times until it acknowledges them. An instance
+// that they do not reach keeps a differing table, which the comparison of hashes in heartbeats detects;
+// until then it does not know of a crash and may run the request once more.
+func (s *Spreader) pushTo(ctx context.Context, address string, message *quarantinepb.Records) {
+	var err error
+	for range pushAttempts {
+		if _, err = s.peers.Exchange(ctx, address, message); err == nil || ctx.Err() != nil {
+			return
+		}
 	}
+	s.onFault(Fault{Step: "push", Peer: address, Err: err})
 }
 
 // Stored reports whether the table contains the records in the store, because this instance has read
@@ -163,6 +185,9 @@
 	message := &quarantinepb.Records{Records: Encode(s.table.All(), s.now()), WantAll: true}
 	reply, err := s.peers.Exchange(ctx, address, message)
 	if err != nil {
+		if ctx.Err() == nil {
+			s.onFault(Fault{Step: "compare", Peer: address, Err: err})
+		}
 		return // the next heartbeat shows whether the tables still differ
 	}
 	s.receive(address, reply, true)
@@ -183,7 +208,7 @@
 func (s *Spreader) receive(from string, message *quarantinepb.Records, forward bool) {
 	records, bad := Decode(message.Records, s.now())
 	for _, err := range bad {
-		s.onBadRecord(from, err)
+		s.onFault(Fault{Step: "decode", Peer: from, Err: err})
 	}
 	if changed := s.table.Merge(records, s.now(), forward); len(changed) > 0 {
 		s.onLearned(changed)
