--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -261,6 +261,36 @@
 	}
 }
 
+// Guards against instances that new records reach only by a later comparison of tables, so that a request
+// runs at them once more.
+func TestCrashIsSoonKnownAlmostEverywhere(t *testing.T) {
+	const (
+		size, crashes = 63, 100
+		// maxUninformed allows one instance in 2,000.
+		maxUninformed = size * crashes / 2000
+	)
+	uninformed := 0
+	for seed := range uint64(crashes) {
+		testInFleet(t, size, seed, func(f *fleet) {
+			run, err := f.nodeAt(0).spreader.Table().Begin(bodyRequest("fatal"), time.Now())
+			if err != nil {
+				t.Fatal(err)
+			}
+			crash := run.NoteCrash(testOrigin, upstreamNamed("upstream"), time.Now())
+			crash.Judge()
+			time.Sleep(heartbeatInterval / 2)
+			for _, n := range f.nodes {
+				if n.spreader.Table().StateOf(bodyRequest("fatal").Fingerprint()) == Clear {
+					uninformed++
+				}
+			}
+		})
+	}
+	if uninformed > maxUninformed {
+		t.Errorf("%d instances did not know of a crash after half a heartbeat, %d allowed", uninformed, maxUninformed)
+	}
+}
+
 // Guards against crashes that are not counted if every probe of the upstream comes too late.
 func TestFewUpstreamsCrashWhereLooksTellNothing(t *testing.T) {
 	for _, size := range []int{7, 63, 295} {
--- a/pkg/quarantine/spread.go
+++ b/pkg/quarantine/spread.go
@@ -15,8 +15,8 @@
 // records to some others (push gossip), and two instances whose tables differ exchange them in full.
 const (
 	// fanout is the number of instances to which new records are pushed. In a fleet of 300, a
-	// pushed record reaches all instances but one in 400, within the time of four messages.
-	fanout = 6
+	// pushed record reaches all instances but one in 20,000, within the time of four messages.
+	fanout = 10
 	// pushAttempts is how often new records are sent to an instance that does not acknowledge them. Its
 	// connection may have ended since it was last used.
 	pushAttempts = 2
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -117,6 +117,8 @@
 try crash-is-no-reset pkg/httpconn/prober.go 's/return Answering/return Crashed/' pkg/httpconn TestLookoutTellsCrashedFromReset
 try suspects-run-one-at-a-time $q/table.go 's/e\.Started > e\.Ended && now\.Before\(e\.trialExpiry\)/false/' $q TestSuspectedRequestsRunOneAtATime
 try crashes-are-told $q/spread.go 's/\t\t\ts\.push\(ctx\)\n//; s/\t\t\ts\.compare\(ctx, address\)\n/\t\t\t_ = address\n/' $q TestFewUpstreamsCrashUnderOneRequest
+try lost-pushes-are-repeated $q/spread.go 's/pushAttempts = 2/pushAttempts = 1/' $q TestCrashIsToldAgainAfterALostMessage
+try pushes-reach-nearly-all $q/spread.go 's/fanout = 10/fanout = 6/' $q TestCrashIsSoonKnownAlmostEverywhere
 try differing-tables-are-compared $q/spread.go 's/\t\t\ts\.compare\(ctx, address\)\n/\t\t\t_ = address\n/' $q TestInstanceThatStartsLearnsWhatIsCondemned
 try answers-clear $q/table.go 's/return raise\(&e\.Cleared, e\.lastCrashOrdinal\(\)\) \|\| ended \|\| refuted/return ended || refuted/' $q TestAnswerClearsASuspectedRequest
 try crashes-together-condemn-nobody $q/table.go 's/!t\.recent\.hasUnexplainedAt\(e\.crashedUpstreams, at\)/true/' $q TestManyUpstreamsThatCrashTogetherCondemnNobody
