--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -32,11 +32,6 @@
 // several others each (see catchUp).
 const maxInlineBytes = 4 << 10
 
-// confirmHedgeDelay is how long a confirmation with a change goes unacknowledged before it is sent a
-// second time. A lost one is otherwise known by its timeout only, which is a quarter of the bound of
-// a change.
-const confirmHedgeDelay = 150 * time.Millisecond
-
 // Publisher publishes the results of this instance's watches to the other instances, handles their
 // confirmations, and serves copies to them. Use NewPublisher to create one.
 type Publisher struct {
@@ -207,34 +202,22 @@
 // publish sends a confirmation to all other instances without waiting: an instance that does not
 // answer delays neither the others nor the next confirmation.
 func (p *Publisher) publish(ctx context.Context, confirmation *followpb.Confirmation, hasChange bool) {
-	for _, address := range p.peers.Addresses() {
-		if hasChange {
-			go p.publishChange(ctx, address, confirmation)
-		} else {
-			go func() { _ = p.peers.Confirm(ctx, address, confirmation) }() // the next one follows soon
-		}
-	}
-}
-
-// publishChange sends a confirmation with a change to an instance: a second time if the instance has
-// not received it after confirmHedgeDelay, and once more if both are lost. The next confirmation
-// follows after WatchTimeout only.
-func (p *Publisher) publishChange(ctx context.Context, address string, confirmation *followpb.Confirmation) {
 	began := time.Now()
-	send := func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, p.peers.Confirm(ctx, address, withElapsed(confirmation, time.Since(began)))
-	}
-	if _, err := hedged(ctx, confirmHedgeDelay, send); err != nil {
-		_, _ = send(ctx) // if this is lost as well, the instance learns of the change by the next confirmation
+	for _, address := range p.peers.Addresses() {
+		go func() {
+			err := p.peers.Confirm(ctx, address, confirmation)
+			if err != nil && hasChange {
+				// The next confirmation follows soon, but if that is lost as well the change is
+				// late.
+				_ = p.peers.Confirm(ctx, address, withElapsed(confirmation, time.Since(began)))
+			}
+		}()
 	}
 }
 
 // withElapsed returns a copy of a confirmation that is sent some time after it was made: it
 // confirms the state as of the time when it was made.
 func withElapsed(confirmation *followpb.Confirmation, elapsed time.Duration) *followpb.Confirmation {
-	if elapsed < time.Millisecond { // the first attempt needs no copy
-		return confirmation
-	}
 	aged := proto.CloneOf(confirmation)
 	for _, state := range aged.Copies {
 		state.AgeMs += elapsed.Milliseconds()
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -80,8 +80,7 @@
 try place-is-looked-at-again pkg/forward/attempt.go 's/if !a\.lease\.InService\(\) \{/if false {/' pkg/forward TestUpstreamThatLeavesBeforeTheSendingGetsNothing
 try copies-are-guarded pkg/follow/confirm.go 's/timeout := f\.confirmTimeout\(\)\n\t\treason/timeout := time.Hour\n\t\treason/' pkg/follow TestCopiesAreNeverOldOnceTheStoreAnswers
 try published-change-is-awaited pkg/follow/freshness.go 's/if !s\.position\.Before\(s\.lastPublished\) \{\n\t\treturn Unconfirmed/if true {\n\t\treturn Unconfirmed/' pkg/follow TestChangeThatNobodyHandsOnIsReadFromTheStore
-try confirmations-are-sent pkg/follow/publisher.go 's/range p\.peers\.Addresses\(\) \{\n\t\tif hasChange/range p.peers.Addresses()[:0] {\n\t\tif hasChange/' pkg/follow TestCallsOfACalmFleetDoNotGrowWithIt
-try changes-are-sent-again pkg/follow/publisher.go 's/confirmHedgeDelay = 150 \* time\.Millisecond/confirmHedgeDelay = time.Hour/' pkg/follow TestLaterEraIsReachedAfterThreeLostConfirmations
+try confirmations-are-sent pkg/follow/publisher.go 's/err := p\.peers\.Confirm\(ctx, address, confirmation\)/err := error(nil)/' pkg/follow TestCallsOfACalmFleetDoNotGrowWithIt
 try older-word-changes-nothing pkg/follow/follow.go 's/if !since\.Before\(upTo\) \|\| \(/if (/' pkg/follow TestOlderWordChangesNothing
 try handing-on-is-bounded pkg/follow/copyserver.go 's/ && s\.servedBytes\+size > maxServedBytesPerSecond/ \&\& false/' pkg/follow TestLargeChangeIsHandedOnInTime
 try suspicion-is-refuted pkg/member/state.go 's/m\.State != memberpb\.State_ALIVE && m\.Revision >= t\.self\.Revision/false/' pkg/member TestTablesAreWholeAfterACutOfADomain
@@ -135,7 +134,7 @@
 try orderly-ends-are-no-crashes $q/undecided.go 's/key\.Incarnation == incarnation && e\.At\.Before\(at\)/key.Incarnation == incarnation/' $q TestEndingAfterTheEntryWentIsNoCrash
 try leaving-is-no-crash pkg/registry/occupant.go 's/!before\.Leaving/true/' pkg/registry TestSupersededIncarnationsAreTold
 try accounts-share-repeats pkg/retrylimit/limit.go 's/used > 0 && float64/false && float64/' pkg/retrylimit TestOneAccountDoesNotTakeAllRepeats
-try lost-confirmations-are-sent-again pkg/follow/publisher.go 's/(confirmHedgeDelay, send\)); err != nil/$1; err == nil/; s/confirmHedgeDelay = 150 \* time\.Millisecond/confirmHedgeDelay = time.Hour/' pkg/follow TestChangeWhoseConfirmationIsLostIsToldAgain
+try lost-confirmations-are-sent-again pkg/follow/publisher.go 's/err != nil && hasChange/err != nil && hasChange && began.IsZero()/' pkg/follow TestChangeWhoseConfirmationIsLostIsToldAgain
 try passed-over-writes-pause pkg/prepaid/write.go 's/errors\.Is\(f\.err, errStillUnsettled\)/errors.Is(f.err, ErrUnsettled)/' pkg/prepaid TestLedgerOfAnEraTakenForOverIsNotWrittenWithoutAPause
 try emptied-domains-are-out pkg/registry/registry.go 's/ && !r\.emptied\.domains\[u\.Domain\]//' test TestEmptiedDomainGetsNothing
 try own-door-knows-emptied-domains pkg/dispatch/picker.go 's/ \|\| p\.emptied\[upstream\.Domain\]//' test TestOwnDoorSendsNothingToAnEmptiedDomain
