prepaid tests: one place says when a call to an instance is answered

Refill and Witness of the simulated fleet each decided whether the other instance answers. A silent store is met after the load, as lost answers are after the write, so the load is no longer made twice in the text. Checks and bounds are unchanged.

--- a/pkg/prepaid/fleet_start_test.go
+++ b/pkg/prepaid/fleet_start_test.go
@@ -127,15 +127,14 @@
 // Update implements prepaid.Ledger.
 func (m *startingInstance) Update(ctx context.Context, _, tries int, change func(*prepaid.Shard) error) error {
 	for try := range tries {
-		if m.fleet.isDisrupted(storeSilent) {
-			_, _ = m.fleet.load()
-			<-ctx.Done()
-			return ctx.Err()
-		}
 		if try > 0 {
 			time.Sleep(time.Duration(rand.N(16)) * time.Millisecond)
 		}
 		value, version := m.fleet.load()
+		if m.fleet.isDisrupted(storeSilent) {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		s, err := prepaid.DecodeShard(value)
 		if err != nil {
 			return err
@@ -148,28 +147,37 @@
 			return err
 		}
 		time.Sleep(storeLatency)
-		done := m.fleet.put(version, encoded)
-		if done && m.fleet.isDisrupted(answersLost) {
+		if !m.fleet.put(version, encoded) {
+			continue
+		}
+		if m.fleet.isDisrupted(answersLost) {
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		if done {
-			return nil
-		}
+		return nil
 	}
 	return prepaid.ErrBusy
 }
 
 var errUnreachable = errors.New("no answer")
 
-// Refill implements prepaid.Peers.
-func (m *startingInstance) Refill(ctx context.Context, to string, req *prepaidpb.RefillRequest) (*prepaidpb.RefillReply, error) {
+// call takes the time of a call to an instance and returns the instance if it answers.
+func (f *startingFleet) call(to string) (*startingInstance, error) {
 	time.Sleep(peerRoundTrip)
-	other := m.fleet.at(to)
-	if other.hasCrashed() || m.fleet.isDisrupted(peersSilent) {
+	other := f.at(to)
+	if other.hasCrashed() || f.isDisrupted(peersSilent) {
 		time.Sleep(100 * time.Millisecond)
 		return nil, errUnreachable
 	}
+	return other, nil
+}
+
+// Refill implements prepaid.Peers.
+func (m *startingInstance) Refill(ctx context.Context, to string, req *prepaidpb.RefillRequest) (*prepaidpb.RefillReply, error) {
+	other, err := m.fleet.call(to)
+	if err != nil {
+		return nil, err
+	}
 	return other.Node.Refill(ctx, req), nil
 }
 
@@ -272,11 +280,9 @@
 
 // Witness implements prepaid.Peers.
 func (m *startingInstance) Witness(_ context.Context, to string, req *prepaidpb.WitnessRequest) (*prepaidpb.WitnessReply, error) {
-	time.Sleep(peerRoundTrip)
-	other := m.fleet.at(to)
-	if other.hasCrashed() || m.fleet.isDisrupted(peersSilent) {
-		time.Sleep(100 * time.Millisecond)
-		return nil, errUnreachable
+	other, err := m.fleet.call(to)
+	if err != nil {
+		return nil, err
 	}
 	return other.Node.Witness(req), nil
 }
