--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -272,12 +272,7 @@
 	uninformed := 0
 	for seed := range uint64(crashes) {
 		testInFleet(t, size, seed, func(f *fleet) {
-			run, err := f.nodeAt(0).spreader.Table().Begin(bodyRequest("fatal"), time.Now())
-			if err != nil {
-				t.Fatal(err)
-			}
-			crash := run.NoteCrash(testOrigin, upstreamNamed("upstream"), time.Now())
-			crash.Judge()
+			runAndCrash(t, f.nodeAt(0).spreader.Table(), "fatal", 0)
 			time.Sleep(heartbeatInterval / 2)
 			for _, n := range f.nodes {
 				if n.spreader.Table().StateOf(bodyRequest("fatal").Fingerprint()) == Clear {
--- a/pkg/quarantine/spread_test.go
+++ b/pkg/quarantine/spread_test.go
@@ -35,13 +35,8 @@
 		failed := make(chan Fault, pushAttempts)
 		s := NewSpreader("self", peers, time.Now, func([]Record) {}, func(f Fault) { failed <- f })
 		go s.Run(ctx)
-		run, err := s.Table().Begin(bodyRequest("fatal"), time.Now())
-		if err != nil {
-			t.Fatal(err)
-		}
-		crash := run.NoteCrash(testOrigin, upstreamNamed("upstream"), time.Now())
+		runAndCrash(t, s.Table(), "fatal", 0)
 		synctest.Wait()
-		crash.Judge()
 		cancel()
 		synctest.Wait()
 		close(failed)
