tests: one wait for a listener, one name for a refusal without a time to come back

A copied dial loop uses awaitListening, which routed fleets can call now; three places that compared status and Retry-After ask isRefusedForGood. Assertions are unchanged.

--- a/pkg/httpserve/active_test.go
+++ b/pkg/httpserve/active_test.go
@@ -77,7 +77,7 @@
 // and an idle connection ends.
 func TestRequestOfAClientThatLeftIsNotActive(t *testing.T) {
 	s := listen(t)
-	_ = request(t, s).Body
+	request(t, s)
 	idle, err := net.Dial("tcp", s.listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -199,7 +199,14 @@
 }
 
 func (f *fleet) awaitListening(address string) {
-	f.await(address, func() bool {
+	f.t.Helper()
+	awaitListening(f.t, address)
+}
+
+// awaitListening waits until an address accepts connections.
+func awaitListening(t testing.TB, address string) {
+	t.Helper()
+	await(t, address, func() bool {
 		conn, err := net.Dial("tcp", address)
 		if err == nil {
 			_ = conn.Close()
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -126,8 +126,7 @@
 		body := crashingBody + " on " + route
 		sendUntilRefused(f.t, route, len(f.instances), func(n int) (refused bool, answer string) {
 			a := f.send(f.instances[n%len(f.instances)], fmt.Sprintf("%s-%d", route, n), route, body)
-			refused = a.status == http.StatusServiceUnavailable && a.retryAfter == ""
-			return refused, fmt.Sprintf("%d with Retry-After %q, %d crashes", a.status, a.retryAfter, crashed.count(body))
+			return a.isRefusedForGood(), fmt.Sprintf("%d with Retry-After %q, %d crashes", a.status, a.retryAfter, crashed.count(body))
 		})
 		if n := crashed.count(body); n == 0 || n > maxCrashes {
 			f.t.Errorf("%s: %d upstreams crashed, expected 1 to %d", route, n, maxCrashes)
@@ -238,7 +237,7 @@
 	f.await("refused for good", func() bool {
 		for n, i := range f.instances {
 			a := f.send(i, fmt.Sprintf("c-%d-%d", n, time.Now().UnixNano()), route, body)
-			if a.status != http.StatusServiceUnavailable || a.retryAfter != "" {
+			if !a.isRefusedForGood() {
 				return false
 			}
 		}
--- a/test/repeated_signal_test.go
+++ b/test/repeated_signal_test.go
@@ -1,7 +1,6 @@
 package test
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -43,13 +42,7 @@
 	i.kill()
 	f.store.SetFaults(standin.Faults{Outage: true})
 	i.process = f.startProcess(i)
-	f.await("the instance to listen", func() bool {
-		conn, err := net.Dial("tcp", i.clientAddress)
-		if err == nil {
-			_ = conn.Close()
-		}
-		return err == nil
-	})
+	awaitListening(t, i.clientAddress)
 	answered := make(chan response, 1)
 	go func() { answered <- f.send(i, "early", "once", "x") }()
 	time.Sleep(signalGap)
--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -183,6 +183,11 @@
 	retryAfter string
 }
 
+// isRefusedForGood reports whether the request was refused without a time to come back at.
+func (r response) isRefusedForGood() bool {
+	return r.status == http.StatusServiceUnavailable && r.retryAfter == ""
+}
+
 // send sends one request on a new connection and reads the whole answer.
 func (f *routedFleet) send(i *routedInstance, id, route, body string) response {
 	f.t.Helper()
--- a/test/route_test.go
+++ b/test/route_test.go
@@ -78,7 +78,7 @@
 			if runs := f.runsOf(id); a.status != c.status || len(runs) != c.runs {
 				t.Errorf("got status %d and %d runs, expected %d and %d", a.status, len(runs), c.status, c.runs)
 			}
-			if a.status == http.StatusServiceUnavailable && a.retryAfter == "" {
+			if a.isRefusedForGood() {
 				t.Error("the refusal has no Retry-After")
 			}
 		})
