--- a/pkg/router/stop.go
+++ b/pkg/router/stop.go
@@ -59,8 +59,9 @@
 	}
 }
 
-// run returns when the process may end. Connections are closed before tokens are returned: a store that
-// does not answer delays the return, and what a request that was cut off has not used is returned, too.
+// run carries out the stop and returns when the process may end. Connections are closed before tokens
+// are returned: a store that does not answer delays the return, and what a request that was cut off has
+// not used is returned, too.
 func (s *plannedStop) run() {
 	s.drain()
 	s.onClosing()
