Event 117: a statement of another instance that this instance's copy contradicts

A confirmation also carries the version up to which the sender's copy is complete. An instance that holds an object written between the stated last change and that version logs the sender (event 117, copies_contradicted). This tells a confirmation that says less than its sender holds from one that is only too old: a copy that is confirmed wrongly has no event of its own.

--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -20,6 +20,7 @@
 	StoreWentBack     Number = 114
 	StoreEraFault     Number = 115
 	CopyOld           Number = 116
+	CopyContradicted  Number = 117
 	RequestAccepted   Number = 200
 	RequestRefused    Number = 201
 	RequestDispatched Number = 202
@@ -94,6 +95,7 @@
 	StoreWentBack:     {"store-went-back", "the store came back from a copy of itself: from and era are its eras before and now", "none; see OPERATIONS, after the store went back"},
 	StoreEraFault:     {"store-era-fault", "an answer of the store told an older or an unusable era and was passed over, or its era was; told once of each kind", "see whether the store's nodes agree"},
 	CopyOld:           {"copy-old", "nothing has confirmed a copy of the store for longer than an instance may rely on the others (old), or it is confirmed again after age_ms at most; store_answers tells what is missing: the store's answers, or the word of the instances that publish", "if it lasts, see OPERATIONS, a change came late"},
+	CopyContradicted:  {"copy-contradicted", "peer stated that nothing of a copy changed after last_change up to position, but this instance holds an object of the copy that was written in between; an instance that lacks it may rely on the statement", "see OPERATIONS, a change came late"},
 	RequestAccepted:   {"request-accepted", "a caller's request passed authentication and checks", "none"},
 	RequestRefused:    {"request-refused", "the request was refused and did not run", "by the reason field"},
 	RequestDispatched: {"request-dispatched", "the request was handed to an upstream", "none"},
--- a/pkg/follow/confirm.go
+++ b/pkg/follow/confirm.go
@@ -104,5 +104,6 @@
 // of this instance's own calls showed that nothing changed after it; false if no call has been
 // answered yet.
 func (f *Follower) LastChange() (position store.Position, age time.Duration, read bool) {
-	return f.fresh.lastChange()
+	known := f.fresh.statement()
+	return known.lastChanged, known.readAge, known.read
 }
--- a/pkg/follow/contents.go
+++ b/pkg/follow/contents.go
@@ -31,6 +31,8 @@
 	number func(value []byte) uint64
 	// retained holds the keys whose content has a higher number than the store's.
 	retained map[string]bool
+	// newest is the latest position at which the store wrote an object of the copy.
+	newest store.Position
 }
 
 // replace applies a whole list. Content that its writer numbered higher than the list's content is
@@ -44,6 +46,7 @@
 	c.objects = make(map[string]store.Object, len(list.Objects))
 	c.retained = map[string]bool{}
 	for _, object := range list.Objects {
+		c.newest = store.Later(c.newest, object.Position)
 		c.objects[object.Key] = c.withHigherNumber(before[object.Key], object)
 	}
 	for key, object := range before {
@@ -83,6 +86,13 @@
 	return len(c.objects) <= maxListedObjects
 }
 
+// newestObject returns the latest position at which the store wrote an object of the copy.
+func (c *contents) newestObject() store.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newest
+}
+
 // byteSize returns the total size of the copy's values in bytes.
 func (c *contents) byteSize() int {
 	c.mu.Lock()
@@ -129,6 +139,7 @@
 			c.deleted[key] = changes.Position
 			continue
 		}
+		c.newest = store.Later(c.newest, change.Object.Position)
 		if c.retained[key] {
 			change.Object = c.withHigherNumber(c.objects[key], change.Object)
 		}
--- /dev/null
+++ b/pkg/follow/contradiction.go
@@ -0,0 +1,56 @@
+package follow
+
+import (
+	"fmt"
+
+	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
+
+// ContradictionError is a statement of another instance about a copy that this instance's copy
+// contradicts. An instance that lacks the object takes its copy for complete because of such a
+// statement.
+type ContradictionError struct {
+	Copy string
+	// Peer is the incarnation that made the statement.
+	Peer string
+	// LastChange and Position are the statement: nothing changed after LastChange up to Position.
+	LastChange, Position store.Position
+	// Object is the position of an object that this instance holds, between the two.
+	Object store.Position
+}
+
+// Error implements error.
+func (e *ContradictionError) Error() string {
+	return fmt.Sprintf("confirm %s: %s states that nothing changed after %v up to %v, an object is of %v",
+		e.Copy, e.Peer, e.LastChange, e.Position, e.Object)
+}
+
+// contradictionIn returns the contradiction between another instance's statement and a copy's
+// contents, and whether there is one.
+func contradictionIn(from string, f *Follower, state *followpb.CopyState) (ContradictionError, bool) {
+	found := ContradictionError{
+		Copy:       state.Name,
+		Peer:       from,
+		LastChange: store.Position{Era: store.Era(state.Era), Version: store.Version(state.LastChange)},
+		Position:   store.Position{Era: store.Era(state.Era), Version: store.Version(state.Version)},
+		Object:     f.contents.newestObject(),
+	}
+	return found, found.LastChange.Before(found.Object) && !found.Position.Before(found.Object)
+}
+
+// checkContradiction reports a statement that contradicts this instance's copy, unless it was the
+// last one reported.
+func (p *Publisher) checkContradiction(from string, f *Follower, state *followpb.CopyState) {
+	found, contradicted := contradictionIn(from, f, state)
+	if !contradicted || p.OnContradiction == nil {
+		return
+	}
+	p.mu.Lock()
+	last := p.lastContradiction[found.Copy]
+	p.lastContradiction[found.Copy] = found
+	p.mu.Unlock()
+	if last.Peer != found.Peer || last.Object != found.Object {
+		p.OnContradiction(found)
+	}
+}
--- a/pkg/follow/freshness.go
+++ b/pkg/follow/freshness.go
@@ -186,8 +186,22 @@
 	return time.Since(last), !last.IsZero()
 }
 
-func (s *freshness) lastChange() (store.Position, time.Duration, bool) {
+// statement is what an instance knows of a copy at one moment.
+type statement struct {
+	// position is the position up to which the copy is complete. Nothing of it changed after
+	// lastChanged up to position.
+	position, lastChanged store.Position
+	// readAge is the time since one of the instance's own calls showed that nothing changed after
+	// lastChanged; read is false before the first such call.
+	readAge time.Duration
+	read    bool
+}
+
+// statement returns what is known of the copy now.
+func (s *freshness) statement() statement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lastChanged, time.Since(s.lastRead), !s.lastRead.IsZero()
+	return statement{
+		position: s.position, lastChanged: s.lastChanged, readAge: time.Since(s.lastRead), read: !s.lastRead.IsZero(),
+	}
 }
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -42,6 +42,9 @@
 	// publishDue receives when there is something to publish: true for a change.
 	publishDue chan bool
 	server     copyServer
+	// OnContradiction is called once for each statement of another instance that this instance's
+	// copy contradicts; it may be nil. It must be set before Run is called.
+	OnContradiction func(ContradictionError)
 	// lastPublished holds the position in this instance's last confirmation, by name; used by Run
 	// only.
 	lastPublished map[string]store.Position
@@ -50,6 +53,8 @@
 	// catchingUp holds the copies that are being brought up to a published position; querying holds
 	// the copies for which another instance is being queried.
 	catchingUp, querying map[string]bool
+	// lastContradiction holds the last contradiction that was reported, by name.
+	lastContradiction map[string]ContradictionError
 }
 
 // Peers gives a publisher access to the other instances.
@@ -81,6 +86,8 @@
 		lastPublished: map[string]store.Position{},
 		catchingUp:    map[string]bool{},
 		querying:      map[string]bool{},
+
+		lastContradiction: map[string]ContradictionError{},
 	}
 	breaker, schedule := &CircuitBreaker{}, newWatchSchedule(timing.WatchTimeout)
 	for name, follower := range followers {
@@ -165,10 +172,10 @@
 	}
 	var states []*followpb.CopyState
 	for name, follower := range p.followers {
-		position, age, read := follower.LastChange()
-		if read && age < follower.Timing.LastTimeout && follower.WatchesStore() {
-			hasChange = hasChange || p.lastPublished[name].Before(position)
-			states = append(states, p.copyState(name, follower, position, age))
+		known := follower.fresh.statement()
+		if known.read && known.readAge < follower.Timing.LastTimeout && follower.WatchesStore() {
+			hasChange = hasChange || p.lastPublished[name].Before(known.lastChanged)
+			states = append(states, p.copyState(name, follower, known))
 		}
 	}
 	if len(states) == 0 {
@@ -179,9 +186,13 @@
 
 // copyState returns the state of one copy, with the changes since it was last published unless they
 // are large.
-func (p *Publisher) copyState(name string, f *Follower, position store.Position, age time.Duration) *followpb.CopyState {
+func (p *Publisher) copyState(name string, f *Follower, known statement) *followpb.CopyState {
+	position := known.lastChanged
 	state := &followpb.CopyState{
-		Name: name, Era: uint64(position.Era), LastChange: uint64(position.Version), AgeMs: age.Milliseconds(),
+		Name: name, Era: uint64(position.Era), LastChange: uint64(position.Version), AgeMs: known.readAge.Milliseconds(),
+	}
+	if known.position.Era == position.Era {
+		state.Version = uint64(known.position.Version)
 	}
 	if ago, recent := f.fresh.timeSinceOutage(); recent {
 		state.SinceOutageMs = ago.Milliseconds() + 1
@@ -244,6 +255,7 @@
 	if state.Changes != nil {
 		f.ApplyContents(state.Changes)
 	}
+	p.checkContradiction(from, f, state)
 	age := time.Duration(state.AgeMs) * time.Millisecond
 	lastChange := store.Position{Era: store.Era(state.Era), Version: store.Version(state.LastChange)}
 	if !f.Confirm(lastChange, age) && !f.fresh.currentPosition().IsZero() {
--- a/pkg/router/followers.go
+++ b/pkg/router/followers.go
@@ -41,6 +41,7 @@
 	}
 	r.ageMonitor = follow.AgeMonitor{Report: r.reportCopyAge}
 	r.publisher = follow.NewPublisher(r.incarnation, r.followers, copyPeers{r}, follow.TimingFor(r.settings.ChangeBound()))
+	r.publisher.OnContradiction = r.reportContradiction
 }
 
 // setCallbacks connects a follower to the log and to the rest of the instance.
@@ -218,6 +219,14 @@
 	})
 }
 
+func (r *Router) reportContradiction(found follow.ContradictionError) {
+	metrics.GetOrRegisterCounter("copies.contradicted", r.metrics).Inc(1)
+	r.log.Event(eventlog.CopyContradicted, "", eventlog.Fields{
+		"copy": found.Copy, "peer": found.Peer, "last_change": found.LastChange.String(),
+		"position": found.Position.String(), "object": found.Object.String(),
+	})
+}
+
 // copyAges returns, by copy, for how many milliseconds nothing has confirmed it.
 func (r *Router) copyAges() map[string]int64 {
 	ages := map[string]int64{}
