--- a/pkg/follow/contradiction_test.go
+++ b/pkg/follow/contradiction_test.go
@@ -21,9 +21,9 @@
 			From: "peer", Copies: []*followpb.CopyState{{Name: "k", LastChange: lastChange, Version: version}},
 		})
 	}
-	state(7, 9)  // true
-	state(5, 6)  // of the time before the object was written
-	state(6, 0)  // of a sender that does not say up to which version
+	state(7, 9) // true
+	state(5, 6) // of the time before the object was written
+	state(6, 0) // of a sender that does not say up to which version
 	state(5, 8)
 	state(5, 9)
 	want := ContradictionError{Copy: "k", Peer: "peer", LastChange: store.At(5), Position: store.At(8), Object: store.At(7)}
