Known red: statements of drawn histories are checked for truth

The simulation checks each confirmation when it is sent, and the copies of all instances every 50 ms: at the moment of which a statement tells, nothing after its last change may have been acknowledged. Bringing a configuration into force takes time there now (the lock of a copy blocks on a channel for that), and instances are suspended. The drawn histories of the other test are as before.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -23,7 +23,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
@@ -110,7 +109,7 @@
 	fresh    freshness
 	contents contents
 	// applyMu serializes the updates of the copy from the store and from other instances.
-	applyMu sync.Mutex
+	applyMu applyLock
 	// failing is set while the last call was not answered by the store; used by Run only.
 	failing bool
 	// needsList is set when the store no longer has the history after the copy's position, so only
--- a/pkg/follow/histories_test.go
+++ b/pkg/follow/histories_test.go
@@ -48,18 +48,20 @@
 	// mismatches describes copies that differ from the store at the end.
 	mismatches []string
 	calls      int
+	// statements holds what was checked of the statements between instances.
+	statements statementChecks
 	// worstTrace is the trace of that instance, with -trace.
 	worstTrace []string
 }
 
-// runHistory simulates the random history of a seed.
-func runHistory(ctx context.Context, seed uint64, instances int) delayReport {
+// runHistory simulates the random history of a seed, with disturbances drawn from the given ones.
+func runHistory(ctx context.Context, seed uint64, instances int, disturbances []disturbance) delayReport {
 	random := rand.New(rand.NewPCG(seed, uint64(instances)))
 	sim := newSimulation(ctx, random, instances, simBound)
 	sim.populate()
 	sim.start()
 	pause.For(ctx, simWarmup)
-	sim.runDisturbances()
+	sim.runDisturbances(disturbances)
 	pause.For(ctx, simSettleTime)
 	out := sim.propagationDelays()
 	out.calls, out.worstTrace = sim.store.count(), sim.instances[out.worstInstance].trace
@@ -71,6 +73,7 @@
 		}
 	}
 	sim.end()
+	out.statements = sim.statements
 	return out
 }
 
@@ -185,7 +188,7 @@
 	for seed := from; seed < from+uint64(count); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				report := runHistory(t.Context(), seed, instances)
+				report := runHistory(t.Context(), seed, instances, simDisturbances)
 				undisturbed, withRefusals = append(undisturbed, report.undisturbed...), append(withRefusals, report.withRefusals...)
 				calls += report.calls
 				if late := longest(report.undisturbed); late > simBound {
--- a/pkg/follow/simcopy_test.go
+++ b/pkg/follow/simcopy_test.go
@@ -21,6 +21,9 @@
 
 // Replace implements Copy.
 func (c *simCopy) Replace(list store.Listing) {
+	for _, object := range list.Objects {
+		c.decode(object)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recordArrivals(list.Position)
@@ -32,6 +35,9 @@
 
 // Apply implements Copy.
 func (c *simCopy) Apply(changes store.Changes) {
+	for _, change := range changes.Changes {
+		c.decode(change.Object)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recordArrivals(changes.Position)
@@ -44,6 +50,14 @@
 	}
 }
 
+// decode simulates the time that it takes to check a configuration and bring it into force. That of
+// small objects is ignored.
+func (c *simCopy) decode(object store.Object) {
+	if c.kind == simRouting {
+		_ = occupy(c.instance.sim.ctx, &c.instance.cpu, c.instance.decodeTime(len(object.Value)*simCompressionRatio))
+	}
+}
+
 // recordMissing records the changes that the instance still lacks when it ends.
 func (c *simCopy) recordMissing() {
 	c.instance.sim.store.mu.Lock()
--- a/pkg/follow/simdisturb_test.go
+++ b/pkg/follow/simdisturb_test.go
@@ -9,9 +9,12 @@
 	"github.com/lavenderring/lavenderring/pkg/pause"
 )
 
-// runDisturbances applies two to four disturbances, in sequence or overlapping, while changes are
-// made.
-func (sim *simulation) runDisturbances() {
+// disturbance disturbs a simulation and returns when that is over.
+type disturbance func(*simulation)
+
+// runDisturbances applies two to four of the given disturbances, in sequence or overlapping, while
+// changes are made.
+func (sim *simulation) runDisturbances(disturbances []disturbance) {
 	ctx, cancel := context.WithCancel(sim.ctx)
 	sim.running.Go(func() { sim.changeRouting(ctx) })
 	sim.running.Go(func() { sim.changeUpstreams(ctx) })
@@ -20,7 +23,7 @@
 	count := 2 + sim.randomIntN(3)
 	for range count {
 		pause.For(ctx, sim.randomDuration(0, 6*time.Second))
-		disturb := simDisturbances[sim.randomIntN(len(simDisturbances))]
+		disturb := disturbances[sim.randomIntN(len(disturbances))]
 		go func() {
 			disturb(sim)
 			ended <- struct{}{}
@@ -76,7 +79,7 @@
 }
 
 // simDisturbances are the disturbances that histories are drawn from.
-var simDisturbances = []func(*simulation){
+var simDisturbances = []disturbance{
 	(*simulation).refuseSome, (*simulation).refuseSome,
 	(*simulation).disturbStore, (*simulation).disturbStore,
 	(*simulation).partitionSome, (*simulation).partitionAll,
@@ -179,6 +182,20 @@
 	})
 }
 
+// suspendSome stops the processors and links of some instances for a while. What they are about to
+// send or receive is delayed by that time.
+func (sim *simulation) suspendSome() {
+	suspended := sim.randomDuration(500*time.Millisecond, 4*time.Second)
+	instances := sim.randomInstances(5+sim.randomIntN(10), sim.randomIntN(2) == 0)
+	sim.disturbInstances(instances, suspended, func(i *simInstance, on bool) {
+		for _, q := range []*queue{&i.in, &i.out, &i.cpu} {
+			if on {
+				q.reserve(suspended)
+			}
+		}
+	})
+}
+
 func (sim *simulation) killSome()  { sim.kill(sim.randomInstances(16, sim.randomIntN(2) == 0)) }
 func (sim *simulation) killFirst() { sim.kill(sim.instances[:1]) }
 func (sim *simulation) killAll()   { sim.kill(sim.instances) }
--- a/pkg/follow/simulation_test.go
+++ b/pkg/follow/simulation_test.go
@@ -74,6 +74,8 @@
 	instances []*simInstance
 	bound     time.Duration
 	running   sync.WaitGroup
+	// stopWatching ends the checks of the copies.
+	stopWatching context.CancelFunc
 
 	mu     sync.Mutex // guards the fields below
 	random *rand.Rand
@@ -83,6 +85,8 @@
 	// writtenAt holds when each change was acknowledged.
 	writtenAt map[store.Position]time.Time
 	arrivals  []arrival
+	// statements holds what was checked of the statements between instances.
+	statements statementChecks
 }
 
 // span is the time between two moments.
@@ -157,9 +161,13 @@
 	for _, i := range sim.instances {
 		i.start()
 	}
+	watched, stopWatching := context.WithCancel(sim.ctx)
+	sim.stopWatching = stopWatching
+	sim.running.Go(func() { sim.watchReliance(watched) })
 }
 
 func (sim *simulation) end() {
+	sim.stopWatching()
 	for _, i := range sim.instances {
 		i.stop()
 	}
@@ -261,7 +269,12 @@
 	if err := occupy(ctx, &i.in, seconds(float64(bytes)/i.linkRate)); err != nil {
 		return err
 	}
-	return occupy(ctx, &i.cpu, seconds(float64(text)/simDecodeRate/i.cpuShare))
+	return occupy(ctx, &i.cpu, i.decodeTime(text))
+}
+
+// decodeTime is how long the instance takes to decode text.
+func (i *simInstance) decodeTime(text int) time.Duration {
+	return seconds(float64(text) / simDecodeRate / i.cpuShare)
 }
 
 func (i *simInstance) send(ctx context.Context, bytes int) error {
@@ -448,8 +461,6 @@
 		return nil, err
 	}
 	i.tracef("fetch of %s since %d from %s: %d bytes, busy %t", request.Name, request.Since, address, len(reply.Packed), reply.Busy)
-	defer func() {
-	}()
 	text := len(reply.Packed) * simCompressionRatio
 	if other.compressesAnew(request.Name, reply.Packed) {
 		if err := occupy(ctx, &other.cpu, seconds(float64(text)/simCompressRate/other.cpuShare)); err != nil {
@@ -474,6 +485,7 @@
 
 // Confirm implements Peers.
 func (i *simInstance) Confirm(ctx context.Context, address string, confirmation *followpb.Confirmation) error {
+	i.checkConfirmation(confirmation)
 	other := i.sim.instance(address)
 	size := proto.Size(confirmation)
 	if err := i.send(ctx, size); err != nil {
