follow: a copy is handed on with the last change of just these objects

Callers could see a dropped route served, or an added one refused with 404, until the next change: an instance that lacked a change counted as confirmed.

Cause: the last change of a copy was kept apart from its objects. While a change was being brought into force (tens of milliseconds for a configuration on a fifth of a core) the objects were ahead, and whoever fetched them or was sent them in a confirmation got a change together with the last change before it. Its own next read found nothing new, and as a publisher it confirmed that nothing had changed since, to instances that lacked the change as well.

The receiver raises a stated last change to the newest object that comes with it, since instances of an earlier version still send the mistake.

--- a/pkg/follow/contents.go
+++ b/pkg/follow/contents.go
@@ -26,6 +26,9 @@
 	// position is the position up to which the copy is complete. Every deletion after deletionsFrom
 	// is in deleted.
 	position, deletionsFrom store.Position
+	// lastChanged is the position of the last change, or a later one. It is kept together with the
+	// objects, so that what is served is never ahead of the last change that it is served with.
+	lastChanged store.Position
 	// number returns the number that an object's writer assigned to its content and that only
 	// increases; nil if contents are not numbered.
 	number func(value []byte) uint64
@@ -35,10 +38,13 @@
 	newest store.Position
 }
 
-// replace applies a whole list. Content that its writer numbered higher than the list's content is
+// replace applies a whole list whose last change is not known.
+func (c *contents) replace(list store.Listing) { c.replaceWith(list, list.Position) }
+
+// replaceWith applies a whole list with a last change. Content that its writer numbered higher than the list's content is
 // retained, also if the list lacks the object: a store rolled back to a copy lists content that had
 // been overwritten before, and starting instances get their copy from here.
-func (c *contents) replace(list store.Listing) {
+func (c *contents) replaceWith(list store.Listing, lastChanged store.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before, kept := c.objects, c.retained
@@ -56,6 +62,7 @@
 	}
 	c.deleted = map[string]store.Position{}
 	c.position, c.deletionsFrom = list.Position, list.Position
+	c.lastChanged = store.Later(c.lastChanged, lastChanged)
 }
 
 // withHigherNumber returns the content with the higher number, at the position of now. c.mu must be
@@ -86,6 +93,13 @@
 	return len(c.objects) <= maxListedObjects
 }
 
+// currentPosition returns the position up to which the contents are complete.
+func (c *contents) currentPosition() store.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.position
+}
+
 // newestObject returns the latest position at which the store wrote an object of the copy.
 func (c *contents) newestObject() store.Position {
 	c.mu.Lock()
@@ -126,7 +140,10 @@
 }
 
 // apply applies the changes up to a position.
-func (c *contents) apply(changes store.Changes) {
+func (c *contents) apply(changes store.Changes) { c.applyWith(changes, lastChangePosition(changes)) }
+
+// applyWith applies the changes up to a position with the last change of the copy.
+func (c *contents) applyWith(changes store.Changes, lastChanged store.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.objects == nil {
@@ -147,6 +164,7 @@
 		delete(c.deleted, key)
 	}
 	c.position = store.Later(c.position, changes.Position)
+	c.lastChanged = store.Later(c.lastChanged, lastChanged)
 	if len(c.deleted) > maxDeletions {
 		c.deleted, c.deletionsFrom = map[string]store.Position{}, c.position
 	}
@@ -164,6 +182,9 @@
 	out := &followpb.Contents{
 		Era: uint64(c.position.Era), Since: uint64(since.Version), Version: uint64(c.position.Version), Whole: whole,
 	}
+	if c.lastChanged.Era == c.position.Era {
+		out.LastChange = uint64(c.lastChanged.Version)
+	}
 	for _, object := range c.objects {
 		if whole || since.Before(object.Position) {
 			out.Objects = append(out.Objects, &followpb.CopiedObject{
@@ -205,9 +226,14 @@
 	return store.Position{Era: store.Era(c.Era), Version: store.Version(c.Version)}
 }
 
-// lastChangeOf returns the position of the last change in contents, or a later one.
+// lastChangeOf returns the position of the last change in contents, or a later one. An instance of
+// an earlier version may state one that is before the objects it sends.
 func lastChangeOf(c *followpb.Contents) store.Position {
-	return store.Position{Era: store.Era(c.Era), Version: store.Version(c.LastChange)}
+	last := c.LastChange
+	for _, object := range c.Objects {
+		last = max(last, object.Version)
+	}
+	return store.Position{Era: store.Era(c.Era), Version: store.Version(last)}
 }
 
 func objectOf(c *followpb.Contents, o *followpb.CopiedObject) store.Object {
--- a/pkg/follow/copyserver.go
+++ b/pkg/follow/copyserver.go
@@ -61,21 +61,19 @@
 func (s *copyServer) pack(name string, f *Follower, since store.Position) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	upTo, changed := f.fresh.positions()
 	last, cached := s.cache[name]
-	if cached && last.matches(since, upTo) {
+	if cached && last.matches(since, f.contents.currentPosition()) {
 		return last.bytes, nil
 	}
 	contents := f.contents.changesAfter(since)
 	if contents == nil {
 		return nil, nil
 	}
-	contents.LastChange = uint64(changed.Version)
 	packed, err := pack(contents)
 	if err != nil {
 		return nil, err
 	}
-	s.cache[name] = packedCopy{since: since, upTo: upTo, whole: contents.Whole, bytes: packed}
+	s.cache[name] = packedCopy{since: since, upTo: positionOf(contents), whole: contents.Whole, bytes: packed}
 	return packed, nil
 }
 
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -257,7 +257,7 @@
 	}
 	last := f.contents.lastChangeIn(list)
 	if since.Before(last) {
-		f.replace(list)
+		f.replace(list, last)
 	} else {
 		f.contents.apply(store.Changes{Position: list.Position})
 		f.Copy.Apply(store.Changes{Position: list.Position})
@@ -266,10 +266,10 @@
 	return since.Before(last)
 }
 
-// replace replaces the copy by a whole list. f.applyMu must be held.
-func (f *Follower) replace(list store.Listing) {
+// replace replaces the copy by a whole list with a last change. f.applyMu must be held.
+func (f *Follower) replace(list store.Listing, lastChanged store.Position) {
 	f.contents.number = f.Number
-	f.contents.replace(list)
+	f.contents.replaceWith(list, lastChanged)
 	f.Copy.Replace(list)
 }
 
@@ -390,14 +390,15 @@
 	if !since.Before(upTo) || (!c.Whole && !follows) {
 		return false
 	}
+	lastChanged := lastChangeOf(c)
 	if c.Whole {
-		f.replace(listingFrom(c))
+		f.replace(listingFrom(c), lastChanged)
 	} else {
 		changes := changesFrom(c)
-		f.contents.apply(changes)
+		f.contents.applyWith(changes, lastChanged)
 		f.Copy.Apply(changes)
 	}
-	f.fresh.advance(upTo, lastChangeOf(c))
+	f.fresh.advance(upTo, lastChanged)
 	if upTo.Era > since.Era && f.OnEra != nil {
 		f.OnEra(upTo.Era)
 	}
--- a/pkg/follow/freshness.go
+++ b/pkg/follow/freshness.go
@@ -33,13 +33,6 @@
 	return s.position
 }
 
-// positions returns the position up to which the copy is complete, and that of the last change.
-func (s *freshness) positions() (since, changed store.Position) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.position, s.lastChanged
-}
-
 // reset makes the next call read the whole list, of this era or a later one.
 func (s *freshness) reset() {
 	s.mu.Lock()
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -204,7 +204,6 @@
 	}
 	changes := f.contents.changesAfter(since)
 	if changes != nil && !changes.Whole && proto.Size(changes) <= maxInlineBytes {
-		changes.LastChange = uint64(position.Version)
 		state.Changes = changes
 	}
 	return state
