follow: a reply is as old as its request

A copy counted as confirmed as of the arrival of another instance's reply, which may be two seconds on its way over a full link. A change of that time stayed unnoticed for another timeout, and the instance handed the wrong age on. The requester now counts the whole time since it asked. TestReplyIsAsOldAsItsRequest failed before (0 s for a statement of 1.5 s ago).

--- a/pkg/follow/copyserver.go
+++ b/pkg/follow/copyserver.go
@@ -143,6 +143,7 @@
 	f := p.followers[name]
 	since := f.fresh.currentPosition()
 	request := &followpb.FetchRequest{Name: name, SinceEra: uint64(since.Era), Since: uint64(since.Version)}
+	requestedAt := time.Now()
 	reply, err := p.peers.Fetch(ctx, address, request)
 	if err != nil || len(reply.Packed) == 0 {
 		return false, reply.GetElsewhere(), err
@@ -154,7 +155,9 @@
 	if advanced = f.ApplyContents(contents); advanced {
 		p.server.cacheReceived(name, since, contents, reply.Packed)
 	}
-	f.Confirm(lastChangeOf(contents), time.Duration(reply.AgeMs)*time.Millisecond)
+	// The reply was made at an unknown time since the request.
+	age := time.Duration(reply.AgeMs)*time.Millisecond + time.Since(requestedAt)
+	f.Confirm(lastChangeOf(contents), age)
 	return advanced, nil, nil
 }
 
