follow: a read is as old as the store's answer

A copy counted as read when the answer had been handled. An answer that was long on its way (a slow store, a full link, a suspended publisher whose socket held it) made a state of seconds ago count as of now, here and at all instances that were told so, and a change of that time stayed unnoticed for one more timeout.

A read now counts as of the moment at which its call was sent, for the call that was answered of a hedged pair; a watch that returned nothing, as of the end of its wait.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -233,7 +233,7 @@
 	}
 	f.needsList = false
 	f.recordSuccess()
-	f.notifyAnswered(f.applyList(list))
+	f.notifyAnswered(f.applyListAsOf(list.value, list.asOf))
 	return nil
 }
 
@@ -246,9 +246,9 @@
 	return f.Breaker.Allow()
 }
 
-// applyList applies a whole list, unless this copy is already at a later position, and reports
-// whether the list contained a change.
-func (f *Follower) applyList(list store.Listing) (changed bool) {
+// applyListAsOf applies a whole list that is complete as of a moment, unless this copy is already at
+// a later position, and reports whether the list contained a change.
+func (f *Follower) applyListAsOf(list store.Listing, asOf time.Time) (changed bool) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	since := f.fresh.currentPosition()
@@ -262,7 +262,7 @@
 		f.contents.apply(store.Changes{Position: list.Position})
 		f.Copy.Apply(store.Changes{Position: list.Position})
 	}
-	f.fresh.recordRead(list.Position, last)
+	f.fresh.recordReadAsOf(list.Position, last, asOf)
 	return since.Before(last)
 }
 
@@ -290,16 +290,16 @@
 	if !f.allowCall() {
 		return errCallDeferred
 	}
-	changes, err := f.callWatch(ctx, since)
+	watched, err := f.callWatch(ctx, since)
 	f.Breaker.Record(err == nil || errors.Is(err, store.ErrHistoryGone))
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
-	if !f.applyWatched(since, changes) {
+	if !f.applyWatchedAsOf(since, watched.value, watched.asOf) {
 		return nil // another instance's contents were applied first; the next watch starts at their position
 	}
-	changed := len(changes.Changes) > 0
+	changed := len(watched.value.Changes) > 0
 	f.notifyAnswered(changed)
 	if changed {
 		pause.For(ctx, coalescePause)
@@ -352,7 +352,7 @@
 // callWatch sends a watch. If the last answer is older than a watch's timeout, or the last call
 // failed, the watch does not wait for changes: those that the copy may lack exist already, and the
 // sooner a call is known to be lost, the sooner the next one is sent.
-func (f *Follower) callWatch(ctx context.Context, since store.Position) (store.Changes, error) {
+func (f *Follower) callWatch(ctx context.Context, since store.Position) (answer[store.Changes], error) {
 	timing := f.timing()
 	if age, read := f.fresh.readAge(); f.Breaker.Tripped() || !read || age > timing.WatchTimeout {
 		return hedged(ctx, f.hedgeDelay(), func(ctx context.Context) (store.Changes, error) {
@@ -363,12 +363,25 @@
 	if f.schedule.interval > 0 {
 		wait = f.schedule.untilNext()
 	}
-	return f.Store.Watch(ctx, f.Kind, since, wait)
+	return f.waitForChanges(ctx, since, wait.Truncate(time.Millisecond))
 }
 
-// applyWatched applies the changes that the store returned for a position, if the copy is still at
-// that position. Otherwise an object could be reverted to an older state.
-func (f *Follower) applyWatched(since store.Position, changes store.Changes) bool {
+// waitForChanges sends a watch that waits for changes, a whole number of milliseconds. An answer
+// without changes was made at the end of the wait, and one with changes at an unknown time before.
+func (f *Follower) waitForChanges(ctx context.Context, since store.Position, wait time.Duration) (answer[store.Changes], error) {
+	sentAt := time.Now()
+	changes, err := f.Store.Watch(ctx, f.Kind, since, wait)
+	asOf := sentAt
+	if len(changes.Changes) == 0 && time.Since(sentAt) >= wait {
+		asOf = sentAt.Add(wait)
+	}
+	return answer[store.Changes]{changes, asOf}, err
+}
+
+// applyWatchedAsOf applies the changes that the store returned for a position, complete as of a
+// moment, if the copy is still at that position. Otherwise an object could be reverted to an older
+// state.
+func (f *Follower) applyWatchedAsOf(since store.Position, changes store.Changes, asOf time.Time) bool {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	if f.fresh.currentPosition() != since {
@@ -376,7 +389,7 @@
 	}
 	f.contents.apply(changes)
 	f.Copy.Apply(lastChangePerKey(changes))
-	f.fresh.recordRead(changes.Position, lastChangePosition(changes))
+	f.fresh.recordReadAsOf(changes.Position, lastChangePosition(changes), asOf)
 	return true
 }
 
--- a/pkg/follow/freshness.go
+++ b/pkg/follow/freshness.go
@@ -14,8 +14,9 @@
 	position store.Position
 	// lastChanged is the position of the last known change, or a later one up to position.
 	lastChanged store.Position
-	// lastRead is when one of this instance's own calls was last answered. lastConfirmed is the
-	// time of the latest read by which another instance confirmed the copy.
+	// lastRead is the moment as of which the last answer to one of this instance's own calls showed
+	// the copy to be complete. lastConfirmed is the latest such moment of another instance's read
+	// that confirmed the copy.
 	lastRead, lastConfirmed time.Time
 	// lastPublished is the position of the last change that another instance published. behindSince
 	// is when this copy began to lack such a change.
@@ -40,13 +41,16 @@
 	s.position.Version = 0
 }
 
-// recordRead records an answered call.
-func (s *freshness) recordRead(since, changed store.Position) {
+// recordReadAsOf records an answered call: the position that the copy has reached, its last change,
+// and the moment as of which it is complete.
+func (s *freshness) recordReadAsOf(since, changed store.Position, asOf time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.position = store.Later(s.position, since)
 	s.lastChanged = store.Later(s.lastChanged, changed)
-	s.lastRead = time.Now()
+	if asOf.After(s.lastRead) {
+		s.lastRead = asOf
+	}
 }
 
 // advance records that another instance supplied the changes up to a position.
@@ -161,8 +165,8 @@
 	return s.wakeup
 }
 
-// readAge returns the time since one of this instance's own calls was last answered; false before
-// the first.
+// readAge returns the time since the copy was complete according to one of this instance's own
+// calls; false before the first.
 func (s *freshness) readAge() (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
