follow: a list does not hide what came and went

An upstream that had left still got requests, or an emptied failure domain stayed emptied: a publisher that had been away read a list, took the last change from the objects in it, and confirmed copies that hold an object which had been created and deleted again meanwhile.

The last change of a list is now its own position. It is known better for a copy that consists of one object, such as the configuration: the follower names it (Key) and follows only that one. A list of few small objects goes out with the confirmation, so that those who lack nothing need not ask for it.

--- a/pkg/follow/contents.go
+++ b/pkg/follow/contents.go
@@ -118,25 +118,20 @@
 	return total
 }
 
-// lastChangeIn returns the position of the last change that a list shows, or a later one: a list
-// does not contain the position of a deletion, so the position of the list is used instead.
-func (c *contents) lastChangeIn(list store.Listing) store.Position {
+// lastChangeIn returns the position of the last change that a list may show, or a later one. A list
+// contains neither the position of a deletion nor an object that was created and deleted since the
+// copy's position. So it tells the last change only of a copy of one object that exists; otherwise
+// the position of the list is used instead.
+func (c *contents) lastChangeIn(list store.Listing, onlyKey string) store.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.position.IsZero() || c.position.Era != list.Position.Era {
-		return list.Position
+	if c.position == list.Position {
+		return c.lastChanged
 	}
-	last, listed := store.NoPosition, 0
-	for _, object := range list.Objects {
-		last = store.Later(last, object.Position)
-		if _, had := c.objects[object.Key]; had {
-			listed++
-		}
-	}
-	if listed < len(c.objects) {
-		return list.Position
+	if onlyKey != "" && len(list.Objects) == 1 {
+		return list.Objects[0].Position
 	}
-	return last
+	return list.Position
 }
 
 // apply applies the changes up to a position.
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -66,7 +66,10 @@
 type Follower struct {
 	Store store.Watcher
 	Kind  string
-	Copy  Copy
+	// Key is the key of the only object of the kind that the copy consists of; empty if it consists
+	// of all. The last change of such a copy is known from a list, too.
+	Key  string
+	Copy Copy
 	// Timing holds the timeouts; the zero value stands for TimingFor(DefaultBound).
 	Timing Timing
 	// ConfirmTimeout returns how long confirmations by other instances may be missing before this
@@ -255,7 +258,8 @@
 	if list.Position.Before(since) {
 		return false
 	}
-	last := f.contents.lastChangeIn(list)
+	list.Objects = f.followedObjects(list.Objects)
+	last := f.contents.lastChangeIn(list, f.Key)
 	if since.Before(last) {
 		f.replace(list, last)
 	} else {
@@ -266,6 +270,34 @@
 	return since.Before(last)
 }
 
+// followedObjects returns the objects that belong to the copy.
+func (f *Follower) followedObjects(objects []store.Object) []store.Object {
+	if f.Key == "" {
+		return objects
+	}
+	var followed []store.Object
+	for _, object := range objects {
+		if object.Key == f.Key {
+			followed = append(followed, object)
+		}
+	}
+	return followed
+}
+
+// followedChanges returns the changes of the objects that belong to the copy.
+func (f *Follower) followedChanges(changes store.Changes) store.Changes {
+	if f.Key == "" {
+		return changes
+	}
+	followed := store.Changes{Position: changes.Position}
+	for _, change := range changes.Changes {
+		if change.Object.Key == f.Key {
+			followed.Changes = append(followed.Changes, change)
+		}
+	}
+	return followed
+}
+
 // replace replaces the copy by a whole list with a last change. f.applyMu must be held.
 func (f *Follower) replace(list store.Listing, lastChanged store.Position) {
 	f.contents.number = f.Number
@@ -363,7 +395,12 @@
 	if f.schedule.interval > 0 {
 		wait = f.schedule.untilNext()
 	}
-	return f.waitForChanges(ctx, since, wait.Truncate(time.Millisecond))
+	return f.waitForChanges(ctx, since, roundUpToMillis(wait))
+}
+
+// roundUpToMillis rounds a wait up, since the store is given whole milliseconds.
+func roundUpToMillis(wait time.Duration) time.Duration {
+	return (wait + time.Millisecond - 1).Truncate(time.Millisecond)
 }
 
 // waitForChanges sends a watch that waits for changes, a whole number of milliseconds. An answer
@@ -387,6 +424,7 @@
 	if f.fresh.currentPosition() != since {
 		return false
 	}
+	changes = f.followedChanges(changes)
 	f.contents.apply(changes)
 	f.Copy.Apply(lastChangePerKey(changes))
 	f.fresh.recordReadAsOf(changes.Position, lastChangePosition(changes), asOf)
@@ -405,9 +443,11 @@
 	}
 	lastChanged := lastChangeOf(c)
 	if c.Whole {
-		f.replace(listingFrom(c), lastChanged)
+		list := listingFrom(c)
+		list.Objects = f.followedObjects(list.Objects)
+		f.replace(list, lastChanged)
 	} else {
-		changes := changesFrom(c)
+		changes := f.followedChanges(changesFrom(c))
 		f.contents.applyWith(changes, lastChanged)
 		f.Copy.Apply(changes)
 	}
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -184,8 +184,8 @@
 	return &followpb.Confirmation{From: p.self, Copies: states}, hasChange
 }
 
-// copyState returns the state of one copy, with the changes since it was last published unless they
-// are large.
+// copyState returns the state of one copy, with the changes since it was last published, or the
+// whole copy if these are not known, unless they are large.
 func (p *Publisher) copyState(name string, f *Follower, known statement) *followpb.CopyState {
 	position := known.lastChanged
 	state := &followpb.CopyState{
@@ -203,7 +203,7 @@
 		return state
 	}
 	changes := f.contents.changesAfter(since)
-	if changes != nil && !changes.Whole && proto.Size(changes) <= maxInlineBytes {
+	if changes != nil && proto.Size(changes) <= maxInlineBytes {
 		state.Changes = changes
 	}
 	return state
--- a/pkg/follow/simulation_test.go
+++ b/pkg/follow/simulation_test.go
@@ -189,6 +189,9 @@
 	for _, kind := range simKinds {
 		copied := &simCopy{instance: i, kind: kind, startedAt: time.Now(), objects: map[string]store.Position{}}
 		f := &Follower{Store: i, Kind: kind, Copy: copied}
+		if kind == simRouting {
+			f.Key = simRouting + "/main"
+		}
 		copies[kind], followers[kind] = copied, f
 		f.FetchInitial = func(ctx context.Context) bool { return i.fetchInitial(ctx, kind) }
 	}
