forward: an outdated configuration gives no final refusal

Callers do not come back after a 401 or 404. An instance that knows that it lacks a published configuration, or whose copy nothing has confirmed for longer than a change may take, gave them all the same; a route or key that had just been added was lost to the caller for good. Such a request is now refused at once with 503, which is true (not run), and the time after which to come back.

Cost: while the store is away for longer than the bound, callers with unknown routes and keys get 503 once and may come back once. What an exhausted account is told (402) is unchanged: it hangs on the ledger as well.

--- a/pkg/follow/confirm.go
+++ b/pkg/follow/confirm.go
@@ -103,6 +103,13 @@
 // read once.
 func (f *Follower) Age() (time.Duration, bool) { return f.fresh.age() }
 
+// CurrentWithin reports whether this copy is known to have been complete within the given time, and
+// no change is known that it lacks.
+func (f *Follower) CurrentWithin(span time.Duration) bool {
+	age, known := f.fresh.age()
+	return known && age <= span && !f.fresh.isBehind()
+}
+
 // LastChange returns the position of the last known change, or a later one, and the time since one
 // of this instance's own calls showed that nothing changed after it; false if no call has been
 // answered yet.
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -92,7 +92,10 @@
 	Synced <-chan struct{}
 	// StoreAvailable reports whether the platform's store answered the last call.
 	StoreAvailable func() bool
-	Now            func() time.Time
+	// ConfigCurrent reports whether the configuration in force is known to have been the newest one
+	// within the time that a change may take; nil if it always is.
+	ConfigCurrent func() bool
+	Now           func() time.Time
 }
 
 // Forwarder serves requests. It is safe for concurrent use.
@@ -231,15 +234,29 @@
 	call.run(ctx)
 }
 
+// noConfigRetryAfter returns when a client may come back if a configuration is awaited.
+func (f *Forwarder) noConfigRetryAfter() time.Duration {
+	if f.StoreAvailable() {
+		return startingRetryAfter
+	}
+	return outageRetryAfter
+}
+
+// refuseUnknown refuses a request whose route or key is not in the configuration. Clients do not come
+// back after such a refusal, so one by an outdated configuration is only for the time being.
+func (f *Forwarder) refuseUnknown(reason Reason) *Refusal {
+	if f.ConfigCurrent == nil || f.ConfigCurrent() {
+		return &Refusal{Reason: reason}
+	}
+	return &Refusal{Reason: ConfigurationOutdated, RetryAfter: f.noConfigRetryAfter()}
+}
+
 // admit checks whether the request may be forwarded, and reserves its cost.
 func (f *Forwarder) admit(ctx context.Context, r *Request) (*call, *Refusal) {
 	f.awaitSynced(ctx)
 	table := f.Config.Table()
 	if table == nil {
-		if f.StoreAvailable() {
-			return nil, &Refusal{Reason: NoConfiguration, RetryAfter: startingRetryAfter}
-		}
-		return nil, &Refusal{Reason: NoConfiguration, RetryAfter: outageRetryAfter}
+		return nil, &Refusal{Reason: NoConfiguration, RetryAfter: f.noConfigRetryAfter()}
 	}
 	limits := &table.Config.Limits
 	switch {
@@ -250,12 +267,12 @@
 	}
 	route := table.Route(r.Host, r.Path)
 	if route == nil {
-		return nil, &Refusal{Reason: NoRoute}
+		return nil, f.refuseUnknown(NoRoute)
 	}
 	c := &call{f: f, r: r, route: route}
 	if table.Config.KeyRequired && !route.Public {
 		if c.account = table.Account(r.Key); c.account == nil {
-			return nil, &Refusal{Reason: UnknownKey}
+			return nil, f.refuseUnknown(UnknownKey)
 		}
 	}
 	target := table.Service(route.SelectService(r.ID))
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -11,14 +11,17 @@
 // The reasons. Those up to Suspected are given only to requests none of whose attempts
 // may have run.
 const (
-	NoConfiguration   Reason = "no-configuration"
-	NoRoute           Reason = "no-route"
-	UnknownKey        Reason = "unknown-key"
-	Malformed         Reason = "malformed"
-	HeadTooLarge      Reason = "head-too-large"
-	BodyTooLarge      Reason = "body-too-large"
-	PrepaidExhausted  Reason = "prepaid-exhausted"
-	TokensUnreachable Reason = "tokens-not-reachable"
+	NoConfiguration Reason = "no-configuration"
+	// ConfigurationOutdated means that the configuration in force does not allow the request, but that
+	// this instance may lack a newer one that does.
+	ConfigurationOutdated Reason = "configuration-outdated"
+	NoRoute               Reason = "no-route"
+	UnknownKey            Reason = "unknown-key"
+	Malformed             Reason = "malformed"
+	HeadTooLarge          Reason = "head-too-large"
+	BodyTooLarge          Reason = "body-too-large"
+	PrepaidExhausted      Reason = "prepaid-exhausted"
+	TokensUnreachable     Reason = "tokens-not-reachable"
 	// TokensKeptForUrgent means that the account's remaining tokens are kept for urgent requests.
 	TokensKeptForUrgent Reason = "tokens-kept-for-urgent"
 	NoUpstream          Reason = "no-upstream"
--- a/pkg/router/followers.go
+++ b/pkg/router/followers.go
@@ -69,6 +69,12 @@
 	}
 }
 
+// configCurrent reports whether the configuration in force was the newest one within the time that a
+// change may take.
+func (r *Router) configCurrent() bool {
+	return r.followers[copyRouting].CurrentWithin(r.settings.ChangeBound())
+}
+
 // handleCallFailed logs a call to the store that failed for a copy, and queries another instance for all
 // copies.
 func (r *Router) handleCallFailed(name string, err error) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -235,6 +235,7 @@
 		NumInstances:   r.table.CountLive,
 		Synced:         r.synced,
 		StoreAvailable: r.storeMonitor.Available,
+		ConfigCurrent:  r.configCurrent,
 		Now:            time.Now,
 	})
 }
