--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -83,6 +83,18 @@
 try confirmations-are-sent pkg/follow/publisher.go 's/err := p\.peers\.Confirm\(ctx, address, confirmation\)/err := error(nil)/' pkg/follow TestCallsOfACalmFleetDoNotGrowWithIt
 try older-word-changes-nothing pkg/follow/follow.go 's/if !since\.Before\(upTo\) \|\| \(/if (/' pkg/follow TestOlderWordChangesNothing
 try handing-on-is-bounded pkg/follow/copyserver.go 's/ && s\.servedBytes\+size > maxServedBytesPerSecond/ \&\& false/' pkg/follow TestLargeChangeIsHandedOnInTime
+try served-with-its-last-change pkg/follow/contents.go 's/uint64\(c\.lastChanged\.Version\)/uint64(since.Version)/; s/last = max\(last, object\.Version\)/_ = object/' pkg/follow TestCopyHandedOnWhileItIsAppliedConfirmsNoOlderOne
+try published-with-its-last-change pkg/follow/contents.go 's/uint64\(c\.lastChanged\.Version\)/uint64(since.Version)/; s/last = max\(last, object\.Version\)/_ = object/' pkg/follow TestChangePublishedWhileItIsAppliedConfirmsNoOlderOne
+try last-change-covers-the-objects pkg/follow/contents.go 's/last = max\(last, object\.Version\)/_ = object/' pkg/follow TestLastChangeBeforeTheObjectsIsNotTakenOver
+try reply-is-as-old-as-its-request pkg/follow/copyserver.go 's/ \+ time\.Since\(requestedAt\)/ + 0*time.Since(requestedAt)/' pkg/follow TestReplyIsAsOldAsItsRequest
+try read-is-as-old-as-its-call pkg/follow/hedge.go 's/sentAt := time\.Now\(\)\n\t\tvalue, err := call\(ctx\)/value, err := call(ctx)\n\t\tsentAt := time.Now()/' pkg/follow TestReadIsAsOldAsTheStoresAnswer
+try watch-is-as-old-as-its-wait pkg/follow/follow.go 's/asOf := sentAt\n/asOf := time.Now()\n/' pkg/follow TestReadIsAsOldAsTheStoresAnswer
+try list-does-not-know-what-went pkg/follow/contents.go 's/\treturn list\.Position\n\}/\tlast := store.NoPosition\n\tfor _, o := range list.Objects {\n\t\tlast = store.Later(last, o.Position)\n\t}\n\treturn last\n}/' pkg/follow TestListConfirmsNoCopyWithAnObjectThatCameAndWent
+try transit-is-counted pkg/follow/publisher.go 's/\+transit\)/+0*transit)/g' pkg/follow TestConfirmationIsAsOldAsItsReading
+try statements-are-true pkg/follow/publisher.go 's/\+transit\)/+0*transit)/g' pkg/follow TestStatementsOfDrawnHistoriesAreTrue
+try contradictions-are-reported pkg/follow/contradiction.go 's/if !contradicted \|\|/if contradicted ||/' pkg/follow TestStatementThatTheCopyContradictsIsReported
+try outdated-is-not-final pkg/forward/forwarder.go 's/f\.ConfigCurrent == nil \|\| f\.ConfigCurrent\(\)/true/' pkg/forward TestOutdatedConfigurationRefusesForTheTimeBeing
+try behind-is-not-current pkg/follow/confirm.go 's/ && !f\.fresh\.isBehind\(\)//' pkg/follow TestCopyIsCurrentOnlyIfConfirmedAndNotBehind
 try suspicion-is-refuted pkg/member/state.go 's/m\.State != memberpb\.State_ALIVE && m\.Revision >= t\.self\.Revision/false/' pkg/member TestTablesAreWholeAfterACutOfADomain
 try cut-off-accuses-nobody pkg/member/prober.go 's/case result\.Answered > 0 \|\| /case true || /' pkg/member TestCutOfAllMakesNobodySilent
 try drawer-is-named pkg/prepaid/named.go 's/if name == "" \|\| name == n\.Name \{/if true {/' pkg/prepaid TestOneDomainStepsInForAll
