follow: clocks are compared again when one seems to have stood still

A monotonic clock stands still while its machine is suspended. Until the next comparison, within a minute, confirmations of such a sender counted as seconds old, so nobody relied on them and each instance asked the store for itself; a receiver that had been suspended took late confirmations for new ones. A confirmation that seems to have arrived before it was made, or half a second after it, now makes the receiver compare the clocks again at once.

--- a/pkg/follow/peerclock.go
+++ b/pkg/follow/peerclock.go
@@ -15,6 +15,9 @@
 	// driftFraction is the time that two clocks drift apart, as a fraction of the time elapsed: 500
 	// ppm each, the most by which operating systems adjust a clock's rate.
 	driftFraction = 0.001
+	// maxUsualTransit is the time on the way above which the clocks are compared again: more likely
+	// than such a message is a clock that stood still while its machine was suspended.
+	maxUsualTransit = 500 * time.Millisecond
 	// maxKnownClocks bounds the senders whose clocks are kept: those that may publish, and their
 	// predecessors of some restarts.
 	maxKnownClocks = 4 * maxPublishers
@@ -47,7 +50,10 @@
 	}
 	drift := fraction(receivedAt-compared.comparedAt, driftFraction)
 	longest = receivedAt - madeAt - compared.offset + drift
-	return max(longest, 0), true, receivedAt >= compared.expiresAt
+	// A message that seems to have arrived before it was made shows that this instance's clock stood
+	// still.
+	unusual := longest < 0 || longest > maxUsualTransit
+	return max(longest, 0), true, unusual || receivedAt >= compared.expiresAt
 }
 
 // compare records an exchange: the sender's clock showed senderTime at some moment between two times
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -292,7 +292,7 @@
 		return
 	}
 	p.startOnce(p.comparing, confirmation.From, func() {
-		if p.compareClocks(confirmation.From) && !known {
+		if p.compareClocks(confirmation.From) {
 			transit, _, _ = p.clocks.transit(confirmation.From, madeAt, p.clock())
 			p.confirmStates(confirmation, transit)
 		}
