follow: clocks are compared with needed senders only, and not in a loop

Hundreds of instances that compare their clocks with one slow sender make it slower; an inaccurate comparison was repeated with each confirmation. It is now used for five seconds. Senders that publish for a moment, as at the start of a fleet, are not compared with while another one confirms the copies.

--- a/pkg/follow/peerclock.go
+++ b/pkg/follow/peerclock.go
@@ -10,8 +10,11 @@
 	// clockLifetime is how long a comparison of two clocks is used before it is repeated; half of
 	// it at least, so that instances do not repeat it together.
 	clockLifetime = time.Minute
-	// maxClockRoundTrip is the round trip above which a comparison is too inaccurate to be kept.
-	maxClockRoundTrip = 50 * time.Millisecond
+	// maxClockRoundTrip is the round trip above which a comparison is inaccurate. It is used for
+	// inaccurateClockLifetime only, which bounds the exchanges with a sender that is slow because
+	// hundreds compare their clocks with its clock.
+	maxClockRoundTrip       = 50 * time.Millisecond
+	inaccurateClockLifetime = 5 * time.Second
 	// driftFraction is the time that two clocks drift apart, as a fraction of the time elapsed: 500
 	// ppm each, the most by which operating systems adjust a clock's rate.
 	driftFraction = 0.001
@@ -64,9 +67,11 @@
 	if _, known := c.clocks[sender]; !known && (c.clocks == nil || len(c.clocks) >= maxKnownClocks) {
 		c.clocks = map[string]clockComparison{}
 	}
-	compared := clockComparison{offset: requestedAt - senderTime, comparedAt: receivedAt, expiresAt: receivedAt}
-	if receivedAt-requestedAt <= maxClockRoundTrip {
-		compared.expiresAt += clockLifetime/2 + rand.N(clockLifetime/2)
+	lifetime := clockLifetime/2 + rand.N(clockLifetime/2)
+	if receivedAt-requestedAt > maxClockRoundTrip {
+		lifetime = inaccurateClockLifetime
+	}
+	c.clocks[sender] = clockComparison{
+		offset: requestedAt - senderTime, comparedAt: receivedAt, expiresAt: receivedAt + lifetime,
 	}
-	c.clocks[sender] = compared
 }
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -277,7 +277,9 @@
 
 // confirmCopies confirms this instance's copies as of the time of a confirmation that was received at
 // a time of this instance's clock. Until the sender's clock is known, it is not known how long the
-// confirmation was on its way, and the copies are confirmed once the clocks have been compared.
+// confirmation was on its way, and the copies are confirmed once the clocks have been compared. While
+// another sender confirms the copies, that is not needed: when a fleet starts, many instances publish
+// for a moment.
 func (p *Publisher) confirmCopies(confirmation *followpb.Confirmation, receivedAt time.Duration) {
 	if confirmation.MadeAtMs == 0 {
 		p.confirmStates(confirmation, 0)
@@ -288,7 +290,7 @@
 	if known {
 		p.confirmStates(confirmation, transit)
 	}
-	if !expired {
+	if !expired || (!known && p.areConfirmed(confirmation.Copies)) {
 		return
 	}
 	p.startOnce(p.comparing, confirmation.From, func() {
@@ -299,6 +301,17 @@
 	})
 }
 
+// areConfirmed reports whether all copies that the states are of have been confirmed lately.
+func (p *Publisher) areConfirmed(states []*followpb.CopyState) bool {
+	for _, state := range states {
+		follower := p.followers[state.Name]
+		if follower != nil && !follower.fresh.confirmedWithin(p.timing.WatchTimeout) {
+			return false
+		}
+	}
+	return true
+}
+
 // confirmStates confirms the copies as of the time of a confirmation that was on its way for a time.
 func (p *Publisher) confirmStates(confirmation *followpb.Confirmation, transit time.Duration) {
 	for _, state := range confirmation.Copies {
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -93,7 +93,8 @@
 try transit-is-counted pkg/follow/publisher.go 's/\+transit\)/+0*transit)/g' pkg/follow TestConfirmationIsAsOldAsItsReading
 try statements-are-true pkg/follow/publisher.go 's/\+transit\)/+0*transit)/g' pkg/follow TestStatementsOfDrawnHistoriesAreTrue
 try standing-clocks-are-compared-again pkg/follow/peerclock.go 's/unusual := longest < 0 \|\| longest > maxUsualTransit/unusual := false/' pkg/follow TestClockThatStoodStillIsComparedAgain
-try slow-comparisons-are-repeated pkg/follow/peerclock.go 's/if receivedAt-requestedAt <= maxClockRoundTrip \{/if true {/' pkg/follow TestSlowComparisonOfClocksIsRepeated
+try slow-comparisons-are-repeated pkg/follow/peerclock.go 's/receivedAt-requestedAt > maxClockRoundTrip/false/' pkg/follow TestSlowComparisonOfClocksIsRepeated
+try needed-clocks-are-compared pkg/follow/publisher.go 's/!expired \|\| \(!known && p\.areConfirmed\(confirmation\.Copies\)\)/!expired/' pkg/follow TestClocksAreComparedWithNeededSendersOnly
 try contradictions-are-reported pkg/follow/contradiction.go 's/if !contradicted \|\|/if contradicted ||/' pkg/follow TestStatementThatTheCopyContradictsIsReported
 try outdated-is-not-final pkg/forward/forwarder.go 's/f\.ConfigCurrent == nil \|\| f\.ConfigCurrent\(\)/true/' pkg/forward TestOutdatedConfigurationRefusesForTheTimeBeing
 try behind-is-not-current pkg/follow/confirm.go 's/ && !f\.fresh\.isBehind\(\)//' pkg/follow TestCopyIsCurrentOnlyIfConfirmedAndNotBehind
