follow: the end of an outage is noted before the changes that come with it

An upstream whose entry lapsed in the outage would have been dropped instead of kept until it is written again. The test fails with the order exchanged (safeguard).

Receiving a confirmation is a file of its own. What an instance reports of a contradiction is no error value.

--- a/pkg/follow/contents.go
+++ b/pkg/follow/contents.go
@@ -38,12 +38,9 @@
 	newest store.Position
 }
 
-// replace applies a whole list whose last change is not known.
-func (c *contents) replace(list store.Listing) { c.replaceWith(list, list.Position) }
-
-// replaceWith applies a whole list with a last change. Content that its writer numbered higher than the list's content is
-// retained, also if the list lacks the object: a store rolled back to a copy lists content that had
-// been overwritten before, and starting instances get their copy from here.
+// replaceWith applies a whole list with a last change. Content that its writer numbered higher than
+// the list's content is retained, also if the list lacks the object: a store rolled back to a copy
+// lists content that had been overwritten before, and starting instances get their copy from here.
 func (c *contents) replaceWith(list store.Listing, lastChanged store.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/follow/contradiction.go
+++ b/pkg/follow/contradiction.go
@@ -1,16 +1,14 @@
 package follow
 
 import (
-	"fmt"
-
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
-// ContradictionError is a statement of another instance about a copy that this instance's copy
+// Contradiction is a statement of another instance about a copy that this instance's copy
 // contradicts. An instance that lacks the object takes its copy for complete because of such a
 // statement.
-type ContradictionError struct {
+type Contradiction struct {
 	Copy string
 	// Peer is the incarnation that made the statement.
 	Peer string
@@ -20,16 +18,10 @@
 	Object store.Position
 }
 
-// Error implements error.
-func (e *ContradictionError) Error() string {
-	return fmt.Sprintf("confirm %s: %s states that nothing changed after %v up to %v, an object is of %v",
-		e.Copy, e.Peer, e.LastChange, e.Position, e.Object)
-}
-
 // contradictionIn returns the contradiction between another instance's statement and a copy's
 // contents, and whether there is one.
-func contradictionIn(from string, f *Follower, state *followpb.CopyState) (ContradictionError, bool) {
-	found := ContradictionError{
+func contradictionIn(from string, f *Follower, state *followpb.CopyState) (Contradiction, bool) {
+	found := Contradiction{
 		Copy:       state.Name,
 		Peer:       from,
 		LastChange: store.Position{Era: store.Era(state.Era), Version: store.Version(state.LastChange)},
--- a/pkg/follow/contradiction_test.go
+++ b/pkg/follow/contradiction_test.go
@@ -11,8 +11,8 @@
 // the object in question must report it, once, and report nothing else.
 func TestStatementThatTheCopyContradictsIsReported(t *testing.T) {
 	p, _ := newServingPublisher(nil)
-	var reported []ContradictionError
-	p.OnContradiction = func(found ContradictionError) { reported = append(reported, found) }
+	var reported []Contradiction
+	p.OnContradiction = func(found Contradiction) { reported = append(reported, found) }
 	p.followers["k"].applyList(store.Listing{
 		Position: store.At(9), Objects: []store.Object{{Key: "k/main", Position: store.At(7)}},
 	})
@@ -26,7 +26,7 @@
 	state(6, 0) // of a sender that does not say up to which version
 	state(5, 8)
 	state(5, 9)
-	want := ContradictionError{Copy: "k", Peer: "peer", LastChange: store.At(5), Position: store.At(8), Object: store.At(7)}
+	want := Contradiction{Copy: "k", Peer: "peer", LastChange: store.At(5), Position: store.At(8), Object: store.At(7)}
 	if len(reported) != 1 || reported[0] != want {
 		t.Errorf("reported %v, want only %v", reported, want)
 	}
--- a/pkg/follow/outage_test.go
+++ b/pkg/follow/outage_test.go
@@ -79,3 +79,38 @@
 		}
 	})
 }
+
+// orderedCopy is a Copy that records when changes are applied.
+type orderedCopy struct {
+	versionRecorder
+	steps *[]string
+}
+
+func (c *orderedCopy) Apply(changes store.Changes) {
+	*c.steps = append(*c.steps, "changes")
+	c.versionRecorder.Apply(changes)
+}
+
+// Guards against upstreams that are dropped although they are alive: their entries lapsed in an outage
+// of the store, and a confirmation reports their deletion together with the end of the outage. The
+// end must be known when the deletion is applied, also if the sender's clock is not known yet.
+func TestOutageEndIsKnownBeforeTheChangesOfItsConfirmation(t *testing.T) {
+	for _, madeAtMs := range []int64{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			var steps []string
+			f := &Follower{Kind: "k", Copy: &orderedCopy{steps: &steps}, OnOutageEnded: func(time.Duration) { steps = append(steps, "end") }}
+			peers := &testInstance{fleet: &testFleet{instances: []*testInstance{{}}}}
+			peers.fleet.fetchesFail.Store(true)
+			p := NewPublisher("p", map[string]*Follower{"k": f}, peers, TimingFor(maxStaleness))
+			f.applyList(mainAt(5, 5))
+			confirmation := outageConfirmation(0)
+			confirmation.From, confirmation.MadeAtMs = "0", madeAtMs
+			confirmation.Copies[0].Changes = changeTo(5, 7)
+			p.HandleConfirmation(confirmation)
+			time.Sleep(time.Second)
+			if len(steps) != 2 || steps[0] != "end" {
+				t.Errorf("steps in the order %v, want the end of the outage before the changes", steps)
+			}
+		})
+	}
+}
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -47,7 +47,7 @@
 	clocks    peerClocks
 	// OnContradiction is called once for each statement of another instance that this instance's
 	// copy contradicts; it may be nil. It must be set before Run is called.
-	OnContradiction func(ContradictionError)
+	OnContradiction func(Contradiction)
 	// lastPublished holds the position in this instance's last confirmation, by name; used by Run
 	// only.
 	lastPublished map[string]store.Position
@@ -58,7 +58,7 @@
 	// whose clocks this instance's is being compared.
 	catchingUp, querying, comparing map[string]bool
 	// lastContradiction holds the last contradiction that was reported, by name.
-	lastContradiction map[string]ContradictionError
+	lastContradiction map[string]Contradiction
 }
 
 // Peers gives a publisher access to the other instances.
@@ -93,7 +93,7 @@
 		querying:      map[string]bool{},
 		comparing:     map[string]bool{},
 
-		lastContradiction: map[string]ContradictionError{},
+		lastContradiction: map[string]Contradiction{},
 	}
 	breaker, schedule := &CircuitBreaker{}, newWatchSchedule(timing.WatchTimeout)
 	for name, follower := range followers {
@@ -252,95 +252,3 @@
 	}
 	return aged
 }
-
-// HandleConfirmation applies another instance's confirmation.
-func (p *Publisher) HandleConfirmation(confirmation *followpb.Confirmation) {
-	for _, state := range confirmation.Copies {
-		if follower := p.followers[state.Name]; follower != nil {
-			p.handleCopyState(confirmation.From, follower, state)
-		}
-	}
-	p.confirmCopies(confirmation, p.clock())
-}
-
-// handleCopyState applies what one state in a confirmation says about changes.
-func (p *Publisher) handleCopyState(from string, f *Follower, state *followpb.CopyState) {
-	if state.Changes != nil {
-		f.ApplyContents(state.Changes)
-	}
-	p.checkContradiction(from, f, state)
-	lastChange := lastChangeStated(state)
-	if f.lacks(lastChange) && !f.fresh.currentPosition().IsZero() {
-		p.startCatchUp(state.Name, from, lastChange)
-	}
-}
-
-// confirmCopies confirms this instance's copies as of the time of a confirmation that was received at
-// a time of this instance's clock. Until the sender's clock is known, it is not known how long the
-// confirmation was on its way, and the copies are confirmed once the clocks have been compared. While
-// another sender confirms the copies, that is not needed: when a fleet starts, many instances publish
-// for a moment.
-func (p *Publisher) confirmCopies(confirmation *followpb.Confirmation, receivedAt time.Duration) {
-	if confirmation.MadeAtMs == 0 {
-		p.confirmStates(confirmation, 0)
-		return
-	}
-	madeAt := time.Duration(confirmation.MadeAtMs-1) * time.Millisecond
-	transit, known, expired := p.clocks.transit(confirmation.From, madeAt, receivedAt)
-	if known {
-		p.confirmStates(confirmation, transit)
-	}
-	if !expired || (!known && p.areConfirmed(confirmation.Copies)) {
-		return
-	}
-	p.startOnce(p.comparing, confirmation.From, func() {
-		if p.compareClocks(confirmation.From) {
-			transit, _, _ = p.clocks.transit(confirmation.From, madeAt, p.clock())
-			p.confirmStates(confirmation, transit)
-		}
-	})
-}
-
-// areConfirmed reports whether all copies that the states are of have been confirmed lately.
-func (p *Publisher) areConfirmed(states []*followpb.CopyState) bool {
-	for _, state := range states {
-		follower := p.followers[state.Name]
-		if follower != nil && !follower.fresh.confirmedWithin(p.timing.WatchTimeout) {
-			return false
-		}
-	}
-	return true
-}
-
-// confirmStates confirms the copies as of the time of a confirmation that was on its way for a time.
-func (p *Publisher) confirmStates(confirmation *followpb.Confirmation, transit time.Duration) {
-	for _, state := range confirmation.Copies {
-		follower := p.followers[state.Name]
-		if follower == nil {
-			continue
-		}
-		if state.SinceOutageMs > 0 {
-			follower.handleOutageEnd(time.Duration(state.SinceOutageMs-1)*time.Millisecond + transit)
-		}
-		follower.Confirm(lastChangeStated(state), time.Duration(state.AgeMs)*time.Millisecond+transit)
-	}
-}
-
-// lastChangeStated returns the position of the last change that a state confirms.
-func lastChangeStated(state *followpb.CopyState) store.Position {
-	return store.Position{Era: store.Era(state.Era), Version: store.Version(state.LastChange)}
-}
-
-// compareClocks compares this instance's clock with that of another incarnation, and reports whether
-// that one answered.
-func (p *Publisher) compareClocks(incarnation string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	requestedAt := p.clock()
-	reply, err := p.peers.Fetch(ctx, p.peers.AddressOf(incarnation), &followpb.FetchRequest{})
-	if err != nil || reply.GetFrom() != incarnation {
-		return false // the next confirmation compares again
-	}
-	p.clocks.compare(incarnation, time.Duration(reply.ClockMs-1)*time.Millisecond, requestedAt, p.clock())
-	return true
-}
--- a/pkg/follow/readnow_test.go
+++ b/pkg/follow/readnow_test.go
@@ -20,3 +20,6 @@
 func (s *freshness) recordRead(since, changed store.Position) {
 	s.recordReadAsOf(since, changed, time.Now())
 }
+
+// replace applies a whole list whose last change is not known.
+func (c *contents) replace(list store.Listing) { c.replaceWith(list, list.Position) }
--- a/pkg/router/followers.go
+++ b/pkg/router/followers.go
@@ -225,7 +225,7 @@
 	})
 }
 
-func (r *Router) reportContradiction(found follow.ContradictionError) {
+func (r *Router) reportContradiction(found follow.Contradiction) {
 	metrics.GetOrRegisterCounter("copies.contradicted", r.metrics).Inc(1)
 	r.log.Event(eventlog.CopyContradicted, "", eventlog.Fields{
 		"copy": found.Copy, "peer": found.Peer, "last_change": found.LastChange.String(),
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -90,11 +90,12 @@
 try read-is-as-old-as-its-call pkg/follow/hedge.go 's/sentAt := time\.Now\(\)\n\t\tvalue, err := call\(ctx\)/value, err := call(ctx)\n\t\tsentAt := time.Now()/' pkg/follow TestReadIsAsOldAsTheStoresAnswer
 try watch-is-as-old-as-its-wait pkg/follow/follow.go 's/asOf := sentAt\n/asOf := time.Now()\n/' pkg/follow TestReadIsAsOldAsTheStoresAnswer
 try list-does-not-know-what-went pkg/follow/contents.go 's/\treturn list\.Position\n\}/\tlast := store.NoPosition\n\tfor _, o := range list.Objects {\n\t\tlast = store.Later(last, o.Position)\n\t}\n\treturn last\n}/' pkg/follow TestListConfirmsNoCopyWithAnObjectThatCameAndWent
-try transit-is-counted pkg/follow/publisher.go 's/\+transit\)/+0*transit)/g' pkg/follow TestConfirmationIsAsOldAsItsReading
-try statements-are-true pkg/follow/publisher.go 's/\+transit\)/+0*transit)/g' pkg/follow TestStatementsOfDrawnHistoriesAreTrue
+try transit-is-counted pkg/follow/receive.go 's/Millisecond\+transit\)/Millisecond+0*transit)/' pkg/follow TestConfirmationIsAsOldAsItsReading
+try statements-are-true pkg/follow/receive.go 's/Millisecond\+transit\)/Millisecond+0*transit)/' pkg/follow TestStatementsOfDrawnHistoriesAreTrue
 try standing-clocks-are-compared-again pkg/follow/peerclock.go 's/unusual := longest < 0 \|\| longest > maxUsualTransit/unusual := false/' pkg/follow TestClockThatStoodStillIsComparedAgain
 try slow-comparisons-are-repeated pkg/follow/peerclock.go 's/receivedAt-requestedAt > maxClockRoundTrip/false/' pkg/follow TestSlowComparisonOfClocksIsRepeated
-try needed-clocks-are-compared pkg/follow/publisher.go 's/!expired \|\| \(!known && p\.areConfirmed\(confirmation\.Copies\)\)/!expired/' pkg/follow TestClocksAreComparedWithNeededSendersOnly
+try needed-clocks-are-compared pkg/follow/receive.go 's/expired && \(known \|\| !p\.areConfirmed\(confirmation\.Copies\)\)/expired/' pkg/follow TestClocksAreComparedWithNeededSendersOnly
+try outage-end-comes-first pkg/follow/receive.go 's/\tif state\.Changes != nil \{\n\t\tf\.ApplyContents\(state\.Changes\)\n\t\}\n//; s/\tif state\.SinceOutageMs > 0 \{/\tif state.Changes != nil {\n\t\tf.ApplyContents(state.Changes)\n\t}\n\tif state.SinceOutageMs > 0 {/' pkg/follow TestOutageEndIsKnownBeforeTheChangesOfItsConfirmation
 try contradictions-are-reported pkg/follow/contradiction.go 's/if !contradicted \|\|/if contradicted ||/' pkg/follow TestStatementThatTheCopyContradictsIsReported
 try outdated-is-not-final pkg/forward/forwarder.go 's/f\.ConfigCurrent == nil \|\| f\.ConfigCurrent\(\)/true/' pkg/forward TestOutdatedConfigurationRefusesForTheTimeBeing
 try behind-is-not-current pkg/follow/confirm.go 's/ && !f\.fresh\.isBehind\(\)//' pkg/follow TestCopyIsCurrentOnlyIfConfirmedAndNotBehind
