--- a/pkg/follow/peerclock_test.go
+++ b/pkg/follow/peerclock_test.go
@@ -24,6 +24,7 @@
 					sender.followers["k"].applyList(mainAt(version, 7))
 					receiver.HandleConfirmation(publishNow(t, sender, peers))
 					time.Sleep(settled)
+					synctest.Wait()
 				}
 				time.Sleep(stoodStill)
 				confirmNow(8)
