--- a/pkg/follow/copyserver_test.go
+++ b/pkg/follow/copyserver_test.go
@@ -21,7 +21,9 @@
 
 func (p *servingPeers) Fetch(_ context.Context, _ string, request *followpb.FetchRequest) (*followpb.FetchReply, error) {
 	reply, err := p.other.HandleFetch(request)
-	p.packed = reply.GetPacked()
+	if request.Name != "" {
+		p.packed = reply.GetPacked()
+	}
 	return reply, err
 }
 
