--- a/pkg/follow/contradiction.go
+++ b/pkg/follow/contradiction.go
@@ -24,7 +24,7 @@
 	found := Contradiction{
 		Copy:       state.Name,
 		Peer:       from,
-		LastChange: store.Position{Era: store.Era(state.Era), Version: store.Version(state.LastChange)},
+		LastChange: lastChangeStated(state),
 		Position:   store.Position{Era: store.Era(state.Era), Version: store.Version(state.Version)},
 		Object:     f.contents.newestObject(),
 	}
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -200,19 +200,19 @@
 // copyState returns the state of one copy, with the changes since it was last published, or the
 // whole copy if these are not known, unless they are large.
 func (p *Publisher) copyState(name string, f *Follower, known statement) *followpb.CopyState {
-	position := known.lastChanged
+	lastChanged := known.lastChanged
 	state := &followpb.CopyState{
-		Name: name, Era: uint64(position.Era), LastChange: uint64(position.Version), AgeMs: known.readAge.Milliseconds(),
+		Name: name, Era: uint64(lastChanged.Era), LastChange: uint64(lastChanged.Version), AgeMs: known.readAge.Milliseconds(),
 	}
-	if known.position.Era == position.Era {
+	if known.position.Era == lastChanged.Era {
 		state.Version = uint64(known.position.Version)
 	}
 	if ago, recent := f.fresh.timeSinceOutage(); recent {
 		state.SinceOutageMs = ago.Milliseconds() + 1
 	}
 	since, wasPublished := p.lastPublished[name]
-	p.lastPublished[name] = position
-	if !wasPublished || !since.Before(position) {
+	p.lastPublished[name] = lastChanged
+	if !wasPublished || !since.Before(lastChanged) {
 		return state
 	}
 	changes := f.contents.changesAfter(since)
