--- a/pkg/follow/histories_test.go
+++ b/pkg/follow/histories_test.go
@@ -73,6 +73,8 @@
 		}
 	}
 	sim.end()
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
 	out.statements = sim.statements
 	return out
 }
