follow: one copy for tests that act while it is applied; one question less

Three test copies differed only in what they do when changes are applied; they are one with a function. Follower.lacks only negated freshness.reaches, which is called itself.

--- a/pkg/follow/confirm.go
+++ b/pkg/follow/confirm.go
@@ -92,9 +92,6 @@
 	return f.fresh.confirm(lastChange, age)
 }
 
-// lacks reports whether this copy lacks a change at a position that another instance published.
-func (f *Follower) lacks(lastChange store.Position) bool { return !f.fresh.reaches(lastChange) }
-
 // ConfirmedRecently reports whether another instance confirmed this copy by a recent read of the
 // store. If so, the store is available even if it does not answer this instance.
 func (f *Follower) ConfirmedRecently() bool { return f.fresh.confirmedWithin(f.timing().LastTimeout) }
--- a/pkg/follow/lastholder_test.go
+++ b/pkg/follow/lastholder_test.go
@@ -4,21 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
-// slowCopy is a Copy that takes a while to apply changes.
-type slowCopy struct {
-	versionRecorder
-	delay time.Duration
-}
-
-func (c *slowCopy) Apply(changes store.Changes) {
-	time.Sleep(c.delay)
-	c.versionRecorder.Apply(changes)
-}
-
 // Guards against a change that stays unknown to most instances until the next one: the two instances
 // that knew of it crash, and the one that fetched it from the second, which was still applying it,
 // confirms to all others that nothing changed.
@@ -31,7 +18,7 @@
 		fleet.store.value = make([]byte, 2*maxInlineBytes)
 		slow := fleet.instances[1].follow
 		slow.applyMu.Lock()
-		slow.Copy = &slowCopy{delay: applyTime}
+		slow.Copy = &hookedCopy{onApply: func() { time.Sleep(applyTime) }}
 		slow.applyMu.Unlock()
 		for _, inst := range fleet.instances[2:] {
 			inst.receivesNothing.Store(true)
--- a/pkg/follow/outage_test.go
+++ b/pkg/follow/outage_test.go
@@ -80,17 +80,6 @@
 	})
 }
 
-// orderedCopy is a Copy that records when changes are applied.
-type orderedCopy struct {
-	versionRecorder
-	steps *[]string
-}
-
-func (c *orderedCopy) Apply(changes store.Changes) {
-	*c.steps = append(*c.steps, "changes")
-	c.versionRecorder.Apply(changes)
-}
-
 // Guards against upstreams that are dropped although they are alive: their entries lapsed in an outage
 // of the store, and a confirmation reports their deletion together with the end of the outage. The
 // end must be known when the deletion is applied, also if the sender's clock is not known yet.
@@ -98,7 +87,9 @@
 	for _, madeAtMs := range []int64{0, 1} {
 		synctest.Test(t, func(t *testing.T) {
 			var steps []string
-			f := &Follower{Kind: "k", Copy: &orderedCopy{steps: &steps}, OnOutageEnded: func(time.Duration) { steps = append(steps, "end") }}
+			note := func(step string) { steps = append(steps, step) }
+			copied := &hookedCopy{onApply: func() { note("changes") }}
+			f := &Follower{Kind: "k", Copy: copied, OnOutageEnded: func(time.Duration) { note("end") }}
 			peers := &testInstance{fleet: &testFleet{instances: []*testInstance{{}}}}
 			peers.fleet.fetchesFail.Store(true)
 			p := NewPublisher("p", map[string]*Follower{"k": f}, peers, TimingFor(maxStaleness))
--- a/pkg/follow/receive.go
+++ b/pkg/follow/receive.go
@@ -46,7 +46,7 @@
 	}
 	p.checkContradiction(from, f, state)
 	lastChange := lastChangeStated(state)
-	if f.lacks(lastChange) && !f.fresh.currentPosition().IsZero() {
+	if !f.fresh.reaches(lastChange) && !f.fresh.currentPosition().IsZero() {
 		p.startCatchUp(state.Name, from, lastChange)
 	}
 }
--- a/pkg/follow/statement_test.go
+++ b/pkg/follow/statement_test.go
@@ -11,15 +11,14 @@
 	"github.com/lavenderring/lavenderring/pkg/store"
 )
 
-// blockingCopy is a Copy that takes until released to apply changes.
-type blockingCopy struct {
+// hookedCopy is a Copy that calls a function before it applies changes.
+type hookedCopy struct {
 	versionRecorder
-	applying, release chan struct{}
+	onApply func()
 }
 
-func (c *blockingCopy) Apply(changes store.Changes) {
-	close(c.applying)
-	<-c.release
+func (c *hookedCopy) Apply(changes store.Changes) {
+	c.onApply()
 	c.versionRecorder.Apply(changes)
 }
 
@@ -71,16 +70,18 @@
 
 // applyBlocked makes an instance apply a change that it has been sent, and returns while it does.
 func applyBlocked(f *Follower, change *followpb.Contents) (finish func()) {
-	applying := &blockingCopy{applying: make(chan struct{}), release: make(chan struct{})}
-	f.Copy = applying
-	applied := make(chan struct{})
+	applying, release, applied := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	f.Copy = &hookedCopy{onApply: func() {
+		close(applying)
+		<-release
+	}}
 	go func() {
 		f.ApplyContents(change)
 		close(applied)
 	}()
-	<-applying.applying
+	<-applying
 	return func() {
-		close(applying.release)
+		close(release)
 		<-applied
 	}
 }
