--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -166,7 +166,7 @@
 		return &failure{step: stepDial, peer: address, err: errConnections, neutral: true}
 	}
 	began := a.c.f.Now()
-	conn, err := httpconn.Dial(ctx, address, min(dialTimeout, a.c.remaining()))
+	conn, err := httpconn.DialWith(ctx, a.c.f.Dial, address, min(dialTimeout, a.c.remaining()))
 	if load := a.c.f.Overload; load != nil && ctx.Err() == nil {
 		load.ObserveConnect(address, a.c.f.Now().Sub(began))
 	}
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -69,8 +69,10 @@
 	Budgets  Budgets
 	Codec    Codec
 	Conns    *httpconn.Pool
-	Log      *eventlog.Log
-	Metrics  metrics.Registry
+	// Dial opens direct connections to upstreams; New sets httpconn.DialTCP if it is nil.
+	Dial    httpconn.DialFunc
+	Log     *eventlog.Log
+	Metrics metrics.Registry
 	// PeerProber distinguishes crashed upstreams from connections that ended; New creates one if
 	// it is nil.
 	PeerProber PeerProber
@@ -146,8 +148,11 @@
 func New(deps Deps) *Forwarder {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, deps.Metrics) }
 	timer := func(name string) metrics.Timer { return metrics.GetOrRegisterTimer(name, deps.Metrics) }
+	if deps.Dial == nil {
+		deps.Dial = httpconn.DialTCP
+	}
 	if deps.PeerProber == nil {
-		deps.PeerProber = httpconn.NewPeerProber(deps.Conns, deps.Now)
+		deps.PeerProber = httpconn.NewPeerProber(deps.Dial, deps.Conns, deps.Now)
 	}
 	if deps.Quarantine == nil {
 		deps.Quarantine = quarantine.NewTable("", nil)
--- a/pkg/httpconn/httpconn.go
+++ b/pkg/httpconn/httpconn.go
@@ -58,7 +58,7 @@
 	// DialDuration is how long the connection setup took, one round trip.
 	DialDuration time.Duration
 
-	tcp    *net.TCPConn
+	raw    net.Conn
 	reader *bufio.Reader
 	// idleSince is when the connection became idle; maxIdle bounds how long it may stay so.
 	idleSince time.Time
@@ -82,21 +82,36 @@
 	return errors.Join(err, sockErr)
 }
 
-// Dial opens a connection. It fails when ctx ends or the timeout is over. Errors:
+// DialFunc establishes a connection to an address. It fails when ctx ends.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP is the DialFunc of a direct connection. The kernel ends the connection when it has gone silent.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
+// Dial opens a direct connection. It fails when ctx ends or the timeout is over. Errors:
 // *Error with step "dial".
 func Dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return DialWith(ctx, DialTCP, address, timeout)
+}
+
+// DialWith opens a connection by the function dial. It fails when ctx ends or the timeout is over.
+// Errors: *Error with step "dial".
+func DialWith(ctx context.Context, dial DialFunc, address string, timeout time.Duration) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	began := time.Now()
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, &Error{Step: "dial", Peer: address, Err: err}
 	}
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		_ = conn.Close()
-		return nil, &Error{Step: "dial", Peer: address, Err: errors.New("not a TCP connection")}
-	}
-	return &Conn{Peer: address, DialDuration: time.Since(began), tcp: tcp, reader: bufio.NewReaderSize(tcp, readBufferBytes)}, nil
+	return newConn(raw, address, time.Since(began)), nil
+}
+
+func newConn(raw net.Conn, peer string, dialDuration time.Duration) *Conn {
+	return &Conn{Peer: peer, DialDuration: dialDuration, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
 }
 
 // Send writes a whole request. Errors: *Error with step "send".
@@ -105,7 +120,7 @@
 	if len(body) > 0 {
 		buffers = append(buffers, body)
 	}
-	if _, err := buffers.WriteTo(c.tcp); err != nil {
+	if _, err := buffers.WriteTo(c.raw); err != nil {
 		return &Error{Step: "send", Peer: c.Peer, Err: err}
 	}
 	return nil
@@ -127,7 +142,7 @@
 }
 
 // SetDeadline sets the deadline of all following reads and writes.
-func (c *Conn) SetDeadline(t time.Time) { _ = c.tcp.SetDeadline(t) }
+func (c *Conn) SetDeadline(t time.Time) { _ = c.raw.SetDeadline(t) }
 
 // FullyRead reports whether no unread data is buffered. If a response is followed by
 // unsolicited bytes, the connection must not be reused, since the next request would get
@@ -135,13 +150,17 @@
 func (c *Conn) FullyRead() bool { return c.reader.Buffered() == 0 }
 
 // Close closes the connection immediately; it may be called at any time.
-func (c *Conn) Close() { _ = c.tcp.Close() }
+func (c *Conn) Close() { _ = c.raw.Close() }
 
 // isReusable checks an idle connection with a non-blocking read, which finds nothing on a
 // usable one. A close, a reset or unsolicited bytes make it unusable; without this check the
 // next request would be lost or get an answer that belongs to another.
 func (c *Conn) isReusable() bool {
-	raw, err := c.tcp.SyscallConn()
+	socket, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/pkg/httpconn/prober.go
+++ b/pkg/httpconn/prober.go
@@ -34,6 +34,7 @@
 // PeerProber distinguishes crashed peers from connections that ended. It probes a peer once for all
 // connections that end together. It is safe for concurrent use.
 type PeerProber struct {
+	dial DialFunc
 	pool *Pool
 	now  func() time.Time
 
@@ -47,9 +48,10 @@
 	state     PeerState
 }
 
-// NewPeerProber returns a prober that puts the connections it opens into a pool; nil to close them.
-func NewPeerProber(pool *Pool, now func() time.Time) *PeerProber {
-	return &PeerProber{pool: pool, now: now, probes: map[string]*probe{}}
+// NewPeerProber returns a prober that opens connections by the function dial and puts them into a pool;
+// nil to close them.
+func NewPeerProber(dial DialFunc, pool *Pool, now func() time.Time) *PeerProber {
+	return &PeerProber{dial: dial, pool: pool, now: now, probes: map[string]*probe{}}
 }
 
 // Probe returns the state of the peer at an address, within probeTimeout.
@@ -65,13 +67,13 @@
 	current = &probe{startedAt: p.now(), done: make(chan struct{})}
 	p.probes[address] = current
 	p.mu.Unlock()
-	current.state = p.dial(address)
+	current.state = p.probe(address)
 	close(current.done)
 	return current.state
 }
 
-func (p *PeerProber) dial(address string) PeerState {
-	conn, err := Dial(context.Background(), address, probeTimeout)
+func (p *PeerProber) probe(address string) PeerState {
+	conn, err := DialWith(context.Background(), p.dial, address, probeTimeout)
 	switch {
 	case err == nil:
 		p.keepConn(conn)
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -214,7 +214,7 @@
 		Journal:    i.journal,
 		Claims:     i.claims,
 		Silent:     i.table.Silent,
-		PeerProber: httpconn.NewPeerProber(nil, time.Now),
+		PeerProber: httpconn.NewPeerProber(httpconn.DialTCP, nil, time.Now),
 
 		Quarantine: i.quarantine.Table(),
 
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -59,6 +59,8 @@
 	Codec           forward.Codec
 	Format          door.Format
 	ReadyPath       string
+	// DialUpstream opens direct connections to upstreams; New sets httpconn.DialTCP if it is nil.
+	DialUpstream httpconn.DialFunc
 }
 
 // Router is one running instance.
@@ -120,6 +122,9 @@
 
 // New provisions an instance: everything is created and bound to its address, nothing runs.
 func New(s *settings.Router, p Platform, logOut io.Writer) (*Router, error) {
+	if p.DialUpstream == nil {
+		p.DialUpstream = httpconn.DialTCP
+	}
 	r := &Router{
 		settings:      s,
 		platform:      p,
@@ -217,6 +222,7 @@
 		Budgets:  r.tokens,
 		Codec:    r.platform.Codec,
 		Conns:    r.conns,
+		Dial:     r.platform.DialUpstream,
 		Log:      r.log,
 		Metrics:  r.metrics,
 		Overload: r.overloadLimit,
@@ -225,7 +231,7 @@
 		ColdOverage: r.settings.ColdOverage,
 		ColdSlack:   r.settings.ColdSlack,
 
-		PeerProber: httpconn.NewPeerProber(r.conns, time.Now),
+		PeerProber: httpconn.NewPeerProber(r.platform.DialUpstream, r.conns, time.Now),
 		Quarantine: r.quarantine.Table(),
 		Retries: retrylimit.Settings{
 			Ratio:  r.settings.RetryRatio,
