Requests go through another instance where the own links do not lead to the upstream

What callers see: an instance that has lost its links to all upstreams refuses them or lets them wait, for as long as the links are lost, although the other instances reach every upstream and this one reaches those.

Cause: there is one way to an upstream. That it cannot be connected to is taken for its state; nobody else is asked.

Now a connection to an upstream is opened directly and, if that fails or takes over 60 ms, through another instance as well; what comes first is used (reach, tunnel). The instance where the request arrived keeps all decisions: account, choice, retries, deadline, stream. The other one connects only for members, only to upstreams that its own registry lists in service, never through a third one, in bounded number and time, and says at once when it does not reach the service itself. Breaking the tunnel off closes the connection to the upstream; an end that the upstream did not make is never seen as one; a connection whose exchanges are complete stays with the instance that opened it. Two failed upstreams of a service with no success since count as a lost link: tunnels come first then, idle connections are closed, and each address is tried directly twice a second, which finds the link when it is back. A request without an answer for 250 ms has the link checked if nothing else was heard of the service.

Weighed: handing the whole request on (who reserves, bills and says "not run" would be split); refusing with a time to come back (clients come back once); unreadiness (takes two seconds, leaves open connections, and does nothing where most of a domain is cut off).

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -11,14 +11,15 @@
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/placement"
+	"github.com/lavenderring/lavenderring/pkg/reach"
 	"github.com/lavenderring/lavenderring/pkg/routing"
 )
 
 // Bounds of an attempt.
 const (
-	// dialTimeout bounds connection setup. Within a region it takes a few
-	// milliseconds, and an upstream that is gone does not answer at all.
-	dialTimeout = 300 * time.Millisecond
+	// silenceCheckDelay is how long a request may be without an answer before it is checked whether
+	// the links to the service have gone silent.
+	silenceCheckDelay = 250 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is buffered whole.
 	maxAnswerBytes = 16 << 20
 	// concurrentSendBytes is the size in bytes above which a body is sent while the answer
@@ -45,6 +46,8 @@
 	c     *call
 	lease *placement.Lease
 	conn  *httpconn.Conn
+	// via is the name of the instance through which the connection leads; empty for a direct one.
+	via string
 	// sendDone is closed when sending has ended; sendErr is its result.
 	sendDone chan struct{}
 	sendErr  error
@@ -93,11 +96,17 @@
 	if a.conn == nil {
 		return
 	}
-	if a.keepFor >= 0 && a.isSent() && a.conn.FullyRead() {
+	reusable := a.keepFor >= 0 && a.isSent() && a.conn.FullyRead()
+	switch {
+	case a.via != "" && reusable:
+		a.conn.Finish(a.keepFor)
+	case a.via != "":
+		a.conn.Close()
+	case reusable:
 		a.c.f.Conns.Put(a.conn, a.keepFor)
-		return
+	default:
+		a.c.f.Conns.Drop(a.conn)
 	}
-	a.c.f.Conns.Drop(a.conn)
 }
 
 // isSent reports whether the whole request was written without an error.
@@ -130,13 +139,10 @@
 		}
 	}()
 	a.c.f.meters.beforeSendTime.Update(a.c.f.Now().Sub(a.c.r.Arrived))
-	a.c.f.Log.Event(eventlog.RequestDispatched, a.c.r.ID, eventlog.Fields{
-		"upstream": a.lease.ID, "address": a.lease.Address, "domain": a.lease.Domain, "sent": a.c.numSent + 1,
-		"prompt_tokens": a.c.r.PromptTokens, "long": a.lease.Long,
-	})
+	a.logDispatch()
 	a.conn.SetDeadline(a.headDeadline())
 	a.send()
-	response, err := a.conn.ReadHead(a.c.r.Method)
+	response, err := a.awaitHead()
 	if err != nil {
 		return a.connFailed("head", err)
 	}
@@ -165,23 +171,49 @@
 	if maxConns > 0 && a.c.f.Conns.NumOpen(address) >= max(maxConns/max(a.c.f.NumInstances(), 1), 1) {
 		return &failure{step: stepDial, peer: address, err: errConnections, neutral: true}
 	}
-	began := a.c.f.Now()
-	conn, err := httpconn.DialWith(ctx, a.c.f.Dial, address, min(dialTimeout, a.c.remaining()))
-	if load := a.c.f.Overload; load != nil && ctx.Err() == nil {
-		load.ObserveConnect(address, a.c.f.Now().Sub(began))
-	}
+	connection, err := a.c.f.Links.Connect(ctx, reach.Target{
+		Service: a.lease.Service, ID: a.lease.ID, Address: address, Domain: a.lease.Domain, Deadline: a.c.deadline,
+	})
 	if err != nil {
 		if ctx.Err() == nil {
 			a.lease.ReportUnreachable()
 		}
 		return &failure{step: stepDial, peer: address, err: err}
 	}
-	a.c.f.meters.newConns.Inc(1)
-	a.c.f.Conns.CountOpened(address)
-	a.conn = conn
+	a.conn, a.via = connection.Conn, connection.Via
+	if a.via != "" {
+		a.c.f.meters.tunnelled.Inc(1)
+	}
 	return nil
 }
 
+func (a *attempt) logDispatch() {
+	fields := eventlog.Fields{
+		"upstream": a.lease.ID, "address": a.lease.Address, "domain": a.lease.Domain, "sent": a.c.numSent + 1,
+		"prompt_tokens": a.c.r.PromptTokens, "long": a.lease.Long,
+	}
+	if a.via != "" {
+		fields["via"] = a.via
+	}
+	a.c.f.Log.Event(eventlog.RequestDispatched, a.c.r.ID, fields)
+}
+
+// awaitHead reads the head of the answer.
+func (a *attempt) awaitHead() (*http.Response, error) {
+	if a.via != "" {
+		return a.conn.ReadHead(a.c.r.Method)
+	}
+	check := time.AfterFunc(silenceCheckDelay, func() {
+		a.c.f.Links.CheckSilence(a.lease.Service, a.lease.Address, silenceCheckDelay)
+	})
+	defer check.Stop()
+	response, err := a.conn.ReadHead(a.c.r.Method)
+	if err == nil {
+		a.c.f.Links.NoteHeard(a.lease.Service)
+	}
+	return response, err
+}
+
 // headDeadline returns when an attempt without an answer is given up: before the
 // request's deadline if another upstream may still be tried.
 func (a *attempt) headDeadline() time.Time {
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
+	"github.com/lavenderring/lavenderring/pkg/reach"
 	"github.com/lavenderring/lavenderring/pkg/registry"
 	"github.com/lavenderring/lavenderring/pkg/retrylimit"
 	"github.com/lavenderring/lavenderring/pkg/routing"
@@ -60,6 +61,17 @@
 	Probe(address string) httpconn.PeerState
 }
 
+// Links opens connections to upstreams, directly or through another instance.
+type Links interface {
+	// Connect opens a connection. Errors: *httpconn.Error with step "dial".
+	Connect(ctx context.Context, target reach.Target) (reach.Connection, error)
+	// NoteHeard records that an upstream of a service was heard of over a direct connection.
+	NoteHeard(service string)
+	// CheckSilence finds out whether the direct connections to a service have gone silent, after a
+	// request to an address has not been answered for a time.
+	CheckSilence(service, address string, silence time.Duration)
+}
+
 // Deps holds the dependencies of a Forwarder.
 type Deps struct {
 	// Domain is the instance's failure domain.
@@ -69,8 +81,8 @@
 	Budgets  Budgets
 	Codec    Codec
 	Conns    *httpconn.Pool
-	// Dial opens direct connections to upstreams; New sets httpconn.DialTCP if it is nil.
-	Dial    httpconn.DialFunc
+	// Links opens connections to upstreams; New creates one that opens direct connections if it is nil.
+	Links   Links
 	Log     *eventlog.Log
 	Metrics metrics.Registry
 	// PeerProber distinguishes crashed upstreams from connections that ended; New creates one if
@@ -140,7 +152,7 @@
 
 type meters struct {
 	accepted, refused, answered, streamed, unknown, clientsGone, retried, resumed metrics.Counter
-	newConns, crashes, cleared                                                    metrics.Counter
+	tunnelled, crashes, cleared                                                   metrics.Counter
 	answerTime, firstEventTime, beforeSendTime                                    metrics.Timer
 }
 
@@ -148,11 +160,13 @@
 func New(deps Deps) *Forwarder {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, deps.Metrics) }
 	timer := func(name string) metrics.Timer { return metrics.GetOrRegisterTimer(name, deps.Metrics) }
-	if deps.Dial == nil {
-		deps.Dial = httpconn.DialTCP
+	if deps.Links == nil {
+		direct := &reach.Direct{Dial: httpconn.DialTCP, Pool: deps.Conns, Paths: reach.NewPaths(deps.Now, nil), Now: deps.Now}
+		deps.Links = &reach.Connector{Direct: direct}
 	}
 	if deps.PeerProber == nil {
-		deps.PeerProber = httpconn.NewPeerProber(deps.Dial, deps.Conns, deps.Now)
+		crashed := func(string) httpconn.PeerState { return httpconn.Crashed }
+		deps.PeerProber = httpconn.NewPeerProber(httpconn.DialTCP, deps.Conns, crashed, deps.Now)
 	}
 	if deps.Quarantine == nil {
 		deps.Quarantine = quarantine.NewTable("", nil)
@@ -170,7 +184,7 @@
 			clientsGone:    counter("forward.clients_left"),
 			retried:        counter("forward.repeated"),
 			resumed:        counter("forward.resumed"),
-			newConns:       counter("forward.new_connections"),
+			tunnelled:      counter("forward.tunnelled"),
 			crashes:        counter("quarantine.crashes"),
 			cleared:        counter("quarantine.cleared"),
 			answerTime:     timer("forward.whole"),
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -27,6 +27,9 @@
 	for {
 		a.setSilenceDeadline()
 		n, err := response.Body.Read(buffer)
+		if n > 0 && a.via == "" {
+			a.c.f.Links.NoteHeard(a.lease.Service)
+		}
 		rest = append(rest, buffer[:n]...)
 		whole := completeEventsLen(rest)
 		if whole > 0 {
--- a/pkg/httpconn/httpconn.go
+++ b/pkg/httpconn/httpconn.go
@@ -107,11 +107,14 @@
 	if err != nil {
 		return nil, &Error{Step: "dial", Peer: address, Err: err}
 	}
-	return newConn(raw, address, time.Since(began)), nil
+	conn := NewConn(raw, address)
+	conn.DialDuration = time.Since(began)
+	return conn, nil
 }
 
-func newConn(raw net.Conn, peer string, dialDuration time.Duration) *Conn {
-	return &Conn{Peer: peer, DialDuration: dialDuration, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+// NewConn returns a connection to a peer over raw.
+func NewConn(raw net.Conn, peer string) *Conn {
+	return &Conn{Peer: peer, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
 }
 
 // Send writes a whole request. Errors: *Error with step "send".
@@ -126,6 +129,28 @@
 	return nil
 }
 
+// Read and Write transfer the connection's bytes unchanged.
+func (c *Conn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
+// Write implements io.Writer; see Read.
+func (c *Conn) Write(p []byte) (int, error) { return c.raw.Write(p) }
+
+// finisher is a connection that is not kept by its user: Finish ends it after a complete exchange and
+// says how long the peer keeps the idle connection, 0 if it did not say.
+type finisher interface {
+	Finish(idleTimeout time.Duration)
+}
+
+// Finish ends a connection that is not to be kept after a complete exchange, and reports whether it is
+// such a connection.
+func (c *Conn) Finish(idleTimeout time.Duration) bool {
+	f, ok := c.raw.(finisher)
+	if ok {
+		f.Finish(idleTimeout)
+	}
+	return ok
+}
+
 // ReadHead reads a response's head; method is the request's. Interim responses
 // are skipped. Errors: *Error with step "head".
 func (c *Conn) ReadHead(method string) (*http.Response, error) {
@@ -144,6 +169,15 @@
 // SetDeadline sets the deadline of all following reads and writes.
 func (c *Conn) SetDeadline(t time.Time) { _ = c.raw.SetDeadline(t) }
 
+// SetReadDeadline sets the deadline of all following reads.
+func (c *Conn) SetReadDeadline(t time.Time) { _ = c.raw.SetReadDeadline(t) }
+
+// IsTimeout reports whether an error says that a deadline has passed.
+func IsTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // FullyRead reports whether no unread data is buffered. If a response is followed by
 // unsolicited bytes, the connection must not be reused, since the next request would get
 // them as its answer.
--- a/pkg/httpconn/prober.go
+++ b/pkg/httpconn/prober.go
@@ -23,20 +23,22 @@
 
 // States of a peer.
 const (
-	// Crashed is the state of a peer that refuses connections: nothing listens at the address any more.
+	// Crashed is the state of a peer at whose address nothing listens any more.
 	Crashed PeerState = "crashed"
 	// Answering is the state of a peer that accepts connections: only the one connection ended.
 	Answering PeerState = "answers"
-	// SilentPeer is the state of a peer that neither accepted nor refused a connection in time.
+	// SilentPeer is the state of a peer of which nothing is known: it neither accepted nor refused a
+	// connection in time, or the connection may have been refused because of this process's own link.
 	SilentPeer PeerState = "silent"
 )
 
 // PeerProber distinguishes crashed peers from connections that ended. It probes a peer once for all
 // connections that end together. It is safe for concurrent use.
 type PeerProber struct {
-	dial DialFunc
-	pool *Pool
-	now  func() time.Time
+	dial   DialFunc
+	pool   *Pool
+	verify func(address string) PeerState
+	now    func() time.Time
 
 	mu     sync.Mutex
 	probes map[string]*probe // by address
@@ -49,12 +51,15 @@
 }
 
 // NewPeerProber returns a prober that opens connections by the function dial and puts them into a pool;
-// nil to close them.
-func NewPeerProber(dial DialFunc, pool *Pool, now func() time.Time) *PeerProber {
-	return &PeerProber{dial: dial, pool: pool, now: now, probes: map[string]*probe{}}
+// nil to close them. verify returns the state of a peer that refuses connections: it may have crashed, or
+// only this process does not reach it.
+func NewPeerProber(
+	dial DialFunc, pool *Pool, verify func(address string) PeerState, now func() time.Time,
+) *PeerProber {
+	return &PeerProber{dial: dial, pool: pool, verify: verify, now: now, probes: map[string]*probe{}}
 }
 
-// Probe returns the state of the peer at an address, within probeTimeout.
+// Probe returns the state of the peer at an address, within probeTimeout and the time of a verification.
 func (p *PeerProber) Probe(address string) PeerState {
 	p.mu.Lock()
 	p.dropExpired()
@@ -79,7 +84,7 @@
 		p.keepConn(conn)
 		return Answering
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return Crashed
+		return p.verify(address)
 	default:
 		return SilentPeer
 	}
--- a/pkg/httpconn/prober_test.go
+++ b/pkg/httpconn/prober_test.go
@@ -15,7 +15,7 @@
 	address := listener.Addr().String()
 	now := time.Unix(0, 0)
 	pool := NewPool(time.Now)
-	prober := NewPeerProber(DialTCP, pool, func() time.Time { return now })
+	prober := NewPeerProber(DialTCP, pool, func(string) PeerState { return Crashed }, func() time.Time { return now })
 	if state := prober.Probe(address); state != Answering {
 		t.Errorf("state of a listening peer is %q, want Answering", state)
 	}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -214,7 +214,7 @@
 		Journal:    i.journal,
 		Claims:     i.claims,
 		Silent:     i.table.Silent,
-		PeerProber: httpconn.NewPeerProber(httpconn.DialTCP, nil, time.Now),
+		PeerProber: httpconn.NewPeerProber(httpconn.DialTCP, nil, func(string) httpconn.PeerState { return httpconn.Crashed }, time.Now),
 
 		Quarantine: i.quarantine.Table(),
 
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -20,6 +20,7 @@
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 	"github.com/lavenderring/lavenderring/pkg/quarantine/quarantinepb"
+	"github.com/lavenderring/lavenderring/pkg/tunnel/tunnelpb"
 )
 
 // Bounds of the client.
@@ -307,3 +308,23 @@
 			return memberpb.NewDRPCMembersClient(conn).FetchConfig(ctx, &memberpb.FetchConfigRequest{Service: service})
 		})
 }
+
+// OpenTunnel starts the stream of a tunnel through the instance at an address; it ends when ctx ends.
+func (c *Client) OpenTunnel(ctx context.Context, address string) (tunnelpb.DRPCTunnels_OpenClient, error) {
+	conn := c.pool(address).Get(ctx, address, c.dial)
+	stream, err := tunnelpb.NewDRPCTunnelsClient(conn).Open(ctx)
+	if err != nil {
+		return nil, &CallError{Step: "open-tunnel", Peer: address, Err: err}
+	}
+	return stream, nil
+}
+
+// CheckUpstream asks the instance at an address whether it reaches an upstream.
+func (c *Client) CheckUpstream(
+	ctx context.Context, address string, request *tunnelpb.CheckRequest,
+) (*tunnelpb.CheckReply, error) {
+	return callAddress(ctx, c, "check-upstream", address, heartbeatTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*tunnelpb.CheckReply, error) {
+			return tunnelpb.NewDRPCTunnelsClient(conn).Check(ctx, request)
+		})
+}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 	"github.com/lavenderring/lavenderring/pkg/quarantine/quarantinepb"
+	"github.com/lavenderring/lavenderring/pkg/tunnel/tunnelpb"
 )
 
 // Handlers holds the handlers of the messages. All except Members may be nil.
@@ -25,6 +26,8 @@
 	Copies  followpb.DRPCCopiesServer
 	// Quarantine handles exchanges of records of requests that crash upstreams.
 	Quarantine quarantinepb.DRPCQuarantineServer
+	// Tunnels connects other instances to upstreams.
+	Tunnels tunnelpb.DRPCTunnelsServer
 }
 
 // Server serves calls of other instances.
@@ -57,6 +60,11 @@
 			return nil, err
 		}
 	}
+	if handlers.Tunnels != nil {
+		if err := tunnelpb.DRPCRegisterTunnels(mux, handlers.Tunnels); err != nil {
+			return nil, err
+		}
+	}
 	if handlers.Bills != nil {
 		if err := billpb.DRPCRegisterBills(mux, handlers.Bills); err != nil {
 			return nil, err
--- /dev/null
+++ b/pkg/reach/direct.go
@@ -0,0 +1,79 @@
+package reach
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/httpconn"
+)
+
+// Target is an upstream to connect to.
+type Target struct {
+	// Service and ID name the upstream, Address is its IP address and port, Domain its failure domain.
+	Service, ID, Address, Domain string
+	// Deadline is when the connection is no longer needed.
+	Deadline time.Time
+}
+
+// DialTimeout bounds the setup of a connection, directly or not. Within a region it takes a few
+// milliseconds, and an upstream that is gone does not answer at all.
+const DialTimeout = 300 * time.Millisecond
+
+// LinkObserver receives how long it took until a direct connection was established or failed.
+type LinkObserver interface {
+	ObserveConnect(address string, duration time.Duration)
+}
+
+// Direct opens connections over the instance's own links and records their results.
+type Direct struct {
+	Dial  httpconn.DialFunc
+	Pool  *httpconn.Pool
+	Paths *Paths
+	// Link may be nil.
+	Link LinkObserver
+	Now  func() time.Time
+	// OnOpened is called for each connection that was established; it may be nil.
+	OnOpened func()
+}
+
+// Connect opens a new connection. It goes on after the caller of the request has left, until the timeout:
+// its result tells about the link. Errors: *httpconn.Error with step "dial".
+func (d *Direct) Connect(service, address string, timeout time.Duration) (*httpconn.Conn, error) {
+	began := d.Now()
+	conn, err := httpconn.DialWith(context.Background(), d.Dial, address, timeout)
+	if d.Link != nil {
+		d.Link.ObserveConnect(address, d.Now().Sub(began))
+	}
+	if err != nil {
+		silent := !IsRefused(err)
+		if silent {
+			// Open connections over a path that is silent are silent, too.
+			d.Pool.CloseIdle(address)
+		}
+		d.Paths.NoteFailed(service, address, silent)
+		return nil, err
+	}
+	d.Paths.NoteConnected(service, address)
+	d.Pool.CountOpened(address)
+	if d.OnOpened != nil {
+		d.OnOpened()
+	}
+	return conn, nil
+}
+
+// Keep puts an unused connection into the pool, where it serves the next request.
+func (d *Direct) Keep(conn *httpconn.Conn) { d.Pool.Put(conn, 0) }
+
+// Check opens a connection to find out whether the address is reached.
+func (d *Direct) Check(service, address string) {
+	if conn, err := d.Connect(service, address, DialTimeout); err == nil {
+		d.Keep(conn)
+	}
+}
+
+// IsRefused reports whether the other end, or a device on the way, rejected a connection.
+func IsRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
--- a/pkg/registry/occupant.go
+++ b/pkg/registry/occupant.go
@@ -73,3 +73,11 @@
 	r.superseded = nil
 	return superseded
 }
+
+// At returns the last known upstream at an address, in service or not.
+func (r *Registry) At(address string) (Upstream, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last, known := r.occupants[address]
+	return last.Upstream, known
+}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -1,7 +1,9 @@
 package registry
 
 import (
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -255,6 +257,24 @@
 	return r.indexByService()[service]
 }
 
+// AllInService returns the upstreams of all services that accept requests.
+func (r *Registry) AllInService() []Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []Upstream
+	for _, list := range r.indexByService() {
+		all = append(all, list...)
+	}
+	return all
+}
+
+// IsInService reports whether an upstream of a service accepts requests at an address.
+func (r *Registry) IsInService(service, id, address string) bool {
+	list := r.InService(service)
+	n, found := slices.BinarySearchFunc(list, id, func(u Upstream, id string) int { return strings.Compare(u.ID, id) })
+	return found && list[n].Address == address
+}
+
 // AdvanceTo records that every change up to a position has been applied.
 func (r *Registry) AdvanceTo(position store.Position) {
 	r.mu.Lock()
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -28,11 +28,13 @@
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/quarantine/keeper"
+	"github.com/lavenderring/lavenderring/pkg/reach"
 	"github.com/lavenderring/lavenderring/pkg/registry"
 	"github.com/lavenderring/lavenderring/pkg/retrylimit"
 	"github.com/lavenderring/lavenderring/pkg/routing"
 	"github.com/lavenderring/lavenderring/pkg/settings"
 	"github.com/lavenderring/lavenderring/pkg/store"
+	"github.com/lavenderring/lavenderring/pkg/tunnel"
 )
 
 // Bounds of an instance.
@@ -81,9 +83,14 @@
 	gossip   *member.Gossip
 	tokens   *prepaid.Node
 	// quarantine holds the requests that crash upstreams.
-	quarantine    *keeper.Keeper
-	conns         *httpconn.Pool
-	forward       *forward.Forwarder
+	quarantine *keeper.Keeper
+	conns      *httpconn.Pool
+	forward    *forward.Forwarder
+	// links opens connections to upstreams, directly or through other instances; tunnels serves those
+	// of other instances.
+	links         *reach.Connector
+	verifier      *reach.Verifier
+	tunnels       *tunnel.Service
 	coldLimit     *coldlimit.Limit
 	overloadLimit *overload.Limit
 	// loggedOverloaded is the overload state that was logged last. It needs no lock, because only
@@ -141,6 +148,7 @@
 	r.storeMonitor = life.NewStoreMonitor(r.log)
 	r.store = p.NewStore(s.StoreAddress, store.Listener{OnCall: r.recordStoreResult, OnEra: r.noteEra})
 	r.provisionFleet()
+	r.provisionLinks()
 	r.provisionForward()
 	r.provisionFollowers()
 	if err := r.bind(); err != nil {
@@ -222,7 +230,7 @@
 		Budgets:  r.tokens,
 		Codec:    r.platform.Codec,
 		Conns:    r.conns,
-		Dial:     r.platform.DialUpstream,
+		Links:    r.links,
 		Log:      r.log,
 		Metrics:  r.metrics,
 		Overload: r.overloadLimit,
@@ -231,7 +239,7 @@
 		ColdOverage: r.settings.ColdOverage,
 		ColdSlack:   r.settings.ColdSlack,
 
-		PeerProber: httpconn.NewPeerProber(r.platform.DialUpstream, r.conns, time.Now),
+		PeerProber: httpconn.NewPeerProber(r.platform.DialUpstream, r.conns, func(string) httpconn.PeerState { return httpconn.Crashed }, time.Now),
 		Quarantine: r.quarantine.Table(),
 		Retries: retrylimit.Settings{
 			Ratio:  r.settings.RetryRatio,
@@ -261,7 +269,13 @@
 func (r *Router) bind() error {
 	s := r.settings
 	var err error
-	handlers := peer.Handlers{Members: r, Loans: tokenService{r.tokens}, Copies: r, Quarantine: keeper.Service{Keeper: r.quarantine}}
+	handlers := peer.Handlers{
+		Members:    r,
+		Loans:      tokenService{r.tokens},
+		Copies:     r,
+		Quarantine: keeper.Service{Keeper: r.quarantine},
+		Tunnels:    r.tunnels,
+	}
 	if r.peerServer, err = peer.Listen(s.PeerAddress, handlers, &r.traffic, nil); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
--- a/pkg/router/stop.go
+++ b/pkg/router/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/pause"
+	"github.com/lavenderring/lavenderring/pkg/tunnel"
 )
 
 // Times of a planned stop.
@@ -100,16 +101,43 @@
 	s.tokens.Stop(returned)
 }
 
+// stoppingTraffic is the clients' requests and the requests of other instances that lead through this
+// one.
+type stoppingTraffic struct {
+	stoppingClients
+	tunnels *tunnel.Service
+}
+
+// NumActive returns the number of requests in progress.
+func (s stoppingTraffic) NumActive() int64 {
+	return s.stoppingClients.NumActive() + s.tunnels.NumActive()
+}
+
+// AwaitIdle waits until no request is in progress; it returns ctx's error if ctx is done first.
+func (s stoppingTraffic) AwaitIdle(ctx context.Context) error {
+	if err := s.stoppingClients.AwaitIdle(ctx); err != nil {
+		return err
+	}
+	for s.tunnels.NumActive() > 0 {
+		if !pause.For(ctx, drainCheckInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // stop shuts the instance down within the grace period.
 func (r *Router) stop() {
-	stop := newPlannedStop(r.settings.GracePeriod(), r.clientServer, r.tokens)
+	traffic := stoppingTraffic{stoppingClients: r.clientServer, tunnels: r.tunnels}
+	stop := newPlannedStop(r.settings.GracePeriod(), traffic, r.tokens)
 	stop.closeServers = []func(){r.clientServer.Close, r.readyServer.Close, r.adminServer.Close}
 	stop.onClosing = func() {
 		r.log.Event(eventlog.InstanceClosing, "", eventlog.Fields{
-			"after_ms": time.Since(stop.beganAt).Milliseconds(), "active": r.clientServer.NumActive(),
+			"after_ms": time.Since(stop.beganAt).Milliseconds(), "active": traffic.NumActive(),
 		})
 	}
 	r.lifecycle.Stop()
+	r.tunnels.Refuse()
 	r.forward.StopBy(stop.closeAt)
 	r.clientServer.Drain()
 	r.table.MarkLeaving()
