A refused connection is a crash only if it is confirmed

What callers see: requests that were in progress at an instance whose links are cut are suspected of having crashed their upstreams, at all instances; equal ones run one at a time, and what is suspected twice is refused for good.

Cause: a connection that is refused here counts as a process that has ended.

--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -239,7 +239,7 @@
 		ColdOverage: r.settings.ColdOverage,
 		ColdSlack:   r.settings.ColdSlack,
 
-		PeerProber: httpconn.NewPeerProber(r.platform.DialUpstream, r.conns, func(string) httpconn.PeerState { return httpconn.Crashed }, time.Now),
+		PeerProber: httpconn.NewPeerProber(r.platform.DialUpstream, r.conns, r.verifier.Verify, time.Now),
 		Quarantine: r.quarantine.Table(),
 		Retries: retrylimit.Settings{
 			Ratio:  r.settings.RetryRatio,
