Links that lead to no upstream are no overload

What callers see: an instance whose links to the upstreams are cut silently takes its own network link for full. It refuses all but eight requests, reports itself unready, is ready three seconds later because it connects to nothing any more, gets clients, and so on: the readiness that comes and goes in the record.

Cause: slow connections to many upstreams are the only evidence of an overload, and a link that does not lead to them looks the same.

Now the round trips of heartbeats are evidence as well: over a full link they are as slow as everything else, behind a cut they are fast. While most of a window's are answered within 60 ms there is no overload.

--- a/pkg/overload/limit.go
+++ b/pkg/overload/limit.go
@@ -11,6 +11,10 @@
 // If hardly any connections to many different upstreams are that fast, the cause is the link that they
 // share, the instance's own, and not the upstreams. Refusing a request then costs a few hundred bytes,
 // and another instance serves it in time.
+//
+// Connections to upstreams are also slow, or never established, if the link does not lead to the
+// upstreams any more. Then messages to other instances are as fast as ever, which they are not over a
+// saturated link: while they are fast, there is no overload.
 package overload
 
 import (
@@ -33,6 +37,9 @@
 	// fastDivisor: more than 1/fastDivisor of the connections are fast if the link is not
 	// overloaded, however many upstreams are gone.
 	fastDivisor = 5
+	// maxFastReply is the maximum round-trip time of a message to another instance over a link that is
+	// not saturated, including the other one's work.
+	maxFastReply = 60 * time.Millisecond
 )
 
 // Parameters of the adjustment of the limit. The increase is multiplicative, because an additive one
@@ -62,6 +69,9 @@
 	windowStart            time.Time
 	connects, fastConnects int
 	upstreams              map[string]bool
+	// replies and fastReplies are the numbers of messages to other instances in the window that were
+	// answered or given up, and of those that were answered fast.
+	replies, fastReplies int
 }
 
 // New returns a limit that allows every request until an overload is detected.
@@ -103,6 +113,17 @@
 	}
 }
 
+// ObserveReply records how long another instance took to answer a message; answered is false if it did not.
+func (l *Limit) ObserveReply(duration time.Duration, answered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance()
+	l.replies++
+	if answered && duration <= maxFastReply {
+		l.fastReplies++
+	}
+}
+
 // Overloaded reports whether the limit is in force, so that clients are better served by another instance.
 func (l *Limit) Overloaded() bool {
 	l.mu.Lock()
@@ -118,7 +139,11 @@
 		return
 	}
 	slow := l.connects >= minConnects && len(l.upstreams) >= minUpstreams && l.fastConnects*fastDivisor <= l.connects
+	if 2*l.fastReplies > l.replies {
+		slow = false // the link is fast, it only does not lead to the upstreams
+	}
 	l.windowStart, l.connects, l.fastConnects = now, 0, 0
+	l.replies, l.fastReplies = 0, 0
 	clear(l.upstreams)
 	switch {
 	case slow:
--- a/pkg/overload/limit_test.go
+++ b/pkg/overload/limit_test.go
@@ -191,3 +191,35 @@
 		t.Error("overload still reported four seconds later")
 	}
 }
+
+// Guards against refusals by an instance whose link is not full but does not lead to the upstreams: no connection is
+// established, while other instances answer as fast as ever.
+func TestLostUpstreamsAreNoOverload(t *testing.T) {
+	for _, c := range []struct {
+		description string
+		reply       time.Duration
+		answered    bool
+		overloaded  bool
+	}{
+		{"others answer fast", roundTripTime, true, false},
+		{"others answer slowly", dialTimeout, true, true},
+		{"others do not answer", dialTimeout, false, true},
+	} {
+		t.Run(c.description, func(t *testing.T) {
+			now := time.Unix(100, 0)
+			l := New(func() time.Time { return now })
+			overloaded := false
+			for n := range 400 {
+				now = now.Add(10 * time.Millisecond)
+				l.ObserveConnect(fmt.Sprint(n%30), dialTimeout)
+				if n%20 == 0 {
+					l.ObserveReply(c.reply, c.answered)
+				}
+				overloaded = overloaded || l.Overloaded()
+			}
+			if overloaded != c.overloaded {
+				t.Errorf("overload reported: %v", overloaded)
+			}
+		})
+	}
+}
--- a/pkg/router/links.go
+++ b/pkg/router/links.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -42,6 +43,14 @@
 	return slices.DeleteFunc(r.table.Others(), func(m *memberpb.Member) bool { return m.Region != r.settings.Region })
 }
 
+// sendHeartbeat sends a heartbeat and reports its round-trip time as a measure of the own link.
+func (r *Router) sendHeartbeat(ctx context.Context, address string, digest *memberpb.Digest) (*memberpb.Digest, error) {
+	began := time.Now()
+	reply, err := r.peers.Heartbeat(ctx, address, digest)
+	r.overloadLimit.ObserveReply(time.Since(began), err == nil)
+	return reply, err
+}
+
 // onPathChange logs that the own links no longer lead to a service, or do again. Idle connections over
 // links that are lost are closed: a request that is sent over one may be lost, and may have run.
 func (r *Router) onPathChange(change reach.Change) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -190,7 +190,7 @@
 	})
 	r.gossip = &member.Gossip{
 		Table:          r.table,
-		Send:           r.peers.Heartbeat,
+		Send:           r.sendHeartbeat,
 		Probe:          r.peers.Probe,
 		PrefillStats:   r.prefillStats,
 		OnPrefillStats: r.recordPeerStats,
