A service counts as reached while anything is heard of it

Cause, in the new code: two refused addresses made a service count as not reached at instances whose other connections were all in use and answering; and an instance that declined one address was not asked for the whole service.

Now a failure counts towards a lost link only if nothing was heard of the service over a direct connection since, and only an instance that has lost the service is left out for it.

--- a/pkg/reach/paths.go
+++ b/pkg/reach/paths.go
@@ -22,8 +22,8 @@
 	checkInterval = 500 * time.Millisecond
 	// silenceCheckInterval is the shortest time between two checks whether a service has gone silent.
 	silenceCheckInterval = 500 * time.Millisecond
-	// minFailedAddresses is the number of addresses of a service that must have failed, with no
-	// success since, for the service to count as not reached. A single upstream may have ended.
+	// minFailedAddresses is the number of addresses of a service that must have failed, with nothing
+	// heard of the service since, for it to count as not reached. A single upstream may have ended.
 	minFailedAddresses = 2
 )
 
@@ -67,9 +67,9 @@
 	// an address that does not count as reached was last started.
 	failures  map[string]pathFailure
 	checkedAt map[string]time.Time
-	// connectedAt is when a connection to any address was last established, heardAt when an upstream
-	// was last heard of over any connection.
-	connectedAt, heardAt time.Time
+	// heardAt is when an upstream was last heard of over a direct connection, also by its being
+	// established.
+	heardAt time.Time
 	// silenceCheckedAt is when StartSilenceCheck last reported true.
 	silenceCheckedAt time.Time
 	// unreachedSince is the time of the last transition to stateUnreached.
@@ -111,11 +111,10 @@
 func (p *Paths) NoteConnected(service, address string) {
 	p.mu.Lock()
 	s := p.service(service)
-	s.connectedAt = p.now()
-	s.heardAt = s.connectedAt
+	s.heardAt = p.now()
 	delete(s.failures, address)
 	delete(s.checkedAt, address)
-	change := Change{Service: service, Reached: true, After: s.connectedAt.Sub(s.unreachedSince)}
+	change := Change{Service: service, Reached: true, After: s.heardAt.Sub(s.unreachedSince)}
 	changed := s.unreached()
 	s.fire(triggerConnected)
 	p.mu.Unlock()
@@ -132,7 +131,7 @@
 	now := p.now()
 	s.failures[address] = pathFailure{at: now, silent: silent}
 	s.checkedAt[address] = now
-	failed, allSilent := s.failedSinceConnected(now)
+	failed, allSilent := s.failedSinceHeard(now)
 	changed := len(failed) >= minFailedAddresses && !s.unreached()
 	if changed {
 		s.unreachedSince = now
@@ -144,9 +143,9 @@
 	}
 }
 
-// failedSinceConnected returns the addresses that failed lately with no success of any address since, and
+// failedSinceHeard returns the addresses that failed lately with nothing heard of the service since, and
 // whether all of them timed out.
-func (s *servicePaths) failedSinceConnected(now time.Time) (failed []string, allSilent bool) {
+func (s *servicePaths) failedSinceHeard(now time.Time) (failed []string, allSilent bool) {
 	allSilent = true
 	for address, f := range s.failures {
 		if now.Sub(f.at) >= failureLifetime {
@@ -154,7 +153,7 @@
 			delete(s.checkedAt, address)
 			continue
 		}
-		if f.at.After(s.connectedAt) {
+		if f.at.After(s.heardAt) {
 			failed = append(failed, address)
 			allSilent = allSilent && f.silent
 		}
@@ -195,6 +194,13 @@
 	return !failed || p.now().Sub(f.at) >= failureLifetime
 }
 
+// ReachesService reports whether a service counts as reached over the own links.
+func (p *Paths) ReachesService(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.service(service).unreached()
+}
+
 // FailedSilently reports whether the last connection to an address timed out.
 func (p *Paths) FailedSilently(service, address string) bool {
 	p.mu.Lock()
--- a/pkg/tunnel/client.go
+++ b/pkg/tunnel/client.go
@@ -36,9 +36,10 @@
 
 // Errors of Open.
 var (
-	// ErrNoInstance means that there is no other instance to ask.
+	// ErrNoInstance means that there is no other instance to ask: none lives, or none of them reaches
+	// the service.
 	ErrNoInstance = errors.New("no other instance to connect through")
-	// ErrNobodyReaches means that no instance that was asked reaches the upstream.
+	// ErrNobodyReaches means that no instance that was asked, now or a moment ago, reaches the upstream.
 	ErrNobodyReaches = errors.New("no instance that was asked reaches the upstream")
 )
 
@@ -94,6 +95,9 @@
 
 // Open implements reach.Tunnels.
 func (c *Client) Open(ctx context.Context, target reach.Target) (*httpconn.Conn, string, error) {
+	if c.isUnreached(target.Address) {
+		return nil, "", ErrNobodyReaches
+	}
 	candidates := c.candidates(target)
 	if len(candidates) == 0 {
 		return nil, "", ErrNoInstance
@@ -173,17 +177,20 @@
 	}()
 }
 
+// isUnreached reports whether nobody who was asked lately reached an upstream.
+func (c *Client) isUnreached(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, found := c.unreachedAt[address]
+	return found && c.now().Sub(at) < unreachedLifetime
+}
+
 // candidates returns the instances to ask, in this order. Those in the upstream's failure domain come
-// first, since traffic between domains costs money. None is asked if nobody reached the upstream
-// lately.
+// first, since traffic between domains costs money.
 func (c *Client) candidates(target reach.Target) []*memberpb.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	if at, found := c.unreachedAt[target.Address]; found && now.Sub(at) < unreachedLifetime {
-		return nil
-	}
-	delete(c.unreachedAt, target.Address)
 	var near, far []*memberpb.Member
 	for _, m := range c.others() {
 		key := instanceService{m.Incarnation, target.Service}
--- a/pkg/tunnel/service.go
+++ b/pkg/tunnel/service.go
@@ -115,7 +115,7 @@
 	d := s.Direct
 	if !d.Paths.Reaches(t.GetService(), t.GetAddress()) {
 		if !d.Paths.StartCheck(t.GetService(), t.GetAddress()) {
-			return nil, tunnelpb.Result_UNREACHED
+			return nil, s.lastResult(t)
 		}
 	} else if conn := d.Pool.Get(t.GetAddress()); conn != nil {
 		return conn, tunnelpb.Result_CONNECTED
@@ -134,6 +134,19 @@
 	}
 }
 
+// lastResult returns why an upstream that does not count as reached is not tried now.
+func (s *Service) lastResult(t *tunnelpb.Target) tunnelpb.Result {
+	paths := s.Direct.Paths
+	switch {
+	case !paths.ReachesService(t.GetService()):
+		return tunnelpb.Result_UNREACHED
+	case paths.FailedSilently(t.GetService(), t.GetAddress()):
+		return tunnelpb.Result_SILENT
+	default:
+		return tunnelpb.Result_REFUSED
+	}
+}
+
 // release keeps the connection of a finished tunnel for later use and closes any other.
 func (s *Service) release(t *carried) {
 	if idleTimeout, reusable := t.reusable(); reusable {
