Own door: a refused connection is a crash only if it is confirmed; hedged upstreams may be cold

The product's own program had the same fault: PeerProber took a refused connection for a crashed upstream. It now verifies it by the same rules: other instances and other upstreams of the documents in force. It carries no tunnels yet.

A connection that was established through another instance after a direct one failed leaves the upstream counted as cold, as a failed direct one does: the upstream may have restarted in between. While the link is known to be lost this says nothing about the upstream, and it does not count as cold.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -184,6 +184,9 @@
 	if a.via != "" {
 		a.c.f.meters.tunnelled.Inc(1)
 	}
+	if connection.DirectFailed {
+		a.lease.ReportUnreachable()
+	}
 	return nil
 }
 
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -27,11 +27,13 @@
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/quarantine/keeper"
+	"github.com/lavenderring/lavenderring/pkg/reach"
 	"github.com/lavenderring/lavenderring/pkg/ring"
 	"github.com/lavenderring/lavenderring/pkg/settings"
 	"github.com/lavenderring/lavenderring/pkg/store"
 	"github.com/lavenderring/lavenderring/pkg/tlsfiles"
 	"github.com/lavenderring/lavenderring/pkg/tokens"
+	"github.com/lavenderring/lavenderring/pkg/tunnel"
 	"github.com/lavenderring/lavenderring/platform"
 )
 
@@ -76,7 +78,10 @@
 	billKeeper      *bill.Keeper
 	claims          *claim.Claimer
 	// quarantine tracks the requests that crash upstreams.
-	quarantine       *keeper.Keeper
+	quarantine *keeper.Keeper
+	// verifier tells crashed upstreams from lost links; checks answers the verifiers of others.
+	verifier         *reach.Verifier
+	checks           *tunnel.Service
 	entry            *entry.Entry
 	configFetches    *ring.Queue[configFetch]
 	heartbeatTrigger *ring.Queue[struct{}]
@@ -122,6 +127,7 @@
 		return nil, err
 	}
 	i.provisionFleet()
+	i.provisionLinks()
 	i.provisionRequestHandling()
 	if err := i.bind(); err != nil {
 		i.cancelBackground()
@@ -214,7 +220,7 @@
 		Journal:    i.journal,
 		Claims:     i.claims,
 		Silent:     i.table.Silent,
-		PeerProber: httpconn.NewPeerProber(httpconn.DialTCP, nil, func(string) httpconn.PeerState { return httpconn.Crashed }, time.Now),
+		PeerProber: httpconn.NewPeerProber(httpconn.DialTCP, nil, i.verifier.Verify, time.Now),
 
 		Quarantine: i.quarantine.Table(),
 
@@ -227,7 +233,7 @@
 func (i *Instance) bind() error {
 	var err error
 	handlers := peer.Handlers{
-		Budgets: i.budgets, Bills: i.billKeeper, Members: i, Quarantine: keeper.Service{Keeper: i.quarantine},
+		Budgets: i.budgets, Bills: i.billKeeper, Members: i, Quarantine: keeper.Service{Keeper: i.quarantine}, Tunnels: i.checks,
 	}
 	if i.peerServer, err = peer.Listen(i.settings.PeerAddress, handlers, &i.peerTraffic, i.peerServerTLS); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
--- a/pkg/reach/connector.go
+++ b/pkg/reach/connector.go
@@ -39,6 +39,9 @@
 	*httpconn.Conn
 	// Via is the name of the instance through which the connection leads; empty for a direct one.
 	Via string
+	// DirectFailed says that the upstream counted as reached and that a direct connection was not
+	// established, so that the upstream may just have restarted.
+	DirectFailed bool
 }
 
 // NoteHeard records that an upstream of a service was heard of over a direct connection.
@@ -68,15 +71,18 @@
 	if err != nil {
 		return Connection{}, &httpconn.Error{Step: "dial", Peer: target.Address, Err: err}
 	}
+	conn.DirectFailed = conn.Via != "" && a.reached
 	return conn, nil
 }
 
 // connecting is one call of Connect. A channel is nil while its way is not being tried.
 type connecting struct {
 	*Connector
-	ctx                  context.Context
-	target               Target
-	direct, tunnel       chan attemptResult
+	ctx            context.Context
+	target         Target
+	direct, tunnel chan attemptResult
+	// reached says that the upstream counted as reached over the own links.
+	reached              bool
 	directTried          bool
 	tunnelTried          bool
 	directErr, tunnelErr error
@@ -85,7 +91,8 @@
 // run tries the preferred way, and the other one when the first fails or is slow.
 func (a *connecting) run() (Connection, error) {
 	paths := a.Direct.Paths
-	if paths.Reaches(a.target.Service, a.target.Address) {
+	a.reached = paths.Reaches(a.target.Service, a.target.Address)
+	if a.reached {
 		a.startDirect()
 	} else {
 		a.startTunnel()
--- a/pkg/reach/connector_test.go
+++ b/pkg/reach/connector_test.go
@@ -120,8 +120,8 @@
 					if n >= 2 {
 						most = tunnelOpenTime
 					}
-					if err != nil || c.Via != "other" || took > most {
-						t.Errorf("connection %d: via %q after %v, %v", n, c.Via, took, err)
+					if err != nil || c.Via != "other" || took > most || c.DirectFailed != (n < 2) {
+						t.Errorf("connection %d: via %q after %v, direct failed %v, %v", n, c.Via, took, c.DirectFailed, err)
 					}
 					time.Sleep(DialTimeout) // the direct connection fails
 				}
--- a/pkg/reach/direct.go
+++ b/pkg/reach/direct.go
@@ -28,7 +28,8 @@
 
 // Direct opens connections over the instance's own links and records their results.
 type Direct struct {
-	Dial  httpconn.DialFunc
+	Dial httpconn.DialFunc
+	// Pool may be nil if connections are not kept.
 	Pool  *httpconn.Pool
 	Paths *Paths
 	// Link may be nil.
@@ -48,7 +49,7 @@
 	}
 	if err != nil {
 		silent := !IsRefused(err)
-		if silent {
+		if silent && d.Pool != nil {
 			// Open connections over a path that is silent are silent, too.
 			d.Pool.CloseIdle(address)
 		}
@@ -56,15 +57,24 @@
 		return nil, err
 	}
 	d.Paths.NoteConnected(service, address)
-	d.Pool.CountOpened(address)
+	if d.Pool != nil {
+		d.Pool.CountOpened(address)
+	}
 	if d.OnOpened != nil {
 		d.OnOpened()
 	}
 	return conn, nil
 }
 
-// Keep puts an unused connection into the pool, where it serves the next request.
-func (d *Direct) Keep(conn *httpconn.Conn) { d.Pool.Put(conn, 0) }
+// Keep puts an unused connection into the pool, where it serves the next request; without a pool it is
+// closed.
+func (d *Direct) Keep(conn *httpconn.Conn) {
+	if d.Pool == nil {
+		conn.Close()
+		return
+	}
+	d.Pool.Put(conn, 0)
+}
 
 // Check opens a connection to find out whether the address is reached.
 func (d *Direct) Check(service, address string) {
