--- a/pkg/reach/paths_test.go
+++ b/pkg/reach/paths_test.go
@@ -142,3 +142,19 @@
 		}
 	}
 }
+
+// Guards against instances that decline to carry others' requests because several upstreams have crashed, while
+// their own connections to the other upstreams are in use.
+func TestCrashedUpstreamsAreNoLostLink(t *testing.T) {
+	c := newClock()
+	p := NewPaths(c.now, nil)
+	for n := range 50 {
+		c.advance(5 * time.Millisecond)
+		p.NoteFailed("s", fmt.Sprint(n%3), false)
+		c.advance(5 * time.Millisecond)
+		p.NoteHeard("s")
+		if !p.ReachesService("s") {
+			t.Fatalf("not reached after %d failures", n+1)
+		}
+	}
+}
