Tunnels: instances that are avoided are asked last, and a late answer does not make an upstream unreached

What callers see: 503 from an instance without links although one that reaches the upstreams lives.

Cause, in the new code: an instance that had not answered in time was not asked for two seconds, and an upstream for which no answer came in time counted as reached by nobody; where only one instance has links, and it is busy, that refuses everything.

--- a/pkg/tunnel/client.go
+++ b/pkg/tunnel/client.go
@@ -24,7 +24,7 @@
 	// answerTimeout is the time in which an instance that works answers, whether it reaches the upstream
 	// or not.
 	answerTimeout = connectTimeout + 50*time.Millisecond
-	// avoidUnreached and avoidUnresponsive are how long an instance is not asked for a service that it
+	// avoidUnreached and avoidUnresponsive are how long an instance is asked last for a service that it
 	// does not reach, or after it has not answered in time.
 	avoidUnreached    = time.Second
 	avoidUnresponsive = 2 * time.Second
@@ -36,8 +36,7 @@
 
 // Errors of Open.
 var (
-	// ErrNoInstance means that there is no other instance to ask: none lives, or none of them reaches
-	// the service.
+	// ErrNoInstance means that there is no other instance to ask.
 	ErrNoInstance = errors.New("no other instance to connect through")
 	// ErrNobodyReaches means that no instance that was asked, now or a moment ago, reaches the upstream.
 	ErrNobodyReaches = errors.New("no instance that was asked reaches the upstream")
@@ -70,7 +69,7 @@
 	now    func() time.Time
 
 	mu sync.Mutex
-	// avoidedUntil holds until when instances are not asked for a service.
+	// avoidedUntil holds until when instances are asked last for a service.
 	avoidedUntil map[instanceService]time.Time
 	// unreachedAt holds when upstreams were last reached by nobody, by address.
 	unreachedAt map[string]time.Time
@@ -137,7 +136,6 @@
 		case <-o.ctx.Done():
 			if errors.Is(o.ctx.Err(), context.DeadlineExceeded) {
 				o.noteUnresponsive()
-				o.noteUnreached(o.target)
 			}
 			return nil, "", o.ctx.Err()
 		}
@@ -185,30 +183,33 @@
 	return found && c.now().Sub(at) < unreachedLifetime
 }
 
-// candidates returns the instances to ask, in this order. Those in the upstream's failure domain come
-// first, since traffic between domains costs money.
+// candidates returns the instances to ask, in this order: those in the upstream's failure domain first, since
+// traffic between domains costs money, and those that are avoided last.
 func (c *Client) candidates(target reach.Target) []*memberpb.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	var near, far []*memberpb.Member
+	var near, far, avoided []*memberpb.Member
 	for _, m := range c.others() {
 		key := instanceService{m.Incarnation, target.Service}
-		if until, avoided := c.avoidedUntil[key]; avoided {
-			if now.Before(until) {
-				continue
-			}
+		until, found := c.avoidedUntil[key]
+		if found && !now.Before(until) {
 			delete(c.avoidedUntil, key)
+			found = false
 		}
-		if m.Domain == target.Domain {
+		switch {
+		case found:
+			avoided = append(avoided, m)
+		case m.Domain == target.Domain:
 			near = append(near, m)
-		} else {
+		default:
 			far = append(far, m)
 		}
 	}
 	shuffle(near)
 	shuffle(far)
-	all := slices.Concat(near, far)
+	shuffle(avoided)
+	all := slices.Concat(near, far, avoided)
 	return all[:min(len(all), maxAsked)]
 }
 
@@ -260,7 +261,7 @@
 	}
 }
 
-// noteDeclined records which instance is not asked for a while.
+// noteDeclined records which instance is asked last for a while.
 func (c *Client) noteDeclined(m *memberpb.Member, err error, target reach.Target) {
 	avoid := avoidUnresponsive
 	var declined *DeclinedError
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -321,6 +321,25 @@
 	}
 }
 
+// Guards against requests that nobody carries although an instance could: the only one that reaches the upstream is
+// asked, also when it did not answer in time a moment ago.
+func TestOnlyInstanceIsAskedAgain(t *testing.T) {
+	upstream := newUpstreamHost(t)
+	carrying := newCarrier(t, "carrier", upstream)
+	carrying.service.Refuse()
+	client := newClient(t, "opener", carrying)
+	if _, _, err := client.Open(t.Context(), targetOf(upstream)); err == nil {
+		t.Fatal("a stopping instance carries a tunnel")
+	}
+	replacement := newCarrier(t, "replacement", upstream)
+	carrying.member.PeerAddress = replacement.member.PeerAddress // it is back under the same incarnation
+	other := targetOf(upstream)
+	time.Sleep(600 * time.Millisecond) // the upstream does not count as unreached any more
+	if _, via := open(t, client, other); via != "carrier" {
+		t.Errorf("via %q", via)
+	}
+}
+
 // Guards against waits for instances that do not answer: the next one is asked, and those are avoided.
 func TestUnresponsiveInstanceIsAvoided(t *testing.T) {
 	upstream := newUpstreamHost(t)
