Tunnels: an instance whose own link is full carries none

The bytes of a tunnel pass the carrier's link twice; one whose link is full refuses its own callers by then. A case of TestTunnelsLeadToListedUpstreamsOnly, which fails without the condition.

--- a/pkg/router/links.go
+++ b/pkg/router/links.go
@@ -34,6 +34,7 @@
 		Verifier:  r.verifier,
 		Upstreams: upstreamDirectory{r},
 		IsMember:  func(incarnation string) bool { return !r.table.Silent(incarnation) },
+		Saturated: r.overloadLimit.Overloaded,
 	}
 }
 
--- a/pkg/tunnel/service.go
+++ b/pkg/tunnel/service.go
@@ -40,6 +40,8 @@
 	Upstreams Upstreams
 	// IsMember reports whether an incarnation is a live instance of the fleet.
 	IsMember func(incarnation string) bool
+	// Saturated reports whether the instance's own link is full; nil if it never is.
+	Saturated func() bool
 
 	active   atomic.Int64
 	refusing atomic.Bool
@@ -109,7 +111,7 @@
 	if !listed {
 		return nil, tunnelpb.Result_UNLISTED
 	}
-	if active > maxTunnels {
+	if active > maxTunnels || (s.Saturated != nil && s.Saturated()) {
 		return nil, tunnelpb.Result_BUSY
 	}
 	d, target := s.Direct, targetOf(t)
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -265,7 +265,7 @@
 }
 
 // Guards against an open relay: an instance connects only members, only to upstreams that its own registry lists in
-// service, and nobody while it stops.
+// service, and nobody while it stops or its link is full.
 func TestTunnelsLeadToListedUpstreamsOnly(t *testing.T) {
 	upstream, unlisted := newUpstreamHost(t), newUpstreamHost(t)
 	target := targetOf(upstream)
@@ -274,12 +274,13 @@
 	cases := []struct {
 		description, opener string
 		target              reach.Target
-		stopping            bool
+		stopping, saturated bool
 	}{
-		{"another address", "opener", otherAddress, false},
-		{"another upstream at the address", "opener", otherID, false},
-		{"an opener that is no member", "stranger", target, false},
-		{"an instance that stops", "opener", target, true},
+		{"another address", "opener", otherAddress, false, false},
+		{"another upstream at the address", "opener", otherID, false, false},
+		{"an opener that is no member", "stranger", target, false, false},
+		{"an instance that stops", "opener", target, true, false},
+		{"an instance whose link is full", "opener", target, false, true},
 	}
 	for _, c := range cases {
 		t.Run(c.description, func(t *testing.T) {
@@ -287,6 +288,7 @@
 			if c.stopping {
 				carrying.service.Refuse()
 			}
+			carrying.service.Saturated = func() bool { return c.saturated }
 			_, _, err := newClient(t, c.opener, carrying).Open(t.Context(), c.target)
 			if !errors.Is(err, tunnel.ErrNobodyReaches) {
 				t.Errorf("opened, %v", err)
