Paths are known by service again

Each of the six domains has to be learned by failures of its own, and the link between the regions stays full for longer. A single domain that is lost is known address by address, as before.

--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -143,6 +143,6 @@
 	UpstreamFailing:   {"upstream-failing", "an upstream failed several times in a row and is passed over", "inspect the upstream"},
 
 	UpstreamUnidentified: {"upstream-unidentified", "an upstream did not answer which process it is, after a connection to it ended or before the first request; told once until it answers", "none, or inspect the upstream"},
-	UpstreamsUnreached:   {"upstreams-unreached", "this instance's own links lead to no upstream of the service in the domain: connections to the failed ones timed out (silent) or were refused, and none succeeded since; requests go through other instances (field via of 202)", "see OPERATIONS, an instance without upstreams"},
-	UpstreamsReached:     {"upstreams-reached", "this instance reaches the service in the domain over its own links again, after_ms later", "none"},
+	UpstreamsUnreached:   {"upstreams-unreached", "this instance's own links lead to no upstream of the service: connections to the failed ones timed out (silent) or were refused, and none succeeded since; requests go through other instances (field via of 202)", "see OPERATIONS, an instance without upstreams"},
+	UpstreamsReached:     {"upstreams-reached", "this instance reaches the service over its own links again, after_ms later", "none"},
 }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -171,7 +171,9 @@
 	if maxConns > 0 && a.c.f.Conns.NumOpen(address) >= max(maxConns/max(a.c.f.NumInstances(), 1), 1) {
 		return &failure{step: stepDial, peer: address, err: errConnections, neutral: true}
 	}
-	connection, err := a.c.f.Links.Connect(ctx, a.target())
+	connection, err := a.c.f.Links.Connect(ctx, reach.Target{
+		Service: a.lease.Service, ID: a.lease.ID, Address: address, Domain: a.lease.Domain, Deadline: a.c.deadline,
+	})
 	if err != nil {
 		if ctx.Err() == nil {
 			a.lease.ReportUnreachable()
@@ -188,13 +190,6 @@
 	return nil
 }
 
-// target returns the upstream as the target of a connection.
-func (a *attempt) target() reach.Target {
-	return reach.Target{
-		Service: a.lease.Service, ID: a.lease.ID, Address: a.lease.Address, Domain: a.lease.Domain, Deadline: a.c.deadline,
-	}
-}
-
 func (a *attempt) logDispatch() {
 	fields := eventlog.Fields{
 		"upstream": a.lease.ID, "address": a.lease.Address, "domain": a.lease.Domain, "sent": a.c.numSent + 1,
@@ -212,12 +207,12 @@
 		return a.conn.ReadHead(a.c.r.Method)
 	}
 	check := time.AfterFunc(silenceCheckDelay, func() {
-		a.c.f.Links.CheckSilence(a.target(), silenceCheckDelay)
+		a.c.f.Links.CheckSilence(a.lease.Service, a.lease.Address, silenceCheckDelay)
 	})
 	defer check.Stop()
 	response, err := a.conn.ReadHead(a.c.r.Method)
 	if err == nil {
-		a.c.f.Links.NoteHeard(a.target())
+		a.c.f.Links.NoteHeard(a.lease.Service)
 	}
 	return response, err
 }
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -65,11 +65,11 @@
 type Links interface {
 	// Connect opens a connection. Errors: *httpconn.Error with step "dial".
 	Connect(ctx context.Context, target reach.Target) (reach.Connection, error)
-	// NoteHeard records that an upstream was heard of over a direct connection.
-	NoteHeard(target reach.Target)
-	// CheckSilence finds out whether direct connections have gone silent, after a request to an upstream
-	// has not been answered for a time.
-	CheckSilence(target reach.Target, silence time.Duration)
+	// NoteHeard records that an upstream of a service was heard of over a direct connection.
+	NoteHeard(service string)
+	// CheckSilence finds out whether the direct connections to a service have gone silent, after a
+	// request to an address has not been answered for a time.
+	CheckSilence(service, address string, silence time.Duration)
 }
 
 // Deps holds the dependencies of a Forwarder.
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -28,7 +28,7 @@
 		a.setSilenceDeadline()
 		n, err := response.Body.Read(buffer)
 		if n > 0 && a.via == "" {
-			a.c.f.Links.NoteHeard(a.target())
+			a.c.f.Links.NoteHeard(a.lease.Service)
 		}
 		rest = append(rest, buffer[:n]...)
 		whole := completeEventsLen(rest)
--- a/pkg/reach/connector.go
+++ b/pkg/reach/connector.go
@@ -44,15 +44,15 @@
 	DirectFailed bool
 }
 
-// NoteHeard records that an upstream was heard of over a direct connection.
-func (c *Connector) NoteHeard(target Target) { c.Direct.Paths.NoteHeard(target.Group()) }
+// NoteHeard records that an upstream of a service was heard of over a direct connection.
+func (c *Connector) NoteHeard(service string) { c.Direct.Paths.NoteHeard(service) }
 
 // CheckSilence is called when a request that was sent over a direct connection has not been answered for a
-// time. If nothing else was heard of the upstream's group meanwhile, the connection may have gone silent, and a new
+// time. If nothing else was heard of the service meanwhile, the connection may have gone silent, and a new
 // one shows whether it has.
-func (c *Connector) CheckSilence(target Target, silence time.Duration) {
-	if c.Direct.Paths.StartSilenceCheck(target.Group(), silence) {
-		c.Direct.Check(target)
+func (c *Connector) CheckSilence(service, address string, silence time.Duration) {
+	if c.Direct.Paths.StartSilenceCheck(service, silence) {
+		c.Direct.Check(service, address)
 	}
 }
 
@@ -91,12 +91,12 @@
 // run tries the preferred way, and the other one when the first fails or is slow.
 func (a *connecting) run() (Connection, error) {
 	paths := a.Direct.Paths
-	a.reached = paths.Reaches(a.target.Group(), a.target.Address)
+	a.reached = paths.Reaches(a.target.Service, a.target.Address)
 	if a.reached {
 		a.startDirect()
 	} else {
 		a.startTunnel()
-		if paths.StartCheck(a.target.Group(), a.target.Address) {
+		if paths.StartCheck(a.target.Service, a.target.Address) {
 			a.startDirect()
 		}
 	}
@@ -129,7 +129,7 @@
 // continues reports whether one of the ways is still being tried. If no other instance helps, a direct
 // connection is tried although the upstream does not count as reached, unless it would time out.
 func (a *connecting) continues() bool {
-	if a.direct == nil && a.tunnel == nil && !a.Direct.Paths.FailedSilently(a.target.Group(), a.target.Address) {
+	if a.direct == nil && a.tunnel == nil && !a.Direct.Paths.FailedSilently(a.target.Service, a.target.Address) {
 		a.startDirect()
 	}
 	return a.direct != nil || a.tunnel != nil
@@ -151,7 +151,7 @@
 	results := make(chan attemptResult, 1)
 	a.direct = results
 	go func() {
-		conn, err := a.Direct.Connect(a.target, DialTimeout)
+		conn, err := a.Direct.Connect(a.target.Service, a.target.Address, DialTimeout)
 		results <- attemptResult{Connection{Conn: conn}, err}
 	}()
 }
--- a/pkg/reach/direct.go
+++ b/pkg/reach/direct.go
@@ -17,9 +17,6 @@
 	Deadline time.Time
 }
 
-// Group returns the group that the upstream belongs to.
-func (t *Target) Group() Group { return Group{t.Service, t.Domain} }
-
 // DialTimeout bounds the setup of a connection, directly or not. Within a region it takes a few
 // milliseconds, and an upstream that is gone does not answer at all.
 const DialTimeout = 300 * time.Millisecond
@@ -44,8 +41,8 @@
 
 // Connect opens a new connection. It goes on after the caller of the request has left, until the timeout:
 // its result tells about the link. Errors: *httpconn.Error with step "dial".
-func (d *Direct) Connect(target Target, timeout time.Duration) (*httpconn.Conn, error) {
-	began, address, group := d.Now(), target.Address, target.Group()
+func (d *Direct) Connect(service, address string, timeout time.Duration) (*httpconn.Conn, error) {
+	began := d.Now()
 	conn, err := httpconn.DialWith(context.Background(), d.Dial, address, timeout)
 	if d.Link != nil {
 		d.Link.ObserveConnect(address, d.Now().Sub(began))
@@ -56,10 +53,10 @@
 			// Open connections over a path that is silent are silent, too.
 			d.Pool.CloseIdle(address)
 		}
-		d.Paths.NoteFailed(group, address, silent)
+		d.Paths.NoteFailed(service, address, silent)
 		return nil, err
 	}
-	d.Paths.NoteConnected(group, address)
+	d.Paths.NoteConnected(service, address)
 	if d.Pool != nil {
 		d.Pool.CountOpened(address)
 	}
@@ -79,9 +76,9 @@
 	d.Pool.Put(conn, 0)
 }
 
-// Check opens a connection to find out whether the upstream is reached.
-func (d *Direct) Check(target Target) {
-	if conn, err := d.Connect(target, DialTimeout); err == nil {
+// Check opens a connection to find out whether the address is reached.
+func (d *Direct) Check(service, address string) {
+	if conn, err := d.Connect(service, address, DialTimeout); err == nil {
 		d.Keep(conn)
 	}
 }
--- a/pkg/reach/paths.go
+++ b/pkg/reach/paths.go
@@ -20,14 +20,14 @@
 	// checkInterval is the shortest time between two direct connections to an address that is not
 	// reached.
 	checkInterval = 500 * time.Millisecond
-	// silenceCheckInterval is the shortest time between two checks whether a group has gone silent.
+	// silenceCheckInterval is the shortest time between two checks whether a service has gone silent.
 	silenceCheckInterval = 500 * time.Millisecond
-	// minFailedAddresses is the number of addresses of a group that must have failed, with nothing heard
-	// of the group since, for it to count as not reached. A single upstream may have ended.
+	// minFailedAddresses is the number of addresses of a service that must have failed, with nothing
+	// heard of the service since, for it to count as not reached. A single upstream may have ended.
 	minFailedAddresses = 2
 )
 
-// States of a group's paths.
+// States of a service's paths.
 const (
 	stateReached   = "reached"
 	stateUnreached = "unreached"
@@ -39,32 +39,29 @@
 	triggerFailed    = "failed"
 )
 
-// Group is the upstreams of one service in one failure domain, to which the same links lead.
-type Group struct{ Service, Domain string }
-
-// Change reports that an instance no longer reaches a group of upstreams over its own links, or does again.
+// Change reports that an instance no longer reaches a service over its own links, or does again.
 type Change struct {
-	Group
+	Service string
 	Reached bool
 	// Silent says that all the failed connections timed out.
 	Silent bool
 	// Failed holds the addresses that failed; empty if Reached.
 	Failed []string
-	// After is how long the group was not reached; 0 unless Reached.
+	// After is how long the service was not reached; 0 unless Reached.
 	After time.Duration
 }
 
-// Paths holds which groups and upstreams an instance reaches over its own links, by the results of its
+// Paths holds which services and upstreams an instance reaches over its own links, by the results of its
 // connections. It is safe for concurrent use.
 type Paths struct {
 	now      func() time.Time
 	onChange func(Change)
 
-	mu     sync.Mutex
-	groups map[Group]*groupPaths
+	mu       sync.Mutex
+	services map[string]*servicePaths
 }
 
-type groupPaths struct {
+type servicePaths struct {
 	machine *stateless.StateMachine
 	// failures holds the addresses whose last connection failed, checkedAt when a direct connection to
 	// an address that does not count as reached was last started.
@@ -85,39 +82,39 @@
 }
 
 // NewPaths returns a state in which everything counts as reached. onChange is called, without a lock held,
-// when a group's state changes; it may be nil.
+// when a service's state changes; it may be nil.
 func NewPaths(now func() time.Time, onChange func(Change)) *Paths {
 	if onChange == nil {
 		onChange = func(Change) {}
 	}
-	return &Paths{now: now, onChange: onChange, groups: map[Group]*groupPaths{}}
+	return &Paths{now: now, onChange: onChange, services: map[string]*servicePaths{}}
 }
 
-func (p *Paths) group(key Group) *groupPaths {
-	s := p.groups[key]
+func (p *Paths) service(name string) *servicePaths {
+	s := p.services[name]
 	if s == nil {
 		machine := stateless.NewStateMachine(stateReached)
 		machine.Configure(stateReached).Permit(triggerFailed, stateUnreached).Ignore(triggerConnected)
 		machine.Configure(stateUnreached).Permit(triggerConnected, stateReached).Ignore(triggerFailed)
-		s = &groupPaths{machine: machine, failures: map[string]pathFailure{}, checkedAt: map[string]time.Time{}}
-		p.groups[key] = s
+		s = &servicePaths{machine: machine, failures: map[string]pathFailure{}, checkedAt: map[string]time.Time{}}
+		p.services[name] = s
 	}
 	return s
 }
 
-func (s *groupPaths) unreached() bool { return s.machine.MustState() == stateUnreached }
+func (s *servicePaths) unreached() bool { return s.machine.MustState() == stateUnreached }
 
 // fire makes a transition; both triggers are configured in both states, so none is rejected.
-func (s *groupPaths) fire(trigger string) { _ = s.machine.Fire(trigger) }
+func (s *servicePaths) fire(trigger string) { _ = s.machine.Fire(trigger) }
 
 // NoteConnected records that a direct connection to an address was established.
-func (p *Paths) NoteConnected(group Group, address string) {
+func (p *Paths) NoteConnected(service, address string) {
 	p.mu.Lock()
-	s := p.group(group)
+	s := p.service(service)
 	s.heardAt = p.now()
 	delete(s.failures, address)
 	delete(s.checkedAt, address)
-	change := Change{Group: group, Reached: true, After: s.heardAt.Sub(s.unreachedSince)}
+	change := Change{Service: service, Reached: true, After: s.heardAt.Sub(s.unreachedSince)}
 	changed := s.unreached()
 	s.fire(triggerConnected)
 	p.mu.Unlock()
@@ -128,9 +125,9 @@
 
 // NoteFailed records that a direct connection to an address could not be established; silent says that
 // it timed out.
-func (p *Paths) NoteFailed(group Group, address string, silent bool) {
+func (p *Paths) NoteFailed(service, address string, silent bool) {
 	p.mu.Lock()
-	s := p.group(group)
+	s := p.service(service)
 	now := p.now()
 	s.failures[address] = pathFailure{at: now, silent: silent}
 	s.checkedAt[address] = now
@@ -142,13 +139,13 @@
 	}
 	p.mu.Unlock()
 	if changed {
-		p.onChange(Change{Group: group, Silent: allSilent, Failed: failed})
+		p.onChange(Change{Service: service, Silent: allSilent, Failed: failed})
 	}
 }
 
-// failedSinceHeard returns the addresses that failed lately with nothing heard of the group since, and
+// failedSinceHeard returns the addresses that failed lately with nothing heard of the service since, and
 // whether all of them timed out.
-func (s *groupPaths) failedSinceHeard(now time.Time) (failed []string, allSilent bool) {
+func (s *servicePaths) failedSinceHeard(now time.Time) (failed []string, allSilent bool) {
 	allSilent = true
 	for address, f := range s.failures {
 		if now.Sub(f.at) >= failureLifetime {
@@ -164,19 +161,19 @@
 	return failed, allSilent
 }
 
-// NoteHeard records that an upstream of the group was heard of over a direct connection.
-func (p *Paths) NoteHeard(group Group) {
+// NoteHeard records that an upstream of the service was heard of over a direct connection.
+func (p *Paths) NoteHeard(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.group(group).heardAt = p.now()
+	p.service(service).heardAt = p.now()
 }
 
-// StartSilenceCheck reports whether nothing was heard of a group over direct connections for a time, and
+// StartSilenceCheck reports whether nothing was heard of a service over direct connections for a time, and
 // records that this is being checked. It does so once in each silenceCheckInterval.
-func (p *Paths) StartSilenceCheck(group Group, silence time.Duration) bool {
+func (p *Paths) StartSilenceCheck(service string, silence time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.group(group)
+	s := p.service(service)
 	now := p.now()
 	if now.Sub(s.heardAt) < silence || now.Sub(s.silenceCheckedAt) < silenceCheckInterval {
 		return false
@@ -186,10 +183,10 @@
 }
 
 // Reaches reports whether an address counts as reached over the own links.
-func (p *Paths) Reaches(group Group, address string) bool {
+func (p *Paths) Reaches(service, address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.group(group)
+	s := p.service(service)
 	if s.unreached() {
 		return false
 	}
@@ -197,26 +194,26 @@
 	return !failed || p.now().Sub(f.at) >= failureLifetime
 }
 
-// ReachesGroup reports whether a group counts as reached over the own links.
-func (p *Paths) ReachesGroup(group Group) bool {
+// ReachesService reports whether a service counts as reached over the own links.
+func (p *Paths) ReachesService(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.group(group).unreached()
+	return !p.service(service).unreached()
 }
 
 // FailedSilently reports whether the last connection to an address timed out.
-func (p *Paths) FailedSilently(group Group, address string) bool {
+func (p *Paths) FailedSilently(service, address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.group(group).failures[address].silent
+	return p.service(service).failures[address].silent
 }
 
 // StartCheck reports whether a direct connection to an address that does not count as reached is due, and
 // if so records that it starts now.
-func (p *Paths) StartCheck(group Group, address string) bool {
+func (p *Paths) StartCheck(service, address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.group(group)
+	s := p.service(service)
 	now := p.now()
 	if last, checked := s.checkedAt[address]; checked && now.Sub(last) < checkInterval {
 		return false
@@ -225,15 +222,15 @@
 	return true
 }
 
-// Unreached returns the groups that do not count as reached.
-func (p *Paths) Unreached() []Group {
+// Unreached returns the names of the services that do not count as reached.
+func (p *Paths) Unreached() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var groups []Group
-	for key, s := range p.groups {
+	var names []string
+	for name, s := range p.services {
 		if s.unreached() {
-			groups = append(groups, key)
+			names = append(names, name)
 		}
 	}
-	return groups
+	return names
 }
--- a/pkg/reach/paths_test.go
+++ b/pkg/reach/paths_test.go
@@ -10,9 +10,6 @@
 // clock is a settable clock.
 type clock struct{ at time.Time }
 
-// testGroup is the group of the tests.
-var testGroup = Group{Service: "s", Domain: "d"}
-
 func newClock() *clock { return &clock{at: time.Unix(1000, 0)} }
 
 func (c *clock) now() time.Time               { return c.at }
@@ -24,42 +21,42 @@
 	c := newClock()
 	var changes []Change
 	p := NewPaths(c.now, recordChanges(&changes))
-	p.NoteConnected(testGroup, "a")
+	p.NoteConnected("s", "a")
 	for range 20 {
 		c.advance(10 * time.Millisecond)
-		p.NoteFailed(testGroup, "b", true)
+		p.NoteFailed("s", "b", true)
 	}
-	if p.Reaches(testGroup, "b") || !p.Reaches(testGroup, "a") || !p.Reaches(Group{Service: "other"}, "b") || len(changes) != 0 {
-		t.Errorf("failed address reached: %v, another: %v, changes %+v", p.Reaches(testGroup, "b"), p.Reaches(testGroup, "a"), changes)
+	if p.Reaches("s", "b") || !p.Reaches("s", "a") || !p.Reaches("other", "b") || len(changes) != 0 {
+		t.Errorf("failed address reached: %v, another: %v, changes %+v", p.Reaches("s", "b"), p.Reaches("s", "a"), changes)
 	}
 	c.advance(failureLifetime)
-	if !p.Reaches(testGroup, "b") {
+	if !p.Reaches("s", "b") {
 		t.Error("the failure is not forgotten")
 	}
 }
 
 // Guards against requests that try one lost link after the other: once two upstreams of a service have failed
 // with no success since, the others are not reached either, until one is.
-func TestLostLinkIsKnownForTheWholeGroup(t *testing.T) {
+func TestLostLinkIsKnownForTheWholeService(t *testing.T) {
 	c := newClock()
 	var changes []Change
 	p := NewPaths(c.now, recordChanges(&changes))
-	p.NoteConnected(testGroup, "c")
+	p.NoteConnected("s", "c")
 	c.advance(time.Millisecond)
-	p.NoteFailed(testGroup, "a", true)
-	p.NoteFailed(testGroup, "b", true)
-	if p.Reaches(testGroup, "c") || len(changes) != 1 || changes[0].Reached || !changes[0].Silent || len(changes[0].Failed) != 2 {
+	p.NoteFailed("s", "a", true)
+	p.NoteFailed("s", "b", true)
+	if p.Reaches("s", "c") || len(changes) != 1 || changes[0].Reached || !changes[0].Silent || len(changes[0].Failed) != 2 {
 		t.Fatalf("changes %+v", changes)
 	}
-	if unreached := p.Unreached(); len(unreached) != 1 || unreached[0] != testGroup {
+	if unreached := p.Unreached(); len(unreached) != 1 || unreached[0] != "s" {
 		t.Errorf("unreached services %v", unreached)
 	}
 	c.advance(time.Minute)
-	if p.Reaches(testGroup, "c") {
+	if p.Reaches("s", "c") {
 		t.Error("the link is back without a connection")
 	}
-	p.NoteConnected(testGroup, "c")
-	if !p.Reaches(testGroup, "c") || len(changes) != 2 || !changes[1].Reached || changes[1].After != time.Minute {
+	p.NoteConnected("s", "c")
+	if !p.Reaches("s", "c") || len(changes) != 2 || !changes[1].Reached || changes[1].After != time.Minute {
 		t.Errorf("changes %+v", changes)
 	}
 }
@@ -68,15 +65,15 @@
 func TestLostLinkIsCheckedAtIntervals(t *testing.T) {
 	c := newClock()
 	p := NewPaths(c.now, nil)
-	p.NoteFailed(testGroup, "a", false)
-	p.NoteFailed(testGroup, "b", false)
+	p.NoteFailed("s", "a", false)
+	p.NoteFailed("s", "b", false)
 	checks := 0
 	const span = 10 * time.Second
 	for range span / (10 * time.Millisecond) {
 		c.advance(10 * time.Millisecond)
-		if p.StartCheck(testGroup, "a") {
+		if p.StartCheck("s", "a") {
 			checks++
-			p.NoteFailed(testGroup, "a", false)
+			p.NoteFailed("s", "a", false)
 		}
 	}
 	if most := int(span / checkInterval); checks > most || checks < most-1 {
@@ -90,15 +87,15 @@
 	c := newClock()
 	p := NewPaths(c.now, nil)
 	const silence = 250 * time.Millisecond
-	p.NoteHeard(testGroup)
+	p.NoteHeard("s")
 	c.advance(silence - time.Millisecond)
-	if p.StartSilenceCheck(testGroup, silence) {
+	if p.StartSilenceCheck("s", silence) {
 		t.Error("checked although the service was heard of")
 	}
 	c.advance(time.Millisecond)
 	started := 0
 	for range 10 {
-		if p.StartSilenceCheck(testGroup, silence) {
+		if p.StartSilenceCheck("s", silence) {
 			started++
 		}
 	}
@@ -120,19 +117,19 @@
 			address := fmt.Sprint(rng.IntN(4))
 			switch rng.IntN(3) {
 			case 0:
-				p.NoteConnected(testGroup, address)
-				if !p.Reaches(testGroup, address) || len(p.Unreached()) > 0 {
+				p.NoteConnected("s", address)
+				if !p.Reaches("s", address) || len(p.Unreached()) > 0 {
 					t.Fatalf("seed %d: not reached after a connection", seed)
 				}
 			case 1:
-				p.NoteFailed(testGroup, address, rng.IntN(2) == 0)
-				if p.Reaches(testGroup, address) {
+				p.NoteFailed("s", address, rng.IntN(2) == 0)
+				if p.Reaches("s", address) {
 					t.Fatalf("seed %d: reached after a failure", seed)
 				}
 			default:
 				c.advance(time.Millisecond)
-				p.NoteFailed(testGroup, "a", true)
-				p.NoteFailed(testGroup, "b", true)
+				p.NoteFailed("s", "a", true)
+				p.NoteFailed("s", "b", true)
 				if len(p.Unreached()) != 1 {
 					t.Fatalf("seed %d: reached after two failures", seed)
 				}
@@ -153,10 +150,10 @@
 	p := NewPaths(c.now, nil)
 	for n := range 50 {
 		c.advance(5 * time.Millisecond)
-		p.NoteFailed(testGroup, fmt.Sprint(n%3), false)
+		p.NoteFailed("s", fmt.Sprint(n%3), false)
 		c.advance(5 * time.Millisecond)
-		p.NoteHeard(testGroup)
-		if !p.ReachesGroup(testGroup) {
+		p.NoteHeard("s")
+		if !p.ReachesService("s") {
 			t.Fatalf("not reached after %d failures", n+1)
 		}
 	}
--- a/pkg/reach/verifier.go
+++ b/pkg/reach/verifier.go
@@ -80,7 +80,7 @@
 	defer cancel()
 	confirmed := false
 	if target, listed := v.lookup(address); listed {
-		v.direct.Paths.NoteFailed(target.Group(), address, false)
+		v.direct.Paths.NoteFailed(target.Service, address, false)
 		for _, w := range v.ask(ctx, target) {
 			if w.Accepts {
 				return httpconn.Answering
@@ -114,7 +114,7 @@
 	connected := make(chan bool, len(controls))
 	for _, control := range controls {
 		go func() {
-			conn, err := v.direct.Connect(control, observeTimeout)
+			conn, err := v.direct.Connect(control.Service, control.Address, observeTimeout)
 			if err == nil {
 				v.direct.Keep(conn)
 			}
@@ -185,7 +185,7 @@
 }
 
 func (v *Verifier) observe(target Target) Witness {
-	conn, err := v.direct.Connect(target, observeTimeout)
+	conn, err := v.direct.Connect(target.Service, target.Address, observeTimeout)
 	if err == nil {
 		v.direct.Keep(conn)
 		return Witness{Accepts: true, ReachesOthers: true}
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -38,7 +38,7 @@
 	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, r.metrics).Update(value) }
 	gauge("requests.active", r.clientServer.NumActive())
 	gauge("tunnels.active", r.tunnels.NumActive())
-	gauge("links.groups_unreached", int64(len(r.links.Direct.Paths.Unreached())))
+	gauge("links.services_unreached", int64(len(r.links.Direct.Paths.Unreached())))
 	gauge("members.live", int64(r.table.CountLive()))
 	if age, known := r.eraAge(); known {
 		gauge("store.era_age_s", int64(age.Seconds()))
--- a/pkg/router/background.go
+++ b/pkg/router/background.go
@@ -163,8 +163,8 @@
 	if domains := r.registry.EmptiedDomains(); len(domains) > 0 {
 		fields["emptied_domains"] = domains
 	}
-	if groups := r.links.Direct.Paths.Unreached(); len(groups) > 0 {
-		fields["groups_unreached"] = len(groups)
+	if services := r.links.Direct.Paths.Unreached(); len(services) > 0 {
+		fields["unreached"] = services
 	}
 	if watched := r.quarantine.Summary(); watched.Suspected+watched.Condemned > 0 {
 		fields["quarantine_suspected"], fields["quarantine_condemned"] = watched.Suspected, watched.Condemned
--- a/pkg/router/links.go
+++ b/pkg/router/links.go
@@ -56,10 +56,10 @@
 	return reply, err
 }
 
-// onPathChange logs that the own links no longer lead to a group of upstreams, or do again. Idle connections over
+// onPathChange logs that the own links no longer lead to a service, or do again. Idle connections over
 // links that are lost are closed: a request that is sent over one may be lost, and may have run.
 func (r *Router) onPathChange(change reach.Change) {
-	fields := eventlog.Fields{"service": change.Service, "domain": change.Domain}
+	fields := eventlog.Fields{"service": change.Service}
 	if change.Reached {
 		fields["after_ms"] = change.After.Milliseconds()
 		r.log.Event(eventlog.UpstreamsReached, "", fields)
@@ -68,9 +68,7 @@
 	fields["silent"], fields["failed"] = change.Silent, change.Failed[:min(len(change.Failed), maxNamedUpstreams)]
 	r.log.Event(eventlog.UpstreamsUnreached, "", fields)
 	for _, u := range r.registry.InService(change.Service) {
-		if u.Domain == change.Domain {
-			r.conns.CloseIdle(u.Address)
-		}
+		r.conns.CloseIdle(u.Address)
 	}
 }
 
--- a/pkg/tunnel/client.go
+++ b/pkg/tunnel/client.go
@@ -24,7 +24,7 @@
 	// answerTimeout is the time in which an instance that works answers, whether it reaches the upstream
 	// or not.
 	answerTimeout = connectTimeout + 50*time.Millisecond
-	// avoidUnreached and avoidUnresponsive are how long an instance is asked last for a group that it
+	// avoidUnreached and avoidUnresponsive are how long an instance is asked last for a service that it
 	// does not reach, or after it has not answered in time.
 	avoidUnreached    = time.Second
 	avoidUnresponsive = 2 * time.Second
@@ -69,22 +69,19 @@
 	now    func() time.Time
 
 	mu sync.Mutex
-	// avoidedUntil holds until when instances are asked last for a group of upstreams.
-	avoidedUntil map[instanceGroup]time.Time
+	// avoidedUntil holds until when instances are asked last for a service.
+	avoidedUntil map[instanceService]time.Time
 	// unreachedAt holds when upstreams were last reached by nobody, by address.
 	unreachedAt map[string]time.Time
 }
 
-type instanceGroup struct {
-	incarnation string
-	reach.Group
-}
+type instanceService struct{ incarnation, service string }
 
 // NewClient returns a client for the instance with an incarnation.
 func NewClient(incarnation string, others func() []*memberpb.Member, peers Peers, now func() time.Time) *Client {
 	return &Client{
 		self: incarnation, others: others, peers: peers, now: now,
-		avoidedUntil: map[instanceGroup]time.Time{}, unreachedAt: map[string]time.Time{},
+		avoidedUntil: map[instanceService]time.Time{}, unreachedAt: map[string]time.Time{},
 	}
 }
 
@@ -194,7 +191,7 @@
 	now := c.now()
 	var near, far, avoided []*memberpb.Member
 	for _, m := range c.others() {
-		key := instanceGroup{m.Incarnation, target.Group()}
+		key := instanceService{m.Incarnation, target.Service}
 		until, found := c.avoidedUntil[key]
 		if found && !now.Before(until) {
 			delete(c.avoidedUntil, key)
@@ -259,7 +256,7 @@
 
 func (c *Client) message(target reach.Target) *tunnelpb.Target {
 	return &tunnelpb.Target{
-		Opener: c.self, Service: target.Service, Upstream: target.ID, Address: target.Address, Domain: target.Domain,
+		Opener: c.self, Service: target.Service, Upstream: target.ID, Address: target.Address,
 		LifetimeMs: (target.Deadline.Sub(c.now()) + lifetimeSlack).Milliseconds(),
 	}
 }
@@ -278,7 +275,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.avoidedUntil[instanceGroup{m.Incarnation, target.Group()}] = c.now().Add(avoid)
+	c.avoidedUntil[instanceService{m.Incarnation, target.Service}] = c.now().Add(avoid)
 }
 
 // noteUnreached records that nobody reached an upstream, so that requests do not ask again at once.
--- a/pkg/tunnel/service.go
+++ b/pkg/tunnel/service.go
@@ -71,7 +71,7 @@
 }
 
 func targetOf(t *tunnelpb.Target) reach.Target {
-	return reach.Target{Service: t.GetService(), ID: t.GetUpstream(), Address: t.GetAddress(), Domain: t.GetDomain()}
+	return reach.Target{Service: t.GetService(), ID: t.GetUpstream(), Address: t.GetAddress()}
 }
 
 // Open implements tunnelpb.DRPCTunnelsServer.
@@ -95,8 +95,8 @@
 	t := &carried{stream: stream, conn: conn}
 	t.run()
 	s.release(t)
-	if upstream := targetOf(target); t.broken && s.Direct.Paths.StartCheck(upstream.Group(), upstream.Address) {
-		go s.Direct.Check(upstream)
+	if t.broken && s.Direct.Paths.StartCheck(target.GetService(), target.GetAddress()) {
+		go s.Direct.Check(target.GetService(), target.GetAddress())
 	}
 	return nil
 }
@@ -114,18 +114,18 @@
 	if active > maxTunnels || (s.Saturated != nil && s.Saturated()) {
 		return nil, tunnelpb.Result_BUSY
 	}
-	d, target := s.Direct, targetOf(t)
-	if !d.Paths.Reaches(target.Group(), target.Address) {
-		if !d.Paths.StartCheck(target.Group(), target.Address) {
-			return nil, s.lastResult(target)
+	d := s.Direct
+	if !d.Paths.Reaches(t.GetService(), t.GetAddress()) {
+		if !d.Paths.StartCheck(t.GetService(), t.GetAddress()) {
+			return nil, s.lastResult(t)
 		}
-	} else if conn := d.Pool.Get(target.Address); conn != nil {
+	} else if conn := d.Pool.Get(t.GetAddress()); conn != nil {
 		return conn, tunnelpb.Result_CONNECTED
 	}
-	if maxConnections > 0 && d.Pool.NumOpen(target.Address) >= maxConnections {
+	if maxConnections > 0 && d.Pool.NumOpen(t.GetAddress()) >= maxConnections {
 		return nil, tunnelpb.Result_BUSY
 	}
-	conn, err := d.Connect(target, connectTimeout)
+	conn, err := d.Connect(t.GetService(), t.GetAddress(), connectTimeout)
 	switch {
 	case err == nil:
 		return conn, tunnelpb.Result_CONNECTED
@@ -137,12 +137,12 @@
 }
 
 // lastResult returns why an upstream that does not count as reached is not tried now.
-func (s *Service) lastResult(target reach.Target) tunnelpb.Result {
+func (s *Service) lastResult(t *tunnelpb.Target) tunnelpb.Result {
 	paths := s.Direct.Paths
 	switch {
-	case !paths.ReachesGroup(target.Group()):
+	case !paths.ReachesService(t.GetService()):
 		return tunnelpb.Result_UNREACHED
-	case paths.FailedSilently(target.Group(), target.Address):
+	case paths.FailedSilently(t.GetService(), t.GetAddress()):
 		return tunnelpb.Result_SILENT
 	default:
 		return tunnelpb.Result_REFUSED
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -308,8 +308,8 @@
 	for n := range 4 {
 		c := newCarrier(t, fmt.Sprint("carrier-", n), upstream)
 		if n > 0 {
-			c.direct.Paths.NoteFailed(reach.Group{Service: "s"}, upstream.address(), true)
-			c.direct.Paths.NoteFailed(reach.Group{Service: "s"}, "another", true)
+			c.direct.Paths.NoteFailed("s", upstream.address(), true)
+			c.direct.Paths.NoteFailed("s", "another", true)
 		}
 		carriers = append(carriers, c)
 	}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -166,9 +166,9 @@
 reach=pkg/reach tunnel=pkg/tunnel
 try lost-links-are-bypassed pkg/router/links.go 's/Direct: direct, Tunnels: tunnels,/Direct: direct,/' test TestInstanceWithoutUpstreamsServes
 try others-are-asked-after-a-failure $reach/connector.go 's/\t\t\ta\.directErr = r\.err\n\t\t\ta\.startTunnel\(\)/\t\t\ta.directErr = r.err/; s/case <-hedge\.C:\n\t\t\ta\.startTunnel\(\)/case <-hedge.C:/' $reach TestLostLinkIsBypassed
-try lost-links-are-known $reach/paths.go 's/len\(failed\) >= minFailedAddresses/len(failed) > 99/' $reach TestLostLinkIsKnownForTheWholeGroup
+try lost-links-are-known $reach/paths.go 's/len\(failed\) >= minFailedAddresses/len(failed) > 99/' $reach TestLostLinkIsKnownForTheWholeService
 try heard-is-reached $reach/paths.go 's/if f\.at\.After\(s\.heardAt\) \{/if true {/' $reach TestCrashedUpstreamsAreNoLostLink
-try links-that-are-back-are-found $reach/connector.go 's/if paths\.StartCheck\(a\.target\.Group\(\), a\.target\.Address\) \{/if false {/' $reach TestLinkThatIsBackIsUsed
+try links-that-are-back-are-found $reach/connector.go 's/if paths\.StartCheck\(a\.target\.Service, a\.target\.Address\) \{/if false {/' $reach TestLinkThatIsBackIsUsed
 try refusals-are-verified pkg/router/router.go 's/r\.verifier\.Verify, time/func(string) httpconn.PeerState { return httpconn.Crashed }, time/' test TestLostLinksSuspectNoRequest
 try others-confirm-crashes $reach/verifier.go 's/if w\.Accepts \{/if false {/' $reach TestRefusalIsVerified
 try crashes-are-compared $reach/verifier.go 's/!confirmed && !v\.reachesOthers\(address\)/false/' $reach TestRefusalIsVerified
@@ -178,5 +178,5 @@
 try closed-tunnels-close-connections $tunnel/service.go 's/\tt\.mu\.Unlock\(\)\n\tt\.conn\.Close\(\)/\tt.mu.Unlock()/' $tunnel TestBrokenOffTunnelClosesTheConnection
 try tunnels-lead-to-listed-upstreams $tunnel/service.go 's/if !listed \{/if !listed \&\& maxConnections > 0 {/' $tunnel TestTunnelsLeadToListedUpstreamsOnly
 try full-links-carry-none $tunnel/service.go 's/active > maxTunnels \|\| .* \{/active > maxTunnels {/' $tunnel TestTunnelsLeadToListedUpstreamsOnly
-try instances-without-links-decline $tunnel/service.go 's/if !d\.Paths\.Reaches\(target\.Group\(\), target\.Address\) \{/if false {/' $tunnel TestInstancesWithoutLinksAreSkipped
+try instances-without-links-decline $tunnel/service.go 's/if !d\.Paths\.Reaches\(t\.GetService\(\), t\.GetAddress\(\)\) \{/if false {/' $tunnel TestInstancesWithoutLinksAreSkipped
 exit $status
