A connection waits no longer than the request; why the last instance declined is told

What callers see, in the new code: a request with less than 300 ms left could wait past its deadline for a connection, which the direct connection did not before. TestConnectionWaitsNoLongerThanTheRequest fails without the bound. The error of a tunnel that nobody opened now has the last instance's reason.

--- a/pkg/reach/connector.go
+++ b/pkg/reach/connector.go
@@ -61,9 +61,14 @@
 	err        error
 }
 
-// Connect opens a connection to an upstream. Errors: *httpconn.Error with step "dial".
+// Connect opens a connection to an upstream within DialTimeout and the target's deadline. Errors:
+// *httpconn.Error with step "dial".
 func (c *Connector) Connect(ctx context.Context, target Target) (Connection, error) {
-	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	timeout := DialTimeout
+	if !target.Deadline.IsZero() {
+		timeout = min(timeout, target.Deadline.Sub(c.Direct.Now()))
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	a := &connecting{Connector: c, ctx: ctx, target: target}
 	defer a.abandon()
--- a/pkg/reach/connector_test.go
+++ b/pkg/reach/connector_test.go
@@ -193,6 +193,21 @@
 	})
 }
 
+// Guards against requests that are held past their deadline by a connection that is not established.
+func TestConnectionWaitsNoLongerThanTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Second) // connections in the background end
+		s := newSimulation("silent", false)
+		s.connector.Tunnels = nil
+		const remaining = 40 * time.Millisecond
+		began := time.Now()
+		_, err := s.connector.Connect(context.Background(), Target{Service: "s", Address: "a", Deadline: began.Add(remaining)})
+		if took := time.Since(began); err == nil || took > remaining {
+			t.Errorf("took %v, %v", took, err)
+		}
+	})
+}
+
 // Guards against more traffic over a link that is full: connections are slow there, not lost.
 func TestSaturatedLinkOpensNoTunnels(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/reach/direct.go
+++ b/pkg/reach/direct.go
@@ -13,7 +13,7 @@
 type Target struct {
 	// Service and ID name the upstream, Address is its IP address and port, Domain its failure domain.
 	Service, ID, Address, Domain string
-	// Deadline is when the connection is no longer needed.
+	// Deadline is when the connection is no longer needed; zero for no deadline.
 	Deadline time.Time
 }
 
--- a/pkg/tunnel/client.go
+++ b/pkg/tunnel/client.go
@@ -116,6 +116,8 @@
 	results    chan opened
 	// askedAt holds when the instances were asked that have not answered yet.
 	askedAt map[*memberpb.Member]time.Time
+	// lastErr is why the last instance that answered did not connect.
+	lastErr error
 }
 
 // run asks one instance after the other, the next one as soon as one has declined or is slow.
@@ -129,6 +131,7 @@
 			if r.err == nil {
 				return r.conn, r.via.Name, nil
 			}
+			o.lastErr = r.err
 			o.noteDeclined(r.via, r.err, o.target)
 			o.askNext()
 		case <-next.C:
@@ -141,7 +144,7 @@
 		}
 	}
 	o.noteUnreached(o.target)
-	return nil, "", ErrNobodyReaches
+	return nil, "", errors.Join(ErrNobodyReaches, o.lastErr)
 }
 
 func (o *opening) askNext() {
