--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -168,6 +168,7 @@
 try others-are-asked-after-a-failure $reach/connector.go 's/\t\t\ta\.directErr = r\.err\n\t\t\ta\.startTunnel\(\)/\t\t\ta.directErr = r.err/; s/case <-hedge\.C:\n\t\t\ta\.startTunnel\(\)/case <-hedge.C:/' $reach TestLostLinkIsBypassed
 try lost-links-are-known $reach/paths.go 's/len\(failed\) >= minFailedAddresses/len(failed) > 99/' $reach TestLostLinkIsKnownForTheWholeService
 try heard-is-reached $reach/paths.go 's/if f\.at\.After\(s\.heardAt\) \{/if true {/' $reach TestCrashedUpstreamsAreNoLostLink
+try connections-end-with-requests $reach/connector.go 's/timeout = min\(timeout, target\.Deadline\.Sub\(c\.Direct\.Now\(\)\)\)/_ = timeout/' $reach TestConnectionWaitsNoLongerThanTheRequest
 try links-that-are-back-are-found $reach/connector.go 's/if paths\.StartCheck\(a\.target\.Service, a\.target\.Address\) \{/if false {/' $reach TestLinkThatIsBackIsUsed
 try refusals-are-verified pkg/router/router.go 's/r\.verifier\.Verify, time/func(string) httpconn.PeerState { return httpconn.Crashed }, time/' test TestLostLinksSuspectNoRequest
 try others-confirm-crashes $reach/verifier.go 's/if w\.Accepts \{/if false {/' $reach TestRefusalIsVerified
