Tests: what goes through another instance ends with its client and its upstream

A client that leaves stops its stream also over a tunnel, and a leaving upstream gets nothing from an instance without links.

--- a/test/isolated_test.go
+++ b/test/isolated_test.go
@@ -200,3 +200,37 @@
 		t.Errorf("%d of 40 requests served", served)
 	}
 }
+
+// Guards against work that goes on, and requests that still arrive, over connections that another instance carries:
+// a client that leaves stops its stream, and a leaving upstream gets nothing.
+func TestTunnelledRequestsEndWithTheirReasons(t *testing.T) {
+	f := newLinkedFleet(t, 3)
+	cut := f.instances[0]
+	f.links[0].set(linksRefusing)
+	attempt := 0
+	f.await("a request to be served after the cut", func() bool {
+		attempt++
+		return f.send(cut, fmt.Sprintf("first-%d", attempt), "safe", "x").status == http.StatusOK
+	})
+	f.setFaults(f.engines, standin.UpstreamFaults{Delay: 150 * time.Millisecond})
+	sendRaw(t, cut.clientAddress, fmt.Sprintf("POST /stream/x HTTP/1.1\r\nHost: %s\r\n%s: gone\r\nContent-Length: 0\r\n\r\n",
+		routedHost, platform.UpstreamHeaders.RequestID)) // closes its connection after 0.7 s
+	f.await("the cancelled run", func() bool {
+		runs := f.runsOf("gone")
+		return len(runs) == 1 && runs[0].Cancelled
+	})
+	leaving := f.plainUpstreams[0]
+	f.markLeaving(leaving)
+	round := 0
+	f.await("the leaving upstream to get nothing", func() bool {
+		round++
+		before := len(leaving.Runs())
+		served := f.load(cut, fmt.Sprintf("round-%d", round), 24)
+		return served == 24 && len(leaving.Runs()) == before
+	})
+	before := len(leaving.Runs())
+	f.load(cut, "after", 24)
+	if after := len(leaving.Runs()); after != before {
+		t.Errorf("the leaving upstream got %d requests", after-before)
+	}
+}
