Tests: the counts of a starting fleet are read after the last background write

A whole run beside load failed once: the race detector saw TestCollisionsEndAfterAStartOfAll read the counts of writes that a background write had updated under the fleet's lock. The write had ended within the five seconds that the run waits, in virtual time, but nothing ordered the two. The run now ends under that lock. The package under test is as it was.

--- a/pkg/prepaid/fleet_start_test.go
+++ b/pkg/prepaid/fleet_start_test.go
@@ -353,6 +353,9 @@
 	f.mu.Unlock()
 	running.Wait()
 	time.Sleep(5 * time.Second)
+	// The counts are read next; the lock orders that after the last writes in the background.
+	f.mu.Lock()
+	defer f.mu.Unlock()
 }
 
 // sum returns the sum of the counts for the seconds in [from, to).
