--- a/pkg/reach/connector.go
+++ b/pkg/reach/connector.go
@@ -52,7 +52,7 @@
 // one shows whether it has.
 func (c *Connector) CheckSilence(service, address string, silence time.Duration) {
 	if c.Direct.Paths.StartSilenceCheck(service, silence) {
-		c.Direct.Check(service, address)
+		_ = c.Direct.Check(service, address, DialTimeout) // the paths record the result
 	}
 }
 
--- a/pkg/reach/direct.go
+++ b/pkg/reach/direct.go
@@ -76,11 +76,14 @@
 	d.Pool.Put(conn, 0)
 }
 
-// Check opens a connection to find out whether the address is reached.
-func (d *Direct) Check(service, address string) {
-	if conn, err := d.Connect(service, address, DialTimeout); err == nil {
+// Check opens a connection to find out whether the address is reached, and keeps it. Errors: those of
+// Connect.
+func (d *Direct) Check(service, address string, timeout time.Duration) error {
+	conn, err := d.Connect(service, address, timeout)
+	if err == nil {
 		d.Keep(conn)
 	}
+	return err
 }
 
 // IsRefused reports whether the other end, or a device on the way, rejected a connection.
--- a/pkg/reach/verifier.go
+++ b/pkg/reach/verifier.go
@@ -114,11 +114,7 @@
 	connected := make(chan bool, len(controls))
 	for _, control := range controls {
 		go func() {
-			conn, err := v.direct.Connect(control.Service, control.Address, observeTimeout)
-			if err == nil {
-				v.direct.Keep(conn)
-			}
-			connected <- err == nil
+			connected <- v.direct.Check(control.Service, control.Address, observeTimeout) == nil
 		}()
 	}
 	for range controls {
@@ -185,9 +181,8 @@
 }
 
 func (v *Verifier) observe(target Target) Witness {
-	conn, err := v.direct.Connect(target.Service, target.Address, observeTimeout)
+	err := v.direct.Check(target.Service, target.Address, observeTimeout)
 	if err == nil {
-		v.direct.Keep(conn)
 		return Witness{Accepts: true, ReachesOthers: true}
 	}
 	if !IsRefused(err) {
--- a/pkg/tunnel/service.go
+++ b/pkg/tunnel/service.go
@@ -96,7 +96,8 @@
 	t.run()
 	s.release(t)
 	if t.broken && s.Direct.Paths.StartCheck(target.GetService(), target.GetAddress()) {
-		go s.Direct.Check(target.GetService(), target.GetAddress())
+		// The paths record the result.
+		go func() { _ = s.Direct.Check(target.GetService(), target.GetAddress(), reach.DialTimeout) }()
 	}
 	return nil
 }
