Logs: the software version of a stream's upstreams, and what a request continues

The record's logs could not tell whether a stream went on at another software version within one answer or in a client's retry, nor whether the instance's view of the upstream was right. A dispatch of a stream (202) names the upstream's version, and for a stream that goes on its last event and the request that the client names in Resumes; a retry (209) after a broken stream names the version that broke off. No decision uses them yet.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -198,6 +198,12 @@
 	if a.via != "" {
 		fields["via"] = a.via
 	}
+	if a.c.route.Kind == routing.Stream {
+		fields["version"] = a.lease.Version
+	}
+	if after := a.c.resumeAfter(); after != "" {
+		fields["after_event"], fields["resumes"] = after, a.c.r.Resumes
+	}
 	a.c.f.Log.Event(eventlog.RequestDispatched, a.c.r.ID, fields)
 }
 
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -86,10 +86,16 @@
 			return
 		}
 		c.f.meters.retried.Inc(1)
-		c.f.Log.Event(eventlog.RequestRepeated, c.r.ID, eventlog.Fields{
-			"step": failure.step, "peer": failure.peer, "cause": failure.err.Error(), "sent": c.numSent,
-		})
+		c.logRetry(failure)
+	}
+}
+
+func (c *call) logRetry(failure *failure) {
+	fields := eventlog.Fields{"step": failure.step, "peer": failure.peer, "cause": failure.err.Error(), "sent": c.numSent}
+	if failure.version != "" {
+		fields["version"] = failure.version
 	}
+	c.f.Log.Event(eventlog.RequestRepeated, c.r.ID, fields)
 }
 
 // settleReservation settles the reservation with the billed tokens: those of the prompt if the
@@ -135,6 +141,8 @@
 	connEnded bool
 	// answered says that the upstream gave a whole answer with an error status.
 	answered bool
+	// version is the software version of the upstream whose stream broke off; empty for other failures.
+	version string
 }
 
 func (f *failure) markAnswered() *failure {
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -40,6 +40,9 @@
 	HasTokenBounds bool
 	// LastEventID is set by a client that resumes a stream.
 	LastEventID string
+	// Resumes is the ID of the request whose answer brought the first event of the stream that the
+	// client resumes; empty for a new stream.
+	Resumes string
 }
 
 // PromptPart is a part of a prompt; parts with the same id are the same in all requests.
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -183,6 +183,7 @@
 // stream is resumed at another upstream after the last event that was delivered.
 func (a *attempt) streamFailed(err error) *failure {
 	failed := a.connFailed("stream", err)
+	failed.version = a.lease.Version
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() && a.c.remaining() <= minAttemptTime {
 		failed.noRetry = true
--- a/pkg/registry/entry.go
+++ b/pkg/registry/entry.go
@@ -22,6 +22,8 @@
 	Address string `json:"address"`
 	// Domain is its failure domain.
 	Domain string `json:"domain"`
+	// Version is the version of its software.
+	Version string `json:"version"`
 	// Slots is the number of requests that it runs concurrently.
 	Slots int `json:"slots"`
 	// Leaving says that the upstream finishes its running requests and accepts no new ones.
