--- a/test/isolated_test.go
+++ b/test/isolated_test.go
@@ -94,14 +94,7 @@
 
 // metric returns the value of one of an instance's metrics; empty if it has none.
 func (f *linkedFleet) metric(i *routedInstance, name string) string {
-	resp, err := http.Get("http://" + i.adminAddress + "/metrics")
-	if err != nil {
-		return ""
-	}
-	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(resp.Body)
-	f.must(err)
-	for line := range strings.Lines(string(text)) {
+	for line := range strings.Lines(readMetrics(f.t, i)) {
 		if value, found := strings.CutPrefix(line, name+" "); found {
 			return strings.TrimSpace(value)
 		}
--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -182,6 +182,21 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// readMetrics returns the text of an instance's metrics; empty if it does not answer.
+func readMetrics(t testing.TB, i *routedInstance) string {
+	t.Helper()
+	resp, err := http.Get("http://" + i.adminAddress + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
 // response is the result of a client's request.
 type response struct {
 	status     int
@@ -207,6 +222,11 @@
 	req.Header.Set(headers.RequestID, id)
 	req.Header.Set(headers.Deadline, "2500")
 	req.Header.Set(headers.Tokens, fmt.Sprintf("%d,%d", promptTokens, outputTokens))
+	return roundTrip(req)
+}
+
+// roundTrip sends a request on a new connection and reads the whole answer.
+func roundTrip(req *http.Request) response {
 	transport := &http.Transport{DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
 	resp, err := transport.RoundTrip(req)
