A broken stream goes on only at the software version that began it

Callers got answers with events of two software versions: an upstream broke off, and the instance chose among all upstreams for the rest. What two versions write does not fit together, and upstreams do not check it.

The first delivered event decides the stream's version. From then on every choice for the request, retries, trials and the choice among avoided upstreams included, excludes other versions; before the first event any may be chosen. An upstream that restarts under the same id with another version is another process to placement. Without an upstream of the version the stream ends visibly broken, and its client may resume it.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
+	"github.com/lavenderring/lavenderring/pkg/origin"
 	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/routing"
@@ -40,6 +41,9 @@
 	// attempt succeeds.
 	upstreamFailure *wholeAnswer
 
+	// origin is what began the stream, which goes on nowhere else; nil until that is decided by the
+	// client's resumption or by the first event. It has no version if that is unknown.
+	origin *origin.Origin
 	// begun says that a streamed answer has begun; numEvents and lastEventID say how much
 	// of it the client has.
 	begun       bool
@@ -159,6 +163,8 @@
 // Failures of an attempt.
 var (
 	errNoUpstream      = errors.New("no upstream is in service")
+	errVersionGone     = errors.New("no upstream of the stream's software version is in service")
+	errVersionUnknown  = errors.New("the software version that began the stream is unknown")
 	errAllTried        = errors.New("every upstream in service has been tried")
 	errOverloaded      = errors.New("the network link of this instance is saturated")
 	errLeaving         = errors.New("upstream left service before the request was sent")
@@ -219,6 +225,8 @@
 		if quarantined == Suspected {
 			refusal.RetryAfter = defaultRetryAfter
 		}
+	case errors.Is(last.err, errVersionGone):
+		refusal.Reason, refusal.RetryAfter = VersionGone, originRetryAfter
 	case errors.Is(last.err, errNoUpstream):
 		refusal.Reason, refusal.RetryAfter = NoUpstream, c.f.noUpstreamRetryAfter()
 	case c.remaining() <= minAttemptTime:
@@ -247,6 +255,12 @@
 	if c.target.Engine != nil {
 		request.TokensPerEvent = c.target.Engine.TokensPerEvent
 	}
+	if c.origin != nil {
+		if c.origin.Version == "" {
+			return nil, &failure{step: "choose", err: errVersionUnknown, noRetry: true}
+		}
+		request.Version = c.origin.Version
+	}
 	for _, part := range c.r.Prompt {
 		request.Parts = append(request.Parts, placement.Part(part))
 	}
@@ -254,7 +268,10 @@
 	if lease != nil {
 		return lease, nil
 	}
-	if len(c.tried) == 0 {
+	switch {
+	case len(c.tried) == 0 && c.origin != nil:
+		return nil, &failure{step: "choose", err: errVersionGone, noRetry: true}
+	case len(c.tried) == 0:
 		return nil, &failure{step: "choose", err: errNoUpstream, noRetry: true}
 	}
 	return nil, &failure{step: "choose", err: errAllTried, noRetry: true}
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -28,6 +28,9 @@
 	// store. They normally answer within milliseconds, and the request needs the rest of its
 	// time for the upstream.
 	reserveTimeout = 400 * time.Millisecond
+	// originRetryAfter applies to a resumed stream that cannot go on now: what began it may become known,
+	// or an upstream of its version available, within the time of a few messages between instances.
+	originRetryAfter = 500 * time.Millisecond
 	// defaultRetryAfter applies to refusals that another instance, or this one a moment
 	// later, may not make again.
 	defaultRetryAfter = 150 * time.Millisecond
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -29,6 +29,8 @@
 	NotRunTimeout       Reason = "not-run-in-time"
 	// Stopping means that the instance may end before the request does.
 	Stopping Reason = "instance-stopping"
+	// VersionGone means that no upstream of the software version that began a stream is in service.
+	VersionGone Reason = "stream-version-gone"
 	// Quarantined means that the request crashed the upstreams that ran it and does not run
 	// again, however often it is sent.
 	Quarantined Reason = "quarantined"
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -85,6 +85,7 @@
 	}
 	if !c.begun {
 		c.begun = true
+		c.recordOrigin(a.lease)
 		c.f.meters.firstEventTime.Update(c.f.Now().Sub(c.r.Arrived))
 		if err := c.client.Begin(head.Status, head.Header); err != nil {
 			return &failure{step: "deliver", err: err, noRetry: true}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -55,6 +55,8 @@
 	TokensPerEvent int64
 	// Tried lists the ids of the incarnations to exclude.
 	Tried []string
+	// Version is the only software version that may run the request; empty if any may.
+	Version string
 }
 
 // Part is a part of a prompt.
@@ -76,6 +78,11 @@
 	}
 }
 
+// allows reports whether the request may run at an upstream.
+func (r *Request) allows(s *upstreamState) bool {
+	return (r.Version == "" || s.Version == r.Version) && !slices.Contains(r.Tried, s.ID)
+}
+
 func (r *Request) sharedTokens() int64 {
 	var shared int64
 	for i := 0; i < len(r.Parts)-1; i++ {
@@ -120,9 +127,10 @@
 	present := map[string]bool{}
 	for _, u := range inService {
 		s := p.states[u.ID]
-		if s == nil || s.Born != u.Born {
+		if s == nil || s.Born != u.Born || s.Version != u.Version {
 			// An upstream that restarted under the same id has an empty cache, no failures
-			// and no requests in flight. Leases of the earlier process keep its state.
+			// and no requests in flight, and may have another version. Leases of the earlier
+			// process keep its state.
 			s = &upstreamState{partSentAt: map[uint64]time.Time{}, hash: xxhash.Sum64String(u.ID)}
 			p.states[u.ID] = s
 		}
@@ -229,7 +237,7 @@
 	start := p.rng.IntN(len(p.upstreams))
 	for i := range p.upstreams {
 		s := p.upstreams[(start+i)%len(p.upstreams)]
-		if slices.Contains(req.Tried, s.ID) || (!includeAvoided && s.avoided(now)) || !p.withinColdLimit(s, now) {
+		if !req.allows(s) || (!includeAvoided && s.avoided(now)) || !p.withinColdLimit(s, now) {
 			continue
 		}
 		cost := p.cost(s, req, s == c.home, now)
