A stream that a client resumes goes on at the version that began it, or is refused

Callers lost their connections and resumed their streams at another instance, which chose among all upstreams: the rest of the answer came from another software version. The instance did not know what began the stream, and took the upstreams that it happened to see for all that mattered.

The instance that delivers a stream's first event records the service and the version (package origin), by a hash of the account and the request's ID, and sends the record to two other instances in different failure domains, found by rendezvous hashing. An instance at which a client resumes a stream looks in its own records, asks three instances, then five more, and serves the stream only at the recorded service and version. What it cannot find out it refuses at once, and the request has not run. So no late or lost record, clock or copy of the upstreams can join two versions; records only raise how many streams go on. An instance that stops hands its records over. IDs are the callers' words: an account cannot read or alter another's records, an ID that began streams of two versions leads to neither, and records are bounded in number, also by account. A client that resumes a stream without naming the request that began it is refused.

--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -37,6 +37,7 @@
 	RequestReleased   Number = 213
 	QuarantineLearned Number = 214
 	QuarantineFault   Number = 215
+	OriginFault       Number = 216
 	ReservationDenied Number = 300
 	RequestBilled     Number = 301
 	UsageAboveBound   Number = 302
@@ -114,6 +115,7 @@
 	RequestReleased:   {"request-released", "an operator released a request from quarantine", "none"},
 	QuarantineLearned: {"quarantine-learned", "another instance, or the store, told of condemned requests; condemned names some, which do not run here any more", "none"},
 	QuarantineFault:   {"quarantine-fault", "a step of keeping the quarantine failed or another instance told something unusable; it is tried again", "by the step and cause fields"},
+	OriginFault:       {"origin-fault", "records of which software version began a stream were not kept at or not found out from another instance; suppressed tells how many more faults there were since the last event. A stream whose record is lost is refused when its client resumes it", "by the step and cause fields, if it lasts"},
 	ReservationDenied: {"reservation-denied", "the account's budget had no tokens to reserve", "top up, or see OPERATING, refusals"},
 	RequestBilled:     {"request-billed", "a request's cost was taken from its reservation", "none"},
 	UsageAboveBound:   {"usage-above-bound", "an upstream reported more tokens than were reserved; billed at the bound", "correct min_bytes_per_token or the engine"},
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderring/lavenderring/pkg/coldlimit"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/origin"
 	"github.com/lavenderring/lavenderring/pkg/overload"
 	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
@@ -75,6 +76,16 @@
 	CheckSilence(service, address string, silence time.Duration)
 }
 
+// Origins remembers what began resumable streams.
+type Origins interface {
+	// Record records what began the stream of an account's request, for the lifetime in which the client
+	// may resume it.
+	Record(account, requestID string, o origin.Origin, lifetime time.Duration)
+	// Find returns what began the stream of an account's request. Errors: origin.ErrConflict,
+	// *origin.UnknownError.
+	Find(ctx context.Context, account, requestID string) (origin.Origin, error)
+}
+
 // Deps holds the dependencies of a Forwarder.
 type Deps struct {
 	// Domain is the instance's failure domain.
@@ -93,6 +104,8 @@
 	PeerProber PeerProber
 	// Quarantine finds requests that crash upstreams; New creates one if it is nil.
 	Quarantine *quarantine.Table
+	// Origins remembers what began streams; New creates one without other instances if it is nil.
+	Origins Origins
 	// ColdLimit limits the requests sent to upstreams that have just started; nil for no limit.
 	// ColdOverage and ColdSlack, with the rate that each service sets, form a coldlimit.Bound.
 	ColdLimit              placement.ColdLimit
@@ -171,6 +184,10 @@
 		crashed := func(string) httpconn.PeerState { return httpconn.Crashed }
 		deps.PeerProber = httpconn.NewPeerProber(httpconn.DialTCP, deps.Conns, crashed, deps.Now)
 	}
+	if deps.Origins == nil {
+		nobody := func() []origin.Holder { return nil }
+		deps.Origins = origin.New(origin.Deps{Others: nobody, OnFault: func(origin.Fault) {}, Metrics: deps.Metrics, Now: deps.Now})
+	}
 	if deps.Quarantine == nil {
 		deps.Quarantine = quarantine.NewTable("", nil)
 	}
@@ -297,7 +314,11 @@
 			return nil, f.refuseUnknown(UnknownKey)
 		}
 	}
-	target := table.Service(route.SelectService(r.ID))
+	service, refusal := c.selectService(ctx)
+	if refusal != nil {
+		return nil, refusal
+	}
+	target := table.Service(service)
 	if target == nil {
 		return nil, &Refusal{Reason: NoUpstream, RetryAfter: defaultRetryAfter}
 	}
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -29,6 +29,9 @@
 	NotRunTimeout       Reason = "not-run-in-time"
 	// Stopping means that the instance may end before the request does.
 	Stopping Reason = "instance-stopping"
+	// OriginUnknown means that the client resumes a stream of which this instance cannot find out what
+	// began it, or that the route no longer leads there.
+	OriginUnknown Reason = "stream-origin-unknown"
 	// VersionGone means that no upstream of the software version that began a stream is in service.
 	VersionGone Reason = "stream-version-gone"
 	// Quarantined means that the request crashed the upstreams that ran it and does not run
--- /dev/null
+++ b/pkg/origin/exchange.go
@@ -0,0 +1,166 @@
+package origin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/origin/originpb"
+)
+
+// sendToHolders sends records to the instances that are to hold them. The group it returns is done when
+// all have answered or failed.
+func (d *Directory) sendToHolders(ctx context.Context, records []record) *sync.WaitGroup {
+	others := d.Others()
+	batches := map[string][]record{}
+	for _, r := range records {
+		for _, h := range rankHolders(r.key, others, numCopies) {
+			batches[h.Address] = append(batches[h.Address], r)
+		}
+	}
+	var sent sync.WaitGroup
+	for address, batch := range batches {
+		d.goSend(&sent, batch, func() {
+			if d.sendTo(ctx, address, batch) != nil {
+				d.sendToSubstitutes(ctx, others, batch)
+			}
+		})
+	}
+	return &sent
+}
+
+// goSend runs a sending of records in the background, unless too many are in progress.
+func (d *Directory) goSend(sent *sync.WaitGroup, batch []record, send func()) {
+	select {
+	case d.sending <- struct{}{}:
+	default:
+		d.drop(Fault{Step: "queue", Records: len(batch), Err: errTooManySent})
+		return
+	}
+	sent.Go(func() {
+		defer func() { <-d.sending }()
+		send()
+	})
+}
+
+// sendToSubstitutes sends records whose holder has not answered to the instances that are asked next.
+func (d *Directory) sendToSubstitutes(ctx context.Context, others []Holder, records []record) {
+	batches := map[string][]record{}
+	for _, r := range records {
+		if ranked := rankHolders(r.key, others, numCopies+1); len(ranked) > numCopies {
+			address := ranked[numCopies].Address
+			batches[address] = append(batches[address], r)
+		}
+	}
+	for address, batch := range batches {
+		if ctx.Err() != nil {
+			return
+		}
+		_ = d.sendTo(ctx, address, batch) // sendTo reports the fault
+	}
+}
+
+// sendTo sends records to the instance at an address.
+func (d *Directory) sendTo(ctx context.Context, address string, records []record) error {
+	message := &originpb.Records{}
+	now := d.Now()
+	for _, r := range records {
+		message.Records = append(message.Records, encode(r, now))
+	}
+	err := d.Peers.KeepOrigins(ctx, address, message)
+	if err != nil && ctx.Err() == nil {
+		d.OnFault(Fault{Step: "keep", Peer: address, Records: len(records), Err: err})
+	}
+	return err
+}
+
+// ask asks holders for a record at the same time. It returns the first one that it gets, or nil if none
+// has it or askTimeout is over, and how many have answered.
+func (d *Directory) ask(ctx context.Context, key Key, holders []Holder) (found *record, answered int) {
+	replies := make(chan *originpb.FindReply, len(holders))
+	// A call that is cancelled would close the connections to its peer.
+	background := context.WithoutCancel(ctx)
+	for _, h := range holders {
+		go func() { replies <- d.askOne(background, key, h) }()
+	}
+	timeout := time.NewTimer(askTimeout)
+	defer timeout.Stop()
+	for range holders {
+		select {
+		case <-ctx.Done():
+			return nil, answered
+		case <-timeout.C:
+			return nil, answered
+		case reply := <-replies:
+			if reply == nil {
+				continue
+			}
+			answered++
+			if r := d.decodeReply(key, reply); r != nil {
+				return r, answered
+			}
+		}
+	}
+	return nil, answered
+}
+
+// askOne returns a holder's reply; nil if there is none.
+func (d *Directory) askOne(ctx context.Context, key Key, h Holder) *originpb.FindReply {
+	reply, err := d.Peers.FindOrigin(ctx, h.Address, &originpb.FindRequest{Key: key[:]})
+	if err != nil {
+		d.OnFault(Fault{Step: "find", Peer: h.Address, Records: 1, Err: err})
+		return nil
+	}
+	return reply
+}
+
+// decodeReply returns the record of a stream in a reply; nil if there is no usable one.
+func (d *Directory) decodeReply(key Key, reply *originpb.FindReply) *record {
+	if reply.GetRecord() == nil {
+		return nil
+	}
+	r, err := decode(reply.Record, d.Now())
+	if err == nil && r.key != key {
+		err = errInvalidRecord
+	}
+	if err != nil {
+		d.OnFault(Fault{Step: "decode", Records: 1, Err: err})
+		return nil
+	}
+	return &r
+}
+
+// Service handles calls of other instances. It implements the Origins service.
+type Service struct{ Directory *Directory }
+
+// Keep implements the Origins service.
+func (s Service) Keep(_ context.Context, message *originpb.Records) (*originpb.KeepReply, error) {
+	d := s.Directory
+	now := d.Now()
+	numDropped := 0
+	for _, encoded := range message.Records {
+		r, err := decode(encoded, now)
+		if err != nil {
+			return nil, err
+		}
+		if !d.table.merge(r) {
+			numDropped++
+		}
+	}
+	if numDropped > 0 {
+		d.drop(Fault{Step: "queue", Records: numDropped, Err: errTableFull})
+	}
+	return &originpb.KeepReply{}, nil
+}
+
+// Find implements the Origins service.
+func (s Service) Find(_ context.Context, request *originpb.FindRequest) (*originpb.FindReply, error) {
+	if len(request.Key) != keySize {
+		return nil, errInvalidRecord
+	}
+	r, found := s.Directory.table.find(Key(request.Key))
+	if !found {
+		return &originpb.FindReply{}, nil
+	}
+	return &originpb.FindReply{Record: encode(r, s.Directory.Now())}, nil
+}
--- /dev/null
+++ b/pkg/origin/wire.go
@@ -0,0 +1,44 @@
+package origin
+
+import (
+	"errors"
+	"math"
+	"time"
+	"unique"
+
+	"github.com/lavenderring/lavenderring/pkg/origin/originpb"
+)
+
+// maxLifetime bounds how long a record that another instance sent is kept.
+const maxLifetime = time.Hour
+
+// errInvalidRecord means that a record of another instance has no valid key or no origin.
+var errInvalidRecord = errors.New("record without a valid key, service and version")
+
+// encode returns the message of a record at a time.
+func encode(r record, now time.Time) *originpb.Record {
+	lifetime := min(max(r.expires.Sub(now).Milliseconds(), 0), math.MaxUint32)
+	return &originpb.Record{
+		Key: r.key[:], Account: r.account, Service: r.origin.Service, Version: r.origin.Version,
+		Conflict: r.conflict, LifetimeMs: uint32(lifetime),
+	}
+}
+
+// decode returns the record in a message that arrived at a time.
+func decode(message *originpb.Record, now time.Time) (record, error) {
+	named := message.GetService() != "" && message.GetVersion() != ""
+	if len(message.GetKey()) != keySize || named == message.GetConflict() {
+		return record{}, errInvalidRecord
+	}
+	lifetime := min(time.Duration(message.LifetimeMs)*time.Millisecond, maxLifetime)
+	return record{
+		key:      Key(message.Key),
+		account:  message.Account,
+		origin:   Origin{Service: intern(message.Service), Version: intern(message.Version)},
+		conflict: message.Conflict,
+		expires:  now.Add(lifetime),
+	}, nil
+}
+
+// intern returns a shared copy of a string: thousands of records name the same services and versions.
+func intern(s string) string { return unique.Make(s).Value() }
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -18,6 +18,7 @@
 	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+	"github.com/lavenderring/lavenderring/pkg/origin/originpb"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 	"github.com/lavenderring/lavenderring/pkg/quarantine/quarantinepb"
 	"github.com/lavenderring/lavenderring/pkg/tunnel/tunnelpb"
@@ -27,8 +28,8 @@
 const (
 	// callTimeout bounds one call; the peer answers from memory or after one write to the store.
 	callTimeout = 2 * time.Second
-	// heartbeatTimeout bounds a heartbeat, a confirmation of copies of the store and an exchange of
-	// quarantine records.
+	// heartbeatTimeout bounds a heartbeat, a confirmation of copies of the store, an exchange of
+	// quarantine records and a call about what began a stream.
 	heartbeatTimeout = 500 * time.Millisecond
 	// probeTimeout bounds an indirect probe, in which the peer probes a member.
 	probeTimeout = 400 * time.Millisecond
@@ -291,6 +292,25 @@
 		})
 }
 
+// KeepOrigins sends records of what began streams to the instance at an address.
+func (c *Client) KeepOrigins(ctx context.Context, address string, records *originpb.Records) error {
+	_, err := callAddress(ctx, c, "keep-origins", address, heartbeatTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*originpb.KeepReply, error) {
+			return originpb.NewDRPCOriginsClient(conn).Keep(ctx, records)
+		})
+	return err
+}
+
+// FindOrigin asks the instance at an address what began a stream.
+func (c *Client) FindOrigin(
+	ctx context.Context, address string, request *originpb.FindRequest,
+) (*originpb.FindReply, error) {
+	return callAddress(ctx, c, "find-origin", address, heartbeatTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*originpb.FindReply, error) {
+			return originpb.NewDRPCOriginsClient(conn).Find(ctx, request)
+		})
+}
+
 // FetchChanges requests the changes of a copy of the store from the instance at an address.
 func (c *Client) FetchChanges(
 	ctx context.Context, address string, request *followpb.FetchRequest,
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderring/lavenderring/pkg/budget/budgetpb"
 	"github.com/lavenderring/lavenderring/pkg/follow/followpb"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+	"github.com/lavenderring/lavenderring/pkg/origin/originpb"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 	"github.com/lavenderring/lavenderring/pkg/quarantine/quarantinepb"
 	"github.com/lavenderring/lavenderring/pkg/tunnel/tunnelpb"
@@ -28,6 +29,8 @@
 	Quarantine quarantinepb.DRPCQuarantineServer
 	// Tunnels connects other instances to upstreams.
 	Tunnels tunnelpb.DRPCTunnelsServer
+	// Origins keeps records of what began streams.
+	Origins originpb.DRPCOriginsServer
 }
 
 // Server serves calls of other instances.
@@ -65,6 +68,11 @@
 			return nil, err
 		}
 	}
+	if handlers.Origins != nil {
+		if err := originpb.DRPCRegisterOrigins(mux, handlers.Origins); err != nil {
+			return nil, err
+		}
+	}
 	if handlers.Bills != nil {
 		if err := billpb.DRPCRegisterBills(mux, handlers.Bills); err != nil {
 			return nil, err
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -43,6 +43,7 @@
 	if age, known := r.eraAge(); known {
 		gauge("store.era_age_s", int64(age.Seconds()))
 	}
+	gauge("origins.held", int64(r.origins.Size()))
 	watched := r.quarantine.Summary()
 	gauge("quarantine.suspected", int64(watched.Suspected))
 	gauge("quarantine.condemned", int64(watched.Condemned))
--- a/pkg/router/background.go
+++ b/pkg/router/background.go
@@ -64,6 +64,7 @@
 	r.runInBackground(r.gossip.Run)
 	r.runInBackground(r.quarantine.Run)
 	r.runInBackground(r.quarantine.Spread)
+	r.runInBackground(r.origins.Run)
 	r.runInBackground(r.recoverVerdicts)
 	r.runEvery(memberLogInterval, r.logMemberChanges)
 	r.runEvery(loadLogInterval, r.logOverload)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/lavenderring/lavenderring/pkg/meeting"
 	"github.com/lavenderring/lavenderring/pkg/member"
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
+	"github.com/lavenderring/lavenderring/pkg/origin"
 	"github.com/lavenderring/lavenderring/pkg/overload"
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
@@ -84,8 +85,12 @@
 	tokens   *prepaid.Node
 	// quarantine holds the requests that crash upstreams.
 	quarantine *keeper.Keeper
-	conns      *httpconn.Pool
-	forward    *forward.Forwarder
+	// origins remembers which upstreams began streams.
+	origins *origin.Directory
+	// originFaults limits how often faults of origins are logged.
+	originFaults faultLimit
+	conns        *httpconn.Pool
+	forward      *forward.Forwarder
 	// links opens connections to upstreams, directly or through other instances; tunnels serves those
 	// of other instances.
 	links         *reach.Connector
@@ -188,6 +193,13 @@
 		Metrics:  r.metrics,
 		Now:      time.Now,
 	})
+	r.origins = origin.New(origin.Deps{
+		Others:  r.originHolders,
+		Peers:   r.peers,
+		OnFault: r.logOriginFault,
+		Metrics: r.metrics,
+		Now:     time.Now,
+	})
 	r.gossip = &member.Gossip{
 		Table:          r.table,
 		Send:           r.sendHeartbeat,
@@ -241,6 +253,7 @@
 
 		PeerProber: httpconn.NewPeerProber(r.platform.DialUpstream, r.conns, r.verifier.Verify, time.Now),
 		Quarantine: r.quarantine.Table(),
+		Origins:    r.origins,
 		Retries: retrylimit.Settings{
 			Ratio:  r.settings.RetryRatio,
 			Extra:  r.settings.RetryExtra,
@@ -275,6 +288,7 @@
 		Copies:     r,
 		Quarantine: keeper.Service{Keeper: r.quarantine},
 		Tunnels:    r.tunnels,
+		Origins:    origin.Service{Directory: r.origins},
 	}
 	if r.peerServer, err = peer.Listen(s.PeerAddress, handlers, &r.traffic, nil); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
--- a/pkg/router/stop.go
+++ b/pkg/router/stop.go
@@ -22,6 +22,8 @@
 	exitReserve = 100 * time.Millisecond
 	// tokenReturnTimeout bounds the return of tokens.
 	tokenReturnTimeout = 600 * time.Millisecond
+	// handOverTimeout bounds the hand-over of records to other instances.
+	handOverTimeout = 500 * time.Millisecond
 	// settleTimeout bounds the wait for requests that were cut off to settle their reservations.
 	settleTimeout = 100 * time.Millisecond
 	// drainCheckInterval is how often the requests in progress are counted.
@@ -47,6 +49,8 @@
 	tokens          tokenReturner
 	// onClosing is called when drain has ended.
 	onClosing func()
+	// handOver passes on what only this instance may know; it gives up when ctx is done.
+	handOver func(ctx context.Context)
 	// closeServers closes the instance's servers, and with them the connections.
 	closeServers []func()
 }
@@ -70,10 +74,20 @@
 	for _, closeServer := range s.closeServers {
 		closing.Go(closeServer)
 	}
+	closing.Go(s.handOverRecords)
 	s.returnTokens()
 	closing.Wait()
 }
 
+// handOverRecords passes on what only this instance may know, also of requests that were cut off.
+func (s *plannedStop) handOverRecords() {
+	ctx, cancel := context.WithDeadline(context.Background(), s.exitAt)
+	defer cancel()
+	ctx, cancelHandOver := context.WithTimeout(ctx, handOverTimeout)
+	defer cancelHandOver()
+	s.handOver(ctx)
+}
+
 // drain waits until no request is in progress and the load balancer sends no more, but not beyond closeAt.
 // Then no more requests are served.
 func (s *plannedStop) drain() {
@@ -136,11 +150,13 @@
 			"after_ms": time.Since(stop.beganAt).Milliseconds(), "active": traffic.NumActive(),
 		})
 	}
+	stop.handOver = r.origins.HandOver
 	r.lifecycle.Stop()
 	r.tunnels.Refuse()
 	r.forward.StopBy(stop.closeAt)
 	r.clientServer.Drain()
 	r.table.MarkLeaving()
+	go stop.handOverRecords() // the others no longer ask this instance
 	stop.run()
 	r.cancelBackground()
 	r.lifecycle.Done()
--- a/pkg/router/stop_test.go
+++ b/pkg/router/stop_test.go
@@ -72,6 +72,11 @@
 	tokens := &fakeTokens{silent: silent, clients: clients}
 	stop := newPlannedStop(testGracePeriod, clients, tokens)
 	stop.onClosing = func() {}
+	stop.handOver = func(ctx context.Context) {
+		if silent { // the other instances do not answer either
+			<-ctx.Done()
+		}
+	}
 	stop.closeServers = []func(){clients.close, func() { time.Sleep(closeTime) }, func() { time.Sleep(closeTime) }}
 	stop.run()
 	return clients, tokens, time.Since(began)
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -99,6 +100,11 @@
 // Service returns the named service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// LeadsTo reports whether the route's requests may be sent to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // SelectService returns the name of the service for the request with the id, or "" if the
 // route has none. Within one version of the configuration it depends on the id alone, so that
 // all attempts of a request go to the same service.
