Own door: the rest of an answer comes only from the process that began it

An answer whose connection to the engine breaks is continued by a request for the rest at the same address. Another process that answers there and knows the request may run another software version, and the caller got tokens of both. The instance took the address for the process.

The process that delivered the first token is remembered by the incarnation that engines name in each answer; the rest is accepted from no other, and is not asked for if the engine does not name one. The caller sees a broken answer, or another attempt if nothing was delivered yet.

TestCutStreamIsNotResumedAtAnotherProcess: joined answers with and without streaming before, none now.

--- a/pkg/entry/delivery.go
+++ b/pkg/entry/delivery.go
@@ -21,6 +21,8 @@
 	lease      *dispatch.Lease
 	usage      *chat.Usage
 	numResumes int
+	// incarnation is the process that generated the tokens delivered so far; empty if it did not say.
+	incarnation string
 	// sent is false while every attempt failed before the request was sent.
 	sent bool
 }
@@ -43,9 +45,12 @@
 
 // shouldResume reports whether to ask the same engine for the rest: the stream
 // broke or reached its idle timeout after the engine had accepted the request.
+// Tokens of a process that is not known could come from another software version
+// than the rest.
 func (d *delivery) shouldResume(ctx context.Context, err error) bool {
 	broken := errors.Is(err, upstream.ErrTruncated) || errors.Is(err, upstream.ErrIdleTimeout)
-	return broken && d.numResumes < maxResumes && ctx.Err() == nil
+	processKnown := d.call.offset == 0 || d.incarnation != ""
+	return broken && processKnown && d.numResumes < maxResumes && ctx.Err() == nil
 }
 
 // readStream opens or resumes the stream and handles its events until it ends.
@@ -56,6 +61,7 @@
 		Body:        d.call.body,
 		Resume:      d.numResumes > 0,
 		Offset:      d.call.offset,
+		Incarnation: d.incarnation,
 		Urgent:      d.call.pool.Urgent,
 		IdleTimeout: d.call.r.doc.Limits.StreamIdleTimeout(),
 	}, &d.call.r.tracker)
@@ -73,6 +79,9 @@
 		if event.End {
 			return nil
 		}
+		if d.call.offset == 0 && event.Offset > 0 {
+			d.incarnation = stream.Incarnation
+		}
 		if err := d.handleEvent(event); err != nil {
 			return err
 		}
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -53,6 +53,8 @@
 	// CutAfterTokens closes the connection of the next stream that reaches this many tokens, once;
 	// 0 for none.
 	CutAfterTokens int `json:"cut_after_tokens"`
+	// NewIncarnation lets another process answer after the cut, which knows the requests of the one before.
+	NewIncarnation bool `json:"new_incarnation"`
 	// WrongID answers the next request with another request's id.
 	WrongID bool `json:"wrong_id"`
 	// Frozen accepts requests and does not answer them.
@@ -76,10 +78,10 @@
 	http  *httpserve.Server
 	cfg   Config
 	slots chan struct{}
-	// incarnation identifies this process in the header of every answer.
-	incarnation string
 
-	mu           sync.Mutex
+	mu sync.Mutex
+	// incarnation identifies this process in the header of every answer.
+	incarnation  string
 	generations  map[string]*generation
 	faults       Faults
 	numRunning   int
@@ -138,6 +140,8 @@
 
 // setIncarnationHeader adds the incarnation to an answer.
 func (s *Server) setIncarnationHeader(_ context.Context, c *app.RequestContext) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	c.Header(chat.HeaderIncarnation, s.incarnation)
 }
 
@@ -359,6 +363,9 @@
 		return false
 	}
 	s.faults.CutAfterTokens = 0
+	if s.faults.NewIncarnation {
+		s.incarnation = ulid.Make().String()
+	}
 	_ = c.GetConn().Close()
 	return true
 }
--- a/pkg/upstream/stream.go
+++ b/pkg/upstream/stream.go
@@ -28,6 +28,8 @@
 	Resume bool
 	// Offset is the number of tokens after which the answer is resumed.
 	Offset int64
+	// Incarnation is the only process of the engine whose answer is accepted; empty for any.
+	Incarnation string
 	// Urgent asks the engine to start the request before others.
 	Urgent bool
 	// IdleTimeout bounds the wait for the response header and for each event.
@@ -90,11 +92,11 @@
 	if err != nil {
 		return callError(s.address, err)
 	}
-	if err := s.checkHead(); err != nil {
-		return err
-	}
 	s.Load = parseLoad(s.resp.Header.Get(chat.HeaderLoad))
 	s.Incarnation = s.resp.Header.Get(chat.HeaderIncarnation)
+	if err := s.checkHead(r.Incarnation); err != nil {
+		return err
+	}
 	s.reader, err = sse.NewReader(s.resp)
 	if err != nil {
 		return &CallError{Step: "stream", Peer: s.address, Status: s.resp.StatusCode(), Err: err}
@@ -117,7 +119,8 @@
 	req.SetBody(r.Body)
 }
 
-func (s *Stream) checkHead() error {
+// checkHead returns an error if the answer is not one to this request by an accepted process.
+func (s *Stream) checkHead(incarnation string) error {
 	status := s.resp.StatusCode()
 	switch {
 	case status == consts.StatusGone:
@@ -126,6 +129,8 @@
 		return &CallError{Step: "status", Peer: s.address, Status: status, Err: fmt.Errorf("status %d", status)}
 	case s.resp.Header.Get(chat.HeaderRequestID) != s.id:
 		return &CallError{Step: "status", Peer: s.address, Status: status, Err: ErrRequestIDMismatch}
+	case incarnation != "" && s.Incarnation != incarnation:
+		return &CallError{Step: "status", Peer: s.address, Status: status, Err: ErrOtherProcess}
 	}
 	return nil
 }
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -24,6 +24,9 @@
 	// ErrUnknownRequest means that the engine does not know the request, or does
 	// not know it any more.
 	ErrUnknownRequest = errors.New("upstream does not know the request")
+	// ErrOtherProcess means that another process answers at the engine's address, or one that does not
+	// say which it is.
+	ErrOtherProcess = errors.New("another process answers at the address")
 	// ErrTruncated means that a stream ended without its end mark.
 	ErrTruncated = errors.New("stream ended without its end mark")
 	// ErrIdleTimeout means that nothing was received for the idle timeout.
--- a/test/stream_test.go
+++ b/test/stream_test.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// Guards against an answer of the own door with tokens of two engine processes, which may run two software
+// versions: another process that knows the request answers at the address after the stream broke.
+func TestCutStreamIsNotResumedAtAnotherProcess(t *testing.T) {
+	f := newFleet(t, options{instances: 1, engines: 1, prepaid: 1_000_000, tokenMillis: 2})
+	for _, stream := range []bool{true, false} {
+		f.post(f.engines[0].control, "/faults", engine.Faults{CutAfterTokens: 10, NewIncarnation: true})
+		if a := askModel(f.instances[0].address, crewKey, stream, 40, samplePrompt); a.whole {
+			t.Errorf("stream %t: an answer of two processes: %s", stream, a.body)
+		}
+	}
+}
+
 // An engine answers with the id of another request, as if two answers had been
 // swapped. The client must not get a token of the other answer; the request is
 // idempotent, so the instance tries another engine.
