Soak: upstreams of two software versions, clients that resume broken streams

Clients resume the streams that break off for them, at another instance after an error; a stream that goes on at a version that did not begin it is a violation.

--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -48,9 +49,9 @@
 
 // isWhole reports whether the body is the whole answer to this request.
 func (s *request) isWhole() bool {
-	if strings.HasPrefix(s.route, "stream") || s.route == "resumable" {
+	if strings.HasPrefix(s.route, "stream") || s.route == resumableRoute {
 		var all strings.Builder
-		for n := 1; n <= streamEvents; n++ {
+		for n := s.numBefore + 1; n <= streamEvents; n++ {
 			fmt.Fprintf(&all, "id: %d\ndata: piece %d\n\n", n, n)
 		}
 		return s.answerBody == all.String()
@@ -69,6 +70,7 @@
 	for _, s := range r.requests {
 		ran := runs[s.id]
 		r.checkRunCount(s, ran)
+		r.checkVersions(s, runs)
 		if notRunStatuses[s.status] && len(ran) > 0 {
 			r.reportViolation("%s: told %d, which means not run, and ran %d times", s, s.status, len(ran))
 		}
@@ -108,12 +110,43 @@
 	}
 }
 
+// checkVersions checks that a stream went on only at a software version that began it.
+func (r *runner) checkVersions(s *request, runs map[string][]standin.Run) {
+	first := s
+	if s.first != nil {
+		first = s.first
+	}
+	for _, ran := range runs[s.id] {
+		if ran.LastEventID == "" {
+			continue
+		}
+		began := func(other standin.Run) bool { return other.LastEventID == "" && other.Version == ran.Version }
+		if !slices.ContainsFunc(runs[first.id], began) {
+			r.reportViolation("%s: went on at software version %s after event %s, which did not begin it", s, ran.Version, ran.LastEventID)
+		}
+	}
+}
+
+// countResumed returns how many streams clients resumed, and how many of them went on.
+func (r *runner) countResumed() (resumed, wentOn int) {
+	for _, s := range r.requests {
+		if s.first == nil {
+			continue
+		}
+		resumed++
+		if s.status == http.StatusOK {
+			wentOn++
+		}
+	}
+	return resumed, wentOn
+}
+
 // checkRecovery waits until every instance serves every route by the newest
 // configuration.
 func (r *runner) checkRecovery() {
 	deadline := time.Now().Add(recoveryTimeout)
 	for _, i := range r.fleet.instances {
-		for _, route := range []string{"once", "safe", "stream", "resumable", optionalRoute} {
+		for _, route := range []string{"once", "safe", "stream", resumableRoute, optionalRoute} {
 			for !r.serves(i, route) {
 				if time.Now().After(deadline) {
 					r.reportViolation("%s does not serve route %s as configured %v after the last fault", i.name, route, recoveryTimeout)
--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -39,6 +39,10 @@
 	err         error
 	// leavesEarly is set if the client closes the connection early.
 	leavesEarly bool
+	// first is the request that began the stream that this one resumes, and numBefore the number of
+	// events that the client has of it; nil and 0 for other requests.
+	first     *request
+	numBefore int64
 }
 
 // runClient sends requests until ctx ends, on a persistent connection to one instance. After an
@@ -56,6 +60,11 @@
 			transport.CloseIdleConnections()
 			target = r.fleet.instances[rng.IntN(len(r.fleet.instances))]
 		}
+		if s.mayBeResumed() {
+			next := s.resumption(target)
+			next.send(transport, rng)
+			r.record(next)
+		}
 		time.Sleep(randDuration(rng, maxClientPause))
 	}
 }
@@ -70,6 +79,27 @@
 	return s
 }
 
+// mayBeResumed reports whether the client has a part of a stream and may ask for the rest.
+func (s *request) mayBeResumed() bool {
+	return s.route == resumableRoute && s.err != nil && s.events() > 0
+}
+
+// resumption returns the request by which the client resumes the stream at an instance.
+func (s *request) resumption(target *instance) *request {
+	return &request{
+		id: s.id + "-resumed", key: s.key, route: s.route, requestBody: s.content(), instance: target,
+		first: s, numBefore: s.events(),
+	}
+}
+
+// content returns the body that is sent.
+func (s *request) content() string {
+	if s.requestBody != "" {
+		return s.requestBody
+	}
+	return "body of " + s.id
+}
+
 // send sends the request and reads the whole answer.
 func (s *request) send(transport *http.Transport, rng *rand.Rand) {
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout+timeoutSlack)
@@ -81,12 +111,8 @@
 	s.start = time.Now()
 	defer func() { s.end = time.Now() }()
 	names := platform.UpstreamHeaders
-	content := s.requestBody
-	if content == "" {
-		content = "body of " + s.id
-	}
 	url := "http://" + s.instance.clientAddress + "/" + s.route + "/x"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(content))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(s.content()))
 	if err != nil {
 		s.err = err
 		return
@@ -96,6 +122,10 @@
 	req.Header.Set(names.RequestID, s.id)
 	req.Header.Set(names.Deadline, fmt.Sprint(clientTimeout.Milliseconds()))
 	req.Header.Set(names.Tokens, fmt.Sprintf("%d,%d", promptTokens, outputTokens))
+	if s.first != nil {
+		req.Header.Set(names.Resumes, s.first.id)
+		req.Header.Set(names.LastEventID, fmt.Sprint(s.numBefore))
+	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		s.err = err
--- a/pkg/soak/crashing.go
+++ b/pkg/soak/crashing.go
@@ -120,7 +120,7 @@
 	if f.closed {
 		return nil
 	}
-	next := &upstream{service: u.service, domain: u.domain, relayAddress: u.relayAddress}
+	next := &upstream{service: u.service, domain: u.domain, version: u.version, relayAddress: u.relayAddress}
 	if err := f.startUpstream(next, u.ID, u.Address); err != nil {
 		return err
 	}
--- a/pkg/soak/fleet.go
+++ b/pkg/soak/fleet.go
@@ -54,9 +54,9 @@
 // upstream is one upstream stand-in behind a relay.
 type upstream struct {
 	*standin.Upstream
-	service, domain string
-	relay           *relay.Relay
-	relayAddress    string
+	service, domain, version string
+	relay                    *relay.Relay
+	relayAddress             string
 }
 
 func newFleet(opts Options, onCrash func(*upstream, standin.Run)) (*fleet, error) {
@@ -92,6 +92,9 @@
 // maxSeeds is how many peers are listed as seeds in an instance's settings.
 const maxSeeds = 3
 
+// numVersions is the number of software versions that the upstreams of a service have.
+const numVersions = 2
+
 // numDomains is the number of failure domains.
 const numDomains = 3
 
@@ -176,8 +179,10 @@
 	f.mu.Lock()
 	f.numStarted++
 	id := fmt.Sprintf("u%d", f.numStarted)
+	// Two successive upstreams are of different services.
+	version := fmt.Sprint("v", 1+f.numStarted/2%numVersions)
 	f.mu.Unlock()
-	u := &upstream{service: service, domain: domain, relayAddress: loopback.Address()}
+	u := &upstream{service: service, domain: domain, version: version, relayAddress: loopback.Address()}
 	if err := f.startUpstream(u, id, loopback.Address()); err != nil {
 		return err
 	}
@@ -199,6 +204,7 @@
 	if u.Upstream, err = standin.StartUpstream(id, address, events); err != nil {
 		return fmt.Errorf("start upstream %s: %w", id, err)
 	}
+	u.Version = u.version
 	u.OnCrash = func(ran standin.Run) { f.onCrash(u, ran) }
 	u.SetFaults(standin.UpstreamFaults{Delay: answerDelay, Fatal: crashMarker})
 	if u.relay, err = relay.Start(u.relayAddress, "", u.Address); err != nil {
--- a/pkg/soak/operator.go
+++ b/pkg/soak/operator.go
@@ -34,12 +34,15 @@
 	{Name: "safe", Kind: routing.Idempotent, MaxAttempts: 2, Targets: []routing.Target{{Service: plainService, Weight: 1}}},
 	{Name: "stream", Kind: routing.Stream, MaxAttempts: 2, Targets: []routing.Target{{Service: engineService, Weight: 1}}},
 	{
-		Name: "resumable", Kind: routing.Stream, MaxAttempts: 3, Resumable: true,
+		Name: resumableRoute, Kind: routing.Stream, MaxAttempts: 3, Resumable: true,
 		Targets: []routing.Target{{Service: engineService, Weight: 1}},
 	},
 }
 
-const optionalRoute = "optional"
+const (
+	optionalRoute  = "optional"
+	resumableRoute = "resumable"
+)
 
 // operator writes the configuration, directly at the store stand-in: its writes succeed
 // whatever faults the store has for instances.
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -46,6 +46,8 @@
 	// CrashingRequests is the number of crashing requests, UpstreamCrashes how many
 	// upstreams they crashed.
 	CrashingRequests, UpstreamCrashes int
+	// Resumed is the number of streams that clients resumed, WentOn how many of them went on.
+	Resumed, WentOn int
 	// ExcusedOverspend is how many tokens were spent beyond the prepaid amount after store
 	// rollbacks during which instances died or were paused. That is no violation.
 	ExcusedOverspend int64
@@ -53,8 +55,8 @@
 
 // String implements fmt.Stringer.
 func (r *Report) String() string {
-	return fmt.Sprintf("seed %d: %d faults, %d requests %v, %d violations, %d tokens overspent after store rollbacks, %d crashing requests that crashed %d upstreams",
-		r.Seed, r.Faults, r.Requests, r.Statuses, len(r.Violations), r.ExcusedOverspend, r.CrashingRequests, r.UpstreamCrashes)
+	return fmt.Sprintf("seed %d: %d faults, %d requests %v, %d violations, %d tokens overspent after store rollbacks, %d crashing requests that crashed %d upstreams, %d of %d resumed streams went on",
+		r.Seed, r.Faults, r.Requests, r.Statuses, len(r.Violations), r.ExcusedOverspend, r.CrashingRequests, r.UpstreamCrashes, r.WentOn, r.Resumed)
 }
 
 // injectedFault records when a fault was in effect, and at which instance.
@@ -224,6 +226,7 @@
 		Seed: r.opts.Seed, Faults: faults, Requests: len(r.requests), Statuses: map[string]int{}, Violations: r.violations, ExcusedOverspend: r.excusedOverspend,
 		CrashingRequests: len(r.crashing), UpstreamCrashes: r.crashes,
 	}
+	report.Resumed, report.WentOn = r.countResumed()
 	for _, s := range r.requests {
 		name := fmt.Sprint(s.status)
 		switch {
