Tests of what a resumed stream may not do; lookups in progress are bounded

A client that names requests that never began a stream made its instance ask up to eight others for each of them, without bound. At most 256 lookups are in progress at once; the next is refused like an unknown stream.

--- a/pkg/origin/directory.go
+++ b/pkg/origin/directory.go
@@ -32,15 +32,18 @@
 	maxBatch = 4096
 	// maxSending is the number of messages in flight.
 	maxSending = 64
+	// maxLookups is the number of records that other instances are asked for at the same time.
+	maxLookups = 256
 	// expireInterval is how often expired records are dropped.
 	expireInterval = time.Second
 )
 
 // Causes of records that are not sent or not kept.
 var (
-	errQueueFull   = errors.New("too many records wait to be sent")
-	errTooManySent = errors.New("too many messages are in flight")
-	errTableFull   = errors.New("the table or the account's part of it is full")
+	errQueueFull      = errors.New("too many records wait to be sent")
+	errTooManySent    = errors.New("too many messages are in flight")
+	errTooManyLookups = errors.New("too many records are being asked for")
+	errTableFull      = errors.New("the table or the account's part of it is full")
 )
 
 // Peers calls other instances. The calls return within a bounded time.
@@ -65,10 +68,11 @@
 // concurrent use. It is created by New.
 type Directory struct {
 	Deps
-	table    *table
-	pending  *ring.Queue[record]
-	sending  chan struct{}
-	counters counters
+	table   *table
+	pending *ring.Queue[record]
+	// sending and lookups hold an item for each message in flight and each lookup in progress.
+	sending, lookups chan struct{}
+	counters         counters
 }
 
 type counters struct{ recorded, found, unknown, dropped metrics.Counter }
@@ -81,6 +85,7 @@
 		table:   newTable(deps.Now),
 		pending: ring.New[record](maxPending),
 		sending: make(chan struct{}, maxSending),
+		lookups: make(chan struct{}, maxLookups),
 		counters: counters{
 			recorded: counter("origins.recorded"),
 			found:    counter("origins.found"),
@@ -161,9 +166,16 @@
 	if r, found := d.table.find(key); found {
 		return r, nil
 	}
+	unknown := &UnknownError{}
+	select {
+	case d.lookups <- struct{}{}:
+		defer func() { <-d.lookups }()
+	default:
+		d.OnFault(Fault{Step: "find", Records: 1, Err: errTooManyLookups})
+		return record{}, unknown
+	}
 	holders := rankHolders(key, d.Others(), numAsked)
 	first := min(numAskedFirst, len(holders))
-	unknown := &UnknownError{}
 	for _, group := range [][]Holder{holders[:first], holders[first:]} {
 		r, answered := d.ask(ctx, key, group)
 		unknown.Asked += len(group)
--- a/pkg/origin/fleet_test.go
+++ b/pkg/origin/fleet_test.go
@@ -347,3 +347,34 @@
 		}
 	})
 }
+
+// Guards against an account that resumes, or spoils, a stream of another account by its request's ID.
+func TestAccountsDoNotShareRecords(t *testing.T) {
+	inFleet(t, 7, func(t *testing.T, f *fleet) {
+		began := Origin{Service: "models", Version: "v1"}
+		f.instances[0].Record("owner", "id", began, patience)
+		f.instances[1].Record("other", "id", Origin{Service: "models", Version: "v2"}, patience)
+		time.Sleep(settleTime)
+		if found, err := f.instances[2].Find(f.ctx, "owner", "id"); err != nil || found != began {
+			t.Errorf("found %v, %v", found, err)
+		}
+		if found, err := f.instances[2].Find(f.ctx, "third", "id"); err == nil {
+			t.Errorf("a third account found %v", found)
+		}
+	})
+}
+
+// Guards against a client that makes an instance ask the others without bound, by naming requests that
+// never began a stream.
+func TestLookupsInProgressAreBounded(t *testing.T) {
+	inFleet(t, 9, func(t *testing.T, f *fleet) {
+		var lookups sync.WaitGroup
+		for n := range 10 * maxLookups {
+			lookups.Go(func() { _, _ = f.instances[0].Find(f.ctx, "account", fmt.Sprint("unknown-", n)) })
+		}
+		lookups.Wait()
+		if _, find := f.countMessages(); find > maxLookups*numAsked {
+			t.Errorf("%d messages for %d lookups at the same time", find, 10*maxLookups)
+		}
+	})
+}
