Without records of what began streams no client resumes one; safeguards

A forwarder without the records made ones of its own that dropped their faults unseen. It remembers nothing now. Safeguards: fourteen edits take the mends out one by one.

--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -104,7 +104,7 @@
 	PeerProber PeerProber
 	// Quarantine finds requests that crash upstreams; New creates one if it is nil.
 	Quarantine *quarantine.Table
-	// Origins remembers what began streams; New creates one without other instances if it is nil.
+	// Origins remembers what began streams; nil if clients cannot resume streams.
 	Origins Origins
 	// ColdLimit limits the requests sent to upstreams that have just started; nil for no limit.
 	// ColdOverage and ColdSlack, with the rate that each service sets, form a coldlimit.Bound.
@@ -185,8 +185,7 @@
 		deps.PeerProber = httpconn.NewPeerProber(httpconn.DialTCP, deps.Conns, crashed, deps.Now)
 	}
 	if deps.Origins == nil {
-		nobody := func() []origin.Holder { return nil }
-		deps.Origins = origin.New(origin.Deps{Others: nobody, OnFault: func(origin.Fault) {}, Metrics: deps.Metrics, Now: deps.Now})
+		deps.Origins = noOrigins{}
 	}
 	if deps.Quarantine == nil {
 		deps.Quarantine = quarantine.NewTable("", nil)
--- a/pkg/forward/origin.go
+++ b/pkg/forward/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/origin"
 	"github.com/lavenderring/lavenderring/pkg/placement"
@@ -44,6 +45,17 @@
 	return began, err
 }
 
+// noOrigins remembers nothing.
+type noOrigins struct{}
+
+// Record implements Origins.
+func (noOrigins) Record(string, string, origin.Origin, time.Duration) {}
+
+// Find implements Origins.
+func (noOrigins) Find(context.Context, string, string) (origin.Origin, error) {
+	return origin.Origin{}, &origin.UnknownError{}
+}
+
 // recordOrigin records which upstream sent the stream's first event, before the client gets the event.
 // A request that resumed a stream is recorded, too: the client may name it in its next retry.
 func (c *call) recordOrigin(lease *placement.Lease) {
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -180,4 +180,19 @@
 try tunnels-lead-to-listed-upstreams $tunnel/service.go 's/if !listed \{/if !listed \&\& maxConnections > 0 {/' $tunnel TestTunnelsLeadToListedUpstreamsOnly
 try full-links-carry-none $tunnel/service.go 's/active > maxTunnels \|\| .* \{/active > maxTunnels {/' $tunnel TestTunnelsLeadToListedUpstreamsOnly
 try instances-without-links-decline $tunnel/service.go 's/if !d\.Paths\.Reaches\(t\.GetService\(\), t\.GetAddress\(\)\) \{/if false {/' $tunnel TestInstancesWithoutLinksAreSkipped
+origin=pkg/origin
+try versions-bind-the-choice pkg/placement/pool.go 's/\(r\.Version == "" \|\| s\.Version == r\.Version\) && //' test TestBrokenStreamGoesOnAtTheVersionThatBeganIt
+try unknown-origins-are-refused pkg/forward/origin.go 's/if !c\.resumesStream\(\) \{/if true {/' test TestStreamsOfUnknownVersionAreRefused
+try resumed-streams-are-bound pkg/forward/origin.go 's/if !c\.resumesStream\(\) \{/if true {/' test TestStreamResumedByItsClientGoesOnAtTheVersionThatBeganIt
+try gone-versions-are-refused pkg/placement/pool.go 's/\(r\.Version == "" \|\| s\.Version == r\.Version\) && //' test TestStreamOfAVersionThatIsGoneIsRefused
+try records-are-held-elsewhere $origin/directory.go 's/d\.sendToHolders\(ctx, d\.takePending\(r\)\)/d.takePending(r)/' test TestStreamOfALostInstanceGoesOnAtTheVersionThatBeganIt
+try records-are-handed-over pkg/router/stop.go 's/stop\.handOver = r\.origins\.HandOver/stop.handOver = func(context.Context) {}/' test TestStreamOutlivesAPlannedRestartOfEachInstance
+try resumptions-are-recorded pkg/forward/origin.go 's/if !c\.route\.Resumable \|\|/if c.resumesStream() ||/' test TestStreamGoesOnInAChainOfRetries
+try holders-are-in-several-domains $origin/holders.go 's/c\.round = numInDomain\[c\.Domain\]/c.round = 0/' $origin TestRecordsSurviveTheLossOfAnInstanceOrADomain
+try accounts-have-their-own-records $origin/origin.go 's/account \+ "\\x00" \+ requestID/requestID/' $origin TestAccountsDoNotShareRecords
+try reused-ids-lead-nowhere $origin/table.go 's/ \|\| known\.origin != r\.origin//' $origin TestReusedIDIsAConflict
+try lookups-are-bounded $origin/directory.go 's/maxLookups = 256/maxLookups = 256 * 1000/' $origin TestLookupsInProgressAreBounded
+try services-bind-the-choice pkg/forward/origin.go 's/return began\.Service, nil/return c.route.SelectService(c.r.ID), nil/' pkg/forward TestResumedStreamStaysAtItsServiceOnADividedRoute
+try moved-routes-refuse pkg/forward/origin.go 's/err == nil && !c\.route\.LeadsTo/false \&\& !c.route.LeadsTo/' pkg/forward TestStreamThatCannotGoOnIsRefusedAndNotRun
+try own-door-knows-the-process pkg/upstream/stream.go 's/incarnation != "" && s\.Incarnation != incarnation/false/' test TestCutStreamIsNotResumedAtAnotherProcess
 exit $status
