--- a/pkg/origin/directory.go
+++ b/pkg/origin/directory.go
@@ -23,7 +23,7 @@
 	numAsked      = 8
 	// askTimeout bounds the wait for the answers of the instances that are asked at once.
 	askTimeout = 150 * time.Millisecond
-	// batchInterval is how long records wait for others to the same holder. A record that waits is
+	// batchInterval is how long records wait for others to the same instance. A record that waits is
 	// lost with the instance.
 	batchInterval = 5 * time.Millisecond
 	// maxPending is the number of records that wait to be sent.
@@ -57,7 +57,7 @@
 // Deps holds the dependencies of a Directory.
 type Deps struct {
 	// Others returns the other live instances.
-	Others  func() []Holder
+	Others  func() []Member
 	Peers   Peers
 	OnFault func(Fault)
 	Metrics metrics.Registry
@@ -117,7 +117,7 @@
 	d.OnFault(fault)
 }
 
-// Run sends new records to their holders and drops expired ones until ctx ends.
+// Run sends copies of new records to other instances and drops expired ones until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
 	expiry := time.NewTicker(expireInterval)
 	defer expiry.Stop()
@@ -129,7 +129,7 @@
 			d.table.expire()
 		case r := <-d.pending.Items():
 			pause.For(ctx, batchInterval)
-			d.sendToHolders(ctx, d.takePending(r))
+			d.sendCopies(ctx, d.takePending(r))
 		}
 	}
 }
@@ -174,9 +174,9 @@
 		d.OnFault(Fault{Step: "find", Records: 1, Err: errTooManyLookups})
 		return record{}, unknown
 	}
-	holders := rankHolders(key, d.Others(), numAsked)
-	first := min(numAskedFirst, len(holders))
-	for _, group := range [][]Holder{holders[:first], holders[first:]} {
+	ranked := rankMembers(key, d.Others(), numAsked)
+	first := min(numAskedFirst, len(ranked))
+	for _, group := range [][]Member{ranked[:first], ranked[first:]} {
 		r, answered := d.ask(ctx, key, group)
 		unknown.Asked += len(group)
 		unknown.Answered += answered
@@ -188,13 +188,13 @@
 	return record{}, unknown
 }
 
-// HandOver sends all records to their holders, for an instance that stops; it returns when they have
-// answered or ctx ends.
+// HandOver sends copies of all records to other instances, for an instance that stops; it returns when they
+// have answered or ctx ends.
 func (d *Directory) HandOver(ctx context.Context) {
 	all := d.table.all()
 	for len(all) > 0 {
 		count := min(maxBatch, len(all))
-		d.sendToHolders(ctx, all[:count]).Wait()
+		d.sendCopies(ctx, all[:count]).Wait()
 		all = all[count:]
 	}
 }
--- a/pkg/origin/exchange.go
+++ b/pkg/origin/exchange.go
@@ -8,14 +8,14 @@
 	"github.com/lavenderring/lavenderring/pkg/origin/originpb"
 )
 
-// sendToHolders sends records to the instances that are to hold them. The group it returns is done when
+// sendCopies sends records to the instances that are to hold them. The group it returns is done when
 // all have answered or failed.
-func (d *Directory) sendToHolders(ctx context.Context, records []record) *sync.WaitGroup {
+func (d *Directory) sendCopies(ctx context.Context, records []record) *sync.WaitGroup {
 	others := d.Others()
 	batches := map[string][]record{}
 	for _, r := range records {
-		for _, h := range rankHolders(r.key, others, numCopies) {
-			batches[h.Address] = append(batches[h.Address], r)
+		for _, m := range rankMembers(r.key, others, numCopies) {
+			batches[m.Address] = append(batches[m.Address], r)
 		}
 	}
 	var sent sync.WaitGroup
@@ -43,11 +43,11 @@
 	})
 }
 
-// sendToSubstitutes sends records whose holder has not answered to the instances that are asked next.
-func (d *Directory) sendToSubstitutes(ctx context.Context, others []Holder, records []record) {
+// sendToSubstitutes sends copies that their instance has not acknowledged to the instance that is asked next.
+func (d *Directory) sendToSubstitutes(ctx context.Context, others []Member, records []record) {
 	batches := map[string][]record{}
 	for _, r := range records {
-		if ranked := rankHolders(r.key, others, numCopies+1); len(ranked) > numCopies {
+		if ranked := rankMembers(r.key, others, numCopies+1); len(ranked) > numCopies {
 			address := ranked[numCopies].Address
 			batches[address] = append(batches[address], r)
 		}
@@ -74,18 +74,18 @@
 	return err
 }
 
-// ask asks holders for a record at the same time. It returns the first one that it gets, or nil if none
+// ask asks instances for a record at the same time. It returns the first one that it gets, or nil if none
 // has it or askTimeout is over, and how many have answered.
-func (d *Directory) ask(ctx context.Context, key Key, holders []Holder) (found *record, answered int) {
-	replies := make(chan *originpb.FindReply, len(holders))
+func (d *Directory) ask(ctx context.Context, key Key, members []Member) (found *record, answered int) {
+	replies := make(chan *originpb.FindReply, len(members))
 	// A call that is cancelled would close the connections to its peer.
 	background := context.WithoutCancel(ctx)
-	for _, h := range holders {
-		go func() { replies <- d.askOne(background, key, h) }()
+	for _, m := range members {
+		go func() { replies <- d.askOne(background, key, m) }()
 	}
 	timeout := time.NewTimer(askTimeout)
 	defer timeout.Stop()
-	for range holders {
+	for range members {
 		select {
 		case <-ctx.Done():
 			return nil, answered
@@ -104,11 +104,11 @@
 	return nil, answered
 }
 
-// askOne returns a holder's reply; nil if there is none.
-func (d *Directory) askOne(ctx context.Context, key Key, h Holder) *originpb.FindReply {
-	reply, err := d.Peers.FindOrigin(ctx, h.Address, &originpb.FindRequest{Key: key[:]})
+// askOne returns an instance's reply; nil if there is none.
+func (d *Directory) askOne(ctx context.Context, key Key, m Member) *originpb.FindReply {
+	reply, err := d.Peers.FindOrigin(ctx, m.Address, &originpb.FindRequest{Key: key[:]})
 	if err != nil {
-		d.OnFault(Fault{Step: "find", Peer: h.Address, Records: 1, Err: err})
+		d.OnFault(Fault{Step: "find", Peer: m.Address, Records: 1, Err: err})
 		return nil
 	}
 	return reply
--- a/pkg/origin/fleet_test.go
+++ b/pkg/origin/fleet_test.go
@@ -20,7 +20,7 @@
 	messageDelay = 2 * time.Millisecond
 	// silentCallTimeout is how long a call to an instance that cannot be reached takes.
 	silentCallTimeout = 500 * time.Millisecond
-	// settleTime is more than records need to reach their holders.
+	// settleTime is more than copies need to reach the other instances.
 	settleTime = 50 * time.Millisecond
 	patience   = 20 * time.Second
 	numDomains = 3
@@ -87,13 +87,13 @@
 	i.removed = true
 }
 
-func (i *instance) others() []Holder {
+func (i *instance) others() []Member {
 	i.fleet.mu.Lock()
 	defer i.fleet.mu.Unlock()
-	var others []Holder
+	var others []Member
 	for _, o := range i.fleet.instances {
 		if o != i && !o.removed {
-			others = append(others, Holder{Name: fmt.Sprint("edge-", o.n), Domain: fmt.Sprint(o.n % numDomains), Address: fmt.Sprint(o.n)})
+			others = append(others, Member{Name: fmt.Sprint("edge-", o.n), Domain: fmt.Sprint(o.n % numDomains), Address: fmt.Sprint(o.n)})
 		}
 	}
 	return others
--- a/pkg/origin/holders.go
+++ b/pkg/origin/ranking.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Holder is another instance that may hold records.
-type Holder struct {
+// Member is another instance that may hold records.
+type Member struct {
 	// Name stays the same when the instance restarts.
 	Name string
 	// Domain is the failure domain, unique among all regions.
@@ -17,19 +17,19 @@
 	Address string
 }
 
-// rankHolders returns the first holders of a stream's record, at most count: the first of each failure
-// domain, then the second of each, and so on, in the order of rendezvous hashing. Instances that know
-// the same others agree on the order; when an instance joins or leaves, few records change their holders.
-func rankHolders(key Key, holders []Holder, count int) []Holder {
+// rankMembers returns the members that hold copies of a stream's record first, at most count: the first of
+// each failure domain, then the second of each, and so on, in the order of rendezvous hashing. Instances
+// that know the same members agree on the order; a member that joins or leaves changes it for few records.
+func rankMembers(key Key, members []Member, count int) []Member {
 	type candidate struct {
-		Holder
+		Member
 		score uint64
 		// round is the number of better candidates in the same failure domain.
 		round int
 	}
-	candidates := make([]candidate, 0, len(holders))
-	for _, h := range holders {
-		candidates = append(candidates, candidate{Holder: h, score: rendezvousScore(key, h.Name)})
+	candidates := make([]candidate, 0, len(members))
+	for _, m := range members {
+		candidates = append(candidates, candidate{Member: m, score: rendezvousScore(key, m.Name)})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
 	numInDomain := map[string]int{}
@@ -39,9 +39,9 @@
 		numInDomain[c.Domain]++
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.round, b.round) })
-	ranked := make([]Holder, 0, count)
+	ranked := make([]Member, 0, count)
 	for _, c := range candidates[:min(count, len(candidates))] {
-		ranked = append(ranked, c.Holder)
+		ranked = append(ranked, c.Member)
 	}
 	return ranked
 }
--- a/pkg/router/origins.go
+++ b/pkg/router/origins.go
@@ -12,14 +12,14 @@
 // while another instance does not answer.
 const originFaultInterval = time.Second
 
-// originHolders returns the other live instances.
-func (r *Router) originHolders() []origin.Holder {
+// originMembers returns the other live instances.
+func (r *Router) originMembers() []origin.Member {
 	others := r.table.Others()
-	holders := make([]origin.Holder, 0, len(others))
+	members := make([]origin.Member, 0, len(others))
 	for _, m := range others {
-		holders = append(holders, origin.Holder{Name: m.Name, Domain: m.Region + "/" + m.Domain, Address: m.PeerAddress})
+		members = append(members, origin.Member{Name: m.Name, Domain: m.Region + "/" + m.Domain, Address: m.PeerAddress})
 	}
-	return holders
+	return members
 }
 
 func (r *Router) logOriginFault(f origin.Fault) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -194,7 +194,7 @@
 		Now:      time.Now,
 	})
 	r.origins = origin.New(origin.Deps{
-		Others:  r.originHolders,
+		Others:  r.originMembers,
 		Peers:   r.peers,
 		OnFault: r.logOriginFault,
 		Metrics: r.metrics,
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -185,13 +185,13 @@
 try unknown-origins-are-refused pkg/forward/origin.go 's/if !c\.resumesStream\(\) \{/if true {/' test TestStreamsOfUnknownVersionAreRefused
 try resumed-streams-are-bound pkg/forward/origin.go 's/if !c\.resumesStream\(\) \{/if true {/' test TestStreamResumedByItsClientGoesOnAtTheVersionThatBeganIt
 try gone-versions-are-refused pkg/placement/pool.go 's/\(r\.Version == "" \|\| s\.Version == r\.Version\) && //' test TestStreamOfAVersionThatIsGoneIsRefused
-try records-are-held-elsewhere $origin/directory.go 's/d\.sendToHolders\(ctx, d\.takePending\(r\)\)/d.takePending(r)/' test TestStreamOfALostInstanceGoesOnAtTheVersionThatBeganIt
+try records-are-held-elsewhere $origin/directory.go 's/d\.sendCopies\(ctx, d\.takePending\(r\)\)/d.takePending(r)/' test TestStreamOfALostInstanceGoesOnAtTheVersionThatBeganIt
 try records-are-handed-over pkg/router/stop.go 's/stop\.handOver = r\.origins\.HandOver/stop.handOver = func(context.Context) {}/' test TestStreamOutlivesAPlannedRestartOfEachInstance
 try resumptions-are-recorded pkg/forward/origin.go 's/if !c\.route\.Resumable \|\|/if c.resumesStream() ||/' test TestStreamGoesOnInAChainOfRetries
-try holders-are-in-several-domains $origin/holders.go 's/c\.round = numInDomain\[c\.Domain\]/c.round = 0/' $origin TestRecordsSurviveTheLossOfAnInstanceOrADomain
+try copies-are-in-several-domains $origin/ranking.go 's/c\.round = numInDomain\[c\.Domain\]/c.round = 0/' $origin TestRecordsSurviveTheLossOfAnInstanceOrADomain
 try accounts-have-their-own-records $origin/origin.go 's/account \+ "\\x00" \+ requestID/requestID/' $origin TestAccountsDoNotShareRecords
 try reused-ids-lead-nowhere $origin/table.go 's/ \|\| known\.origin != r\.origin//' $origin TestReusedIDIsAConflict
-try lookups-are-bounded $origin/directory.go 's/maxLookups = 256/maxLookups = 256 * 1000/' $origin TestLookupsInProgressAreBounded
+try lookups-are-bounded $origin/directory.go 's/make\(chan struct\{\}, maxLookups\)/make(chan struct{}, 100*maxLookups)/' $origin TestLookupsInProgressAreBounded
 try services-bind-the-choice pkg/forward/origin.go 's/return began\.Service, nil/return c.route.SelectService(c.r.ID), nil/' pkg/forward TestResumedStreamStaysAtItsServiceOnADividedRoute
 try moved-routes-refuse pkg/forward/origin.go 's/err == nil && !c\.route\.LeadsTo/false \&\& !c.route.LeadsTo/' pkg/forward TestStreamThatCannotGoOnIsRefusedAndNotRun
 try own-door-knows-the-process pkg/upstream/stream.go 's/incarnation != "" && s\.Incarnation != incarnation/false/' test TestCutStreamIsNotResumedAtAnotherProcess
