--- a/pkg/origin/ranking.go
+++ b/pkg/origin/ranking.go
@@ -1,11 +1,6 @@
 package origin
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Member is another instance that may hold records.
 type Member struct {
@@ -21,29 +16,54 @@
 // each failure domain, then the second of each, and so on, in the order of rendezvous hashing. Instances
 // that know the same members agree on the order; a member that joins or leaves changes it for few records.
 func rankMembers(key Key, members []Member, count int) []Member {
-	type candidate struct {
-		Member
-		score uint64
-		// round is the number of better candidates in the same failure domain.
-		round int
+	candidates := newCandidates(key, members)
+	ranked := make([]Member, 0, min(count, len(members)))
+	for len(ranked) < cap(ranked) {
+		best := nextCandidate(candidates)
+		best.ranked = true
+		*best.numInDomain++
+		ranked = append(ranked, members[best.member])
 	}
+	return ranked
+}
+
+// candidate is a member while the members are ranked.
+type candidate struct {
+	member int
+	score  uint64
+	ranked bool
+	// numInDomain is the number of ranked members in the candidate's failure domain; the candidates of a
+	// domain share it.
+	numInDomain *int
+}
+
+func newCandidates(key Key, members []Member) []candidate {
+	numInDomain := map[string]*int{}
 	candidates := make([]candidate, 0, len(members))
-	for _, m := range members {
-		candidates = append(candidates, candidate{Member: m, score: rendezvousScore(key, m.Name)})
+	for n, m := range members {
+		if numInDomain[m.Domain] == nil {
+			numInDomain[m.Domain] = new(int)
+		}
+		candidates = append(candidates, candidate{member: n, score: rendezvousScore(key, m.Name), numInDomain: numInDomain[m.Domain]})
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	numInDomain := map[string]int{}
+	return candidates
+}
+
+// nextCandidate returns the candidate with the highest score among those of the failure domains of which
+// the fewest members are ranked. One candidate at least must not be ranked yet.
+func nextCandidate(candidates []candidate) *candidate {
+	var best *candidate
 	for i := range candidates {
 		c := &candidates[i]
-		c.round = numInDomain[c.Domain]
-		numInDomain[c.Domain]++
+		switch {
+		case c.ranked:
+		case best == nil || *c.numInDomain < *best.numInDomain:
+			best = c
+		case *c.numInDomain == *best.numInDomain && c.score > best.score:
+			best = c
+		}
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.round, b.round) })
-	ranked := make([]Member, 0, count)
-	for _, c := range candidates[:min(count, len(candidates))] {
-		ranked = append(ranked, c.Member)
-	}
-	return ranked
+	return best
 }
 
 func rendezvousScore(key Key, name string) uint64 {
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -188,7 +188,7 @@
 try records-are-held-elsewhere $origin/directory.go 's/d\.sendCopies\(ctx, d\.takePending\(r\)\)/d.takePending(r)/' test TestStreamOfALostInstanceGoesOnAtTheVersionThatBeganIt
 try records-are-handed-over pkg/router/stop.go 's/stop\.handOver = r\.origins\.HandOver/stop.handOver = func(context.Context) {}/' test TestStreamOutlivesAPlannedRestartOfEachInstance
 try resumptions-are-recorded pkg/forward/origin.go 's/if !c\.route\.Resumable \|\|/if c.resumesStream() ||/' test TestStreamGoesOnInAChainOfRetries
-try copies-are-in-several-domains $origin/ranking.go 's/c\.round = numInDomain\[c\.Domain\]/c.round = 0/' $origin TestRecordsSurviveTheLossOfAnInstanceOrADomain
+try copies-are-in-several-domains $origin/ranking.go 's/\*best\.numInDomain\+\+//' $origin TestRecordsSurviveTheLossOfAnInstanceOrADomain
 try accounts-have-their-own-records $origin/origin.go 's/account \+ "\\x00" \+ requestID/requestID/' $origin TestAccountsDoNotShareRecords
 try reused-ids-lead-nowhere $origin/table.go 's/ \|\| known\.origin != r\.origin//' $origin TestReusedIDIsAConflict
 try lookups-are-bounded $origin/directory.go 's/make\(chan struct\{\}, maxLookups\)/make(chan struct{}, 100*maxLookups)/' $origin TestLookupsInProgressAreBounded
