origin: three copies of a record, five in small fleets

Of the streams of 6 of 7 instances that were lost at once, two copies leave a third (worked out), less than the half that users ask for; small fleets are to bear the loss of any number of instances.

--- a/pkg/origin/directory.go
+++ b/pkg/origin/directory.go
@@ -15,11 +15,15 @@
 // Parameters of how records are kept at other instances.
 const (
 	// numCopies is the number of other instances that hold a record. They are in different failure
-	// domains, so a record survives the loss of any one instance or domain.
-	numCopies = 2
-	// numAskedFirst and numAsked are the numbers of instances that are asked for a record: first those
-	// that hold it unless members came or left, then those that may hold it otherwise.
-	numAskedFirst = numCopies + 1
+	// domains as far as possible, so a record survives the loss of any one instance or domain.
+	numCopies = 3
+	// numCopiesSmallFleet is that number if there are at most maxSmallFleet other instances, of which all
+	// but one may be lost at once: most records survive that, too.
+	numCopiesSmallFleet = 5
+	maxSmallFleet       = 12
+	// numAskedFirst and numAsked are the numbers of instances that are asked for a record: first some of
+	// those that hold it unless members came or left, then those that may hold it otherwise.
+	numAskedFirst = 3
 	numAsked      = 8
 	// askTimeout bounds the wait for the answers of the instances that are asked at once.
 	askTimeout = 150 * time.Millisecond
@@ -95,6 +99,14 @@
 	}
 }
 
+// numCopiesAmong returns how many of the other instances hold a record.
+func numCopiesAmong(numOthers int) int {
+	if numOthers <= maxSmallFleet {
+		return numCopiesSmallFleet
+	}
+	return numCopies
+}
+
 // Size returns the number of records that this instance holds.
 func (d *Directory) Size() int { return d.table.size() }
 
--- a/pkg/origin/exchange.go
+++ b/pkg/origin/exchange.go
@@ -14,7 +14,7 @@
 	others := d.Others()
 	batches := map[string][]record{}
 	for _, r := range records {
-		for _, m := range rankMembers(r.key, others, numCopies) {
+		for _, m := range rankMembers(r.key, others, numCopiesAmong(len(others))) {
 			batches[m.Address] = append(batches[m.Address], r)
 		}
 	}
@@ -46,9 +46,10 @@
 // sendToSubstitutes sends copies that their instance has not acknowledged to the instance that is asked next.
 func (d *Directory) sendToSubstitutes(ctx context.Context, others []Member, records []record) {
 	batches := map[string][]record{}
+	numHolding := numCopiesAmong(len(others))
 	for _, r := range records {
-		if ranked := rankMembers(r.key, others, numCopies+1); len(ranked) > numCopies {
-			address := ranked[numCopies].Address
+		if ranked := rankMembers(r.key, others, numHolding+1); len(ranked) > numHolding {
+			address := ranked[numHolding].Address
 			batches[address] = append(batches[address], r)
 		}
 	}
