--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -220,6 +220,12 @@
 
 // send sends one request on a new connection and reads the whole answer.
 func (f *routedFleet) send(i *routedInstance, id, route, body string) response {
+	f.t.Helper()
+	return roundTrip(f.newRequest(i, id, route, body))
+}
+
+// newRequest returns a client's request.
+func (f *routedFleet) newRequest(i *routedInstance, id, route, body string) *http.Request {
 	f.t.Helper()
 	headers := platform.UpstreamHeaders
 	req, err := http.NewRequest(http.MethodPost, "http://"+i.clientAddress+"/"+route+"/x?q=%2F", bytes.NewBufferString(body))
@@ -229,7 +235,7 @@
 	req.Header.Set(headers.RequestID, id)
 	req.Header.Set(headers.Deadline, "2500")
 	req.Header.Set(headers.Tokens, fmt.Sprintf("%d,%d", promptTokens, outputTokens))
-	return roundTrip(req)
+	return req
 }
 
 // roundTrip sends a request on a new connection and reads the whole answer.
--- a/test/versions_test.go
+++ b/test/versions_test.go
@@ -103,14 +103,8 @@
 // streamRequest returns a client's request for the resumable stream.
 func (f *versionedFleet) streamRequest(i *routedInstance, id string) *http.Request {
 	f.t.Helper()
-	headers := platform.UpstreamHeaders
-	req, err := http.NewRequest(http.MethodPost, "http://"+i.clientAddress+"/resumable/x", strings.NewReader("x"))
-	f.must(err)
-	req.Host = routedHost
-	req.Header.Set("Authorization", "Bearer "+routedKey)
-	req.Header.Set(headers.RequestID, id)
-	req.Header.Set(headers.Deadline, clientPatience)
-	req.Header.Set(headers.Tokens, fmt.Sprintf("%d,%d", promptTokens, outputTokens))
+	req := f.newRequest(i, id, "resumable", "x")
+	req.Header.Set(platform.UpstreamHeaders.Deadline, clientPatience)
 	return req
 }
 
