--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -53,6 +53,9 @@
 	sendErr  error
 	// sentAt is when sending began.
 	sentAt time.Time
+	// heardAt is when the upstream was last heard of, from sentAt on; waitsUntil is when the wait for more
+	// times out.
+	heardAt, waitsUntil time.Time
 	// keepFor is how long the upstream keeps the idle connection, 0 if it did not say;
 	// negative if the connection must not be reused.
 	keepFor time.Duration
@@ -140,8 +143,9 @@
 	}()
 	a.c.f.meters.beforeSendTime.Update(a.c.f.Now().Sub(a.c.r.Arrived))
 	a.logDispatch()
-	a.conn.SetDeadline(a.headDeadline())
+	a.setDeadline(a.headDeadline())
 	a.send()
+	a.heardAt = a.sentAt
 	response, err := a.awaitHead()
 	if err != nil {
 		return a.connFailed("head", err)
@@ -154,7 +158,8 @@
 	if failed := a.checkHead(&head); failed != nil {
 		return failed
 	}
-	a.conn.SetDeadline(a.c.deadline)
+	a.heardAt = a.c.f.Now()
+	a.setDeadline(a.c.deadline)
 	if a.c.route.Kind == routing.Stream && head.Status < http.StatusMultipleChoices {
 		return a.deliverStream(response, &head)
 	}
@@ -246,6 +251,11 @@
 	return c.deadline
 }
 
+func (a *attempt) setDeadline(deadline time.Time) {
+	a.waitsUntil = deadline
+	a.conn.SetDeadline(deadline)
+}
+
 // send writes the request; a long body is written while the answer is read.
 func (a *attempt) send() {
 	c := a.c
@@ -328,10 +338,14 @@
 func (a *attempt) connFailed(step string, err error) *failure {
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
+		cause := errUpstreamSilent
 		if a.c.remaining() <= minAttemptTime {
-			return a.outcomeUnknown(step, errNoTime)
+			cause = errNoTime
 		}
-		return a.outcomeUnknown(step, errUpstreamSilent)
+		failed := a.outcomeUnknown(step, cause)
+		now := a.c.f.Now()
+		failed.silence = &silence{lasted: now.Sub(a.heardAt), noticedLate: now.Sub(a.waitsUntil)}
+		return failed
 	}
 	failed := a.outcomeUnknown(step, err)
 	failed.connEnded = true
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -99,6 +99,7 @@
 	if failure.version != "" {
 		fields["version"] = failure.version
 	}
+	failure.silence.addFields(fields)
 	c.f.Log.Event(eventlog.RequestRepeated, c.r.ID, fields)
 }
 
@@ -147,6 +148,24 @@
 	answered bool
 	// version is the software version of the upstream whose stream broke off; empty for other failures.
 	version string
+	// silence is set if the wait for the upstream timed out.
+	silence *silence
+}
+
+// silence is a wait for an upstream that timed out.
+type silence struct {
+	// lasted is how long nothing had been received, noticedLate how long after the timeout this instance
+	// noticed it.
+	lasted, noticedLate time.Duration
+}
+
+// addFields adds the silence to the fields of a log event; nothing if there was none.
+func (s *silence) addFields(fields eventlog.Fields) {
+	if s == nil {
+		return
+	}
+	fields["silent_ms"] = s.lasted.Milliseconds()
+	fields["noticed_late_ms"] = s.noticedLate.Milliseconds()
 }
 
 func (f *failure) markAnswered() *failure {
@@ -202,10 +221,13 @@
 func (c *call) finishFailed(last *failure) {
 	if c.begun {
 		c.f.meters.unknown.Inc(1)
-		c.f.Log.Event(eventlog.RequestFailed, c.r.ID, eventlog.Fields{
+		fields := eventlog.Fields{
 			"reason": "stream-broken", "step": last.step, "peer": last.peer, "cause": last.err.Error(),
 			"events": c.numEvents, "sent": c.numSent, "took_ms": c.f.Now().Sub(c.r.Arrived).Milliseconds(),
-		})
+			"left_ms": c.remaining().Milliseconds(),
+		}
+		last.silence.addFields(fields)
+		c.f.Log.Event(eventlog.RequestFailed, c.r.ID, fields)
 		c.client.Abort()
 		return
 	}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -27,8 +27,8 @@
 	for {
 		a.setSilenceDeadline()
 		n, err := response.Body.Read(buffer)
-		if n > 0 && a.via == "" {
-			a.c.f.Links.NoteHeard(a.lease.Service)
+		if n > 0 {
+			a.noteHeard()
 		}
 		rest = append(rest, buffer[:n]...)
 		whole := completeEventsLen(rest)
@@ -49,6 +49,13 @@
 	}
 }
 
+func (a *attempt) noteHeard() {
+	a.heardAt = a.c.f.Now()
+	if a.via == "" {
+		a.c.f.Links.NoteHeard(a.lease.Service)
+	}
+}
+
 // setSilenceDeadline bounds the wait for the next data if the stream can be resumed at
 // another upstream.
 func (a *attempt) setSilenceDeadline() {
@@ -60,7 +67,7 @@
 			deadline = earlier
 		}
 	}
-	a.conn.SetDeadline(deadline)
+	a.setDeadline(deadline)
 }
 
 // completeEventsLen returns the length of the complete events at the beginning of data; an
