forward: a silent upstream is given up only for another one's answer

Callers saw streams cut, and idempotent requests answered 502, after their upstream had been silent for three times the objective or 0.3 of the route's timeout, well before the deadline.

Cause: the wait ended by a deadline on the connection, so the attempt was lost before the retry limit, the quarantine, the choice of an upstream and the connection to it were asked, and before the next attempt had an answer. A limit is used up when many wait at once, which is what silence does.

Now silence is noticed without ending the read (httpconn.SilenceWatch). If the limit and the choice allow it, another attempt is made beside the silent one; whichever has a complete event, or a whole answer, first is delivered, and the other is canceled at once. A failed attempt beside a silent one ends nothing. What arrived while this process did not run is read before silence is concluded.

The five red tests pass unchanged but for the second upstream of one, which is now observed before the end of the answer (the test got stricter); each part taken out brings its fault back (seven safeguards).

--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -38,6 +38,8 @@
 	QuarantineLearned Number = 214
 	QuarantineFault   Number = 215
 	OriginFault       Number = 216
+	RequestHedged     Number = 217
+	HedgeFailed       Number = 218
 	ReservationDenied Number = 300
 	RequestBilled     Number = 301
 	UsageAboveBound   Number = 302
@@ -104,11 +106,11 @@
 	RequestDispatched: {"request-dispatched", "the request was sent to an upstream; for a stream, version is the upstream's software version; for one that goes on, after_event is the last event that the client has, and resumes the request that the client names", "none"},
 	RequestResumed:    {"request-resumed", "a broken answer was taken up again at its offset", "none"},
 	RequestRan:        {"request-ran", "the whole answer was delivered", "none"},
-	RequestFailed:     {"request-failed", "no whole answer came; the outcome field says what is known, silent_ms how long the upstream had sent nothing when the wait for it ended, noticed_late_ms how much later than due the instance noticed that", "by the step field"},
+	RequestFailed:     {"request-failed", "no whole answer came; the outcome field says what is known, silent_ms how long the upstream had sent nothing when the wait for it ended", "by the step field"},
 	AnswerMismatch:    {"answer-mismatch", "an upstream answered with another request's id; discarded", "inspect the upstream"},
 	RequestReplayed:   {"request-replayed", "a retry got the recorded answer of a request that ran", "none"},
 	CallerGone:        {"caller-gone", "the caller went away; the upstream was cancelled", "none"},
-	RequestRepeated:   {"request-repeated", "an attempt failed and another upstream is asked; version is the software version of an upstream whose stream broke off, silent_ms and noticed_late_ms as in request-failed", "by the step and cause fields"},
+	RequestRepeated:   {"request-repeated", "an attempt failed and another upstream is asked; version is the software version of an upstream whose stream broke off, silent_ms as in request-failed", "by the step and cause fields"},
 	RequestBrokeOff:   {"request-broke-off", "a connection to an upstream ended before the whole answer; state tells whether the upstream crashed, answers or is silent, fingerprint is the same for equal requests of one account", "see OPERATIONS, upstreams end one after the other"},
 	RequestSuspected:  {"request-suspected", "an upstream crashed while a request ran there; crashes tells how many did in a row, condemned that it does not run again", "see OPERATIONS, upstreams end one after the other"},
 	RequestCleared:    {"request-cleared", "a suspected request was answered whole, so others crashed the upstreams", "none"},
@@ -116,6 +118,8 @@
 	QuarantineLearned: {"quarantine-learned", "another instance, or the store, told of condemned requests; condemned names some, which do not run here any more", "none"},
 	QuarantineFault:   {"quarantine-fault", "a step of keeping the quarantine failed or another instance told something unusable; it is tried again", "by the step and cause fields"},
 	OriginFault:       {"origin-fault", "records of which software version began a stream were not kept at or not found out from another instance; suppressed tells how many more faults there were since the last event. A stream whose record is lost is refused when its client resumes it", "by the step and cause fields, if it lasts"},
+	RequestHedged:     {"request-hedged", "an upstream has sent nothing for silent_ms, and another one runs the request as well; the first answer is delivered", "none; if many, see the upstreams named by silent"},
+	HedgeFailed:       {"hedge-failed", "an attempt beside a silent one failed; the silent one goes on", "by the step and cause fields"},
 	ReservationDenied: {"reservation-denied", "the account's budget had no tokens to reserve", "top up, or see OPERATING, refusals"},
 	RequestBilled:     {"request-billed", "a request's cost was taken from its reservation", "none"},
 	UsageAboveBound:   {"usage-above-bound", "an upstream reported more tokens than were reserved; billed at the bound", "correct min_bytes_per_token or the engine"},
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/placement"
+	"github.com/lavenderring/lavenderring/pkg/quarantine"
 	"github.com/lavenderring/lavenderring/pkg/reach"
 	"github.com/lavenderring/lavenderring/pkg/routing"
 )
@@ -25,11 +25,11 @@
 	// concurrentSendBytes is the size in bytes above which a body is sent while the answer
 	// is being read: an upstream may answer before it has read the whole body.
 	concurrentSendBytes = 8 << 10
-	// failoverFraction is the fraction of a route's timeout after which an idempotent
-	// request without an answer is sent to another upstream.
-	failoverFraction = 0.3
+	// silenceFraction is the fraction of a route's timeout after which an idempotent
+	// request without an answer is sent to another upstream as well.
+	silenceFraction = 0.3
 	// silenceFactor times the route's latency objective is how long a resumable stream
-	// may be silent before it is resumed at another upstream.
+	// may be silent before it is sent to another upstream as well.
 	silenceFactor = 3
 )
 
@@ -45,45 +45,109 @@
 type attempt struct {
 	c     *call
 	lease *placement.Lease
-	conn  *httpconn.Conn
+	// run is the attempt in the quarantine's count.
+	run quarantine.Run
+	// resumeAfter is the event after which the attempt's stream continues; empty from the beginning.
+	resumeAfter string
+	// number counts the call's attempts from 1; 0 until the attempt is counted.
+	number int
+	conn   *httpconn.Conn
 	// via is the name of the instance through which the connection leads; empty for a direct one.
 	via string
+	// cancel releases the context of an attempt that was a hedge; nil for others.
+	cancel context.CancelFunc
+	// closeWithClient stops the closing of the connection when the client leaves; nil without a connection.
+	closeWithClient func() bool
 	// sendDone is closed when sending has ended; sendErr is its result.
 	sendDone chan struct{}
 	sendErr  error
-	// sentAt is when sending began.
+	// sentAt is when sending began; zero if nothing was sent.
 	sentAt time.Time
-	// heardAt is when the upstream was last heard of, from sentAt on; waitsUntil is when the wait for more
-	// times out.
-	heardAt, waitsUntil time.Time
+	// heardAt is when the upstream was last heard of, from sentAt on.
+	heardAt time.Time
 	// keepFor is how long the upstream keeps the idle connection, 0 if it did not say;
 	// negative if the connection must not be reused.
 	keepFor time.Duration
+
+	// response and head are the answer's head.
+	response *http.Response
+	head     AnswerHead
+	// events reads the events of a streamed answer; nil for others. answer is an answer that has been
+	// read whole.
+	events *eventReader
+	answer *wholeAnswer
 }
 
-// tryUpstream makes an attempt at one more upstream. It returns nil when the final
-// answer has been delivered.
-func (c *call) tryUpstream(ctx context.Context) *failure {
+// newAttempt chooses an upstream for one more attempt.
+func (c *call) newAttempt() (*attempt, *failure) {
 	if c.remaining() <= minAttemptTime {
-		return &failure{step: "choose", err: errNoTime, noRetry: true}
+		return nil, &failure{step: "choose", err: errNoTime, noRetry: true}
 	}
 	run, failed := c.beginRun()
 	if failed != nil {
-		return failed
+		return nil, failed
 	}
 	lease, failed := c.chooseForRun(run)
 	if failed != nil {
 		run.NoteEnd()
-		return failed
+		return nil, failed
 	}
 	c.tried = append(c.tried, lease.ID)
-	a := &attempt{c: c, lease: lease, keepFor: -1}
-	failed = a.run(ctx)
-	a.concludeRun(ctx, run, failed)
-	a.release(ctx, failed)
+	return &attempt{c: c, lease: lease, run: run, resumeAfter: c.resumeAfter(), keepFor: -1}, nil
+}
+
+// tryUpstream makes an attempt at one more upstream, and at others beside it while it is silent. It returns
+// nil when the final answer has been delivered.
+func (c *call) tryUpstream(ctx context.Context) *failure {
+	a, failed := c.newAttempt()
+	if failed != nil {
+		return failed
+	}
+	failed = a.serve(ctx)
+	for failed != nil && c.hedges.isPending() {
+		if a, failed = c.awaitHedge(); failed == nil {
+			failed = a.deliver(ctx)
+			c.endAttempt(ctx, a, failed)
+		}
+	}
+	c.hedges.abandon()
+	return failed
+}
+
+// serve carries out the attempt from its connection to the delivery of its answer.
+func (a *attempt) serve(ctx context.Context) *failure {
+	failed := a.open(ctx)
+	if failed == nil {
+		a.c.count(a)
+		a.watchSilence(ctx)
+		failed = a.exchange()
+	}
+	if failed == nil {
+		failed = a.deliver(ctx)
+	}
+	a.c.endAttempt(ctx, a, failed)
 	return failed
 }
 
+// endAttempt ends an attempt that delivers nothing more, and records what its failure says about the request.
+func (c *call) endAttempt(ctx context.Context, a *attempt, failed *failure) {
+	c.hedges.detach(a)
+	a.end(ctx, failed)
+	c.noteFailed(failed)
+}
+
+// end concludes the attempt. It uses nothing of the call that changes.
+func (a *attempt) end(ctx context.Context, failed *failure) {
+	if a.closeWithClient != nil && !a.closeWithClient() {
+		a.keepFor = -1
+	}
+	a.concludeRun(ctx, failed)
+	a.release(ctx, failed)
+	if a.cancel != nil {
+		a.cancel()
+	}
+}
+
 // release ends the lease with the attempt's result, and returns the connection to the pool or
 // drops it.
 func (a *attempt) release(ctx context.Context, failed *failure) {
@@ -125,45 +189,64 @@
 	}
 }
 
-func (a *attempt) run(ctx context.Context) *failure {
+// open connects to the upstream.
+func (a *attempt) open(ctx context.Context) *failure {
 	if failed := a.connect(ctx); failed != nil {
 		return failed
 	}
+	a.closeWithClient = context.AfterFunc(ctx, a.conn.Close)
+	a.conn.SetDeadline(a.c.deadline)
 	// While the connection was set up, the upstream may have announced that it is leaving. A request
 	// sent to it now could arrive after the time that leaving may take, and be cut off there. After
 	// this check, only the delay of the network remains in which the upstream may leave unnoticed.
 	if !a.lease.InService() {
 		return &failure{step: stepBeforeSend, peer: a.lease.Address, err: errLeaving, neutral: true}
 	}
-	stop := context.AfterFunc(ctx, a.conn.Close)
-	defer func() {
-		if !stop() {
-			a.keepFor = -1
-		}
-	}()
+	return nil
+}
+
+// exchange sends the request and reads the head of the answer.
+func (a *attempt) exchange() *failure {
 	a.c.f.meters.beforeSendTime.Update(a.c.f.Now().Sub(a.c.r.Arrived))
 	a.logDispatch()
-	a.setDeadline(a.headDeadline())
 	a.send()
-	a.heardAt = a.sentAt
 	response, err := a.awaitHead()
 	if err != nil {
 		return a.connFailed("head", err)
 	}
-	head := a.c.f.Codec.DecodeAnswer(response)
-	if head.Load != nil {
-		a.lease.ReportLoad(head.Load.Running, head.Load.Waiting)
+	a.heardAt = a.c.f.Now()
+	a.response, a.head = response, a.c.f.Codec.DecodeAnswer(response)
+	if a.head.Load != nil {
+		a.lease.ReportLoad(a.head.Load.Running, a.head.Load.Waiting)
 	}
-	a.noteIncarnation(&head)
-	if failed := a.checkHead(&head); failed != nil {
+	a.noteIncarnation(&a.head)
+	if failed := a.checkHead(); failed != nil {
 		return failed
 	}
-	a.heardAt = a.c.f.Now()
-	a.setDeadline(a.c.deadline)
-	if a.c.route.Kind == routing.Stream && head.Status < http.StatusMultipleChoices {
-		return a.deliverStream(response, &head)
+	if a.c.route.Kind == routing.Stream && a.head.Status < http.StatusMultipleChoices {
+		a.events = newEventReader(response.Body, a.noteHeard)
 	}
-	return a.deliverWhole(response, &head)
+	return nil
+}
+
+// readAhead reads what can be delivered first: a complete event of a stream, or any other answer whole.
+func (a *attempt) readAhead() *failure {
+	if a.events == nil {
+		return a.readWhole()
+	}
+	if err := a.events.fill(); err != nil && !errors.Is(err, io.EOF) {
+		return a.streamFailed(err)
+	}
+	return nil
+}
+
+// deliver delivers the answer to the client.
+func (a *attempt) deliver(ctx context.Context) *failure {
+	a.watchSilence(ctx)
+	if a.events != nil {
+		return a.deliverStream()
+	}
+	return a.deliverWhole()
 }
 
 // connect takes an idle connection from the pool or opens one.
@@ -197,7 +280,7 @@
 
 func (a *attempt) logDispatch() {
 	fields := eventlog.Fields{
-		"upstream": a.lease.ID, "address": a.lease.Address, "domain": a.lease.Domain, "sent": a.c.numSent + 1,
+		"upstream": a.lease.ID, "address": a.lease.Address, "domain": a.lease.Domain, "sent": a.number,
 		"prompt_tokens": a.c.r.PromptTokens, "long": a.lease.Long,
 	}
 	if a.via != "" {
@@ -206,8 +289,8 @@
 	if a.c.route.Kind == routing.Stream {
 		fields["version"] = a.lease.Version
 	}
-	if after := a.c.resumeAfter(); after != "" {
-		fields["after_event"], fields["resumes"] = after, a.c.r.Resumes
+	if a.resumeAfter != "" {
+		fields["after_event"], fields["resumes"] = a.resumeAfter, a.c.r.Resumes
 	}
 	a.c.f.Log.Event(eventlog.RequestDispatched, a.c.r.ID, fields)
 }
@@ -228,42 +311,48 @@
 	return response, err
 }
 
-// headDeadline returns when an attempt without an answer is given up: before the
-// request's deadline if another upstream may still be tried.
-func (a *attempt) headDeadline() time.Time {
-	c := a.c
-	if !c.route.Retryable() || c.numSent+1 >= c.route.MaxAttempts {
-		return c.deadline
-	}
-	maxWait := time.Duration(failoverFraction * float64(c.route.Timeout))
-	if c.route.Kind == routing.Stream {
-		maxWait = silenceFactor * c.route.Objective
-	}
-	if a.lease.Long {
+// silenceBound returns how long the upstream may be silent before another one is tried as well, and false
+// if none may be.
+func (a *attempt) silenceBound() (bound time.Duration, bounded bool) {
+	route := a.c.route
+	switch {
+	case !route.Retryable():
+		return 0, false
+	case a.response == nil && a.lease.Long:
 		// The engine of a long prompt may still be in prefill, and another engine would take as
 		// long again: the client would leave before that, and both prefills would be billed for
 		// nothing.
-		return c.deadline
-	}
-	if earlier := c.f.Now().Add(maxWait); earlier.Before(c.deadline) {
-		return earlier
+		return 0, false
+	case route.Kind != routing.Stream:
+		return time.Duration(silenceFraction * float64(route.Timeout)), true
+	case a.response == nil:
+		return silenceFactor * route.Objective, true
+	default:
+		return silenceFactor * max(route.MaxPause, route.Objective), true
 	}
-	return c.deadline
 }
 
-func (a *attempt) setDeadline(deadline time.Time) {
-	a.waitsUntil = deadline
-	a.conn.SetDeadline(deadline)
+// watchSilence makes reading the answer wait until the deadline, and tries another upstream as well when
+// this one has been silent for too long.
+func (a *attempt) watchSilence(ctx context.Context) {
+	bound, bounded := a.silenceBound()
+	if !bounded {
+		bound = a.c.remaining()
+	}
+	a.conn.WatchSilence(&httpconn.SilenceWatch{
+		After:     bound,
+		Deadline:  a.c.deadline,
+		OnSilence: func() (time.Duration, error) { return a.c.onSilence(ctx, a) },
+	})
 }
 
 // send writes the request; a long body is written while the answer is read.
 func (a *attempt) send() {
 	c := a.c
-	c.numSent++
 	a.sentAt = c.f.Now()
+	a.heardAt = a.sentAt
 	c.f.lastSent.record(a.lease.Domain, a.sentAt)
-	c.mayHaveRun = true // reset only when the upstream says that it did not run the request
-	d := Dispatch{Instance: a.lease.ID, Remaining: c.remaining(), Priority: -1, LastEventID: c.resumeAfter()}
+	d := Dispatch{Instance: a.lease.ID, Remaining: c.remaining(), Priority: -1, LastEventID: a.resumeAfter}
 	if c.account != nil {
 		d.Account = c.account.Name
 	}
@@ -308,15 +397,12 @@
 }
 
 // checkHead returns a failure if the answer's head shows that the answer must be discarded.
-func (a *attempt) checkHead(head *AnswerHead) *failure {
-	peer := a.lease.Address
+func (a *attempt) checkHead() *failure {
+	peer, head := a.lease.Address, &a.head
 	switch {
 	case head.NotRun:
-		// The upstream states that this attempt did not run, which says nothing about
-		// earlier attempts.
-		a.c.mayHaveRun = a.c.earlierMayHaveRun
 		full := head.Status == http.StatusServiceUnavailable || head.Status == http.StatusTooManyRequests
-		return &failure{step: "status", peer: peer, err: errRefused, neutral: full}
+		return &failure{step: "status", peer: peer, err: errRefused, neutral: full, notRun: true}
 	case head.ID != "" && head.ID != a.c.r.ID:
 		a.c.f.Log.Event(eventlog.AnswerMismatch, a.c.r.ID, eventlog.Fields{"upstream": a.lease.ID, "answer_to": head.ID})
 		return a.outcomeUnknown("head", errAnswerMismatch)
@@ -330,48 +416,65 @@
 
 // outcomeUnknown returns the failure of an attempt that may have run.
 func (a *attempt) outcomeUnknown(step string, err error) *failure {
-	a.c.earlierMayHaveRun = true
 	return &failure{step: step, peer: a.lease.Address, err: err}
 }
 
-// connFailed returns the failure of an attempt whose connection timed out or ended.
+// connFailed returns the failure of an attempt whose connection timed out or ended, or that was given up for
+// another one's answer.
 func (a *attempt) connFailed(step string, err error) *failure {
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
-		cause := errUpstreamSilent
+	if errors.Is(err, errSuperseded) {
+		return a.silent(step, errSuperseded)
+	}
+	if httpconn.IsTimeout(err) {
 		if a.c.remaining() <= minAttemptTime {
-			cause = errNoTime
+			return a.silent(step, errNoTime)
 		}
-		failed := a.outcomeUnknown(step, cause)
-		now := a.c.f.Now()
-		failed.silence = &silence{lasted: now.Sub(a.heardAt), noticedLate: now.Sub(a.waitsUntil)}
-		return failed
+		return a.silent(step, errUpstreamSilent)
 	}
 	failed := a.outcomeUnknown(step, err)
 	failed.connEnded = true
 	return failed
 }
 
-// deliverWhole buffers the whole answer before its first byte goes to the client, so that if
-// the answer breaks off, the request can still be retried or refused.
-func (a *attempt) deliverWhole(response *http.Response, head *AnswerHead) *failure {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+// silent returns the failure of an attempt whose upstream was silent when the wait for it ended.
+func (a *attempt) silent(step string, err error) *failure {
+	failed := a.outcomeUnknown(step, err)
+	failed.silence = a.c.f.Now().Sub(a.heardAt)
+	return failed
+}
+
+// readWhole reads the whole answer before its first byte goes to the client, so that if the answer breaks
+// off, the request can still be retried or refused.
+func (a *attempt) readWhole() *failure {
+	if a.answer != nil {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxAnswerBytes))
 	if err != nil {
 		return a.connFailed("body", err)
 	}
-	if !response.Close {
-		a.keepFor = head.KeepFor
+	if !a.response.Close {
+		a.keepFor = a.head.KeepFor
 	}
-	answer := &wholeAnswer{head: *head, body: body}
+	answer := &wholeAnswer{head: a.head, body: body}
 	switch {
-	case meansNotRun(head.Status):
+	case meansNotRun(a.head.Status):
 		// Clients read this status as "not run", but the upstream did not say so (NotRun).
 		return a.outcomeUnknown("status", errRefused).markAnswered()
-	case head.Status >= http.StatusInternalServerError:
-		a.c.upstreamFailure = answer
-		return a.outcomeUnknown("status", errUpstreamFailure).markAnswered()
+	case a.head.Status >= http.StatusInternalServerError:
+		failed := a.outcomeUnknown("status", errUpstreamFailure).markAnswered()
+		failed.answer = answer
+		return failed
+	}
+	a.answer = answer
+	return nil
+}
+
+func (a *attempt) deliverWhole() *failure {
+	if failed := a.readWhole(); failed != nil {
+		return failed
 	}
-	a.c.deliver(answer)
+	a.c.deliver(a.answer)
 	return nil
 }
 
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -29,12 +29,11 @@
 	// reservation holds the prepaid tokens set aside; nil for a request that costs nothing.
 	reservation *prepaid.Reservation
 
-	// numSent counts the attempts that were sent; mayHaveRun says that one of them may
-	// have run, after which the client is never told "not run".
-	numSent    int
-	mayHaveRun bool
-	// earlierMayHaveRun says that one of the attempts before the current one may have run.
-	earlierMayHaveRun bool
+	// numSent counts the attempts that were sent; numMayHaveRun those of them that may have run. If there
+	// is one, the client is never told "not run".
+	numSent, numMayHaveRun int
+	// hedges holds the attempts beside the current one.
+	hedges hedges
 	// tried holds the ids of the upstreams that are not chosen again.
 	tried []string
 	// upstreamFailure is the last answer with a server error; it is passed on if no other
@@ -90,6 +89,9 @@
 			return
 		}
 		c.f.meters.retried.Inc(1)
+		if c.begun {
+			c.f.meters.resumed.Inc(1)
+		}
 		c.logRetry(failure)
 	}
 }
@@ -99,7 +101,9 @@
 	if failure.version != "" {
 		fields["version"] = failure.version
 	}
-	failure.silence.addFields(fields)
+	if failure.silence > 0 {
+		fields["silent_ms"] = failure.silence.Milliseconds()
+	}
 	c.f.Log.Event(eventlog.RequestRepeated, c.r.ID, fields)
 }
 
@@ -110,7 +114,7 @@
 		return
 	}
 	used := int64(0)
-	if c.mayHaveRun {
+	if c.numMayHaveRun > 0 {
 		used = c.r.PromptTokens
 	}
 	if c.target.Engine != nil {
@@ -148,24 +152,32 @@
 	answered bool
 	// version is the software version of the upstream whose stream broke off; empty for other failures.
 	version string
-	// silence is set if the wait for the upstream timed out.
-	silence *silence
+	// notRun says that the upstream states that it did not run the request.
+	notRun bool
+	// answer is an answer with a server error; nil for other failures.
+	answer *wholeAnswer
+	// silence is how long the upstream had been silent when the wait for it ended; 0 for other failures.
+	silence time.Duration
 }
 
-// silence is a wait for an upstream that timed out.
-type silence struct {
-	// lasted is how long nothing had been received, noticedLate how long after the timeout this instance
-	// noticed it.
-	lasted, noticedLate time.Duration
+// count counts an attempt that is about to be sent.
+func (c *call) count(a *attempt) {
+	c.numSent++
+	c.numMayHaveRun++ // until the upstream says that it did not run the request
+	a.number = c.numSent
 }
 
-// addFields adds the silence to the fields of a log event; nothing if there was none.
-func (s *silence) addFields(fields eventlog.Fields) {
-	if s == nil {
+// noteFailed records what the failure of an attempt says about the request; nil if it did not fail.
+func (c *call) noteFailed(failed *failure) {
+	if failed == nil {
 		return
 	}
-	fields["silent_ms"] = s.lasted.Milliseconds()
-	fields["noticed_late_ms"] = s.noticedLate.Milliseconds()
+	if failed.notRun {
+		c.numMayHaveRun--
+	}
+	if failed.answer != nil {
+		c.upstreamFailure = failed.answer
+	}
 }
 
 func (f *failure) markAnswered() *failure {
@@ -195,7 +207,8 @@
 	errRefused         = errors.New("upstream refused the request")
 	errUpstreamFailure = errors.New("upstream answered with a server error")
 	errIncomplete      = errors.New("stream ended within an event or exceeded the event size limit")
-	errUpstreamSilent  = errors.New("upstream sent nothing before the attempt's deadline")
+	errUpstreamSilent  = errors.New("upstream sent nothing until the connection was given up")
+	errSuperseded      = errors.New("another upstream answered while this one was silent")
 )
 
 // mayRetry reports whether another upstream may be tried. A request that is not idempotent
@@ -204,7 +217,7 @@
 	if last.noRetry || c.numSent >= c.route.MaxAttempts || c.remaining() <= minAttemptTime {
 		return false
 	}
-	if c.mayHaveRun && !c.route.Retryable() {
+	if c.numMayHaveRun > 0 && !c.route.Retryable() {
 		return false
 	}
 	if last.step == stepDial || last.step == stepBeforeSend {
@@ -226,7 +239,9 @@
 			"events": c.numEvents, "sent": c.numSent, "took_ms": c.f.Now().Sub(c.r.Arrived).Milliseconds(),
 			"left_ms": c.remaining().Milliseconds(),
 		}
-		last.silence.addFields(fields)
+		if last.silence > 0 {
+			fields["silent_ms"] = last.silence.Milliseconds()
+		}
 		c.f.Log.Event(eventlog.RequestFailed, c.r.ID, fields)
 		c.client.Abort()
 		return
@@ -238,9 +253,9 @@
 	refusal := &Refusal{Step: last.step, Peer: last.peer, Err: last.err}
 	quarantined, inQuarantine := quarantineReason(last.err)
 	switch {
-	case c.mayHaveRun && c.remaining() <= minAttemptTime:
+	case c.numMayHaveRun > 0 && c.remaining() <= minAttemptTime:
 		refusal.Reason = Timeout
-	case c.mayHaveRun:
+	case c.numMayHaveRun > 0:
 		refusal.Reason = OutcomeUnknown
 	case inQuarantine:
 		refusal.Reason = quarantined
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -57,7 +57,7 @@
 }
 
 // concludeRun passes what the attempt showed about the request to the quarantine.
-func (a *attempt) concludeRun(ctx context.Context, run quarantine.Run, failed *failure) {
+func (a *attempt) concludeRun(ctx context.Context, failed *failure) {
 	f := a.c.f
 	evidence := quarantine.NoEvidence
 	switch {
@@ -71,7 +71,7 @@
 		ended.Origin = quarantine.Origin{Account: a.c.accountName(), Route: a.c.route.Name}
 		ended.Upstream = quarantine.Upstream{ID: a.lease.ID, Address: a.lease.Address, Incarnation: a.lease.Incarnation()}
 	}
-	conclusion := run.Conclude(ctx, ended, func() bool { return a.probeUpstream(failed) == httpconn.Crashed }, f.Now)
+	conclusion := a.run.Conclude(ctx, ended, func() bool { return a.probeUpstream(failed) == httpconn.Crashed }, f.Now)
 	if conclusion.Cleared {
 		f.meters.cleared.Inc(1)
 		f.Log.Event(eventlog.RequestCleared, a.c.r.ID, eventlog.Fields{"fingerprint": a.c.Fingerprint().String()})
@@ -87,7 +87,7 @@
 	a.c.f.Log.Event(eventlog.RequestBrokeOff, a.c.r.ID, eventlog.Fields{
 		"state": state, "upstream": a.lease.ID, "address": a.lease.Address, "step": failed.step,
 		"fingerprint": a.c.Fingerprint().String(), "route": a.c.route.Name, "account": a.c.accountName(),
-		"ran_ms": a.c.f.Now().Sub(a.sentAt).Milliseconds(), "sent": a.c.numSent,
+		"ran_ms": a.c.f.Now().Sub(a.sentAt).Milliseconds(), "sent": a.number,
 	})
 	return state
 }
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -168,7 +168,7 @@
 
 type meters struct {
 	accepted, refused, answered, streamed, unknown, clientsGone, retried, resumed metrics.Counter
-	tunnelled, crashes, cleared                                                   metrics.Counter
+	tunnelled, crashes, cleared, hedged, hedgesDenied                             metrics.Counter
 	answerTime, firstEventTime, beforeSendTime                                    metrics.Timer
 }
 
@@ -206,6 +206,8 @@
 			tunnelled:      counter("forward.tunnelled"),
 			crashes:        counter("quarantine.crashes"),
 			cleared:        counter("quarantine.cleared"),
+			hedged:         counter("forward.hedged"),
+			hedgesDenied:   counter("forward.hedges_denied"),
 			answerTime:     timer("forward.whole"),
 			firstEventTime: timer("forward.first_event"),
 			beforeSendTime: timer("forward.before_sending"),
--- /dev/null
+++ b/pkg/forward/hedge.go
@@ -0,0 +1,219 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/retrylimit"
+)
+
+// hedgeInterval is the time between two checks whether another attempt may be made beside a silent one.
+const hedgeInterval = 100 * time.Millisecond
+
+// hedge is an attempt that is made beside a silent one. Its goroutine reads the answer up to what can be
+// delivered first; then it waits for the goroutine of the call, which alone delivers.
+//
+// A silent upstream may go on at any moment, so its attempt is not given up before a hedge has an answer.
+type hedge struct {
+	attempt *attempt
+	retry   retrylimit.Retry
+	// failed is why there is no answer; nil if there is one. It is set before the hedge is in hedges.done.
+	failed *failure
+	cancel context.CancelFunc
+}
+
+// hedges holds the attempts beside the current one. Its methods are for the goroutine of the call; the zero
+// value holds none.
+type hedges struct {
+	pending []*hedge
+	// done receives the pending hedges when they have ended or have an answer.
+	done chan *hedge
+	// startedAt is when the last hedge was started.
+	startedAt time.Time
+	waiter    waiter
+}
+
+// waiter is the attempt whose reading is interrupted when a hedge is done.
+type waiter struct {
+	mu      sync.Mutex
+	attempt *attempt
+}
+
+func (w *waiter) set(a *attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attempt = a
+}
+
+// wake interrupts the waiting attempt's reading. Its connection is not pooled meanwhile, since set waits for
+// the lock.
+func (w *waiter) wake() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.attempt != nil {
+		w.attempt.conn.Wake()
+	}
+}
+
+// isPending reports whether a hedge has neither failed nor been taken.
+func (h *hedges) isPending() bool { return len(h.pending) > 0 }
+
+// detach is called before an attempt's connection is released.
+func (h *hedges) detach(a *attempt) {
+	if h.waiter.attempt == a {
+		h.waiter.set(nil)
+	}
+}
+
+// take removes a hedge that is done from the pending ones.
+func (h *hedges) take(done *hedge) {
+	h.pending = slices.DeleteFunc(h.pending, func(p *hedge) bool { return p == done })
+}
+
+// abandon ends the pending hedges.
+func (h *hedges) abandon() {
+	if len(h.pending) == 0 {
+		return
+	}
+	h.waiter.set(nil)
+	for _, p := range h.pending {
+		p.cancel()
+	}
+	go endAll(h.done, len(h.pending))
+	h.pending, h.done = nil, nil
+}
+
+// endAll ends the attempts of hedges that have been canceled.
+func endAll(done <-chan *hedge, count int) {
+	for range count {
+		h := <-done
+		if h.failed == nil {
+			h.attempt.end(canceledContext(), h.attempt.silent("hedge", errSuperseded))
+		}
+	}
+}
+
+func canceledContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// onSilence is called while the current attempt a waits for its silent upstream. It returns how long to wait
+// until the next call, or errSuperseded if a hedge has an answer.
+func (c *call) onSilence(ctx context.Context, a *attempt) (time.Duration, error) {
+	for done := c.hedges.poll(); done != nil; done = c.hedges.poll() {
+		if done.failed == nil {
+			c.hedges.done <- done // for awaitHedge
+			return 0, errSuperseded
+		}
+		c.noteHedgeFailed(done)
+	}
+	if c.mayHedge(a) {
+		c.startHedge(ctx, a)
+	}
+	return hedgeInterval, nil
+}
+
+// poll returns a hedge that is done, or nil.
+func (h *hedges) poll() *hedge {
+	select {
+	case done := <-h.done:
+		return done
+	default:
+		return nil
+	}
+}
+
+// mayHedge reports whether another attempt may be made beside a now.
+func (c *call) mayHedge(a *attempt) bool {
+	bound, bounded := a.silenceBound()
+	now := c.f.Now()
+	return bounded && c.numSent < c.route.MaxAttempts &&
+		now.Sub(a.heardAt) >= bound &&
+		(!c.hedges.isPending() || now.Sub(c.hedges.startedAt) >= bound)
+}
+
+// startHedge starts an attempt beside a if the retry limit and the choice of an upstream allow it.
+func (c *call) startHedge(ctx context.Context, a *attempt) {
+	retry, allowed := c.serviceState.limit.Reserve(c.accountName())
+	if !allowed {
+		c.f.meters.hedgesDenied.Inc(1)
+		return
+	}
+	b, failed := c.newAttempt()
+	if failed != nil {
+		c.serviceState.limit.Release(retry)
+		return
+	}
+	c.count(b)
+	c.Fingerprint() // computed before two goroutines may need it
+	c.f.meters.hedged.Inc(1)
+	c.f.Log.Event(eventlog.RequestHedged, c.r.ID, eventlog.Fields{
+		"upstream": b.lease.ID, "silent": a.lease.ID, "silent_ms": c.f.Now().Sub(a.heardAt).Milliseconds(), "sent": b.number,
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	h := &hedge{attempt: b, retry: retry, cancel: cancel}
+	if c.hedges.done == nil {
+		c.hedges.done = make(chan *hedge, c.route.MaxAttempts)
+	}
+	c.hedges.pending = append(c.hedges.pending, h)
+	c.hedges.startedAt = c.f.Now()
+	c.hedges.waiter.set(a)
+	go h.run(ctx, c.hedges.done, &c.hedges.waiter)
+}
+
+// run carries out the attempt up to what can be delivered first.
+func (h *hedge) run(ctx context.Context, done chan<- *hedge, w *waiter) {
+	h.failed = h.attempt.prepare(ctx)
+	if h.failed != nil {
+		h.attempt.end(ctx, h.failed)
+		h.cancel()
+	}
+	done <- h // never blocks: the channel has room for all attempts of the call
+	w.wake()
+}
+
+// prepare carries out the attempt up to what can be delivered first.
+func (a *attempt) prepare(ctx context.Context) *failure {
+	if failed := a.open(ctx); failed != nil {
+		return failed
+	}
+	if failed := a.exchange(); failed != nil {
+		return failed
+	}
+	return a.readAhead()
+}
+
+// awaitHedge waits for a pending hedge after the current attempt has ended. It returns the hedge's attempt,
+// which is then the current one, or why there is no answer.
+func (c *call) awaitHedge() (*attempt, *failure) {
+	done := <-c.hedges.done
+	if done.failed != nil {
+		c.noteHedgeFailed(done)
+		return nil, done.failed
+	}
+	c.hedges.take(done)
+	c.hedges.waiter.set(done.attempt)
+	done.attempt.cancel = done.cancel
+	if c.begun {
+		c.f.meters.resumed.Inc(1)
+	}
+	return done.attempt, nil
+}
+
+// noteHedgeFailed records that a hedge has failed. The attempt beside which it was made goes on.
+func (c *call) noteHedgeFailed(h *hedge) {
+	c.hedges.take(h)
+	c.noteFailed(h.failed)
+	if h.attempt.sentAt.IsZero() {
+		c.numSent--
+		c.numMayHaveRun--
+		c.serviceState.limit.Release(h.retry)
+	}
+	fields := eventlog.Fields{"step": h.failed.step, "peer": h.failed.peer, "cause": h.failed.err.Error(), "sent": c.numSent}
+	c.f.Log.Event(eventlog.HedgeFailed, c.r.ID, fields)
+}
--- a/pkg/forward/silence_test.go
+++ b/pkg/forward/silence_test.go
@@ -46,6 +46,8 @@
 	breakAfter int
 	// refuse answers that the request was not run.
 	refuse bool
+	// beforeLast is called before the last event; nil for nothing.
+	beforeLast func()
 
 	served, canceled, numSent atomic.Int32
 	address                   string
@@ -81,6 +83,9 @@
 		if u.breakAfter >= 0 && n > u.breakAfter {
 			panic(http.ErrAbortHandler)
 		}
+		if n == numSilentEvents && u.beforeLast != nil {
+			u.beforeLast()
+		}
 		u.numSent.Add(1)
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
 		_ = http.NewResponseController(w).Flush()
@@ -99,7 +104,7 @@
 }
 
 // resumingCodec encodes the event after which a stream continues, and decodes "not run".
-type resumingCodec struct{ plainCodec }
+type resumingCodec struct{}
 
 // EncodeRequest implements Codec.
 func (resumingCodec) EncodeRequest(to []byte, r *Request, d *Dispatch) []byte {
@@ -291,7 +296,8 @@
 	t.Helper()
 	for end := time.Now().Add(30 * time.Second); !holds(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("waited for %s", what)
+			t.Errorf("waited for %s", what)
+			return
 		}
 	}
 }
@@ -299,13 +305,14 @@
 // Guards against two upstreams that both go on with a request: when the silent one goes on, the attempt
 // beside it ends.
 func TestAttemptBesideOneThatGoesOnIsCanceled(t *testing.T) {
-	first := &silentUpstream{pauseBefore: 3, pause: silentFor, breakAfter: -1}
 	second := &silentUpstream{pause: time.Hour, breakAfter: -1}
+	first := &silentUpstream{pauseBefore: 3, pause: silentFor, breakAfter: -1, beforeLast: func() {
+		awaitSilent(t, "the second upstream to be canceled", func() bool { return second.canceled.Load() == 1 })
+	}}
 	client := serveSilent(silentForwarder(t, routing.Stream, silentTimeout, manyRetries, first, second), "1")
 	if !client.isWhole() {
 		t.Errorf("the client got %q, refusal %v, aborted %t", client.body.String(), client.refusal, client.aborted)
 	}
-	awaitSilent(t, "the second upstream to be canceled", func() bool { return second.canceled.Load() == 1 })
 }
 
 // Guards against retries that stay counted though nothing was sent: the other upstream is never reached.
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -4,12 +4,9 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
-	"net/http"
 	"strconv"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
-	"github.com/lavenderring/lavenderring/pkg/routing"
 )
 
 // Bounds of a stream.
@@ -20,31 +17,78 @@
 	maxEventBytes = 1 << 20
 )
 
-// deliverStream delivers complete events as they arrive.
-func (a *attempt) deliverStream(response *http.Response, head *AnswerHead) *failure {
-	var rest []byte
-	buffer := make([]byte, streamReadBytes)
-	for {
-		a.setSilenceDeadline()
-		n, err := response.Body.Read(buffer)
-		if n > 0 {
-			a.noteHeard()
+// eventReader reads the events of a streamed answer.
+type eventReader struct {
+	body io.Reader
+	// onData is called when something has been received.
+	onData func()
+	buffer []byte
+	// received holds what has been received. Its first numReturned bytes have been returned; up to
+	// numComplete it holds complete events that have not.
+	received                 []byte
+	numReturned, numComplete int
+	// err is why no more can be read.
+	err error
+}
+
+func newEventReader(body io.Reader, onData func()) *eventReader {
+	return &eventReader{body: body, onData: onData, buffer: make([]byte, streamReadBytes)}
+}
+
+// fill reads until a complete event has been received. It returns why there is none: io.EOF after the last
+// one, errIncomplete or an error of the connection.
+func (r *eventReader) fill() error {
+	for r.numComplete == 0 {
+		if r.err != nil {
+			return r.err
 		}
-		rest = append(rest, buffer[:n]...)
-		whole := completeEventsLen(rest)
-		if whole > 0 {
-			if failed := a.deliverEvents(rest[:whole], head); failed != nil {
-				return failed
-			}
-			rest = append(rest[:0], rest[whole:]...)
+		r.received = append(r.received[:0], r.received[r.numReturned:]...)
+		r.numReturned = 0
+		n, err := r.body.Read(r.buffer)
+		if n > 0 {
+			r.onData()
 		}
+		r.received = append(r.received, r.buffer[:n]...)
+		r.numComplete = completeEventsLen(r.received)
+		r.err = r.check(err)
+	}
+	return nil
+}
+
+// check returns the error of a read, or errIncomplete if the answer ended or grew too long within an event.
+func (r *eventReader) check(err error) error {
+	incomplete := len(r.received) - r.numComplete
+	switch {
+	case errors.Is(err, io.EOF) && incomplete > 0:
+		return errIncomplete
+	case err == nil && incomplete > maxEventBytes:
+		return errIncomplete
+	}
+	return err
+}
+
+// next returns the complete events that have been received, at least one. They are valid until the next call.
+func (r *eventReader) next() ([]byte, error) {
+	if err := r.fill(); err != nil {
+		return nil, err
+	}
+	events := r.received[:r.numComplete]
+	r.numReturned, r.numComplete = r.numComplete, 0
+	return events, nil
+}
+
+// deliverStream delivers complete events as they arrive.
+func (a *attempt) deliverStream() *failure {
+	for {
+		events, err := a.events.next()
 		switch {
 		case errors.Is(err, io.EOF):
-			return a.finishStream(response, head, rest)
+			return a.finishStream()
 		case err != nil:
 			return a.streamFailed(err)
-		case len(rest) > maxEventBytes:
-			return a.outcomeUnknown("stream", errIncomplete)
+		}
+		if failed := a.deliverEvents(events); failed != nil {
+			return failed
 		}
 	}
 }
@@ -56,20 +100,6 @@
 	}
 }
 
-// setSilenceDeadline bounds the wait for the next data if the stream can be resumed at
-// another upstream.
-func (a *attempt) setSilenceDeadline() {
-	c := a.c
-	deadline := c.deadline
-	if c.route.Resumable && c.numSent < c.route.MaxAttempts {
-		silence := silenceFactor * max(c.route.MaxPause, c.route.Objective)
-		if earlier := c.f.Now().Add(silence); earlier.Before(deadline) {
-			deadline = earlier
-		}
-	}
-	a.setDeadline(deadline)
-}
-
 // completeEventsLen returns the length of the complete events at the beginning of data; an
 // event ends with an empty line.
 func completeEventsLen(data []byte) int {
@@ -84,17 +114,18 @@
 }
 
 // deliverEvents delivers complete events, and the answer's head before the first.
-func (a *attempt) deliverEvents(events []byte, head *AnswerHead) *failure {
+func (a *attempt) deliverEvents(events []byte) *failure {
 	c := a.c
 	events, count, last := dropDelivered(events, c.lastEventID)
 	if count == 0 {
 		return nil
 	}
+	c.hedges.abandon()
 	if !c.begun {
 		c.begun = true
 		c.recordOrigin(a.lease)
 		c.f.meters.firstEventTime.Update(c.f.Now().Sub(c.r.Arrived))
-		if err := c.client.Begin(head.Status, head.Header); err != nil {
+		if err := c.client.Begin(a.head.Status, a.head.Header); err != nil {
 			return &failure{step: "deliver", err: err, noRetry: true}
 		}
 	}
@@ -160,27 +191,23 @@
 	return ""
 }
 
-// finishStream handles the end of the answer. Bytes after the last complete event mean
-// that the answer broke off within an event.
-func (a *attempt) finishStream(response *http.Response, head *AnswerHead, rest []byte) *failure {
-	if len(rest) > 0 {
-		return a.outcomeUnknown("stream", errIncomplete)
-	}
+// finishStream handles the end of the answer.
+func (a *attempt) finishStream() *failure {
 	c := a.c
 	if !c.begun { // a success without any event
-		if err := c.client.Begin(head.Status, head.Header); err != nil {
+		if err := c.client.Begin(a.head.Status, a.head.Header); err != nil {
 			return &failure{step: "deliver", err: err, noRetry: true}
 		}
 		c.begun = true
 	}
-	if !response.Close {
-		a.keepFor = head.KeepFor
+	if !a.response.Close {
+		a.keepFor = a.head.KeepFor
 	}
 	took := c.f.Now().Sub(c.r.Arrived)
 	c.f.meters.streamed.Inc(1)
 	c.f.meters.answerTime.Update(took)
 	fields := eventlog.Fields{
-		"status": head.Status, "events": c.numEvents, "took_ms": took.Milliseconds(), "sent": c.numSent,
+		"status": a.head.Status, "events": c.numEvents, "took_ms": took.Milliseconds(), "sent": c.numSent,
 	}
 	c.timing.addFields(fields)
 	c.f.Log.Event(eventlog.RequestRan, c.r.ID, fields)
@@ -190,17 +217,10 @@
 // streamFailed returns the failure of a stream that broke off. If the route allows it, the
 // stream is resumed at another upstream after the last event that was delivered.
 func (a *attempt) streamFailed(err error) *failure {
+	if errors.Is(err, errIncomplete) {
+		return a.outcomeUnknown("stream", errIncomplete)
+	}
 	failed := a.connFailed("stream", err)
 	failed.version = a.lease.Version
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() && a.c.remaining() <= minAttemptTime {
-		failed.noRetry = true
-	}
-	if a.c.begun && !(a.c.route.Kind == routing.Stream && a.c.route.Resumable) {
-		failed.noRetry = true
-	}
-	if a.c.begun && !failed.noRetry {
-		a.c.f.meters.resumed.Inc(1)
-	}
 	return failed
 }
--- a/pkg/httpconn/httpconn.go
+++ b/pkg/httpconn/httpconn.go
@@ -51,7 +51,7 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Conn is one connection. Only Close may be called concurrently with others.
+// Conn is one connection. Only Close and Wake may be called concurrently with others.
 type Conn struct {
 	// Peer is the address that was dialed.
 	Peer string
@@ -59,6 +59,7 @@
 	DialDuration time.Duration
 
 	raw    net.Conn
+	source *source
 	reader *bufio.Reader
 	// idleSince is when the connection became idle; maxIdle bounds how long it may stay so.
 	idleSince time.Time
@@ -114,7 +115,8 @@
 
 // NewConn returns a connection to a peer over raw.
 func NewConn(raw net.Conn, peer string) *Conn {
-	return &Conn{Peer: peer, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	s := &source{raw: raw}
+	return &Conn{Peer: peer, raw: raw, source: s, reader: bufio.NewReaderSize(s, readBufferBytes)}
 }
 
 // Send writes a whole request. Errors: *Error with step "send".
@@ -172,7 +174,8 @@
 // SetReadDeadline sets the deadline of all following reads.
 func (c *Conn) SetReadDeadline(t time.Time) { _ = c.raw.SetReadDeadline(t) }
 
-// IsTimeout reports whether an error says that a deadline has passed.
+// IsTimeout reports whether an error says that a deadline has passed, or that the kernel ended a connection
+// that had gone silent.
 func IsTimeout(err error) bool {
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -77,6 +77,7 @@
 	if idleTimeout <= 0 {
 		idleTimeout = defaultIdleTimeout
 	}
+	conn.WatchSilence(nil)
 	conn.SetDeadline(time.Time{})
 	conn.idleSince = p.now()
 	conn.maxIdle = time.Duration(float64(idleTimeout) * idleTimeoutFraction)
--- a/pkg/retrylimit/limit.go
+++ b/pkg/retrylimit/limit.go
@@ -74,12 +74,46 @@
 	l.accountCounts(account).first[l.currentSlot%numSlots]++
 }
 
+// Retry is a retry that was allowed and counted.
+type Retry struct {
+	account string
+	slot    int64
+}
+
 // TryRetry reports whether a request of an account may be retried, and counts the retry if so. An
 // account's first retry in a window is bounded by the retries of the whole service only.
 func (l *Limit) TryRetry(account string) bool {
+	_, allowed := l.Reserve(account)
+	return allowed
+}
+
+// Reserve is TryRetry for a retry that may not be sent after all; Release then takes it back.
+func (l *Limit) Reserve(account string) (retry Retry, allowed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance()
+	if !l.allows(account) {
+		return Retry{}, false
+	}
+	l.total.retries[l.currentSlot%numSlots]++
+	l.accountCounts(account).retries[l.currentSlot%numSlots]++
+	return Retry{account: account, slot: l.currentSlot}, true
+}
+
+// Release takes back a retry that was not sent.
+func (l *Limit) Release(retry Retry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance()
+	if l.currentSlot-retry.slot >= numSlots {
+		return // its slot counts a later part of the time by now
+	}
+	l.total.retries[retry.slot%numSlots]--
+	l.accountCounts(retry.account).retries[retry.slot%numSlots]--
+}
+
+// allows reports whether one more retry of an account stays within the bounds. l.mu must be held.
+func (l *Limit) allows(account string) bool {
 	share := l.settings.Extra * usedExtraFraction / float64(max(l.instances(), minInstances))
 	first := sum(l.total.first)
 	allowed := l.settings.Ratio*usedRatioFraction*float64(first) + share
@@ -88,12 +122,8 @@
 	}
 	own := l.accountCounts(account)
 	accountShare := max(accountShareFactor*float64(sum(own.first))/float64(max(first, 1)), minAccountShare)
-	if used := sum(own.retries); used > 0 && float64(used+1) > allowed*accountShare {
-		return false
-	}
-	l.total.retries[l.currentSlot%numSlots]++
-	own.retries[l.currentSlot%numSlots]++
-	return true
+	used := sum(own.retries)
+	return used == 0 || float64(used+1) <= allowed*accountShare
 }
 
 // accountCounts returns the counts of an account. l.mu must be held.
--- a/pkg/retrylimit/limit_test.go
+++ b/pkg/retrylimit/limit_test.go
@@ -111,3 +111,24 @@
 		t.Errorf("%d retries, %d are allowed", retries, want)
 	}
 }
+
+// Guards against retries that were allowed and not sent, and stay counted or are taken back twice.
+func TestReleasedRetryIsAllowedAgain(t *testing.T) {
+	now := time.Unix(0, 0)
+	limit := New(Settings{Ratio: 0.2, Extra: 24, Window: time.Second}, func() int { return 1 }, func() time.Time { return now })
+	retry, allowed := limit.Reserve("a")
+	if !allowed || limit.TryRetry("a") {
+		t.Fatal("the limit does not allow exactly one retry")
+	}
+	now = now.Add(time.Second / 2)
+	limit.Release(retry)
+	retry, allowed = limit.Reserve("a")
+	if !allowed {
+		t.Fatal("a retry that was released is still counted")
+	}
+	now = now.Add(2 * time.Second)
+	limit.Release(retry)
+	if !limit.TryRetry("a") || limit.TryRetry("a") {
+		t.Error("a retry that was released after the window is taken back a second time")
+	}
+}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -195,4 +195,11 @@
 try services-bind-the-choice pkg/forward/origin.go 's/return began\.Service, nil/return c.route.SelectService(c.r.ID), nil/' pkg/forward TestResumedStreamStaysAtItsServiceOnADividedRoute
 try moved-routes-refuse pkg/forward/origin.go 's/err == nil && !c\.route\.LeadsTo/false \&\& !c.route.LeadsTo/' pkg/forward TestStreamThatCannotGoOnIsRefusedAndNotRun
 try own-door-knows-the-process pkg/upstream/stream.go 's/incarnation != "" && s\.Incarnation != incarnation/false/' test TestCutStreamIsNotResumedAtAnotherProcess
+try silence-is-waited-for pkg/httpconn/silence.go 's/if wait, err = s\.watch\.OnSilence\(\); err != nil \{/if true {/' pkg/forward TestSilentUpstreamIsWaitedForWithoutARetry
+try failed-hedge-ends-nothing pkg/forward/hedge.go 's/if done\.failed == nil \{\n\t\t\tc\.hedges\.done <- done/if true {\n\t\t\tc.hedges.done <- done/' pkg/forward TestFailedAttemptBesideASilentOneEndsNothing
+try silent-attempt-is-taken-over pkg/forward/hedge.go 's/return bounded && c\.numSent/return bounded \&\& c.numSent < 0 \&\& c.numSent/' pkg/forward TestAnotherUpstreamTakesOverFromASilentOne
+try one-upstream-goes-on pkg/forward/stream.go 's/\tc\.hedges\.abandon\(\)\n//' pkg/forward TestAttemptBesideOneThatGoesOnIsCanceled
+try unsent-is-no-retry pkg/forward/hedge.go 's/\t\tc\.serviceState\.limit\.Release\(h\.retry\)\n//' pkg/forward TestUnsentAttemptIsNoRetry
+try own-delay-is-no-silence pkg/httpconn/silence.go 's/\treturn s\.raw\.Read\(p\)\n\}\n\n\/\/ setReadDeadline/\treturn n, err\n}\n\n\/\/ setReadDeadline/' pkg/httpconn TestArrivedDataIsNoSilence
+try reads-end-at-the-deadline pkg/httpconn/silence.go 's/if !time\.Now\(\)\.Before\(s\.watch\.Deadline\) \{\n\t\treturn 0, os\.ErrDeadlineExceeded\n\t\}\n//' pkg/httpconn TestReadsEndAtTheDeadline
 exit $status
