placement: a silent upstream counts as failing while its requests go on

An attempt that is silent is no longer ended by this instance, so nothing was counted against its upstream before the deadline if no other attempt was allowed, and new requests kept going there. The silence is counted once for each request; the upstream counts as sound again when one of them succeeds.

--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -112,12 +112,22 @@
 		}
 		c.noteHedgeFailed(done)
 	}
+	if !a.isSilent() {
+		return hedgeInterval, nil
+	}
+	a.lease.ReportSilent() // whether or not another attempt is allowed, new requests go elsewhere
 	if c.mayHedge(a) {
 		c.startHedge(ctx, a)
 	}
 	return hedgeInterval, nil
 }
 
+// isSilent reports whether the upstream has been silent for too long.
+func (a *attempt) isSilent() bool {
+	bound, bounded := a.silenceBound()
+	return bounded && a.c.f.Now().Sub(a.heardAt) >= bound
+}
+
 // poll returns a hedge that is done, or nil.
 func (h *hedges) poll() *hedge {
 	select {
@@ -128,13 +138,13 @@
 	}
 }
 
-// mayHedge reports whether another attempt may be made beside a now.
+// mayHedge reports whether another attempt may be made beside the silent attempt a now.
 func (c *call) mayHedge(a *attempt) bool {
-	bound, bounded := a.silenceBound()
-	now := c.f.Now()
-	return bounded && c.numSent < c.route.MaxAttempts &&
-		now.Sub(a.heardAt) >= bound &&
-		(!c.hedges.isPending() || now.Sub(c.hedges.startedAt) >= bound)
+	if c.numSent >= c.route.MaxAttempts {
+		return false
+	}
+	bound, _ := a.silenceBound()
+	return !c.hedges.isPending() || c.f.Now().Sub(c.hedges.startedAt) >= bound
 }
 
 // startHedge starts an attempt beside a if the retry limit and the choice of an upstream allow it.
--- a/pkg/forward/silence_test.go
+++ b/pkg/forward/silence_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/registry"
 	"github.com/lavenderring/lavenderring/pkg/retrylimit"
 	"github.com/lavenderring/lavenderring/pkg/routing"
@@ -315,6 +316,30 @@
 	}
 }
 
+// Guards against new requests that are sent to an upstream that is silent, while the retry limit allows no
+// other attempt.
+func TestSilentUpstreamGetsNoNewRequests(t *testing.T) {
+	first, second := &silentUpstream{pause: time.Hour, breakAfter: -1}, soundUpstream()
+	f := silentForwarder(t, routing.Stream, silentTimeout, 0, first, second)
+	ctx, cancel := context.WithCancel(t.Context())
+	var serving sync.WaitGroup
+	defer serving.Wait()
+	defer cancel()
+	serving.Go(func() {
+		request := &Request{ID: "1", Method: "POST", Target: "/", Host: "h", Path: "/", Arrived: time.Now()}
+		f.Serve(ctx, request, &streamRecorder{})
+	})
+	pool := f.serviceState("s").pool
+	for range 2 { // the other upstream has more requests in progress than the silent one
+		pool.Choose(&placement.Request{Tried: []string{"0"}})
+	}
+	awaitSilent(t, "new requests to go elsewhere", func() bool {
+		lease := pool.Choose(&placement.Request{})
+		defer lease.Done(placement.Neutral)
+		return lease.ID == "1" && first.served.Load() == 1
+	})
+}
+
 // Guards against retries that stay counted though nothing was sent: the other upstream is never reached.
 func TestUnsentAttemptIsNoRetry(t *testing.T) {
 	first := &silentUpstream{pauseBefore: 3, pause: silentFor, breakAfter: -1}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -170,7 +170,9 @@
 	countedAsCold bool
 	pendingTokens int64
 	sentAt        time.Time
-	done          bool
+	// silent says that the request counts as failed while it goes on.
+	silent bool
+	done   bool
 }
 
 // Choose returns a lease on the upstream of the lowest cost, or nil if no upstream may be chosen.
@@ -381,6 +383,19 @@
 	l.pendingTokens = 0
 }
 
+// ReportSilent counts the request as failed, because the upstream has been silent for too long. The request
+// may go on; only the first call has an effect.
+func (l *Lease) ReportSilent() {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.silent || l.done {
+		return
+	}
+	l.silent = true
+	l.state.recordFailure(p.now())
+}
+
 // Result is the outcome of a request at an upstream.
 type Result int
 
@@ -407,10 +422,10 @@
 	s := l.state
 	s.inFlight--
 	s.pendingTokens -= l.pendingTokens
-	switch result {
-	case Failed:
+	switch {
+	case result == Failed && !l.silent:
 		s.recordFailure(p.now())
-	case Succeeded:
+	case result == Succeeded:
 		s.recordSuccess(p.now())
 	}
 }
--- a/pkg/placement/pool_test.go
+++ b/pkg/placement/pool_test.go
@@ -191,3 +191,28 @@
 		t.Errorf("the end of an earlier request changed the new process: %+v", s)
 	}
 }
+
+// Guards against an upstream that is avoided although it went on after a silence, and against a silent
+// request that counts as two failures.
+func TestSilentUpstreamIsAvoidedUntilItGoesOn(t *testing.T) {
+	now := time.Unix(0, 0)
+	pool := NewPool("near", func() time.Time { return now })
+	pool.Update([]registry.Upstream{{ID: "a", Domain: "near"}, {ID: "b", Domain: "far"}}, false)
+	atA := &Request{Tried: []string{"b"}}
+	first, second := pool.Choose(atA), pool.Choose(atA)
+	for range 3 {
+		first.ReportSilent()
+	}
+	if pool.states["a"].avoided(now) {
+		t.Error("one silent request counts as several failures")
+	}
+	second.ReportSilent()
+	second.Done(Failed)
+	if s := pool.states["a"]; !s.avoided(now) || s.consecutiveFailures != 2 {
+		t.Errorf("%d failures after two silent requests", s.consecutiveFailures)
+	}
+	first.Done(Succeeded)
+	if pool.states["a"].avoided(now) {
+		t.Error("the upstream is avoided although it went on")
+	}
+}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -202,4 +202,5 @@
 try unsent-is-no-retry pkg/forward/hedge.go 's/\t\tc\.serviceState\.limit\.Release\(h\.retry\)\n//' pkg/forward TestUnsentAttemptIsNoRetry
 try own-delay-is-no-silence pkg/httpconn/silence.go 's/\treturn s\.raw\.Read\(p\)\n\}\n\n\/\/ setReadDeadline/\treturn n, err\n}\n\n\/\/ setReadDeadline/' pkg/httpconn TestArrivedDataIsNoSilence
 try reads-end-at-the-deadline pkg/httpconn/silence.go 's/if !time\.Now\(\)\.Before\(s\.watch\.Deadline\) \{\n\t\treturn 0, os\.ErrDeadlineExceeded\n\t\}\n//' pkg/httpconn TestReadsEndAtTheDeadline
+try silent-upstreams-get-nothing-new pkg/forward/hedge.go 's/\ta\.lease\.ReportSilent\(\)[^\n]*\n//' pkg/forward TestSilentUpstreamGetsNoNewRequests
 exit $status
