--- a/pkg/forward/silence_test.go
+++ b/pkg/forward/silence_test.go
@@ -104,22 +104,22 @@
 	}
 }
 
-// resumingCodec encodes the event after which a stream continues, and decodes "not run".
-type resumingCodec struct{}
+// silenceCodec encodes the event after which a stream continues, and decodes "not run".
+type silenceCodec struct{}
 
 // EncodeRequest implements Codec.
-func (resumingCodec) EncodeRequest(to []byte, r *Request, d *Dispatch) []byte {
+func (silenceCodec) EncodeRequest(to []byte, r *Request, d *Dispatch) []byte {
 	return fmt.Appendf(to, "%s %s HTTP/1.1\r\nHost: %s\r\nLast-Event-ID: %s\r\nContent-Length: %d\r\n\r\n",
 		r.Method, r.Target, r.Host, d.LastEventID, len(r.Body))
 }
 
 // DecodeAnswer implements Codec.
-func (resumingCodec) DecodeAnswer(response *http.Response) AnswerHead {
+func (silenceCodec) DecodeAnswer(response *http.Response) AnswerHead {
 	return AnswerHead{Status: response.StatusCode, Sealed: true, NotRun: response.Header.Get("Not-Run") != ""}
 }
 
-// streamRecorder records what a client gets.
-type streamRecorder struct {
+// answerRecorder records what a client gets.
+type answerRecorder struct {
 	mu      sync.Mutex
 	status  int
 	body    bytes.Buffer
@@ -128,23 +128,23 @@
 }
 
 // Answer implements Client.
-func (r *streamRecorder) Answer(status int, _ []Header, body []byte) error {
+func (r *answerRecorder) Answer(status int, _ []Header, body []byte) error {
 	r.status = status
 	r.body.Write(body)
 	return nil
 }
 
 // Refuse implements Client.
-func (r *streamRecorder) Refuse(refusal *Refusal) { r.refusal = refusal }
+func (r *answerRecorder) Refuse(refusal *Refusal) { r.refusal = refusal }
 
 // Begin implements Client.
-func (r *streamRecorder) Begin(status int, _ []Header) error {
+func (r *answerRecorder) Begin(status int, _ []Header) error {
 	r.status = status
 	return nil
 }
 
 // Event implements Client.
-func (r *streamRecorder) Event(piece []byte) error {
+func (r *answerRecorder) Event(piece []byte) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.body.Write(piece)
@@ -152,7 +152,7 @@
 }
 
 // Abort implements Client.
-func (r *streamRecorder) Abort() { r.aborted = true }
+func (r *answerRecorder) Abort() { r.aborted = true }
 
 // wholeStream is the body of a whole stream.
 func wholeStream() string {
@@ -164,7 +164,7 @@
 }
 
 // isWhole reports whether the client got the whole answer once.
-func (r *streamRecorder) isWhole() bool {
+func (r *answerRecorder) isWhole() bool {
 	return r.refusal == nil && !r.aborted && r.status == http.StatusOK && r.body.String() == wholeStream()
 }
 
@@ -193,7 +193,7 @@
 		}},
 	}, time.Now())
 	f := New(Deps{
-		Domain: "near", Config: config, Registry: upstreams, Codec: resumingCodec{}, Conns: httpconn.NewPool(time.Now),
+		Domain: "near", Config: config, Registry: upstreams, Codec: silenceCodec{}, Conns: httpconn.NewPool(time.Now),
 		Log: eventlog.New("test", io.Discard), Metrics: metrics.NewRegistry(),
 		Retries:      retrylimit.Settings{Extra: extra, Window: time.Hour},
 		NumInstances: func() int { return 1 }, StoreAvailable: func() bool { return true }, Now: time.Now,
@@ -203,8 +203,8 @@
 }
 
 // serve serves one request and returns what its client got.
-func serveSilent(f *Forwarder, id string) *streamRecorder {
-	client := &streamRecorder{}
+func serveSilent(f *Forwarder, id string) *answerRecorder {
+	client := &answerRecorder{}
 	f.Serve(context.Background(), &Request{ID: id, Method: "POST", Target: "/", Host: "h", Path: "/", Arrived: time.Now()}, client)
 	return client
 }
@@ -327,7 +327,7 @@
 	defer cancel()
 	serving.Go(func() {
 		request := &Request{ID: "1", Method: "POST", Target: "/", Host: "h", Path: "/", Arrived: time.Now()}
-		f.Serve(ctx, request, &streamRecorder{})
+		f.Serve(ctx, request, &answerRecorder{})
 	})
 	pool := f.serviceState("s").pool
 	for range 2 { // the other upstream has more requests in progress than the silent one
