Streams are resumed only after an event that has an id

A resumable stream that broke off after an event without an id was sent to another upstream with the id of an earlier event, or with none: its client got the events since then again.

The call remembers whether the last event with data carried an id; comments change nothing. No silence bound applies to such a stream, because no other upstream may go on with it.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -48,7 +48,10 @@
 	begun       bool
 	numEvents   int64
 	lastEventID string
-	timing      streamTiming
+	// unnumbered says that the last event that the client has carries no id: the stream cannot be resumed
+	// after it.
+	unnumbered bool
+	timing     streamTiming
 	// fingerprint is computed when it is first needed.
 	fingerprint *fingerprint.Fingerprint
 }
@@ -217,7 +220,7 @@
 	if last.noRetry || c.numSent >= c.route.MaxAttempts || c.remaining() <= minAttemptTime {
 		return false
 	}
-	if c.numMayHaveRun > 0 && !c.route.Retryable() {
+	if c.unnumbered || (c.numMayHaveRun > 0 && !c.route.Retryable()) {
 		return false
 	}
 	if last.step == stepDial || last.step == stepBeforeSend {
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -140,7 +140,7 @@
 
 // mayHedge reports whether another attempt may be made beside the silent attempt a now.
 func (c *call) mayHedge(a *attempt) bool {
-	if c.numSent >= c.route.MaxAttempts {
+	if c.unnumbered || c.numSent >= c.route.MaxAttempts {
 		return false
 	}
 	bound, _ := a.silenceBound()
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -116,8 +116,8 @@
 // deliverEvents delivers complete events, and the answer's head before the first.
 func (a *attempt) deliverEvents(events []byte) *failure {
 	c := a.c
-	events, count, last := dropDelivered(events, c.lastEventID)
-	if count == 0 {
+	batch := dropDelivered(events, c.lastEventID)
+	if batch.count == 0 {
 		return nil
 	}
 	c.hedges.abandon()
@@ -131,37 +131,51 @@
 	}
 	c.timing.recordEvent(c.f.Now(), c.r.Arrived)
 	a.lease.ReportFirstEvent()
-	c.numEvents += count // before the write: events that may have reached the client are billed
-	if err := c.client.Event(events); err != nil {
+	c.numEvents += batch.count // before the write: events that may have reached the client are billed
+	if err := c.client.Event(batch.events); err != nil {
 		return &failure{step: "deliver", err: err, noRetry: true}
 	}
-	if last != "" {
-		c.lastEventID = last
+	if batch.lastID != "" {
+		c.lastEventID, c.unnumbered = batch.lastID, false
 	}
+	c.unnumbered = c.unnumbered || batch.unnumbered
 	return nil
 }
 
-// dropDelivered drops the events up to the one with the id have, the last that the client has. It
-// returns the remaining events, their number and the last id among them. An upstream that resumes
-// a stream may repeat the event after which it is to continue.
-func dropDelivered(events []byte, have string) (rest []byte, count int64, last string) {
+// eventBatch is one or more complete events.
+type eventBatch struct {
+	events []byte
+	count  int64
+	// lastID is the last id among the events; empty if none has one.
+	lastID string
+	// unnumbered says that the last event with data has no id.
+	unnumbered bool
+}
+
+// dropDelivered drops the events up to the one with the id have, the last that the client has, and
+// returns the remaining ones. An upstream that resumes a stream may repeat the event after which it is
+// to continue.
+func dropDelivered(events []byte, have string) eventBatch {
 	limit, limited := parseEventNumber(have)
-	rest = events
+	batch := eventBatch{events: events}
 	for len(events) > 0 {
 		size := firstEventLen(events)
 		event := events[:size]
 		events = events[size:]
 		id := eventID(event)
 		if n, numbered := parseEventNumber(id); limited && numbered && n <= limit {
-			rest = events
+			batch.events = events
 			continue
 		}
-		if id != "" {
-			last = id
+		switch {
+		case id != "":
+			batch.lastID, batch.unnumbered = id, false
+		case hasData(event):
+			batch.unnumbered = true
 		}
-		count++
+		batch.count++
 	}
-	return rest, count, last
+	return batch
 }
 
 func parseEventNumber(id string) (uint64, bool) {
@@ -191,6 +205,11 @@
 	return ""
 }
 
+// hasData reports whether an event carries data; a comment, for instance, does not.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // finishStream handles the end of the answer.
 func (a *attempt) finishStream() *failure {
 	c := a.c
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -197,7 +197,7 @@
 try own-door-knows-the-process pkg/upstream/stream.go 's/incarnation != "" && s\.Incarnation != incarnation/false/' test TestCutStreamIsNotResumedAtAnotherProcess
 try silence-is-waited-for pkg/httpconn/silence.go 's/if wait, err = s\.watch\.OnSilence\(\); err != nil \{/if true {/' pkg/forward TestSilentUpstreamIsWaitedForWithoutARetry
 try failed-hedge-ends-nothing pkg/forward/hedge.go 's/if done\.failed == nil \{\n\t\t\tc\.hedges\.done <- done/if true {\n\t\t\tc.hedges.done <- done/' pkg/forward TestFailedAttemptBesideASilentOneEndsNothing
-try silent-attempt-is-taken-over pkg/forward/hedge.go 's/if c\.numSent >= c\.route\.MaxAttempts \{\n\t\treturn false/if true {\n\t\treturn false/' pkg/forward TestAnotherUpstreamTakesOverFromASilentOne
+try silent-attempt-is-taken-over pkg/forward/hedge.go 's/if c\.unnumbered \|\| c\.numSent >= c\.route\.MaxAttempts \{\n\t\treturn false/if true {\n\t\treturn false/' pkg/forward TestAnotherUpstreamTakesOverFromASilentOne
 try one-upstream-goes-on pkg/forward/stream.go 's/\tc\.hedges\.abandon\(\)\n//' pkg/forward TestAttemptBesideOneThatGoesOnIsCanceled
 try unsent-is-no-retry pkg/forward/hedge.go 's/\t\tc\.serviceState\.limit\.Release\(h\.retry\)\n//' pkg/forward TestUnsentAttemptIsNoRetry
 try own-delay-is-no-silence pkg/httpconn/silence.go 's/\treturn s\.raw\.Read\(p\)\n\}\n\n\/\/ setReadDeadline/\treturn n, err\n}\n\n\/\/ setReadDeadline/' pkg/httpconn TestArrivedDataIsNoSilence
