A whole answer no longer ends a stream that has begun as if complete

If a stream broke off and the upstream at which it was resumed answered with a client error (a sealed 404, for instance), that answer was delivered after the stream's events. The door had already sent the head, so the client saw an orderly end: status 200, the first events, no error. A trial at the door (Begin, Event, then Answer with 404) gave its client exactly that.

Before, the new test: aborted false, status 404 after the stream began. Now such an answer is a failure of the attempt: another upstream may go on if the bounds allow it, and otherwise the stream is cut off, which tells its client that it is incomplete.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -47,6 +47,8 @@
 	lease *placement.Lease
 	// run is the attempt in the quarantine's count.
 	run quarantine.Run
+	// resumes says that the client has events of the stream already.
+	resumes bool
 	// resumeAfter is the event after which the attempt's stream continues; empty from the beginning.
 	resumeAfter string
 	// number counts the call's attempts from 1; 0 until the attempt is counted.
@@ -93,7 +95,7 @@
 		return nil, failed
 	}
 	c.tried = append(c.tried, lease.ID)
-	return &attempt{c: c, lease: lease, run: run, resumeAfter: c.resumeAfter(), keepFor: -1}, nil
+	return &attempt{c: c, lease: lease, run: run, resumes: c.begun, resumeAfter: c.resumeAfter(), keepFor: -1}, nil
 }
 
 // tryUpstream makes an attempt at one more upstream, and at others beside it while it is silent. It returns
@@ -458,6 +460,8 @@
 	}
 	answer := &wholeAnswer{head: a.head, body: body}
 	switch {
+	case a.resumes: // this answer cannot follow the events that the client has
+		return a.outcomeUnknown("status", errNoStream).markAnswered()
 	case meansNotRun(a.head.Status):
 		// Clients read this status as "not run", but the upstream did not say so (NotRun).
 		return a.outcomeUnknown("status", errRefused).markAnswered()
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -209,6 +209,7 @@
 	errEncoded         = errors.New("answer has a content encoding, which the upstream does not apply")
 	errRefused         = errors.New("upstream refused the request")
 	errUpstreamFailure = errors.New("upstream answered with a server error")
+	errNoStream        = errors.New("upstream does not go on with the stream")
 	errIncomplete      = errors.New("stream ended within an event or exceeded the event size limit")
 	errUpstreamSilent  = errors.New("upstream sent nothing until the connection was given up")
 	errSuperseded      = errors.New("another upstream answered while this one was silent")
--- a/pkg/forward/resume_test.go
+++ b/pkg/forward/resume_test.go
@@ -148,3 +148,14 @@
 		})
 	}
 }
+
+// Guards against a stream that has begun and goes on as if it were complete: the upstream at which it was
+// to be resumed refused it with a client error, and that answer ended the client's stream in order.
+func TestStreamThatCannotBeResumedIsCutOff(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }
+	client, after := serveResumable(t, sendEvents("id: 1\ndata: a\n\n", true), refuse)
+	if !client.aborted || client.status != 0 || len(after) != 2 {
+		t.Errorf("aborted %t, status %d after the stream began, %d attempts; want a stream that is cut off",
+			client.aborted, client.status, len(after))
+	}
+}
