Tests: a carrier of tunnels that is silent or stops cuts nothing

An instance that carries a tunnel is silent for a second; heartbeats to it time out and the idle connections to it are closed, and the open tunnel goes on. An instance that begins a planned stop finishes the tunnels that are open.

--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -14,6 +14,8 @@
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/reach"
+	"github.com/lavenderring/lavenderring/pkg/standin/loopback"
+	"github.com/lavenderring/lavenderring/pkg/standin/relay"
 	"github.com/lavenderring/lavenderring/pkg/tunnel"
 	"github.com/lavenderring/lavenderring/pkg/tunnel/tunnelpb"
 )
@@ -382,3 +384,59 @@
 }
 
 var _ tunnelpb.DRPCTunnelsServer = (*tunnel.Service)(nil)
+
+// Guards against answers that are cut off because the instance that carries them is silent for a while:
+// other calls to it time out and their connections are closed, and the tunnel goes on.
+func TestSilentCarrierCutsNothing(t *testing.T) {
+	upstream := newUpstreamHost(t)
+	carrying := newCarrier(t, "carrier", upstream)
+	address := loopback.Address()
+	link, err := relay.Start(address, "", carrying.member.PeerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	carrying.member.PeerAddress = address
+	peers := peer.NewClient(func(string) string { return "" }, func(string) {}, &peer.Traffic{}, nil)
+	t.Cleanup(peers.Close)
+	others := func() []*memberpb.Member { return []*memberpb.Member{carrying.member} }
+	client := tunnel.NewClient("opener", others, peers, time.Now)
+	conn, _ := open(t, client, targetOf(upstream))
+	far := upstream.next(t)
+	mustWrite(t, conn, "request")
+	mustRead(t, far, "request")
+	mustWrite(t, far, "first")
+	mustRead(t, conn, "first")
+	link.SetFaults(relay.Faults{Hold: true})
+	mustWrite(t, far, " second")
+	for range 2 {
+		if _, err := peers.Heartbeat(t.Context(), address, &memberpb.Digest{}); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("a heartbeat to the silent carrier ended with %v", err)
+		}
+	}
+	link.SetFaults(relay.Faults{})
+	mustWrite(t, far, " third")
+	mustRead(t, conn, " second third")
+}
+
+// Guards against answers that are cut off because the instance that carries them begins a planned stop: it
+// declines new tunnels, and those that are open go on to their ends.
+func TestStoppingCarrierFinishesItsTunnels(t *testing.T) {
+	upstream := newUpstreamHost(t)
+	carrying := newCarrier(t, "carrier", upstream)
+	client := newClient(t, "opener", carrying)
+	conn, _ := open(t, client, targetOf(upstream))
+	far := upstream.next(t)
+	carrying.service.Refuse()
+	mustWrite(t, conn, "request")
+	mustRead(t, far, "request")
+	if _, _, err := client.Open(t.Context(), targetOf(upstream)); !errors.Is(err, tunnel.ErrNobodyReaches) {
+		t.Errorf("a stopping instance opened a tunnel, %v", err)
+	}
+	if active := carrying.service.NumActive(); active == 0 {
+		t.Error("the open tunnel is not active")
+	}
+	mustWrite(t, far, "answer")
+	mustRead(t, conn, "answer")
+	conn.Finish(time.Minute)
+	awaitIdle(t, carrying)
+}
