A link that is silent for two seconds no longer ends the connections to upstreams

Callers of a request whose link to the upstream lost all packets for 1.3 to 2 s were told that its outcome is unknown, or had their stream cut off, 3 s after the silence began, although the link had carried packets again for a second or more: the kernel was told to end a connection after 2.5 s without a sign of life, and what it sends next (the retransmission after 1.4 s, the probes each second) may have been lost in the silence as well.

Measured by a packet filter that drops everything at both ends, with an answer due after 4 s: silence from just before the request: ended after 2.94 s if it lasts 1.7 or 2 s silence from 0.5 s: ended after 3.06 s if it lasts 1.7 or 2 s silence from 0.9 s: ended after 3.07 s if it lasts 1.3, 1.5, 1.7 or 2 s Now the bound is 3.5 s for upstreams, so that after any silence of up to two seconds at least one more packet is sent before it. Connections to the store keep 2.5 s: no request ends with them, and a change must not be noticed late.

--- a/pkg/httpconn/httpconn.go
+++ b/pkg/httpconn/httpconn.go
@@ -21,14 +21,17 @@
 )
 
 // Detection of silent connections. A connection may go silent for good without a
-// reset. The keep-alive probes and the timeout of unacknowledged data end it after about
-// three seconds, the longest time that users allow for a return to service.
+// reset. The kernel ends it by keep-alive probes and a timeout of unacknowledged data.
 const (
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
-	// userTimeoutMillis bounds how long sent data may stay unacknowledged.
-	userTimeoutMillis = 2500
+	keepAliveCount    = 3
+	// upstreamAckTimeout bounds how long data and probes to an upstream stay unacknowledged. A sound link
+	// may lose everything for two seconds, and the next packet may be due a second after that.
+	upstreamAckTimeout = 3500 * time.Millisecond
+	// storeAckTimeout is the same for the store: no request is lost with the connection, and a change must
+	// not be noticed late.
+	storeAckTimeout = 2500 * time.Millisecond
 	// optTCPUserTimeout is TCP_USER_TIMEOUT from linux/tcp.h.
 	optTCPUserTimeout = 18
 	// readBufferBytes is enough for a typical head in one read.
@@ -74,28 +77,38 @@
 	Count:    keepAliveCount,
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket before it is connected.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var sockErr error
-	err := raw.Control(func(fd uintptr) {
-		sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, userTimeoutMillis)
-	})
-	return errors.Join(err, sockErr)
+// setAckTimeout returns a function that sets TCP_USER_TIMEOUT on a socket before it is connected.
+func setAckTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var sockErr error
+		err := raw.Control(func(fd uintptr) {
+			sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(timeout.Milliseconds()))
+		})
+		return errors.Join(err, sockErr)
+	}
 }
 
 // DialFunc establishes a connection to an address. It fails when ctx ends.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// DialTCP is the DialFunc of a direct connection. The kernel ends the connection when it has gone silent.
+// DialTCP is the DialFunc of a direct connection to an upstream. The kernel ends the connection when it has
+// gone silent.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return dialTCP(ctx, address, upstreamAckTimeout)
+}
+
+func dialTCP(ctx context.Context, address string, ackTimeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive, Control: setAckTimeout(ackTimeout)}
 	return dialer.DialContext(ctx, "tcp4", address)
 }
 
-// Dial opens a direct connection. It fails when ctx ends or the timeout is over. Errors:
-// *Error with step "dial".
-func Dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
-	return DialWith(ctx, DialTCP, address, timeout)
+// DialStore opens a connection to the platform's store. It fails when ctx ends or the timeout is over.
+// Errors: *Error with step "dial".
+func DialStore(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return dialTCP(ctx, address, storeAckTimeout)
+	}
+	return DialWith(ctx, dial, address, timeout)
 }
 
 // DialWith opens a connection by the function dial. It fails when ctx ends or the timeout is over.
--- a/pkg/httpconn/pool_test.go
+++ b/pkg/httpconn/pool_test.go
@@ -29,7 +29,7 @@
 
 func dialPeer(t *testing.T, p *Pool, address string) *Conn {
 	t.Helper()
-	conn, err := Dial(t.Context(), address, time.Second)
+	conn, err := DialStore(t.Context(), address, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
