Tests: changes while the tokens of a request are being reserved

The same ten changes, made during the reservation: the request is served as it was admitted, or refused as "no upstream" if none is left, and its reservation is settled.

--- a/pkg/forward/change_test.go
+++ b/pkg/forward/change_test.go
@@ -18,11 +18,18 @@
 )
 
 // grantingBudgets grants every reservation and counts those that are settled.
-type grantingBudgets struct{ reserved, settled atomic.Int32 }
+type grantingBudgets struct {
+	reserved, settled atomic.Int32
+	// onReserve is called during each reservation; it may be nil.
+	onReserve func()
+}
 
 // Reserve implements Budgets.
 func (b *grantingBudgets) Reserve(context.Context, string, int64, bool) (*prepaid.Reservation, error) {
 	b.reserved.Add(1)
+	if b.onReserve != nil {
+		b.onReserve()
+	}
 	return &prepaid.Reservation{}, nil
 }
 
@@ -123,18 +130,12 @@
 					t.Cleanup(server.Close)
 					addresses = append(addresses, server.Listener.Addr().(*net.TCPAddr).String())
 				}
-				f := forwarderTo(routing.Route{}, resumingCodec{}, addresses...)
 				budgets := &grantingBudgets{}
-				f.Budgets = budgets
-				f.Config.Apply(changeBase(), time.Now())
-				f.Update()
+				f := changingForwarder(budgets, addresses...)
 				client, ended := &streamRecorder{}, make(chan struct{})
 				go func() {
 					defer close(ended)
-					f.Serve(context.Background(), &Request{
-						ID: "1", Method: "POST", Target: "/", Host: "h", Path: "/", Key: "key", HasTokenBounds: true,
-						PromptTokens: 1, MaxOutputTokens: 9, Arrived: time.Now(),
-					}, client)
+					f.Serve(context.Background(), keyedRequest(), client)
 				}()
 				<-runs
 				change.apply(f)
@@ -155,6 +156,49 @@
 	}
 }
 
+// changingForwarder returns a forwarder with the configuration of changeBase.
+func changingForwarder(budgets Budgets, addresses ...string) *Forwarder {
+	f := forwarderTo(routing.Route{}, resumingCodec{}, addresses...)
+	f.Budgets = budgets
+	f.Config.Apply(changeBase(), time.Now())
+	f.Update()
+	return f
+}
+
+// keyedRequest returns a request that the configuration of changeBase admits.
+func keyedRequest() *Request {
+	return &Request{
+		ID: "1", Method: "POST", Target: "/", Host: "h", Path: "/", Key: "key", HasTokenBounds: true,
+		PromptTokens: 1, MaxOutputTokens: 9, Arrived: time.Now(),
+	}
+}
+
+// Guards against requests that are refused or not settled because something is changed or withdrawn while
+// their tokens are being reserved.
+func TestRequestThatReservesOutlastsChanges(t *testing.T) {
+	const events = "id: 1\ndata: a\n\n"
+	for _, change := range changes {
+		t.Run(change.description, func(t *testing.T) {
+			server := httptest.NewServer(sendEvents(events, false))
+			t.Cleanup(server.Close)
+			budgets := &grantingBudgets{}
+			f := changingForwarder(budgets, server.Listener.Addr().(*net.TCPAddr).String())
+			budgets.onReserve = func() { change.apply(f) }
+			client := &streamRecorder{}
+			f.Serve(context.Background(), keyedRequest(), client)
+			switch {
+			case change.noUpstreams && (client.refusal == nil || client.refusal.Reason != NoUpstream):
+				t.Errorf("refusal %+v, want %s", client.refusal, NoUpstream)
+			case !change.noUpstreams && client.events != events:
+				t.Errorf("received %q, refusal %+v", client.events, client.refusal)
+			}
+			if budgets.settled.Load() != 1 {
+				t.Errorf("%d reservations settled", budgets.settled.Load())
+			}
+		})
+	}
+}
+
 // closingUpstream answers the first request on each connection and closes it when the second
 // arrives, as an upstream does that closes an idle connection just then. It counts the requests.
 func closingUpstream(t *testing.T, arrived *atomic.Int32) string {
