A stream that has begun waits while no upstream of its service accepts connections

Its client has nothing better, so now the upstreams that were not reached are tried again each 250 ms until the deadline. An upstream that was reached and has declined ends the wait: the service is full then. Rounds after the first are not logged one by one.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -135,7 +135,7 @@
 func (c *call) endAttempt(ctx context.Context, a *attempt, failed *failure) {
 	c.hedges.detach(a)
 	a.end(ctx, failed)
-	c.noteFailed(failed)
+	c.noteFailed(a, failed)
 }
 
 // end concludes the attempt. It uses nothing of the call that changes.
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -36,6 +36,11 @@
 	hedges hedges
 	// tried holds the ids of the upstreams that are not chosen again.
 	tried []string
+	// unreached holds those of the tried upstreams to which no connection could be opened; declined says
+	// that an upstream that was reached has declined. waited says that the unreached ones are being tried
+	// again.
+	unreached        []string
+	declined, waited bool
 	// upstreamFailure is the last answer with a server error; it is passed on if no other
 	// attempt succeeds.
 	upstreamFailure *wholeAnswer
@@ -83,6 +88,9 @@
 		if failure == nil {
 			return
 		}
+		if c.awaitUnreached(ctx, failure) {
+			continue
+		}
 		if ctx.Err() != nil {
 			c.handleClientGone()
 			return
@@ -91,6 +99,9 @@
 			c.finishFailed(failure)
 			return
 		}
+		if c.waited && failure.step == stepDial {
+			continue // of the rounds of connections, only the first is logged
+		}
 		c.f.meters.retried.Inc(1)
 		if c.begun {
 			c.f.meters.resumed.Inc(1)
@@ -171,10 +182,11 @@
 }
 
 // noteFailed records what the failure of an attempt says about the request; nil if it did not fail.
-func (c *call) noteFailed(failed *failure) {
+func (c *call) noteFailed(a *attempt, failed *failure) {
 	if failed == nil {
 		return
 	}
+	c.noteUnreached(a, failed)
 	if failed.notRun {
 		c.numMayHaveRun--
 	}
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -218,7 +218,7 @@
 // noteHedgeFailed records that a hedge has failed. The attempt beside which it was made goes on.
 func (c *call) noteHedgeFailed(h *hedge) {
 	c.hedges.take(h)
-	c.noteFailed(h.failed)
+	c.noteFailed(h.attempt, h.failed)
 	if h.attempt.sentAt.IsZero() {
 		c.numSent--
 		c.numMayHaveRun--
