The loss of a carrier is no end of a connection by the upstream

If the instance that carried a tunnel ended, or the kernel gave up the silent link between it and the upstream, the opener saw the same "tunnel broke off" as after a reset by the upstream. The request was then watched by the quarantine as one that may have crashed its upstream: after three such endings within ten seconds it is refused until the upstream has answered somebody, and an upstream that is replaced meanwhile counts as crashed by it.

A trial with the link to the carrier cut: the stream between the instances ends with "context canceled", after a reset by the upstream with io.EOF. So the opener can tell: it now reads reach.ErrPathLost unless the carrier has ended the stream, and the carrier ends it with an error if it gave up a silent link. Such an attempt may still have run (unknown outcome, retried as before), but it is no evidence about the upstream.

If the stream ends while the opener still sends, the tunnel is no longer cancelled at once by the sending side: the receiving side learns how it ended.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -434,7 +434,7 @@
 		return a.silent(step, errUpstreamSilent)
 	}
 	failed := a.outcomeUnknown(step, err)
-	failed.connEnded = true
+	failed.connEnded = !errors.Is(err, reach.ErrPathLost)
 	return failed
 }
 
--- a/pkg/forward/silent_test.go
+++ b/pkg/forward/silent_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/placement"
+	"github.com/lavenderring/lavenderring/pkg/reach"
 	"github.com/lavenderring/lavenderring/pkg/routing"
 )
 
@@ -25,7 +26,8 @@
 }
 
 // Guards against requests that are suspected of crashing upstreams because these were silent: silence is no
-// end of a connection, also where the kernel or a deadline ends the wait.
+// end of a connection, also where the kernel or a deadline ends the wait. Nor is the loss of an instance that
+// carried the connection.
 func TestSilentUpstreamIsNoCrash(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0") // accepts connections and never answers
 	if err != nil {
@@ -42,8 +44,11 @@
 	}
 	a := &attempt{c: &call{f: f, deadline: time.Now().Add(time.Minute)}}
 	a.lease = f.serviceState("s").pool.Choose(&placement.Request{})
-	lost := &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
-	if failed := a.connFailed("head", &httpconn.Error{Step: "head", Err: lost}); failed.connEnded {
-		t.Error("a connection that the kernel gave up counts as ended by the upstream")
+	givenUp := &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+	reset := &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+	for err, ended := range map[error]bool{givenUp: false, reach.ErrPathLost: false, reset: true} {
+		if failed := a.connFailed("head", &httpconn.Error{Step: "head", Err: err}); failed.connEnded != ended {
+			t.Errorf("%v: counts as ended by the upstream: %t", err, failed.connEnded)
+		}
 	}
 }
--- a/pkg/reach/connector.go
+++ b/pkg/reach/connector.go
@@ -16,6 +16,10 @@
 // be asked.
 var ErrUnreached = errors.New("upstream is reached neither directly nor through another instance")
 
+// ErrPathLost means that a connection through another instance ended on the way: that instance, or its link,
+// is lost or silent. It says nothing about the upstream.
+var ErrPathLost = errors.New("the way to the upstream through another instance was lost")
+
 // Tunnels opens connections to upstreams through other instances.
 type Tunnels interface {
 	// Open returns a connection through another instance, and that instance's name. It fails when ctx
--- a/pkg/tunnel/conn.go
+++ b/pkg/tunnel/conn.go
@@ -12,14 +12,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/reach"
 	"github.com/lavenderring/lavenderring/pkg/tunnel/tunnelpb"
 )
 
 // chunkBytes is the largest number of bytes in one message.
 const chunkBytes = 16 << 10
 
-// errBrokeOff means that a tunnel ended without the upstream having closed its connection in an orderly
-// way: what was received may be incomplete.
+// errBrokeOff means that the upstream has ended its connection without closing it in an orderly way: what
+// was received may be incomplete.
 var errBrokeOff = errors.New("tunnel broke off")
 
 // stream is the opener's end of the messages of a tunnel.
@@ -38,6 +39,7 @@
 	// cancel ends the stream and with it the connection to the upstream.
 	cancel context.CancelFunc
 	closed atomic.Bool // the upstream has closed the connection in an orderly way
+	lost   atomic.Bool // the stream broke off before the other instance said how the connection ended
 	once   sync.Once
 	// received is the number of bytes read from the connection.
 	received atomic.Int64
@@ -53,14 +55,18 @@
 	return c
 }
 
-// Read implements net.Conn. It returns io.EOF only if the upstream has closed the connection.
+// Read implements net.Conn. It returns io.EOF only if the upstream has closed the connection, and
+// reach.ErrPathLost if the other instance does not say how it ended.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
-	if errors.Is(err, io.EOF) && !c.closed.Load() {
-		err = errBrokeOff
+	switch {
+	case !errors.Is(err, io.EOF) || c.closed.Load():
+		return n, err
+	case c.lost.Load():
+		return n, reach.ErrPathLost
 	}
-	return n, err
+	return n, errBrokeOff
 }
 
 // Close ends the tunnel; the connection to the upstream is closed at once.
@@ -85,10 +91,14 @@
 	buffer := make([]byte, chunkBytes)
 	for {
 		n, err := c.far.Read(buffer)
-		if n > 0 && c.stream.Send(&tunnelpb.FromOpener{Data: buffer[:n]}) != nil {
-			c.cancel()
-			_ = c.far.Close()
-			return
+		if n > 0 {
+			if err := c.stream.Send(&tunnelpb.FromOpener{Data: buffer[:n]}); err != nil {
+				c.noteEnd(err)
+				// What has been received is still delivered; then receive ends the tunnel.
+				_, _ = io.Copy(io.Discard, c.far)
+				c.cancel()
+				return
+			}
 		}
 		if err != nil {
 			c.end()
@@ -97,6 +107,13 @@
 	}
 }
 
+// noteEnd records an error of the stream. It is io.EOF if the other instance has ended the stream.
+func (c *conn) noteEnd(err error) {
+	if !errors.Is(err, io.EOF) {
+		c.lost.Store(true)
+	}
+}
+
 // end tells the other instance that the connection is finished, or breaks it off.
 func (c *conn) end() {
 	finish := c.finish.Load()
@@ -112,6 +129,7 @@
 	for {
 		message, err := c.stream.Recv()
 		if err != nil {
+			c.noteEnd(err)
 			return
 		}
 		if message.Closed {
--- a/pkg/tunnel/service.go
+++ b/pkg/tunnel/service.go
@@ -99,9 +99,16 @@
 		// The paths record the result.
 		go func() { _ = s.Direct.Check(target.GetService(), target.GetAddress(), reach.DialTimeout) }()
 	}
+	if t.silent {
+		return errSilent
+	}
 	return nil
 }
 
+// errSilent means that nothing was heard of the upstream for so long that its connection was given up. The
+// opener must not take that for an end of the connection by the upstream.
+var errSilent = errors.New("the connection to the upstream has gone silent")
+
 // connect returns a connection to the target, or why there is none. It never uses a tunnel itself, so
 // tunnels form no chains.
 func (s *Service) connect(t *tunnelpb.Target, active int64) (*httpconn.Conn, tunnelpb.Result) {
@@ -171,8 +178,9 @@
 	// received is the number of bytes received from the upstream.
 	received int64
 	ended    bool // the upstream's end of the connection has ended
-	// broken says that the connection to the upstream ended in a failure. It is set before run returns.
-	broken bool
+	// broken says that the connection to the upstream ended in a failure, silent that it was given up
+	// because nothing was heard. They are set before run returns.
+	broken, silent bool
 }
 
 // run copies in both directions until the tunnel has ended.
@@ -269,6 +277,7 @@
 	defer t.mu.Unlock()
 	t.ended = t.finish == nil || !httpconn.IsTimeout(err)
 	t.broken = t.ended && !t.aborted
+	t.silent = t.broken && httpconn.IsTimeout(err)
 }
 
 // reusable returns how long the upstream keeps the idle connection, and whether it may be used again.
--- a/pkg/tunnel/tunnel_test.go
+++ b/pkg/tunnel/tunnel_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -228,14 +230,15 @@
 				_ = far.(*net.TCPConn).SetLinger(0)
 			}
 			_ = far.Close()
-			if _, err := conn.Read(make([]byte, 1)); errors.Is(err, io.EOF) != orderly || err == nil {
+			if _, err := conn.Read(make([]byte, 1)); errors.Is(err, io.EOF) != orderly || err == nil || errors.Is(err, reach.ErrPathLost) {
 				t.Errorf("read %v", err)
 			}
 		})
 	}
 }
 
-// Guards against a cut-off answer that looks whole because the instance that carries the tunnel is gone.
+// Guards against a cut-off answer that looks whole because the instance that carries the tunnel is gone, and against
+// taking the loss of that instance for a crash of the upstream.
 func TestLossOfTheCarrierIsNoEndOfAnAnswer(t *testing.T) {
 	upstream := newUpstreamHost(t)
 	carrying := newCarrier(t, "carrier", upstream)
@@ -243,7 +246,28 @@
 	mustWrite(t, upstream.next(t), "part")
 	mustRead(t, conn, "part")
 	carrying.stop()
-	if _, err := conn.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, reach.ErrPathLost) {
+		t.Errorf("read %v", err)
+	}
+}
+
+// givenUpConn is a connection that the kernel gives up at the first read, since nothing is heard of the other end.
+type givenUpConn struct{ net.Conn }
+
+func (givenUpConn) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Net: "tcp4", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+}
+
+// Guards against taking the silence of a carrier's link for a crash of the upstream.
+func TestSilenceOfTheCarriersLinkIsNoEndOfTheUpstream(t *testing.T) {
+	upstream := newUpstreamHost(t)
+	carrying := newCarrier(t, "carrier", upstream)
+	carrying.direct.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := httpconn.DialTCP(ctx, address)
+		return givenUpConn{conn}, err
+	}
+	conn, _ := open(t, newClient(t, "opener", carrying), targetOf(upstream))
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, reach.ErrPathLost) {
 		t.Errorf("read %v", err)
 	}
 }
