--- a/pkg/standin/relay/relay.go
+++ b/pkg/standin/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay forwards TCP connections from one address to another and can cut, freeze, hold or
-// delay them, to simulate network faults.
+// Package relay forwards TCP connections from one address to another and can cut, freeze, hold,
+// pause or delay them, to simulate network faults.
 package relay
 
 import (
@@ -26,6 +26,11 @@
 	// Hold delays what the target sends until Hold is unset: requests are forwarded, answers are
 	// not.
 	Hold bool `json:"hold"`
+	// Pause delays what both sides send until Pause is unset, also on new connections.
+	Pause bool `json:"pause"`
+	// PassBytes is the number of bytes of what the target sends that Hold and Pause let through in each
+	// buffer, so that they interrupt an answer within its body.
+	PassBytes int `json:"pass_bytes"`
 	// DelayMillis delays each forwarded buffer, in both directions.
 	DelayMillis int64 `json:"delay_millis"`
 }
@@ -137,24 +142,38 @@
 		delay := time.Duration(r.faults.DelayMillis) * time.Millisecond
 		r.mu.Unlock()
 		time.Sleep(delay)
+		passed := 0
 		if src == l.target {
-			r.waitWhileHeld()
+			passed = min(r.passBytes(), n)
+			_, _ = dst.Write(buffer[:passed]) // a failure repeats at the next write
 		}
-		if _, werr := dst.Write(buffer[:n]); err != nil || werr != nil {
+		r.waitWhileHeld(src == l.target)
+		if _, werr := dst.Write(buffer[passed:n]); err != nil || werr != nil {
 			r.closeLink(l)
 			return
 		}
 	}
 }
 
-// holdPollInterval is how often copyBytes checks whether the Hold fault has ended.
+// passBytes returns how many bytes of an answer's next buffer are let through before it is held; 0 if
+// answers are not held.
+func (r *Relay) passBytes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.faults.Hold && !r.faults.Pause {
+		return 0
+	}
+	return r.faults.PassBytes
+}
+
+// holdPollInterval is how often copyBytes checks whether the Hold and Pause faults have ended.
 const holdPollInterval = 10 * time.Millisecond
 
-// waitWhileHeld blocks while the Hold fault is set.
-func (r *Relay) waitWhileHeld() {
+// waitWhileHeld blocks while a fault holds what is sent in a direction.
+func (r *Relay) waitWhileHeld(isAnswer bool) {
 	for {
 		r.mu.Lock()
-		held := r.faults.Hold
+		held := r.faults.Pause || r.faults.Hold && isAnswer
 		r.mu.Unlock()
 		if !held {
 			return
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -210,13 +210,14 @@
 	}
 }
 
-func (f *routedFleet) startProxy(u *standin.Upstream, service string, domain int) {
+func (f *routedFleet) startProxy(u *standin.Upstream, service string, domain int) *relay.Relay {
 	f.t.Helper()
 	u.Advertised = freeAddress()
 	proxy, err := relay.Start(u.Advertised, "", u.Address)
 	f.must(err)
 	f.t.Cleanup(proxy.Close)
 	f.updateEntry(u, service, domain)
+	return proxy
 }
 
 // updateEntry replaces an upstream's existing entry in the store.
--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -37,6 +38,8 @@
 	// retryExtra is the number of retries that all instances together may make in a window beyond those
 	// that their requests allow; 0 for the default.
 	retryExtra int
+	// timeout is the timeout of all routes; 0 for routeTimeout.
+	timeout time.Duration
 	// downtime is how long a crashed upstream is down.
 	downtime time.Duration
 }
@@ -51,6 +54,8 @@
 	routedHost   = "fleet.example"
 	routedKey    = "key-of-crew"
 	streamEvents = 6
+	// routeTimeout is the timeout of a route unless the fleet has another.
+	routeTimeout = 3 * time.Second
 	// promptTokens and outputTokens bound what one stream costs: its prompt, and events
 	// of one token each.
 	promptTokens, outputTokens = 100, 20
@@ -132,7 +137,7 @@
 			return
 		}
 		config.Routes = append(config.Routes, routing.Route{
-			Name: name, Host: routedHost, Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second,
+			Name: name, Host: routedHost, Prefix: "/" + name + "/", Kind: kind, Timeout: cmp.Or(f.timeout, routeTimeout),
 			Objective: 400 * time.Millisecond, MaxPause: 400 * time.Millisecond, MaxAttempts: attempts, Resumable: resumable,
 			Targets: []routing.Target{{Service: service, Weight: 1}},
 		})
--- a/test/upstream_link_test.go
+++ b/test/upstream_link_test.go
@@ -23,6 +23,8 @@
 	linksReset linkState = "reset"
 	// linksRefusing refuse new connections, while the open ones stay.
 	linksRefusing linkState = "refusing"
+	// linksSettingUp set up no new connection until the state changes, while the open ones work.
+	linksSettingUp linkState = "setting up"
 )
 
 // upstreamLinks are the links of one instance to the upstreams. They can be cut while the upstreams are
@@ -60,10 +62,35 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: context.DeadlineExceeded}
 	case linksReset, linksRefusing:
 		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: syscall.ECONNREFUSED}
+	case linksSettingUp:
+		if err := l.awaitSetUp(ctx); err != nil {
+			return nil, err
+		}
 	}
 	return httpconn.DialTCP(ctx, path)
 }
 
+// awaitSetUp waits until the links set up connections again or ctx ends.
+func (l *upstreamLinks) awaitSetUp(ctx context.Context) error {
+	for l.current() == linksSettingUp {
+		select {
+		case <-ctx.Done():
+			return &net.OpError{Op: "dial", Net: "tcp4", Err: context.DeadlineExceeded}
+		case <-time.After(linkPollInterval):
+		}
+	}
+	return nil
+}
+
+// linkPollInterval is the pause between two checks of the links' state.
+const linkPollInterval = 10 * time.Millisecond
+
+func (l *upstreamLinks) current() linkState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state
+}
+
 // path returns the state of the links and the address of the relay to an upstream. An upstream at which
 // nothing listens has no relay, so that connections to it are refused.
 func (l *upstreamLinks) path(address string) (linkState, string, error) {
--- a/test/upstreams_test.go
+++ b/test/upstreams_test.go
@@ -22,7 +22,7 @@
 // runsAt returns the requests that one plain service ran.
 func (f *fleet) runsAt(p *process) []plain.Run {
 	f.t.Helper()
-	resp, err := http.Get("http://" + p.control + "/_runs")
+	resp, err := http.Get("http://" + p.listenAddress + "/_runs")
 	f.must(err)
 	defer func() { _ = resp.Body.Close() }()
 	var runs []plain.Run
@@ -47,18 +47,24 @@
 	f.t.Helper()
 	usage := map[string]int64{}
 	for _, p := range f.engines {
-		resp, err := http.Get("http://" + p.control + "/usage")
-		f.must(err)
-		var counted map[string]int64
-		f.must(json.NewDecoder(resp.Body).Decode(&counted))
-		_ = resp.Body.Close()
-		for id, tokens := range counted {
+		for id, tokens := range f.usageAt(p) {
 			usage[id] += tokens
 		}
 	}
 	return usage
 }
 
+// usageAt returns the tokens that one engine counted, by request id.
+func (f *fleet) usageAt(p *process) map[string]int64 {
+	f.t.Helper()
+	resp, err := http.Get("http://" + p.listenAddress + "/usage")
+	f.must(err)
+	defer func() { _ = resp.Body.Close() }()
+	var counted map[string]int64
+	f.must(json.NewDecoder(resp.Body).Decode(&counted))
+	return counted
+}
+
 // readStatement reads all bills in the store.
 func (f *fleet) readStatement() *bill.Statement {
 	f.t.Helper()
