End of a planned stop: whole requests are answered before connections close

What callers saw: at the end of a planned stop, requests that had been sent whole ended in a reset or in a torn refusal, at both doors. A caller of an unsafe request could not know whether it ran.

Cause: closing a door closed the listener and all connections at once, also those whose request had just been read, whose refusal was being written, or that waited in the accept queue. The project's own door closed the listener and left its connections to the end of the process.

Now: package httpserve closes a server for both doors (CloseBy). New connections are refused by the kernel first, then the queue is emptied, then the listener closes. Every request that is received whole by the deadline is refused as not run, with Connection: close; a connection ends after that answer, and an idle one when its reader has looked once more and found nothing. Requests that are still being served are cut off at once, as before; the deadline lies within the reserves of the grace period.

NumActive counts the requests that are served, no longer those that are refused because of the stop: the closing waits for these. The own door makes answers the last on their connections from the beginning of a stop, like the other.

--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -5,9 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -53,22 +50,17 @@
 type Server struct {
 	opts       Options
 	httpServer *httpserve.Server
-	draining   atomic.Bool
-	refusing   atomic.Bool
-
-	mu    sync.Mutex
-	conns map[net.Conn]bool
 }
 
 // Listen returns a server that is bound to its address and does not serve yet.
 func Listen(opts Options) (*Server, error) {
-	s := &Server{opts: opts, conns: map[net.Conn]bool{}}
+	s := &Server{opts: opts}
 	server, err := httpserve.Listen(httpserve.Options{
 		Address:            opts.Address,
 		MaxBodyBytes:       maxBodyBytes,
 		ReadTimeout:        opts.ReadTimeout,
 		CancelOnDisconnect: true,
-		WrapConn:           s.trackConn,
+		Refuse:             s.refuse,
 	})
 	if err != nil {
 		return nil, err
@@ -82,63 +74,40 @@
 func (s *Server) Serve() { s.httpServer.Serve() }
 
 // Drain makes every answer from now on the last on its connection.
-func (s *Server) Drain() { s.draining.Store(true) }
+func (s *Server) Drain() { s.httpServer.Drain() }
 
 // Refuse makes the server refuse all requests that are read from now on as not run. When
 // NumActive then returns 0, no more requests are passed to the pipeline. Without Refuse, a
 // request that is read between the last call of NumActive and Close would be passed on
 // and then its connection closed.
-func (s *Server) Refuse() { s.refusing.Store(true) }
+func (s *Server) Refuse() { s.httpServer.Refuse() }
 
-// NumActive returns the number of requests in progress; a request is in progress until its answer has
-// been written to its end.
+// NumActive returns the number of requests in progress, without those that are refused because of Refuse; a
+// request is in progress until its answer has been written to its end.
 func (s *Server) NumActive() int64 { return s.httpServer.NumActive() }
 
 // AwaitIdle waits until no request is in progress; it returns ctx's error if ctx is done first.
 func (s *Server) AwaitIdle(ctx context.Context) error { return s.httpServer.AwaitIdle(ctx) }
 
-// Close closes all connections and stops the server.
-func (s *Server) Close() {
-	s.httpServer.StopListening()
-	s.mu.Lock()
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
-	s.mu.Unlock()
-	s.httpServer.Close()
-}
+// Close closes the server as CloseBy does.
+func (s *Server) Close() { s.CloseBy(time.Now().Add(httpserve.CloseTimeout)) }
 
-// trackedConn removes itself from the server's connections when it is closed.
-type trackedConn struct {
-	net.Conn
-	server *Server
-}
-
-// Close implements net.Conn.
-func (c *trackedConn) Close() error {
-	c.server.mu.Lock()
-	delete(c.server.conns, c.Conn)
-	c.server.mu.Unlock()
-	return c.Conn.Close()
-}
+// CloseBy closes the server, at the latest at the deadline. Requests in progress are cut off; those that
+// still arrive are refused before their connections are closed.
+func (s *Server) CloseBy(deadline time.Time) { s.httpServer.CloseBy(deadline) }
 
 // overloaded reports whether other instances can serve clients better. The connection is then closed after
 // the answer: a client that kept it would send each request to this instance.
 func (s *Server) overloaded() bool { return s.opts.Overloaded != nil && s.opts.Overloaded() }
 
-func (s *Server) trackConn(conn net.Conn) net.Conn {
-	s.mu.Lock()
-	s.conns[conn] = true
-	s.mu.Unlock()
-	return &trackedConn{Conn: conn, server: s}
+// refuse answers a request that is read after Refuse.
+func (s *Server) refuse(ctx context.Context, c *app.RequestContext) {
+	w := &responseWriter{ctx: ctx, c: c, server: s}
+	w.Refuse(&forward.Refusal{Reason: forward.Stopping, RetryAfter: stoppingRetryAfter})
 }
 
 func (s *Server) handle(ctx context.Context, c *app.RequestContext) {
 	w := &responseWriter{ctx: ctx, c: c, server: s}
-	if s.refusing.Load() { // checked after the request was counted as active, see Refuse
-		w.Refuse(&forward.Refusal{Reason: forward.Stopping, RetryAfter: stoppingRetryAfter})
-		return
-	}
 	if err := checkFraming(c.Request.Header.RawHeaders()); err != nil {
 		c.SetConnectionClose()
 		w.Refuse(&forward.Refusal{Reason: forward.Malformed, Step: "framing", Err: err})
@@ -166,7 +135,7 @@
 	for _, h := range header {
 		w.c.Response.Header.Add(h.Name, h.Value)
 	}
-	if w.server.draining.Load() || w.server.overloaded() {
+	if w.server.overloaded() {
 		w.c.SetConnectionClose()
 	}
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -8,7 +8,6 @@
 	"context"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -87,9 +86,8 @@
 // Entry serves the client requests of one instance.
 type Entry struct {
 	Deps
-	metrics  requestMetrics
-	refusing atomic.Bool
-	retries  retryBudget
+	metrics requestMetrics
+	retries retryBudget
 	// background outlives requests: outcomes are recorded and upstream requests
 	// canceled in it.
 	background context.Context
@@ -167,9 +165,10 @@
 	return p
 }
 
-// Refuse makes the Entry refuse all requests from now on as not run. Once the server then has no active
-// request, none is served any more.
-func (e *Entry) Refuse() { e.refusing.Store(true) }
+// RefuseStopping answers a request that reaches a stopping instance as not run.
+func RefuseStopping(_ context.Context, c *app.RequestContext) {
+	notRunProblem(consts.StatusServiceUnavailable, kindDraining, "this instance is stopping", drainRetryAfter).write(c)
+}
 
 // request is a client request in progress.
 type request struct {
@@ -193,10 +192,6 @@
 // calls serve and writes the problem, if any, as the response.
 func (e *Entry) handle(serve func(context.Context, *request) *Problem) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
-		if e.refusing.Load() {
-			notRunProblem(consts.StatusServiceUnavailable, kindDraining, "this instance is stopping", drainRetryAfter).write(c)
-			return
-		}
 		r, p := e.admit(c)
 		if p == nil {
 			ctx, cancel := context.WithCancel(ctx)
--- a/pkg/httpserve/active.go
+++ b/pkg/httpserve/active.go
@@ -22,11 +22,18 @@
 // library's Tracer, whose Finish is called after the writing.
 type activeCounter struct{ numActive atomic.Int64 }
 
-// handle counts the request as active.
-func (a *activeCounter) handle(ctx context.Context, c *app.RequestContext) {
+// begin counts a request as active.
+func (a *activeCounter) begin(c *app.RequestContext) {
 	a.numActive.Add(1)
 	c.Set(activeKey, true)
-	c.Next(ctx)
+}
+
+// end no longer counts a request as active.
+func (a *activeCounter) end(c *app.RequestContext) {
+	if c.GetBool(activeKey) {
+		c.Set(activeKey, false)
+		a.numActive.Add(-1)
+	}
 }
 
 // Start implements tracer.Tracer.
@@ -34,15 +41,15 @@
 
 // Finish implements tracer.Tracer. The library also calls it when an idle connection ends, and then
 // the context has no mark.
-func (a *activeCounter) Finish(_ context.Context, c *app.RequestContext) {
-	if c.GetBool(activeKey) {
-		c.Set(activeKey, false)
-		a.numActive.Add(-1)
+func (a *activeCounter) Finish(ctx context.Context, c *app.RequestContext) {
+	if conn := connOf(ctx); conn != nil {
+		conn.finishRequest(func() int { return c.GetReader().Len() })
 	}
+	a.end(c)
 }
 
 // NumActive returns the number of requests whose handler has started and whose response has not been
-// written to its end.
+// written to its end, without those that are refused because of Refuse.
 func (s *Server) NumActive() int64 { return s.active.numActive.Load() }
 
 // AwaitIdle waits until no request is active; it returns ctx's error if ctx is done first.
--- /dev/null
+++ b/pkg/httpserve/conn.go
@@ -0,0 +1,212 @@
+package httpserve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// conn is a client's connection. It knows whether a request is on its way.
+type conn struct {
+	net.Conn
+	server *Server
+
+	mu sync.Mutex
+	// readDeadline is the one that the library has set.
+	readDeadline time.Time
+	numReading   int
+	// fresh says that nothing of a next request has been received.
+	fresh bool
+	// serving says that a request is being served, not refused.
+	serving bool
+	// ending says that the connection is to end if nothing of a next request has arrived.
+	ending bool
+	// broken says that the client is gone, or that its answer is incomplete.
+	broken, closed bool
+}
+
+// connOf returns the connection of a request by the context of its handler; nil if there is none.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	c.addReading(1)
+	defer c.addReading(-1)
+	for {
+		n, err := c.Conn.Read(p)
+		again, err := c.noteRead(n, err)
+		if !again {
+			return n, err
+		}
+	}
+}
+
+func (c *conn) addReading(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.numReading += n
+}
+
+// noteRead notes the result of a read, and returns whether to read on, and the error for the library. It
+// decides whether a connection that was asked to end does: it does not if a request has arrived.
+func (c *conn) noteRead(n int, err error) (again bool, result error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ending := c.ending
+	if ending {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+	switch {
+	case n > 0:
+		c.fresh = false
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.broken = true
+	case c.fresh && ending && c.hasUnread():
+		return true, nil
+	case c.fresh && ending:
+		return false, io.EOF // for a time-out, the library would answer with 408
+	}
+	return false, err
+}
+
+// hasUnread reports whether bytes of the client wait to be read.
+func (c *conn) hasUnread() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	c.ending = false
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		c.broken = true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// beginServing notes that a request is being served.
+func (c *conn) beginServing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving = true
+}
+
+// finishRequest notes that a request's response has been written to its end. numBuffered returns the
+// number of bytes that the library has received of the next request.
+func (c *conn) finishRequest(numBuffered func() int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving = false
+	if !c.broken && !c.closed { // otherwise the library may still be reading
+		c.fresh = numBuffered() == 0
+	}
+}
+
+// endIfIdle ends the connection if it waits for a next request of which nothing has arrived. The reader
+// decides that, so that nothing is read of a request that is not answered.
+func (c *conn) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fresh && c.numReading > 0 && !c.closed {
+		c.ending = true
+		_ = c.Conn.SetReadDeadline(pastTime)
+	}
+}
+
+// pastTime is a deadline that has passed.
+var pastTime = time.Unix(1, 0)
+
+// cutIfServing closes the connection at once if a request is being served.
+func (c *conn) cutIfServing() {
+	c.mu.Lock()
+	serving := c.serving
+	c.mu.Unlock()
+	if serving {
+		c.cut()
+	}
+}
+
+// cut closes the connection at once.
+func (c *conn) cut() {
+	c.mu.Lock()
+	c.broken, c.closed = true, true
+	c.mu.Unlock()
+	c.server.conns.remove(c)
+	_ = c.Conn.Close()
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil
+	}
+	c.closed = true
+	c.mu.Unlock()
+	c.server.conns.remove(c)
+	return c.Conn.Close()
+}
+
+// connSet holds the open connections of a server.
+type connSet struct {
+	mu   sync.Mutex
+	open map[*conn]bool
+}
+
+func (s *connSet) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = true
+}
+
+func (s *connSet) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// all returns the open connections.
+func (s *connSet) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*conn, 0, len(s.open))
+	for c := range s.open {
+		all = append(all, c)
+	}
+	return all
+}
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -50,36 +51,45 @@
 	CancelOnDisconnect bool
 	// WrapConn, if not nil, wraps each accepted connection.
 	WrapConn func(net.Conn) net.Conn
+	// Refuse answers the requests that are read after Server.Refuse. Nil for a server whose requests
+	// nobody has to miss.
+	Refuse app.HandlerFunc
 }
 
 // Server is a running HTTP server.
 type Server struct {
 	// Hertz is the library's server, on which routes are registered.
 	*server.Hertz
-	listener net.Listener
-	active   *activeCounter
-	done     chan struct{}
+	listener           *listener
+	active             *activeCounter
+	conns              connSet
+	wrapConn           func(net.Conn) net.Conn
+	refuse             app.HandlerFunc
+	draining, refusing atomic.Bool
+	started            atomic.Bool
+	done               chan struct{} // closed when no more connections are accepted
 }
 
 // Listen creates a server and binds its address, so that an address in use is
 // reported immediately. Serve starts answering requests.
 func Listen(opts Options) (*Server, error) {
 	hlog.SetOutput(io.Discard) // the library's own log lines are not events of the event log
-	listener, err := net.Listen("tcp", opts.Address)
+	s := &Server{
+		active: &activeCounter{}, conns: connSet{open: map[*conn]bool{}}, wrapConn: opts.WrapConn,
+		refuse: opts.Refuse, done: make(chan struct{}),
+	}
+	bound, err := net.Listen("tcp", opts.Address)
 	if err != nil {
 		return nil, err
 	}
-	if opts.WrapConn != nil {
-		listener = wrappedListener{Listener: listener, wrap: opts.WrapConn}
-	}
+	s.listener = &listener{TCPListener: bound.(*net.TCPListener), accepted: s.trackConn}
 	readTimeout := opts.ReadTimeout
 	if readTimeout <= 0 {
 		readTimeout = defaultReadTimeout
 	}
-	active := &activeCounter{}
 	options := []hertzconfig.Option{
 		{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
-		server.WithListener(listener),
+		server.WithListener(s.listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(opts.MaxBodyBytes),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
@@ -94,41 +104,56 @@
 		server.WithDisableDefaultDate(true),
 		server.WithDisableDefaultContentType(true),
 		server.WithSenseClientDisconnection(opts.CancelOnDisconnect),
-		server.WithTracer(active),
+		server.WithTracer(s.active),
 		server.WithTraceLevel(stats.LevelDisabled),
 	}
 	if opts.TLS != nil {
 		options = append(options, server.WithTLS(opts.TLS))
 	}
-	hertz := server.New(options...)
-	hertz.Use(active.handle)
-	return &Server{Hertz: hertz, listener: listener, active: active, done: make(chan struct{})}, nil
+	s.Hertz = server.New(options...)
+	s.Use(s.admit)
+	return s, nil
 }
 
-// limitFirstRead returns a function that sets the read deadline for a connection's
-// first request. The library applies its read timeout only from the second request
-// on, so a client that connects and sends half a body would hold the connection
-// forever.
-func limitFirstRead(bound time.Duration) func(net.Conn) context.Context {
-	return func(conn net.Conn) context.Context {
-		_ = conn.SetReadDeadline(time.Now().Add(bound))
-		return context.Background()
+// trackConn returns an accepted connection as one of the server's.
+func (s *Server) trackConn(accepted net.Conn) net.Conn {
+	if s.wrapConn != nil {
+		accepted = s.wrapConn(accepted)
 	}
+	c := &conn{Conn: accepted, server: s, fresh: true}
+	s.conns.add(c)
+	return c
 }
 
-// wrappedListener wraps each accepted connection.
-type wrappedListener struct {
-	net.Listener
-	wrap func(net.Conn) net.Conn
+// admit counts a request as active and has it served or, after Refuse, refused. The order matters: a request
+// that is served has been counted before Refuse.
+func (s *Server) admit(ctx context.Context, c *app.RequestContext) {
+	s.active.begin(c)
+	if s.draining.Load() {
+		c.SetConnectionClose()
+	}
+	if s.refuse != nil && s.refusing.Load() {
+		s.active.end(c)
+		s.refuse(ctx, c)
+		c.SetConnectionClose()
+		c.Abort()
+		return
+	}
+	if conn := connOf(ctx); conn != nil {
+		conn.beginServing()
+	}
+	c.Next(ctx)
 }
 
-// Accept implements net.Listener.
-func (l wrappedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// limitFirstRead returns a function that sets the read deadline for a connection's
+// first request, and passes the connection on in the context of its requests. The library applies its read timeout only from the second request
+// on, so a client that connects and sends half a body would hold the connection
+// forever.
+func limitFirstRead(bound time.Duration) func(net.Conn) context.Context {
+	return func(accepted net.Conn) context.Context {
+		_ = accepted.SetReadDeadline(time.Now().Add(bound))
+		return context.WithValue(context.Background(), connKey{}, accepted)
 	}
-	return l.wrap(conn), nil
 }
 
 // abortTimeout limits the wait for the library's reader. The reader stops as soon as
@@ -142,6 +167,9 @@
 // is the context of the request's handler. The server must have been started with
 // CancelOnDisconnect: its reader cancels ctx as its last action.
 func Abort(ctx context.Context, c *app.RequestContext) {
+	if conn := connOf(ctx); conn != nil {
+		conn.cut()
+	}
 	_ = c.GetConn().Close()
 	select {
 	case <-ctx.Done():
@@ -164,6 +192,7 @@
 
 // Serve answers requests in the background until Close.
 func (s *Server) Serve() {
+	s.started.Store(true)
 	go func() {
 		defer close(s.done)
 		_ = s.Run() // returns when the listener closes
--- /dev/null
+++ b/pkg/httpserve/listener.go
@@ -0,0 +1,57 @@
+package httpserve
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+)
+
+// listener accepts the connections of a server. When it stops, the connections that wait in its queue are
+// still accepted: closing a listener resets them.
+type listener struct {
+	*net.TCPListener
+	accepted func(net.Conn) net.Conn
+	stopping atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.TCPListener.Accept()
+	if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		conn, err = l.acceptQueued()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return l.accepted(conn), nil
+}
+
+// stop ends the listening once the queue is empty.
+func (l *listener) stop() {
+	_ = l.refuseNew() // without it, stopping works, but a connection may be reset
+	l.stopping.Store(true)
+	_ = l.SetDeadline(pastTime)
+}
+
+// acceptQueued accepts a connection that waits in the queue, and closes the listener if there is none.
+func (l *listener) acceptQueued() (net.Conn, error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	fd := -1
+	var acceptErr error
+	err = raw.Control(func(listening uintptr) { fd, _, acceptErr = syscall.Accept(int(listening)) })
+	if err != nil {
+		return nil, err
+	}
+	if acceptErr != nil {
+		_ = l.Close()
+		return nil, net.ErrClosed
+	}
+	file := os.NewFile(uintptr(fd), "")
+	defer func() { _ = file.Close() }()
+	return net.FileConn(file) // has its own descriptor
+}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -243,6 +243,7 @@
 		MaxBodyBytes: maxBodyBytes,
 		ReadTimeout:  i.settings.CallerReadTimeout(),
 		TLS:          i.clientServerTLS,
+		Refuse:       entry.RefuseStopping,
 	}
 	if i.clientServer, err = httpserve.Listen(opts); err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
--- a/pkg/instance/run.go
+++ b/pkg/instance/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/httpserve"
 	"github.com/lavenderring/lavenderring/pkg/ledger"
 	"github.com/lavenderring/lavenderring/pkg/pause"
 )
@@ -186,17 +187,18 @@
 func (i *Instance) stop() error {
 	began := time.Now()
 	i.lifecycle.Stop()
+	i.clientServer.Drain()
 	i.table.MarkLeaving()
 	i.heartbeatTrigger.TryPut(struct{}{})
 	pause.For(context.Background(), i.settings.DrainDelay())
 	drainCtx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	i.entry.Refuse()
+	i.clientServer.Refuse()
 	err := i.clientServer.AwaitIdle(drainCtx)
 	i.log.Event(eventlog.InstanceClosing, "", eventlog.Fields{
 		"after_ms": time.Since(began).Milliseconds(), "active": i.clientServer.NumActive(),
 	})
-	i.clientServer.Close()
+	i.clientServer.CloseBy(time.Now().Add(httpserve.CloseTimeout))
 	i.flushOnStop()
 	i.cancelBackground()
 	i.backgroundTasks.Wait()
--- a/pkg/router/stop.go
+++ b/pkg/router/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/httpserve"
 	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/tunnel"
 )
@@ -79,6 +80,15 @@
 	closing.Wait()
 }
 
+// closeDeadline returns the time by which servers that begin to close now have closed.
+func (s *plannedStop) closeDeadline() time.Time {
+	deadline := time.Now().Add(httpserve.CloseTimeout)
+	if s.exitAt.Before(deadline) {
+		return s.exitAt
+	}
+	return deadline
+}
+
 // handOverRecords passes on what only this instance may know, also of requests that were cut off.
 func (s *plannedStop) handOverRecords() {
 	ctx, cancel := context.WithDeadline(context.Background(), s.exitAt)
@@ -144,7 +154,8 @@
 func (r *Router) stop() {
 	traffic := stoppingTraffic{stoppingClients: r.clientServer, tunnels: r.tunnels}
 	stop := newPlannedStop(r.settings.GracePeriod(), traffic, r.tokens)
-	stop.closeServers = []func(){r.clientServer.Close, r.readyServer.Close, r.adminServer.Close}
+	closeClients := func() { r.clientServer.CloseBy(stop.closeDeadline()) }
+	stop.closeServers = []func(){closeClients, r.readyServer.Close, r.adminServer.Close}
 	stop.onClosing = func() {
 		r.log.Event(eventlog.InstanceClosing, "", eventlog.Fields{
 			"after_ms": time.Since(stop.beganAt).Milliseconds(), "active": traffic.NumActive(),
