Connections that end after an answer are read on until the client ends them too

What callers saw: an answer cut short by a reset ("the client received of bytes, connection reset by peer"), although the server had written it whole.

Cause: the last answer of a connection (a stop, an overloaded instance, a refused framing or body size) is followed by its closing. If bytes of the client have not been read then, such as a second request or the rest of a body, the kernel resets the connection and drops what the client has not received yet.

Now, in one place for both doors: the connection's sending side is closed, and what the client still sends is read and dropped until the client closes, for at most a second. Connections whose client is gone, whose answer is incomplete, or that end idle are closed at once as before: the library's reader must not outlive them.

--- a/pkg/door/close_test.go
+++ b/pkg/door/close_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -125,3 +126,57 @@
 	checkRefused(t, conn)
 	<-closed
 }
+
+// largePipeline answers with a body that the buffers of a connection cannot hold.
+type largePipeline struct{}
+
+const (
+	largeBytes = 16 << 20
+	// smallBuffer is the number of bytes that a client receives without reading them.
+	smallBuffer = 64 << 10
+	// slowBytes is the end of the answer that the client reads slowly, pieceBytes at a time, so that a part of
+	// it is left when the server has written it.
+	slowBytes, pieceBytes = 4 << 20, 16 << 10
+	// closingTime gives a server time to close a connection too early.
+	closingTime = 50 * time.Millisecond
+)
+
+func (largePipeline) Serve(_ context.Context, _ *forward.Request, client forward.Client) {
+	_ = client.Answer(http.StatusOK, nil, make([]byte, largeBytes))
+}
+
+// Guards against an answer whose end is destroyed by the reset of its connection: the connection is closed
+// after the answer, and the client has sent more than the server reads.
+func TestBytesBehindTheLastRequestDestroyNoAnswer(t *testing.T) {
+	d, address := listenForTest(t, plainFormat{}, largePipeline{})
+	d.Drain()
+	d.Serve()
+	conn := dialAndSend(t, address, "")
+	if err := conn.(*net.TCPConn).SetReadBuffer(smallBuffer); err != nil { // so that the end of the answer waits at the server
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte(wholeRequest)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || !resp.Close {
+		t.Fatalf("got %+v, %v", resp, err)
+	}
+	if _, err := conn.Write(make([]byte, 128<<10)); err != nil {
+		t.Fatal(err)
+	}
+	numRead := 0
+	for err == nil && d.NumActive() > 0 { // until the server has nothing more to write
+		if numRead > largeBytes-slowBytes {
+			time.Sleep(time.Millisecond)
+		}
+		var n int
+		n, err = resp.Body.Read(make([]byte, pieceBytes))
+		numRead += n
+	}
+	time.Sleep(closingTime)
+	rest, err := io.Copy(io.Discard, resp.Body)
+	if numRead += int(rest); numRead != largeBytes || err != nil {
+		t.Errorf("the client received %d of %d bytes, %v", numRead, largeBytes, err)
+	}
+}
--- a/pkg/httpserve/conn.go
+++ b/pkg/httpserve/conn.go
@@ -11,10 +11,15 @@
 	"time"
 )
 
+// lingerTimeout bounds how long a connection that the server has ended is read on, until its client ends
+// it too.
+const lingerTimeout = time.Second
+
 // connKey is the key of a connection in the context of its requests.
 type connKey struct{}
 
-// conn is a client's connection. It knows whether a request is on its way.
+// conn is a client's connection. It knows whether a request is on its way, and it is closed in a way that
+// does not destroy the last answer.
 type conn struct {
 	net.Conn
 	server *Server
@@ -29,6 +34,8 @@
 	serving bool
 	// ending says that the connection is to end if nothing of a next request has arrived.
 	ending bool
+	// silent says that the connection has ended without a next request.
+	silent bool
 	// broken says that the client is gone, or that its answer is incomplete.
 	broken, closed bool
 }
@@ -72,11 +79,14 @@
 	case n > 0:
 		c.fresh = false
 	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
-		c.broken = true
+		c.broken = true // the client sends no more, so no unread bytes can destroy its answer
 	case c.fresh && ending && c.hasUnread():
 		return true, nil
 	case c.fresh && ending:
+		c.silent = true
 		return false, io.EOF // for a time-out, the library would answer with 408
+	case c.fresh:
+		c.silent = true
 	}
 	return false, err
 }
@@ -169,7 +179,8 @@
 	_ = c.Conn.Close()
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It ends the sending first and reads on for a while: closing a connection with
+// unread bytes resets it, and a reset destroys what the client has not received yet.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	if c.closed {
@@ -177,11 +188,25 @@
 		return nil
 	}
 	c.closed = true
+	lingers := c.server.lingers && !c.broken && !c.silent && c.numReading == 0
 	c.mu.Unlock()
+	if lingers {
+		c.linger()
+	}
 	c.server.conns.remove(c)
 	return c.Conn.Close()
 }
 
+// linger ends the sending and reads until the client ends the connection too.
+func (c *conn) linger() {
+	sender, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || sender.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.Conn)
+}
+
 // connSet holds the open connections of a server.
 type connSet struct {
 	mu   sync.Mutex
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -51,8 +51,8 @@
 	CancelOnDisconnect bool
 	// WrapConn, if not nil, wraps each accepted connection.
 	WrapConn func(net.Conn) net.Conn
-	// Refuse answers the requests that are read after Server.Refuse. Nil for a server whose requests
-	// nobody has to miss.
+	// Refuse answers the requests that are read after Server.Refuse. A server that has it ends each
+	// connection in an orderly way. Nil for a server whose requests nobody has to miss.
 	Refuse app.HandlerFunc
 }
 
@@ -60,11 +60,13 @@
 type Server struct {
 	// Hertz is the library's server, on which routes are registered.
 	*server.Hertz
-	listener           *listener
-	active             *activeCounter
-	conns              connSet
-	wrapConn           func(net.Conn) net.Conn
-	refuse             app.HandlerFunc
+	listener *listener
+	active   *activeCounter
+	conns    connSet
+	wrapConn func(net.Conn) net.Conn
+	refuse   app.HandlerFunc
+	// lingers says that connections are read on after their last answer.
+	lingers            bool
 	draining, refusing atomic.Bool
 	started            atomic.Bool
 	done               chan struct{} // closed when no more connections are accepted
@@ -76,7 +78,7 @@
 	hlog.SetOutput(io.Discard) // the library's own log lines are not events of the event log
 	s := &Server{
 		active: &activeCounter{}, conns: connSet{open: map[*conn]bool{}}, wrapConn: opts.WrapConn,
-		refuse: opts.Refuse, done: make(chan struct{}),
+		refuse: opts.Refuse, lingers: opts.Refuse != nil, done: make(chan struct{}),
 	}
 	bound, err := net.Listen("tcp", opts.Address)
 	if err != nil {
