--- a/pkg/router/stop_test.go
+++ b/pkg/router/stop_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/pause"
+	"github.com/lavenderring/lavenderring/pkg/tunnel"
+	"github.com/lavenderring/lavenderring/pkg/tunnel/tunnelpb"
 )
 
 // Times of the fake parts of a stopping instance.
@@ -116,3 +119,39 @@
 		})
 	}
 }
+
+// openTunnel is a tunnel that another instance ends after a time.
+type openTunnel struct {
+	tunnelpb.DRPCTunnels_OpenStream
+	lasts time.Duration
+}
+
+func (o openTunnel) Recv() (*tunnelpb.FromOpener, error) {
+	time.Sleep(o.lasts)
+	return nil, io.EOF
+}
+
+// Guards against a stop that cuts the connections which an instance carries for the requests of others: it
+// waits for them as for its own requests, and no longer.
+func TestStopWaitsForTunnels(t *testing.T) {
+	for _, lasts := range []time.Duration{unreadyPeriod + time.Second, 6 * time.Second, time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			service, clients := &tunnel.Service{}, &fakeClients{}
+			go func() { _ = service.Open(openTunnel{lasts: lasts}) }()
+			synctest.Wait()
+			stop := newPlannedStop(testGracePeriod, stoppingTraffic{stoppingClients: clients, tunnels: service}, &fakeTokens{clients: clients})
+			stop.onClosing, stop.handOver = func() {}, func(context.Context) {}
+			stop.closeServers = []func(){clients.close}
+			stop.run()
+			closedAfter := clients.closedAt.Sub(began)
+			if earliest := min(lasts, testGracePeriod-maxCutOffTime); closedAfter < earliest {
+				t.Errorf("a tunnel of %s: the servers were closed after %s", lasts, closedAfter)
+			}
+			if took := time.Since(began); took >= testGracePeriod {
+				t.Errorf("a tunnel of %s: the stop took %s of %s", lasts, took, testGracePeriod)
+			}
+			time.Sleep(lasts) // the bubble must not end with a tunnel open
+		})
+	}
+}
