--- a/pkg/httpserve/close_test.go
+++ b/pkg/httpserve/close_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -266,3 +268,49 @@
 	}
 	<-closed
 }
+
+// Guards against the same losses on encrypted connections.
+func TestEncryptedConnectionsEndInOrder(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	certified.Close()
+	s, err := Listen(Options{
+		Address: "127.0.0.1:0", MaxBodyBytes: 1024, TLS: &tls.Config{Certificates: certified.TLS.Certificates},
+		Refuse: func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(consts.StatusServiceUnavailable) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.NoRoute(func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(consts.StatusOK) })
+	s.Serve()
+	t.Cleanup(func() { s.CloseBy(time.Now()) })
+	var clients []net.Conn
+	var readers []*bufio.Reader
+	for range 2 {
+		client := tls.Client(dial(t, s), &tls.Config{InsecureSkipVerify: true}) // the certificate is of no interest here
+		reader := bufio.NewReader(client)
+		send(t, client, wholeRequest)
+		checkAnswer(t, reader, http.StatusOK, false)
+		clients, readers = append(clients, client), append(readers, reader)
+	}
+	await(t, "the requests to be over", func() bool { return s.NumActive() == 0 })
+	send(t, clients[0], wholeRequest[:10])
+	await(t, "the first bytes to be received", func() bool {
+		numFresh := 0
+		for _, c := range s.conns.all() {
+			c.mu.Lock()
+			if c.fresh {
+				numFresh++
+			}
+			c.mu.Unlock()
+		}
+		return numFresh == 1
+	})
+	closed := goClose(t, s)
+	if n, err := readers[1].Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
+		t.Errorf("an idle client received %d bytes, %v", n, err)
+	}
+	send(t, clients[0], wholeRequest[10:])
+	checkAnswer(t, readers[0], http.StatusServiceUnavailable, true)
+	_ = clients[0].Close()
+	<-closed
+}
