Test: an instance that stops cuts no request whose connection it carries

Without the wait for tunnels and without the period in which a stopping instance is not ready, one-time requests end with 502 and streams with an unexpected EOF.

--- a/test/isolated_test.go
+++ b/test/isolated_test.go
@@ -23,6 +23,8 @@
 type linkedFleet struct {
 	*routedFleet
 	links []*upstreamLinks
+	// stops stop the instances and wait for their end.
+	stops []func()
 }
 
 // newLinkedFleet starts instances that serve requests without keys.
@@ -74,12 +76,15 @@
 		defer close(ended)
 		_ = r.Run(ctx)
 	}()
-	f.t.Cleanup(func() {
+	stopAndWait := func() {
 		stop()
 		<-ended
+	}
+	f.t.Cleanup(func() {
+		stopAndWait()
 		links.close()
 	})
-	f.instances, f.links = append(f.instances, i), append(f.links, links)
+	f.instances, f.links, f.stops = append(f.instances, i), append(f.links, links), append(f.stops, stopAndWait)
 }
 
 func (f *linkedFleet) logFile(n int) io.Writer {
@@ -227,3 +232,45 @@
 		t.Errorf("the leaving upstream got %d requests", after-before)
 	}
 }
+
+// Guards against requests that are cut off because the instance that carries their connections stops: their
+// clients cannot know whether they ran.
+func TestStoppingCarrierCutsNoRequest(t *testing.T) {
+	f := newLinkedFleet(t, 3)
+	cut := f.instances[0]
+	f.links[0].set(linksRefusing)
+	attempt := 0
+	f.await("a request to be served after the cut", func() bool {
+		attempt++
+		return f.send(cut, fmt.Sprintf("first-%d", attempt), "safe", "x").status == http.StatusOK
+	})
+	f.setFaults(f.plainUpstreams, standin.UpstreamFaults{Delay: 300 * time.Millisecond})
+	f.setFaults(f.engines, standin.UpstreamFaults{Delay: 100 * time.Millisecond})
+	var stopped atomic.Bool
+	var clients sync.WaitGroup
+	var served atomic.Int64
+	for n := range 16 {
+		clients.Go(func() {
+			for count := 0; !stopped.Load(); count++ {
+				kind := requestKinds[n%len(requestKinds)]
+				a := f.send(cut, fmt.Sprintf("carried-%d-%d", n, count), kind, "x")
+				switch {
+				case a.err == nil && a.status == http.StatusOK:
+					served.Add(1)
+				case a.err != nil || a.status != http.StatusServiceUnavailable:
+					t.Errorf("a %s request ended with status %d, %v", kind, a.status, a.err)
+				}
+			}
+		})
+	}
+	f.await("the instance to carry connections", func() bool {
+		numTunnels := f.metric(f.instances[1], "tunnels_active")
+		return numTunnels != "" && numTunnels != "0"
+	})
+	f.stops[1]()
+	stopped.Store(true)
+	clients.Wait()
+	if served.Load() == 0 {
+		t.Error("no request was served")
+	}
+}
