A server goes on accepting after it had no file descriptors left

What callers saw: nothing. Their connections were established by the kernel and never answered.

Cause: the library ends a server whose listener returns any error. One accept without a free descriptor was enough, at the clients' doors and at the other servers; the listener stayed open, and its queue filled.

Now the listener repeats an accept that failed for a reason that passes, after a pause.

--- a/pkg/httpserve/listener.go
+++ b/pkg/httpserve/listener.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // listener accepts the connections of a server. When it stops, the connections that wait in its queue are
@@ -16,16 +17,38 @@
 	stopping atomic.Bool
 }
 
-// Accept implements net.Listener.
+// acceptRetryDelay is the pause after an accept that failed for a reason that passes.
+const acceptRetryDelay = 10 * time.Millisecond
+
+// Accept implements net.Listener. The library ends a server whose listener returns an error, so errors that
+// pass are not returned.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.TCPListener.Accept()
-	if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-		conn, err = l.acceptQueued()
+	for {
+		conn, err := l.TCPListener.Accept()
+		if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+			conn, err = l.acceptQueued()
+		}
+		if err == nil {
+			return l.accepted(conn), nil
+		}
+		if !isTransient(err) {
+			return nil, err
+		}
+		time.Sleep(acceptRetryDelay)
 	}
-	if err != nil {
-		return nil, err
+}
+
+// isTransient reports whether an accept failed for a reason that passes, such as that the process has no
+// descriptors left. The connections in the queue are kept.
+func isTransient(err error) bool {
+	for _, transient := range []error{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR,
+	} {
+		if errors.Is(err, transient) {
+			return true
+		}
 	}
-	return l.accepted(conn), nil
+	return false
 }
 
 // stop ends the listening once the queue is empty.
@@ -47,6 +70,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if isTransient(acceptErr) {
+		return nil, acceptErr
+	}
 	if acceptErr != nil {
 		_ = l.Close()
 		return nil, net.ErrClosed
