--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -50,8 +50,8 @@
 try end-mark pkg/upstream/stream.go 's/return Event\{\}, s\.readError\(err\)/return Event{End: true}, nil/' test TestCutStreamIsResumedWhole
 try answer-id pkg/upstream/stream.go 's/s\.resp\.Header\.Get\(chat\.HeaderRequestID\) != s\.id/false/; s/out\.Response\.ID != s\.id/false/' test TestCrossedAnswerNeverReachesTheCaller
 try drain-waits pkg/instance/run.go 's/err := i\.clientServer\.AwaitIdle\(drainCtx\)/err := drainCtx.Err()/' test TestPlannedStopCutsNothing
-try answers-are-written-out pkg/httpserve/active.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ta.numActive.Add(-1)\n\tc.Set(activeKey, false)/' test TestPlannedStopLeavesSlowClientsTheirAnswers
-try own-door-writes-answers-out pkg/httpserve/active.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ta.numActive.Add(-1)\n\tc.Set(activeKey, false)/' test TestPlannedStopOfTheOwnDoorLeavesSlowClientsTheirAnswers
+try answers-are-written-out pkg/httpserve/httpserve.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ts.active.end(c)/' test TestPlannedStopLeavesSlowClientsTheirAnswers
+try own-door-writes-answers-out pkg/httpserve/httpserve.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ts.active.end(c)/' test TestPlannedStopOfTheOwnDoorLeavesSlowClientsTheirAnswers
 try replaced-drawer-declines pkg/prepaid/drawer.go 's/if req\.Drawer != n\.Self \{/if false {/' pkg/prepaid TestReplacedDrawerDeclines
 try exhausted-only-if-too-few pkg/prepaid/write.go 's/\(writes > 0 && b\.exceedsLedger\(need\)\)/writes > 0/; s/max\(target-b\.free, b\.waiting\)/target*0/; s/max\(b\.waiting-b\.free, 0\)/0/' pkg/prepaid TestTokensTakenByOthersAreNotExhaustion
 try strangers-try-little pkg/prepaid/write.go 's/if !n\.Fleet\.Joined\(\) \{/if false {/' pkg/prepaid TestFleetThatStartsUnderLoadLeavesTheStoreAlone
@@ -203,4 +203,33 @@
 try own-delay-is-no-silence pkg/httpconn/silence.go 's/\treturn s\.raw\.Read\(p\)\n\}\n\n\/\/ setReadDeadline/\treturn n, err\n}\n\n\/\/ setReadDeadline/' pkg/httpconn TestArrivedDataIsNoSilence
 try reads-end-at-the-deadline pkg/httpconn/silence.go 's/if !time\.Now\(\)\.Before\(s\.watch\.Deadline\) \{\n\t\treturn 0, os\.ErrDeadlineExceeded\n\t\}\n//' pkg/httpconn TestReadsEndAtTheDeadline
 try silent-upstreams-get-nothing-new pkg/forward/hedge.go 's/\ta\.lease\.ReportSilent\(\)[^\n]*\n//' pkg/forward TestSilentUpstreamGetsNoNewRequests
+try resumed-only-after-an-id pkg/forward/call.go 's/c\.unnumbered \|\| \(c\.numMayHaveRun/false || (c.numMayHaveRun/' pkg/forward TestStreamIsResumedOnlyAfterAnEventWithAnID
+try whole-answers-end-no-stream pkg/forward/attempt.go 's/case a\.resumes:/case false:/' pkg/forward TestStreamThatCannotBeResumedIsCutOff
+try short-silences-end-no-connection pkg/httpconn/httpconn.go 's/upstreamAckTimeout = 3500/upstreamAckTimeout = 2500/' pkg/httpconn TestSilenceOfTwoSecondsEndsNoConnection
+try lasting-silences-end-connections pkg/httpconn/httpconn.go 's/, Control: setAckTimeout\(ackTimeout\)//' pkg/httpconn TestLastingSilenceEndsTheConnection
+try begun-streams-wait-for-the-unreached pkg/forward/call.go 's/c\.awaitUnreached\(ctx, failure\)/false/' pkg/forward TestBegunStreamOutlastsUnreachedUpstreams
+try unreached-are-not-awaited-for-long pkg/forward/unreached.go 's/if !c\.begun \|\| c\.declined/if c.declined/' pkg/forward TestRequestIsNotKeptForUnreachedUpstreams
+try closed-connections-are-no-reason-to-repeat pkg/forward/call.go 's/c\.numMayHaveRun > 0 && !c\.route\.Retryable\(\)/false/' pkg/forward TestConnectionClosedUnderARequestIsNoReasonToSendItAgain
+try silence-is-no-crash pkg/forward/attempt.go 's/if httpconn\.IsTimeout\(err\) \{/if httpconn.IsTimeout(err) \&\& false {/' pkg/forward TestSilentUpstreamIsNoCrash
+try stopping-carriers-decline pkg/tunnel/service.go 's/s\.refusing\.Load\(\) \|\| //' pkg/tunnel TestStoppingCarrierFinishesItsTunnels
+try lost-paths-are-no-crash pkg/forward/attempt.go 's/failed\.connEnded = !errors\.Is\(err, reach\.ErrPathLost\)/failed.connEnded = true/' pkg/forward TestSilentUpstreamIsNoCrash
+try lost-carriers-are-told pkg/tunnel/conn.go 's/if !errors\.Is\(err, io\.EOF\) \{/if false {/' pkg/tunnel TestLossOfTheCarrierIsNoEndOfAnAnswer
+try silent-links-of-carriers-are-told pkg/tunnel/service.go 's/if t\.silent \{/if false {/' pkg/tunnel TestSilenceOfTheCarriersLinkIsNoEndOfTheUpstream
+try reservations-outlast-changes pkg/forward/call.go 's/\tdefer c\.settleReservation\(\)\n//' pkg/forward TestRequestInProgressOutlastsChanges
+try waiting-connections-are-accepted pkg/httpserve/listener.go 's/conn, err = l\.acceptQueued\(\)/_ = l.Close()\n\t\terr = net.ErrClosed/' pkg/door TestWaitingConnectionsAreRefusedBeforeClosing
+try new-connections-are-refused-first pkg/httpserve/refuse_linux.go 's/noInterface = 1 << 30/noInterface = 0/' pkg/httpserve TestNewConnectionsAreRefusedBeforeTheQueueIsEmptied
+try refusals-are-written-out pkg/httpserve/closing.go 's/\ts\.endConns\(ctx\)\n//' pkg/door TestRefusalIsWrittenOutBeforeClosing
+try closed-connections-linger pkg/httpserve/conn.go 's/if lingers \{/if lingers \&\& false {/' pkg/door TestBytesBehindTheLastRequestDestroyNoAnswer
+try only-idle-connections-end pkg/httpserve/conn.go 's/if c\.fresh && c\.numReading > 0/if c.numReading > 0/; s/case c\.fresh && ending:/case ending:/' pkg/httpserve TestRequestOnItsWayIsRefusedBeforeClosing
+try buffered-requests-are-on-their-way pkg/httpserve/conn.go 's/c\.fresh = numBuffered\(\) == 0/c.fresh = true/' pkg/httpserve TestRequestReceivedWithAnotherIsRefusedBeforeClosing
+try last-look pkg/httpserve/conn.go 's/case c\.fresh && ending && c\.hasUnread\(\):/case false:/' pkg/httpserve TestRequestThatArrivesAsItsConnectionEndsIsRead
+try deadline-is-put-back pkg/httpserve/conn.go 's/\t\t_ = c\.Conn\.SetReadDeadline\(c\.readDeadline\)\n//' pkg/httpserve TestRequestThatBeginsAsItsConnectionEndsIsReadOn
+try idle-connections-end pkg/httpserve/closing.go 's/\t\t\tc\.endIfIdle\(\)\n/\t\t\t_ = c\n/' pkg/httpserve TestIdleConnectionsEndSilently
+try served-requests-are-cut-in-time pkg/httpserve/closing.go 's/\t\tc\.cutIfServing\(\)\n/\t\t_ = c\n/' pkg/httpserve TestCloseEndsByItsDeadline
+try encrypted-connections-end-in-order pkg/httpserve/closing.go 's/\ts\.endConns\(ctx\)\n//' pkg/httpserve TestEncryptedConnectionsEndInOrder
+try stops-answer-to-the-end pkg/httpserve/closing.go 's/\ts\.endConns\(ctx\)\n//' test TestPlannedStopAnswersToTheEnd
+try own-door-answers-to-the-end pkg/instance/run.go 's/i\.clientServer\.CloseBy\(.*\)\n/i.clientServer.Close()\n/; s/\t"github.com\/lavenderring\/lavenderring\/pkg\/httpserve"\n//' test TestPlannedStopOfTheOwnDoorAnswersToTheEnd
+try stops-wait-for-tunnels pkg/router/stop.go 's/return s\.stoppingClients\.NumActive\(\) \+ s\.tunnels\.NumActive\(\)/return s.stoppingClients.NumActive()/; s/for s\.tunnels\.NumActive\(\) > 0 \{/for false {/' pkg/router TestStopWaitsForTunnels
+try stopping-carriers-wait pkg/router/stop.go 's/return s\.stoppingClients\.NumActive\(\) \+ s\.tunnels\.NumActive\(\)/return s.stoppingClients.NumActive()/; s/for s\.tunnels\.NumActive\(\) > 0 \{/for false {/; s/unreadyPeriod = 3500 /unreadyPeriod = 1 /' test TestStoppingCarrierCutsNoRequest
+try wants-of-descriptors-pass pkg/httpserve/listener.go 's/if !isTransient\(err\) \{/if true {/' pkg/httpserve TestServerOutlivesAWantOfDescriptors
 exit $status
