Answers to requests that were in progress as a stop began announce their last connection

Answers said that they were the last on their connection only if their requests had arrived after the beginning of a stop. Clients of the others sent their next requests to the stopping instance again, where they were refused.

--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -135,7 +135,7 @@
 	for _, h := range header {
 		w.c.Response.Header.Add(h.Name, h.Value)
 	}
-	if w.server.overloaded() {
+	if w.server.httpServer.IsDraining() || w.server.overloaded() {
 		w.c.SetConnectionClose()
 	}
 }
--- a/pkg/httpserve/closing.go
+++ b/pkg/httpserve/closing.go
@@ -18,9 +18,13 @@
 	closeCheckInterval = 10 * time.Millisecond
 )
 
-// Drain makes every answer from now on the last on its connection.
+// Drain makes every answer from now on the last on its connection. A handler that writes its response itself
+// must announce that, see IsDraining.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// IsDraining reports whether Drain has been called.
+func (s *Server) IsDraining() bool { return s.draining.Load() }
+
 // Refuse makes the server refuse all requests that are read from now on with Options.Refuse. When NumActive
 // then returns 0, no request is served any more.
 func (s *Server) Refuse() { s.refusing.Store(true) }
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -131,9 +131,6 @@
 // that is served has been counted before Refuse.
 func (s *Server) admit(ctx context.Context, c *app.RequestContext) {
 	s.active.begin(c)
-	if s.draining.Load() {
-		c.SetConnectionClose()
-	}
 	if s.refuse != nil && s.refusing.Load() {
 		s.active.end(c)
 		s.refuse(ctx, c)
@@ -145,6 +142,9 @@
 		conn.beginServing()
 	}
 	c.Next(ctx)
+	if s.draining.Load() && c.Response.GetHijackWriter() == nil { // otherwise the head has been sent
+		c.SetConnectionClose()
+	}
 }
 
 // limitFirstRead returns a function that sets the read deadline for a connection's
