Tests of silent engines: silence before the request, and a shorter idle limit

Own door, without the race detector, 36 requests each, few retries: silence before the request arrives, 9 of 36 streams and 9 of 36 whole answers are answered 502 and 2 refused; most because the door resumes at the engine, which does not know the request yet and answers 410. Silence while streams run with a limit of 250 ms, after three resumptions: 18 of 36 answered 502. With ten retries saved: none.

--- a/test/silent_engines_test.go
+++ b/test/silent_engines_test.go
@@ -24,8 +24,9 @@
 	engineClients = 18
 	// silentTokenMillis is the time of a token and silentTokens the bound of an answer, which takes some 0.7 s.
 	silentTokenMillis, silentTokens = 35, 20
-	// shortIdleMillis is a stream_idle_millis below the silence.
-	shortIdleMillis = 500
+	// shortIdleMillis is a stream_idle_millis below the silence, shortestIdleMillis one below a fifth of it, so
+	// that resuming a stream until no resumption is left takes less than the silence.
+	shortIdleMillis, shortestIdleMillis = 500, 250
 	// earningRequests is the number of short requests to each instance that earn as many retries as are saved.
 	earningRequests = 100
 )
@@ -201,23 +202,26 @@
 		moment    silenceMoment
 		numSilent int
 		earned    bool
+		idle      int64
 	}{
-		{[]string{"stream"}, whileRunning, 3, false},
-		{[]string{"stream"}, whileRunning, 3, true},
-		{[]string{"stream"}, whileRunning, 1, false},
-		{[]string{"stream"}, beforeHead, 3, false},
-		{[]string{"stream"}, beforeHead, 3, true},
-		{[]string{"whole"}, whileRunning, 3, false},
-		{[]string{"whole"}, beforeHead, 3, false},
-		{[]string{"safe", "once"}, whileRunning, 3, false},
-		{[]string{"safe", "once"}, beforeHead, 3, true},
-		{ownKinds, whileRunning, 1, true},
+		{[]string{"stream"}, whileRunning, 3, false, shortIdleMillis},
+		{[]string{"stream"}, whileRunning, 3, true, shortIdleMillis},
+		{[]string{"stream"}, whileRunning, 1, false, shortIdleMillis},
+		{[]string{"stream"}, beforeHead, 3, false, shortIdleMillis},
+		{[]string{"stream"}, beforeHead, 3, true, shortIdleMillis},
+		{[]string{"whole"}, whileRunning, 3, false, shortIdleMillis},
+		{[]string{"whole"}, beforeHead, 3, false, shortIdleMillis},
+		{[]string{"safe", "once"}, whileRunning, 3, false, shortIdleMillis},
+		{[]string{"safe", "once"}, beforeHead, 3, true, shortIdleMillis},
+		{ownKinds, whileRunning, 1, true, shortIdleMillis},
+		{[]string{"stream"}, whileRunning, 3, false, shortestIdleMillis},
+		{[]string{"whole"}, whileRunning, 3, true, shortestIdleMillis},
 	}
 	for _, c := range cases {
-		t.Run(fmt.Sprintf("%v %s, %d of 3, retries earned %t", c.kinds, c.moment, c.numSilent, c.earned), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%v %s, %d of 3, retries earned %t, idle for %d ms", c.kinds, c.moment, c.numSilent, c.earned, c.idle), func(t *testing.T) {
 			f := newFleet(t, options{
 				instances: 3, engines: 3, services: 3, relayUpstreams: true, prepaid: 10_000_000,
-				tokenMillis: silentTokenMillis, idleMillis: shortIdleMillis,
+				tokenMillis: silentTokenMillis, idleMillis: c.idle,
 			})
 			if c.earned {
 				f.earnRetries(c.kinds)
