Soak: silent upstreams, answers without end, few retries, memory

Half of the seeds have upstreams that are silent for 0.5 to 2 s and go on, which is no failure; a third of those with failures have answers without end; in half of the seeds 3 retries in 10 s are allowed. All are drawn from sequences of their own, so that the other faults of a seed stay the same. Of six clients one goes on sending on its open connection and one on new ones until an error.

New checks: no request that ran is ended before its time without a failure, no answer is cut off, no process exceeds 160 MB.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,6 +24,7 @@
 	Instances int    `arg:"--instances" default:"5" help:"processes of the program in a run"`
 	Upstreams int    `arg:"--upstreams" default:"8" help:"upstreams in a run, half of them engines"`
 	Clients   int    `arg:"--clients" default:"24" help:"clients in a run"`
+	MemoryMB  int64  `arg:"--memory-mb" default:"160" help:"bound on the memory of a process, in MB; 0 for none"`
 	Dir       string `arg:"--dir" default:"target/soak-runs" help:"where settings and logs of each run are left"`
 	Quiet     bool   `arg:"--quiet" help:"print reports only"`
 }
@@ -67,7 +68,7 @@
 	opts := soak.Options{
 		Seed: seed, Duration: time.Duration(a.Seconds) * time.Second,
 		Instances: a.Instances, Upstreams: a.Upstreams, Clients: a.Clients,
-		Program: a.Program, Dir: filepath.Join(a.Dir, fmt.Sprintf("seed-%d", seed)),
+		MaxMemoryBytes: a.MemoryMB << 20, Program: a.Program, Dir: filepath.Join(a.Dir, fmt.Sprintf("seed-%d", seed)),
 	}
 	if !a.Quiet {
 		opts.Out = os.Stdout
--- a/pkg/soak/check.go
+++ b/pkg/soak/check.go
@@ -36,7 +36,7 @@
 	switch {
 	case s.status == http.StatusOK && s.err == nil:
 		if s.answerID != s.id || !s.sealed || !s.isWhole() {
-			r.reportViolation("%s: status 200 without its own whole answer: id %q, sealed %t, %q", s, s.answerID, s.sealed, s.answerBody)
+			r.reportViolation("%s: status 200 without its own whole answer: id %q, sealed %t, %s", s, s.answerID, s.sealed, s.excerpt())
 		}
 	case s.status == http.StatusPaymentRequired && s.key == poorKey:
 	case s.status >= http.StatusBadRequest && s.status < http.StatusInternalServerError && !notRunStatuses[s.status]:
@@ -47,6 +47,14 @@
 	}
 }
 
+// maxExcerptBytes bounds how much of an answer a report shows.
+const maxExcerptBytes = 400
+
+// excerpt returns the size and the beginning of the answer's body.
+func (s *request) excerpt() string {
+	return fmt.Sprintf("%d bytes %q", len(s.answerBody), s.answerBody[:min(len(s.answerBody), maxExcerptBytes)])
+}
+
 // isWhole reports whether the body is the whole answer to this request.
 func (s *request) isWhole() bool {
 	if strings.HasPrefix(s.route, "stream") || s.route == resumableRoute {
@@ -74,9 +82,9 @@
 		if notRunStatuses[s.status] && len(ran) > 0 {
 			r.reportViolation("%s: told %d, which means not run, and ran %d times", s, s.status, len(ran))
 		}
+		r.checkEnded(s, ran)
 		cutOff := s.err != nil && !s.leavesEarly && len(ran) > 0
-		excused := r.failureBetween(s.start.Add(-faultEffectDuration), s.end) || r.crashBetween(s.start, s.end)
-		if cutOff && r.plannedWorkBetween(s.instance, s.start, s.end) && !excused {
+		if cutOff && r.plannedWorkBetween(s.instance, s.start, s.end) && !r.excusesEnd(s) {
 			r.reportViolation("%s: cut off by a planned stop: %v", s, s.err)
 		}
 		if s.key == poorKey && len(ran) > 0 {
--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -45,18 +45,43 @@
 	numBefore int64
 }
 
-// runClient sends requests until ctx ends, on a persistent connection to one instance. After an
-// error or a 5xx answer it goes on at an instance that it picks at random.
+// habit is how a client uses connections.
+type habit int
+
+// The habits of clients. Of each numHabits successive clients, the last two have those of their own.
+const (
+	// yields leaves an instance after an error or a 5xx answer.
+	yields habit = iota
+	// stays sends on the open connection until an error: at a stopping instance until its process is gone.
+	stays
+	// opens sends each request on a connection of its own, until an error.
+	opens
+	numHabits = 6
+)
+
+// habitOf returns the habit of client n.
+func habitOf(n int) habit {
+	switch n % numHabits {
+	case numHabits - 2:
+		return stays
+	case numHabits - 1:
+		return opens
+	}
+	return yields
+}
+
+// runClient sends requests until ctx ends, on a persistent connection to one instance unless its habit is
+// another. When it leaves the instance, it goes on at one that it picks at random.
 func (r *runner) runClient(ctx context.Context, n int) {
 	rng := rand.New(rand.NewPCG(r.opts.Seed, uint64(n)+1))
-	transport := &http.Transport{MaxIdleConnsPerHost: 1}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableKeepAlives: habitOf(n) == opens}
 	defer transport.CloseIdleConnections()
 	target := r.fleet.instances[n%len(r.fleet.instances)]
 	for k := 0; ctx.Err() == nil; k++ {
 		s := r.newRequest(rng, target, fmt.Sprintf("c%d-%d", n, k))
 		s.send(transport, rng)
 		r.record(s)
-		if s.err != nil || s.status >= http.StatusInternalServerError {
+		if s.err != nil || habitOf(n) == yields && s.status >= http.StatusInternalServerError {
 			transport.CloseIdleConnections()
 			target = r.fleet.instances[rng.IntN(len(r.fleet.instances))]
 		}
--- a/pkg/soak/fleet.go
+++ b/pkg/soak/fleet.go
@@ -126,6 +126,9 @@
 		text += fmt.Sprintf("%q, ", seed)
 	}
 	text += fmt.Sprintf("]\ngrace_seconds = %.1f\n", stopTimeout.Seconds())
+	if hasFewRetries(f.opts.Seed) {
+		text += fmt.Sprintf("retry_ratio = 0.0\nretry_extra = %d\n", fewRetries)
+	}
 	i.settingsPath = filepath.Join(f.opts.Dir, i.name+".toml")
 	if err := os.WriteFile(i.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, "", err
--- a/pkg/soak/inject.go
+++ b/pkg/soak/inject.go
@@ -123,6 +123,10 @@
 		setRelayFaults(relay.Faults{Hold: true})
 	case UpstreamDelay:
 		setRelayFaults(relay.Faults{DelayMillis: relayDelayMillis})
+	case UpstreamPause:
+		setRelayFaults(relay.Faults{Hold: true})
+	case AnswersEndless:
+		setAnswerFaults(endlessAnswers(f.Target))
 	case AnswersLost:
 		setAnswerFaults(standin.UpstreamFaults{Drop: numFaultyAnswers})
 	case AnswersRefused:
--- a/pkg/soak/plan.go
+++ b/pkg/soak/plan.go
@@ -42,12 +42,14 @@
 	WatchesLost     Kind = "watches-lost"     // watches are never answered, their connections stay open
 	HistoryGone     Kind = "history-gone"     // the change history is dropped, so watches must list again
 	StoreRollback   Kind = "store-went-back"  // the store is unavailable and comes back from an older copy
+	UpstreamPause   Kind = "upstream-pause"   // an upstream sends nothing for a moment and goes on
+	AnswersEndless  Kind = "answers-endless"  // an upstream sends a head or a body without end
 	Change          Kind = "change"           // a route is added or removed, and an account topped up
 )
 
-// plannedKinds are the kinds that are planned work and not failures: a request that one of them
-// cuts off is a violation.
-var plannedKinds = map[Kind]bool{Stop: true, Reload: true, Change: true, Replaced: true}
+// plannedKinds are the kinds that are planned work, or a silence of a sound upstream, and not failures: a
+// request that one of them cuts off is a violation.
+var plannedKinds = map[Kind]bool{Stop: true, Reload: true, Change: true, Replaced: true, UpstreamPause: true}
 
 // allKinds lists the kinds that a plan draws from. A seed's plan depends on their order.
 // Planned work is listed more than once, because its guarantees are the strictest.
@@ -113,7 +115,9 @@
 	}
 	if len(kinds) == len(allKinds) {
 		plan = append(plan, newRollbacks(seed, length)...)
+		plan = append(plan, newEndlessAnswers(seed, length)...)
 	}
+	plan = append(plan, newSilences(seed, length)...)
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].Start < plan[j].Start })
 	return plan
 }
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -32,6 +32,8 @@
 	// Program is the path of the instance's program, Dir a directory for settings and
 	// logs, which are not removed.
 	Program, Dir string
+	// MaxMemoryBytes bounds the resident memory of a process; 0 for no bound.
+	MaxMemoryBytes int64
 	// Out gets a line for each fault and violation; nil for no output.
 	Out io.Writer
 }
@@ -51,12 +53,17 @@
 	// ExcusedOverspend is how many tokens were spent beyond the prepaid amount after store
 	// rollbacks during which instances died or were paused. That is no violation.
 	ExcusedOverspend int64
+	// Unanswered is the number of requests whose connections ended without any answer and without a
+	// failure, and which did not run. That is no violation.
+	Unanswered int
+	// MaxMemoryBytes is the largest resident memory of a process that was read.
+	MaxMemoryBytes int64
 }
 
 // String implements fmt.Stringer.
 func (r *Report) String() string {
-	return fmt.Sprintf("seed %d: %d faults, %d requests %v, %d violations, %d tokens overspent after store rollbacks, %d crashing requests that crashed %d upstreams, %d of %d resumed streams went on",
-		r.Seed, r.Faults, r.Requests, r.Statuses, len(r.Violations), r.ExcusedOverspend, r.CrashingRequests, r.UpstreamCrashes, r.WentOn, r.Resumed)
+	return fmt.Sprintf("seed %d: %d faults, %d requests %v, %d violations, %d tokens overspent after store rollbacks, %d crashing requests that crashed %d upstreams, %d of %d resumed streams went on, %d without an answer beside no failure, at most %d MB of memory",
+		r.Seed, r.Faults, r.Requests, r.Statuses, len(r.Violations), r.ExcusedOverspend, r.CrashingRequests, r.UpstreamCrashes, r.WentOn, r.Resumed, r.Unanswered, r.MaxMemoryBytes>>20)
 }
 
 // injectedFault records when a fault was in effect, and at which instance.
@@ -74,6 +81,10 @@
 	// crashing are the requests that crash upstreams, crashes how many upstreams they crashed.
 	crashing []*crashingRequest
 	crashes  int
+	// unanswered counts requests without an answer that did not run; only checkRuns changes it.
+	unanswered int
+	// maxMemory is the largest resident memory of a process; only watchMemory changes it.
+	maxMemory int64
 
 	mu               sync.Mutex
 	requests         []*request
@@ -138,6 +149,7 @@
 	for _, e := range newEmptyings(r.opts.Seed, r.opts.Duration) {
 		workers.Go(func() { r.emptyDomain(ctx, e) })
 	}
+	workers.Go(func() { r.watchMemory(ctx) })
 	for n, f := range r.crashing {
 		workers.Go(func() { r.sendRepeatedly(ctx, n, f) })
 	}
@@ -224,7 +236,7 @@
 func (r *runner) report(faults int) *Report {
 	report := &Report{
 		Seed: r.opts.Seed, Faults: faults, Requests: len(r.requests), Statuses: map[string]int{}, Violations: r.violations, ExcusedOverspend: r.excusedOverspend,
-		CrashingRequests: len(r.crashing), UpstreamCrashes: r.crashes,
+		CrashingRequests: len(r.crashing), UpstreamCrashes: r.crashes, Unanswered: r.unanswered, MaxMemoryBytes: r.maxMemory,
 	}
 	report.Resumed, report.WentOn = r.countResumed()
 	for _, s := range r.requests {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -22,12 +22,15 @@
 		{"planned work only", 307, 4},
 		{"planned work beside requests that crash upstreams", 48, 4},
 		{"failures in a fleet whose domains have drawers", 200, 18},
+		{"planned work beside upstreams that are silent for a moment", 6, 4},
+		{"upstreams that answer without end", 37, 4},
 	}
 	for _, c := range cases {
 		t.Run(c.description, func(t *testing.T) {
 			report, err := soak.Run(soak.Options{
 				Seed: c.seed, Duration: 8 * time.Second, Instances: c.instances, Upstreams: 6, Clients: 12,
 				Program: filepath.Join(binaries, "lavenderring"), Dir: t.TempDir(),
+				MaxMemoryBytes: maxSoakMemoryBytes,
 			})
 			if err != nil {
 				t.Fatal(err)
