--- a/pkg/soak/client.go
+++ b/pkg/soak/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -37,6 +38,8 @@
 	sealed      bool
 	answerID    string
 	err         error
+	// notAccepted is set if no process accepted the connection that the request was sent on.
+	notAccepted bool
 	// leavesEarly is set if the client closes the connection early.
 	leavesEarly bool
 	// first is the request that began the stream that this one resumes, and numBefore the number of
@@ -142,6 +145,9 @@
 		s.err = err
 		return
 	}
+	address := ""
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { address = info.Conn.LocalAddr().String() }}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	req.Host = host
 	req.Header.Set("Authorization", "Bearer "+s.key)
 	req.Header.Set(names.RequestID, s.id)
@@ -153,7 +159,7 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		s.err = err
+		s.err, s.notAccepted = err, s.instance.clientRelay.Refused(address)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/pkg/soak/silence.go
+++ b/pkg/soak/silence.go
@@ -77,7 +77,8 @@
 
 // checkEnded checks that a request was not ended before its time while there was no failure: beside planned
 // work and upstreams that are silent for a moment, each answer in progress can be kept. It counts the requests
-// without any answer that did not run, which may cross the end of a connection.
+// without any answer that did not run and whose connections had been accepted: these may cross the end of the
+// connection.
 func (r *runner) checkEnded(s *request, ran []standin.Run) {
 	if s.leavesEarly || r.excusesEnd(s) {
 		return
@@ -89,7 +90,7 @@
 		r.reportViolation("%s: ran and was ended after %v without a failure: status %d, %v, upstreams silent: %t", s, s.end.Sub(s.start), s.status, s.err, r.silenceBetween(s.start, s.end))
 	case errors.Is(s.err, io.ErrUnexpectedEOF):
 		r.reportViolation("%s: did not run, and its answer was cut off without a failure: status %d, %s, %v", s, s.status, s.excerpt(), s.err)
-	case s.err != nil && len(ran) == 0:
+	case s.err != nil && len(ran) == 0 && !s.notAccepted:
 		r.unanswered++
 	}
 }
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -53,8 +53,8 @@
 	// ExcusedOverspend is how many tokens were spent beyond the prepaid amount after store
 	// rollbacks during which instances died or were paused. That is no violation.
 	ExcusedOverspend int64
-	// Unanswered is the number of requests whose connections ended without any answer and without a
-	// failure, and which did not run. That is no violation.
+	// Unanswered is the number of requests whose connections were accepted and ended without any answer
+	// and without a failure, and which did not run. That is no violation.
 	Unanswered int
 	// MaxMemoryBytes is the largest resident memory of a process that was read.
 	MaxMemoryBytes int64
--- a/pkg/standin/relay/relay.go
+++ b/pkg/standin/relay/relay.go
@@ -44,6 +44,8 @@
 	mu     sync.Mutex
 	faults Faults
 	links  map[*link]bool
+	// refused has the clients' addresses of the last connections that the target did not accept.
+	refused map[string]bool
 }
 
 // link is one forwarded connection. frozen is closed when the connection is frozen.
@@ -59,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{target: target, listener: listener, links: map[*link]bool{}}
+	r := &Relay{target: target, listener: listener, links: map[*link]bool{}, refused: map[string]bool{}}
 	if control != "" {
 		if err := r.startControl(control); err != nil {
 			return nil, err
@@ -116,6 +118,7 @@
 		return
 	}
 	target, err := net.Dial("tcp", r.target)
+	r.noteAccepted(client.RemoteAddr().String(), err == nil)
 	if err != nil {
 		_ = client.Close()
 		return
@@ -128,6 +131,25 @@
 	r.copyBytes(l, target, client)
 }
 
+// noteAccepted records whether the target accepted a client's connection.
+func (r *Relay) noteAccepted(client string, accepted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if accepted {
+		delete(r.refused, client)
+		return
+	}
+	r.refused[client] = true
+}
+
+// Refused reports whether the target did not accept the last connection from a client's address. The client
+// sees such a connection accepted and then closed, while without the relay it would be refused.
+func (r *Relay) Refused(client string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refused[client]
+}
+
 // copyBytes copies from src to dst with the current faults, until either fails.
 func (r *Relay) copyBytes(l *link, src, dst net.Conn) {
 	buffer := make([]byte, bufferBytes)
