Bound the bytes of a response's head

An upstream that sends a head without end made the instance read it until the request's deadline and keep it in memory: nothing bounded a status line, a header line, the number of lines or the interim responses before the head. With many such answers at once the process exceeds its memory and is killed with all its requests in progress.

The limit lies beneath the connection's buffer, where the standard library's parser reads, and applies only while a head is awaited: bytes buffered past the head belong to the body, bodies of any length and later heads are not affected. The parser may take the beginning of a line for the line and report a malformed head, so the limit itself records that it was exceeded.

--- a/pkg/httpconn/httpconn.go
+++ b/pkg/httpconn/httpconn.go
@@ -59,7 +59,8 @@
 	DialDuration time.Duration
 
 	raw    net.Conn
-	reader *bufio.Reader
+	limit  *headLimit
+	reader *bufio.Reader // reads from limit, and limit from raw
 	// idleSince is when the connection became idle; maxIdle bounds how long it may stay so.
 	idleSince time.Time
 	maxIdle   time.Duration
@@ -114,7 +115,8 @@
 
 // NewConn returns a connection to a peer over raw.
 func NewConn(raw net.Conn, peer string) *Conn {
-	return &Conn{Peer: peer, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	limit := &headLimit{source: raw}
+	return &Conn{Peer: peer, raw: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // Send writes a whole request. Errors: *Error with step "send".
@@ -152,11 +154,18 @@
 }
 
 // ReadHead reads a response's head; method is the request's. Interim responses
-// are skipped. Errors: *Error with step "head".
+// are skipped. A head that is too long closes the connection. Errors: *Error with step
+// "head", which wraps ErrHeadTooLong for such a head.
 func (c *Conn) ReadHead(method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
+	c.limit.begin(c.reader.Buffered())
+	defer c.limit.end()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
+		if c.limit.exceeded {
+			c.Close() // the peer may go on sending
+			err = ErrHeadTooLong
+		}
 		if err != nil {
 			return nil, &Error{Step: "head", Peer: c.Peer, Err: err}
 		}
