Bound the memory for answers, and never deliver the beginning of one

What callers saw: an answer of more than 16 MiB came as its first 16 MiB, with its status and the upstream's seal: the limited reader ends without an error at its limit. An upstream that sends a body without end was answered with its first 16 MiB, and any number of such answers at once filled the memory until the process was killed with all its requests in progress.

All buffers for answers and events are now counted in one pool. When it is full, the largest answer that is still being read is given up, and only for one that needs the room at that moment: an answer without end grows until it is the largest. Answers that have been read, and the buffers that streams keep between their events, are not given up. The attempt counts as a failure of the upstream, but not as a connection that the upstream ended, so nothing is suspected of having crashed it.

--- /dev/null
+++ b/pkg/answermem/answermem_test.go
@@ -0,0 +1,93 @@
+package answermem
+
+import (
+	"errors"
+	"testing"
+)
+
+// Guards against answers without end that take the memory of sound ones: however many grow at once, a
+// small answer must find room, and the memory in use must stay within the pool.
+func TestEndlessAnswersLeaveRoomForSmallOnes(t *testing.T) {
+	const capacity, endless, step, small = 32 << 20, 200, 16 << 10, 64 << 10
+	p := NewPool(capacity)
+	newEndless := func() *Hold { return p.NewHold(func() {}) }
+	growing, sizes, givenUp := make([]*Hold, endless), make([]int, endless), 0
+	for range 1000 {
+		for i := range growing {
+			if growing[i] == nil {
+				growing[i], sizes[i] = newEndless(), 0
+			}
+			sizes[i] += step
+			if err := growing[i].Resize(sizes[i]); errors.Is(err, ErrShort) {
+				growing[i].Release()
+				growing[i] = nil // the request goes elsewhere, and another endless answer begins
+				givenUp++
+			}
+			sound := p.NewHold(func() { t.Error("a small answer was given up") })
+			if err := sound.Resize(small); err != nil {
+				t.Fatalf("a small answer found no room beside %d bytes: %v", p.Used(), err)
+			}
+			if p.Used() > capacity {
+				t.Fatalf("%d bytes are in use", p.Used())
+			}
+			if err := sound.MarkWhole(); err != nil {
+				t.Fatal(err)
+			}
+			sound.Release()
+		}
+	}
+	if givenUp == 0 {
+		t.Error("no endless answer was given up")
+	}
+}
+
+// Guards against giving up an answer that has been read completely: it only waits for its client.
+func TestWholeAnswersAreNotGivenUp(t *testing.T) {
+	p := NewPool(100)
+	p.spared = 0
+	whole, growing, next := p.NewHold(func() { t.Error("the whole answer was given up") }), p.NewHold(func() {}), p.NewHold(nil)
+	if err := errors.Join(whole.Resize(60), whole.MarkWhole(), growing.Resize(30), next.Resize(20)); err != nil {
+		t.Fatal(err)
+	}
+	if err := growing.MarkWhole(); !errors.Is(err, ErrShort) || !growing.IsGivenUp() {
+		t.Errorf("the answer in progress was not given up, error %v", err)
+	}
+	if err := next.Resize(50); !errors.Is(err, ErrShort) {
+		t.Errorf("the error is %v, want %v", err, ErrShort)
+	}
+}
+
+// Guards against memory that is not returned, and against a repeated release or one of an answer that was given
+// up, which would count twice.
+func TestPoolIsEmptyAfterAllReleases(t *testing.T) {
+	p := NewPool(100)
+	p.spared = 0
+	a, b, c := p.NewHold(func() {}), p.NewHold(nil), p.NewHold(nil)
+	if err := errors.Join(a.Resize(70), b.Resize(30), c.Resize(20)); err != nil || p.Used() != 50 {
+		t.Errorf("%d bytes are in use, error %v", p.Used(), err)
+	}
+	if err := b.Resize(10); err != nil || p.Used() != 30 {
+		t.Errorf("%d bytes are in use after a decrease, error %v", p.Used(), err)
+	}
+	for range 2 {
+		a.Release()
+		b.Release()
+		c.Release()
+	}
+	(*Hold)(nil).Release()
+	if p.Used() != 0 || len(p.growing) != 0 {
+		t.Errorf("%d bytes are in use after all releases, %d answers are known", p.Used(), len(p.growing))
+	}
+}
+
+// Guards against a stream that is given up, because of the small buffer between its events, for another answer.
+func TestSmallBuffersAreSpared(t *testing.T) {
+	p := NewPool(2 * sparedBytes)
+	stream, whole, next := p.NewHold(func() { t.Error("the stream was given up") }), p.NewHold(nil), p.NewHold(nil)
+	if err := errors.Join(whole.Resize(sparedBytes), whole.MarkWhole(), stream.Resize(sparedBytes)); err != nil {
+		t.Fatal(err)
+	}
+	if err := next.Resize(1); !errors.Is(err, ErrShort) {
+		t.Errorf("the error is %v, want %v", err, ErrShort)
+	}
+}
--- /dev/null
+++ b/pkg/forward/answerbuffer.go
@@ -0,0 +1,131 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/lavenderring/lavenderring/pkg/answermem"
+	"github.com/lavenderring/lavenderring/pkg/httpconn"
+)
+
+// Bounds of the buffers.
+const (
+	// maxAnswerBytes bounds an answer that is buffered whole.
+	maxAnswerBytes = 16 << 20
+	// firstBufferBytes is the size of a buffer for an answer of unknown length, and the largest for which an
+	// answer's announced length is believed.
+	firstBufferBytes = 4 << 10
+	// maxIdleBytes is the largest buffer that a stream keeps between its events.
+	maxIdleBytes = 4 * streamReadBytes
+	// defaultAnswerMemory bounds the memory for all answers together, in bytes, if the process has no limit.
+	defaultAnswerMemory = 64 << 20
+)
+
+// errAnswerTooLong means that an answer has more than maxAnswerBytes: it is discarded, never cut.
+var errAnswerTooLong = errors.New("answer exceeds the limit for a whole answer")
+
+// isTooLong reports whether an attempt failed because an answer, or a part of it, took more memory than it may.
+// The connection was then ended by this instance.
+func isTooLong(err error) bool {
+	return errors.Is(err, errAnswerTooLong) || errors.Is(err, answermem.ErrShort) || errors.Is(err, httpconn.ErrHeadTooLong)
+}
+
+// newMemory returns the hold of the attempt's answer. An answer that is given up loses its connection.
+func (a *attempt) newMemory() *answermem.Hold { return a.c.f.AnswerMemory.NewHold(a.conn.Close) }
+
+// readError returns why a read failed: an error of a connection that was closed because the answer was given
+// up is answermem.ErrShort.
+func readError(err error, memory *answermem.Hold) error {
+	if memory.IsGivenUp() {
+		return answermem.ErrShort
+	}
+	return err
+}
+
+// readAnswer reads an answer's body whole. What the body takes is counted in memory, which the caller must
+// release. Errors: errAnswerTooLong, answermem.ErrShort or that of the body.
+func readAnswer(response *http.Response, memory *answermem.Hold) ([]byte, error) {
+	length := response.ContentLength
+	if response.Body == http.NoBody {
+		length = 0 // the announced length is that of the answer to another method
+	}
+	if length > maxAnswerBytes {
+		return nil, errAnswerTooLong
+	}
+	buffer := answerBuffer{memory: memory}
+	if err := buffer.resize(firstSize(length)); err != nil {
+		return nil, err
+	}
+	for {
+		err := buffer.readOnce(response.Body)
+		if errors.Is(err, io.EOF) {
+			return buffer.data, memory.MarkWhole()
+		}
+		if err != nil {
+			return nil, readError(err, memory)
+		}
+	}
+}
+
+// firstSize returns the size of the first buffer for an answer of a length, negative if unknown. One byte more than announced leaves room to read
+// the end without another buffer.
+func firstSize(length int64) int {
+	if length < 0 || length >= firstBufferBytes {
+		return firstBufferBytes
+	}
+	return int(length) + 1
+}
+
+// answerBuffer is a buffer whose capacity is counted in the memory for answers.
+type answerBuffer struct {
+	memory *answermem.Hold
+	data   []byte
+}
+
+// resize moves the data to a buffer of a size. Errors: answermem.ErrShort.
+func (b *answerBuffer) resize(size int) error {
+	if err := b.memory.Resize(size); err != nil {
+		return err
+	}
+	data := make([]byte, len(b.data), size)
+	copy(data, b.data)
+	b.data = data
+	return nil
+}
+
+// readOnce appends what one read of an answer returns.
+func (b *answerBuffer) readOnce(body io.Reader) error {
+	if len(b.data) == cap(b.data) {
+		if err := b.resize(min(2*cap(b.data), maxAnswerBytes+1)); err != nil {
+			return err
+		}
+	}
+	n, err := body.Read(b.data[len(b.data):cap(b.data)])
+	b.data = b.data[:len(b.data)+n]
+	if len(b.data) > maxAnswerBytes {
+		return errAnswerTooLong
+	}
+	return err
+}
+
+// append adds a piece of a stream.
+func (b *answerBuffer) append(piece []byte) error {
+	if size := len(b.data) + len(piece); size > cap(b.data) {
+		if err := b.resize(max(size, 2*cap(b.data))); err != nil {
+			return err
+		}
+	}
+	b.data = append(b.data, piece...)
+	return nil
+}
+
+// drop removes complete events from the beginning, and returns the memory that a long one took.
+func (b *answerBuffer) drop(size int) error {
+	rest := copy(b.data, b.data[size:])
+	b.data = b.data[:rest]
+	if cap(b.data) > maxIdleBytes && rest <= maxIdleBytes {
+		return b.resize(maxIdleBytes)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/forward/answerbuffer_test.go
@@ -0,0 +1,242 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lavenderring/lavenderring/pkg/answermem"
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/reach"
+	"github.com/lavenderring/lavenderring/pkg/registry"
+	"github.com/lavenderring/lavenderring/pkg/retrylimit"
+	"github.com/lavenderring/lavenderring/pkg/routing"
+	"github.com/lavenderring/lavenderring/pkg/store"
+)
+
+// maxTestBytes is what an endless upstream of a test sends at most on a connection.
+const maxTestBytes = 32 << 20
+
+// pipeUpstream is an upstream that answers each connection's first request and then closes it.
+type pipeUpstream func(conn net.Conn)
+
+// dial returns a connection to the upstream. No real connection is made, which could fail on a busy machine.
+func (send pipeUpstream) dial() net.Conn {
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+			send(far)
+		}
+	}()
+	return near
+}
+
+// endless returns an upstream that sends first and then block without end.
+func endless(first, block string) pipeUpstream {
+	return func(conn net.Conn) {
+		_, err := io.WriteString(conn, first)
+		for sum := 0; err == nil && sum < maxTestBytes; sum += len(block) {
+			_, err = io.WriteString(conn, block)
+		}
+	}
+}
+
+// Answers without end.
+const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+var (
+	endlessBlock = strings.Repeat("x", 4<<10)
+	endlessChunk = "1000\r\n" + endlessBlock + "\r\n"
+)
+
+// whole returns an upstream that sends an answer with a body.
+func whole(body []byte) pipeUpstream {
+	return func(conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", len(body))
+		_, _ = conn.Write(body)
+	}
+}
+
+// bodyRecorder records what a client got.
+type bodyRecorder struct {
+	outcomeRecorder
+	body    []byte
+	aborted bool
+}
+
+func (r *bodyRecorder) Answer(status int, _ []Header, body []byte) error {
+	r.status, r.body = status, bytes.Clone(body)
+	return nil
+}
+
+func (r *bodyRecorder) Event(piece []byte) error {
+	r.body = append(r.body, piece...)
+	return nil
+}
+func (r *bodyRecorder) Abort() { r.aborted = true }
+
+// bufferForwarder returns a forwarder with the memory, the route and the upstreams of its service. None of them
+// ends a connection early, so none may be suspected of a crash.
+func bufferForwarder(t *testing.T, memory *answermem.Pool, route routing.Route, sends ...pipeUpstream) *Forwarder {
+	var listed []registry.Upstream
+	byAddress := map[string]pipeUpstream{}
+	for n, send := range sends {
+		address := fmt.Sprint("u", n)
+		listed = append(listed, registry.Upstream{ID: address, Service: "s", Version: "v1", Address: address})
+		byAddress[address] = send
+	}
+	dial := func(_ context.Context, address string) (net.Conn, error) { return byAddress[address].dial(), nil }
+	probe := func(_ context.Context, address string) (net.Conn, error) {
+		t.Errorf("%s is probed, as if it had ended a connection", address)
+		return nil, io.EOF
+	}
+	conns := httpconn.NewPool(time.Now)
+	direct := &reach.Direct{Dial: dial, Pool: conns, Paths: reach.NewPaths(time.Now, nil), Now: time.Now}
+	upstreams := registry.New(time.Now)
+	upstreams.Replace(listed, store.At(1))
+	route.Name, route.Host, route.Prefix, route.Timeout = "r", "h", "/", time.Minute
+	route.Objective, route.MaxPause = time.Minute, time.Minute
+	route.Targets = []routing.Target{{Service: "s", Weight: 1}}
+	config := &routing.State{}
+	config.Apply(&routing.Config{
+		Version: 1, Services: []routing.Service{{Name: "s"}}, Routes: []routing.Route{route},
+	}, time.Now())
+	f := New(Deps{
+		Config: config, Registry: upstreams, Codec: plainCodec{}, Conns: conns, Links: &reach.Connector{Direct: direct},
+		Log: eventlog.New("test", io.Discard), Metrics: metrics.NewRegistry(), AnswerMemory: memory,
+		PeerProber:   httpconn.NewPeerProber(probe, nil, nil, time.Now),
+		Retries:      retrylimit.Settings{Ratio: 1, Extra: 100, Window: time.Minute},
+		NumInstances: func() int { return 1 }, StoreAvailable: func() bool { return true }, Now: time.Now,
+	})
+	f.Update()
+	return f
+}
+
+func ask(f *Forwarder) *bodyRecorder {
+	client := &bodyRecorder{}
+	f.Serve(context.Background(), &Request{ID: "1", Method: "GET", Target: "/", Host: "h", Path: "/", Arrived: time.Now()}, client)
+	return client
+}
+
+// Guards against a sound answer above the limit that is delivered as its beginning, with its status: an answer
+// is delivered whole or not at all.
+func TestLongAnswerIsNeverCut(t *testing.T) {
+	cases := []struct {
+		description string
+		head        string
+		size        int
+		delivered   bool
+	}{
+		{"at the limit, announced", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxAnswerBytes), maxAnswerBytes, true},
+		{"at the limit, until the close", "HTTP/1.1 200 OK\r\n\r\n", maxAnswerBytes, true},
+		{"above the limit, announced", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxAnswerBytes+1), maxAnswerBytes + 1, false},
+		{"above the limit, until the close", "HTTP/1.1 200 OK\r\n\r\n", maxAnswerBytes + 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.description, func(t *testing.T) {
+			body := bytes.Repeat([]byte("b"), c.size)
+			send := func(conn net.Conn) {
+				_, _ = io.WriteString(conn, c.head)
+				_, _ = conn.Write(body)
+			}
+			f := bufferForwarder(t, nil, routing.Route{Kind: routing.Once, MaxAttempts: 1}, send)
+			client := ask(f)
+			if c.delivered && !bytes.Equal(client.body, body) {
+				t.Errorf("got %d of %d bytes, refusal %v", len(client.body), c.size, client.refusal)
+			}
+			if !c.delivered && (client.status != 0 || client.refusal == nil || !errors.Is(client.refusal, errAnswerTooLong)) {
+				t.Errorf("got status %d with %d of %d bytes, refusal %v", client.status, len(client.body), c.size, client.refusal)
+			}
+			if used := f.AnswerMemory.Used(); used != 0 {
+				t.Errorf("%d bytes are still held", used)
+			}
+		})
+	}
+}
+
+// Guards against requests that are lost, or answered with bytes that are no answer, because an upstream sends
+// without end: those that may run twice must be served by another upstream.
+func TestRequestGoesElsewhereWhenAnUpstreamSendsWithoutEnd(t *testing.T) {
+	cases := []struct {
+		description string
+		send        pipeUpstream
+	}{
+		{"head", endless("HTTP/1.1 200 OK\r\n", "Name: x\r\n")},
+		{"interim responses", endless("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")},
+		{"body", endless(chunkedHead, endlessChunk)},
+	}
+	for _, c := range cases {
+		t.Run(c.description, func(t *testing.T) {
+			body := []byte("a sound answer")
+			route := routing.Route{Kind: routing.Idempotent, MaxAttempts: 2}
+			f := bufferForwarder(t, answermem.NewPool(2<<20), route, c.send, whole(body))
+			for range 10 {
+				if client := ask(f); !bytes.Equal(client.body, body) {
+					t.Fatalf("got status %d with %d bytes, refusal %v", client.status, len(client.body), client.refusal)
+				}
+			}
+		})
+	}
+}
+
+// Guards against answers without end, or events without end, that fill the memory: they must fail, and sound
+// answers beside them must be served.
+func TestSoundAnswersAreServedBesideEndlessOnes(t *testing.T) {
+	const numEndless, numSound, capacity = 200, 50, 8 << 20
+	event := fmt.Appendf(nil, "id: 1\ndata: %s\n\n", strings.Repeat("e", 8<<10))
+	cases := []struct {
+		description string
+		route       routing.Route
+		send        pipeUpstream
+		sound       []byte
+	}{
+		{"answers", routing.Route{Kind: routing.Once, MaxAttempts: 1}, endless(chunkedHead, endlessChunk), bytes.Repeat([]byte("b"), 20<<10)},
+		{"events", routing.Route{Kind: routing.Stream, MaxAttempts: 1}, endless("HTTP/1.1 200 OK\r\n\r\ndata: ", endlessBlock), event},
+	}
+	for _, c := range cases {
+		t.Run(c.description, func(t *testing.T) {
+			memory := answermem.NewPool(capacity)
+			bad := bufferForwarder(t, memory, c.route, c.send)
+			good := bufferForwarder(t, memory, c.route, whole(c.sound))
+			var clients sync.WaitGroup
+			var givenUp atomic.Int32
+			for range numEndless {
+				clients.Go(func() {
+					client := ask(bad)
+					switch {
+					case client.status != 0 || client.refusal == nil:
+						t.Errorf("an endless answer was delivered with %d bytes", len(client.body))
+					case errors.Is(client.refusal, answermem.ErrShort):
+						givenUp.Add(1)
+					}
+				})
+			}
+			for range numSound {
+				if client := ask(good); !bytes.Equal(client.body, c.sound) {
+					t.Errorf("a sound answer: got %d of %d bytes, refusal %v", len(client.body), len(c.sound), client.refusal)
+				}
+			}
+			clients.Wait()
+			if givenUp.Load() == 0 {
+				t.Error("no answer was given up, so what they take is not bounded")
+			}
+			if used := memory.Used(); used != 0 {
+				t.Errorf("%d bytes are still held", used)
+			}
+		})
+	}
+}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -20,8 +19,6 @@
 	// silenceCheckDelay is how long a request may be without an answer before it is checked whether
 	// the links to the service have gone silent.
 	silenceCheckDelay = 250 * time.Millisecond
-	// maxAnswerBytes bounds an answer that is buffered whole.
-	maxAnswerBytes = 16 << 20
 	// concurrentSendBytes is the size in bytes above which a body is sent while the answer
 	// is being read: an upstream may answer before it has read the whole body.
 	concurrentSendBytes = 8 << 10
@@ -334,30 +331,35 @@
 		return a.outcomeUnknown(step, errUpstreamSilent)
 	}
 	failed := a.outcomeUnknown(step, err)
-	failed.connEnded = true
+	failed.connEnded = !isTooLong(err)
 	return failed
 }
 
 // deliverWhole buffers the whole answer before its first byte goes to the client, so that if
 // the answer breaks off, the request can still be retried or refused.
 func (a *attempt) deliverWhole(response *http.Response, head *AnswerHead) *failure {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	memory := a.newMemory()
+	body, err := readAnswer(response, memory)
 	if err != nil {
+		memory.Release()
 		return a.connFailed("body", err)
 	}
 	if !response.Close {
 		a.keepFor = head.KeepFor
 	}
-	answer := &wholeAnswer{head: *head, body: body}
+	answer := &wholeAnswer{head: *head, body: body, memory: memory}
 	switch {
 	case meansNotRun(head.Status):
 		// Clients read this status as "not run", but the upstream did not say so (NotRun).
+		answer.discard()
 		return a.outcomeUnknown("status", errRefused).markAnswered()
 	case head.Status >= http.StatusInternalServerError:
+		a.c.upstreamFailure.discard()
 		a.c.upstreamFailure = answer
 		return a.outcomeUnknown("status", errUpstreamFailure).markAnswered()
 	}
 	a.c.deliver(answer)
+	answer.discard()
 	return nil
 }
 
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/answermem"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/origin"
@@ -74,6 +75,7 @@
 // run makes attempts until the answer is delivered or no further attempt is allowed.
 func (c *call) run(ctx context.Context) {
 	defer c.settleReservation()
+	defer func() { c.upstreamFailure.discard() }()
 	c.f.meters.accepted.Inc(1)
 	c.serviceState.limit.CountFirst(c.accountName())
 	for {
@@ -156,8 +158,16 @@
 
 // wholeAnswer is an upstream's answer that has been read completely.
 type wholeAnswer struct {
-	head AnswerHead
-	body []byte
+	head   AnswerHead
+	body   []byte
+	memory *answermem.Hold
+}
+
+// discard returns the memory of an answer that is not used any more. It may be called on nil.
+func (a *wholeAnswer) discard() {
+	if a != nil {
+		a.memory.Release()
+	}
 }
 
 // Failures of an attempt.
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/lavenderring/lavenderring/pkg/answermem"
 	"github.com/lavenderring/lavenderring/pkg/coldlimit"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
@@ -113,6 +114,8 @@
 	// Overload limits the requests accepted while this instance's network link is saturated; nil
 	// for no limit.
 	Overload *overload.Limit
+	// AnswerMemory is the memory for the answers that are buffered; nil for a pool of defaultAnswerMemory.
+	AnswerMemory *answermem.Pool
 	// Retries limits the requests that are retried; NumInstances returns how many instances
 	// share the limit.
 	Retries      retrylimit.Settings
@@ -187,6 +190,9 @@
 	if deps.Origins == nil {
 		deps.Origins = noOrigins{}
 	}
+	if deps.AnswerMemory == nil {
+		deps.AnswerMemory = answermem.NewPool(defaultAnswerMemory)
+	}
 	if deps.Quarantine == nil {
 		deps.Quarantine = quarantine.NewTable("", nil)
 	}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -22,7 +22,9 @@
 
 // deliverStream delivers complete events as they arrive.
 func (a *attempt) deliverStream(response *http.Response, head *AnswerHead) *failure {
-	var rest []byte
+	memory := a.newMemory()
+	defer memory.Release()
+	rest := answerBuffer{memory: memory}
 	buffer := make([]byte, streamReadBytes)
 	for {
 		a.setSilenceDeadline()
@@ -30,20 +32,23 @@
 		if n > 0 && a.via == "" {
 			a.c.f.Links.NoteHeard(a.lease.Service)
 		}
-		rest = append(rest, buffer[:n]...)
-		whole := completeEventsLen(rest)
-		if whole > 0 {
-			if failed := a.deliverEvents(rest[:whole], head); failed != nil {
+		if short := rest.append(buffer[:n]); short != nil {
+			return a.streamFailed(short)
+		}
+		if whole := completeEventsLen(rest.data); whole > 0 {
+			if failed := a.deliverEvents(rest.data[:whole], head); failed != nil {
 				return failed
 			}
-			rest = append(rest[:0], rest[whole:]...)
+			if short := rest.drop(whole); short != nil {
+				return a.streamFailed(short)
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return a.finishStream(response, head, rest)
+			return a.finishStream(response, head, rest.data)
 		case err != nil:
-			return a.streamFailed(err)
-		case len(rest) > maxEventBytes:
+			return a.streamFailed(readError(err, memory))
+		case len(rest.data) > maxEventBytes:
 			return a.outcomeUnknown("stream", errIncomplete)
 		}
 	}
