Search each byte of a stream once for the end of an event

The search starts three bytes before the new data, as an end may arrive in two reads; a test cuts both kinds of end at every byte.

--- a/pkg/forward/answerbuffer.go
+++ b/pkg/forward/answerbuffer.go
@@ -81,6 +81,8 @@
 type answerBuffer struct {
 	memory *answermem.Hold
 	data   []byte
+	// searched is the length of the data in which the end of an event has been searched for.
+	searched int
 }
 
 // resize moves the data to a buffer of a size. Errors: answermem.ErrShort.
@@ -120,10 +122,21 @@
 	return nil
 }
 
+// completeEventsLen returns the length of the complete events at the beginning. Data in which there was no end of an
+// event is not searched again: for a long event, that would take time in proportion to the square of its length.
+func (b *answerBuffer) completeEventsLen() int {
+	from := max(b.searched-len("\r\n\r\n")+1, 0)
+	b.searched = len(b.data)
+	if size := completeEventsLen(b.data[from:]); size > 0 {
+		return from + size
+	}
+	return 0
+}
+
 // drop removes complete events from the beginning, and returns the memory that a long one took.
 func (b *answerBuffer) drop(size int) error {
 	rest := copy(b.data, b.data[size:])
-	b.data = b.data[:rest]
+	b.data, b.searched = b.data[:rest], rest
 	if cap(b.data) > maxIdleBytes && rest <= maxIdleBytes {
 		return b.resize(maxIdleBytes)
 	}
--- a/pkg/forward/answerbuffer_test.go
+++ b/pkg/forward/answerbuffer_test.go
@@ -240,3 +240,30 @@
 		})
 	}
 }
+
+// Guards against an end of an event that is not found because it arrives in two reads: the search starts where
+// the last one ended.
+func TestEndOfAnEventIsFoundInTwoReads(t *testing.T) {
+	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+		for split := range len(end) {
+			event := "data: x" + end
+			cut := len(event) - len(end) + split
+			buffer := answerBuffer{memory: answermem.NewPool(1 << 10).NewHold(nil)}
+			for _, piece := range []string{"id: 1" + end, event[:cut], event[cut:] + "data:"} {
+				if err := buffer.append([]byte(piece)); err != nil {
+					t.Fatal(err)
+				}
+				found := buffer.completeEventsLen()
+				if want := completeEventsLen(buffer.data); found != want {
+					t.Errorf("end %q cut at %d: found %d bytes in %q, want %d", end, split, found, buffer.data, want)
+				}
+				if err := buffer.drop(found); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if string(buffer.data) != "data:" {
+				t.Errorf("end %q cut at %d: %q is left", end, split, buffer.data)
+			}
+		}
+	}
+}
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -35,7 +35,7 @@
 		if short := rest.append(buffer[:n]); short != nil {
 			return a.streamFailed(short)
 		}
-		if whole := completeEventsLen(rest.data); whole > 0 {
+		if whole := rest.completeEventsLen(); whole > 0 {
 			if failed := a.deliverEvents(rest.data[:whole], head); failed != nil {
 				return failed
 			}
