Derive the memory for answers from the process's memory

The pool was 64 MiB whatever the machine has, more than a third of the smallest one. It is now a fifth of memory_mb, and 64 MiB where no limit is set.

--- a/pkg/forward/answerbuffer.go
+++ b/pkg/forward/answerbuffer.go
@@ -32,7 +32,7 @@
 }
 
 // newMemory returns the hold of the attempt's answer. An answer that is given up loses its connection.
-func (a *attempt) newMemory() *answermem.Hold { return a.c.f.AnswerMemory.NewHold(a.conn.Close) }
+func (a *attempt) newMemory() *answermem.Hold { return a.c.f.answerMemory.NewHold(a.conn.Close) }
 
 // readError returns why a read failed: an error of a connection that was closed because the answer was given
 // up is answermem.ErrShort.
--- a/pkg/forward/answerbuffer_test.go
+++ b/pkg/forward/answerbuffer_test.go
@@ -91,7 +91,7 @@
 
 // bufferForwarder returns a forwarder with the memory, the route and the upstreams of its service. None of them
 // ends a connection early, so none may be suspected of a crash.
-func bufferForwarder(t *testing.T, memory *answermem.Pool, route routing.Route, sends ...pipeUpstream) *Forwarder {
+func bufferForwarder(t *testing.T, memory int, route routing.Route, sends ...pipeUpstream) *Forwarder {
 	var listed []registry.Upstream
 	byAddress := map[string]pipeUpstream{}
 	for n, send := range sends {
@@ -117,7 +117,7 @@
 	}, time.Now())
 	f := New(Deps{
 		Config: config, Registry: upstreams, Codec: plainCodec{}, Conns: conns, Links: &reach.Connector{Direct: direct},
-		Log: eventlog.New("test", io.Discard), Metrics: metrics.NewRegistry(), AnswerMemory: memory,
+		Log: eventlog.New("test", io.Discard), Metrics: metrics.NewRegistry(), AnswerMemoryBytes: memory,
 		PeerProber:   httpconn.NewPeerProber(probe, nil, nil, time.Now),
 		Retries:      retrylimit.Settings{Ratio: 1, Extra: 100, Window: time.Minute},
 		NumInstances: func() int { return 1 }, StoreAvailable: func() bool { return true }, Now: time.Now,
@@ -153,7 +153,7 @@
 				_, _ = io.WriteString(conn, c.head)
 				_, _ = conn.Write(body)
 			}
-			f := bufferForwarder(t, nil, routing.Route{Kind: routing.Once, MaxAttempts: 1}, send)
+			f := bufferForwarder(t, 0, routing.Route{Kind: routing.Once, MaxAttempts: 1}, send)
 			client := ask(f)
 			if c.delivered && !bytes.Equal(client.body, body) {
 				t.Errorf("got %d of %d bytes, refusal %v", len(client.body), c.size, client.refusal)
@@ -161,7 +161,7 @@
 			if !c.delivered && (client.status != 0 || client.refusal == nil || !errors.Is(client.refusal, errAnswerTooLong)) {
 				t.Errorf("got status %d with %d of %d bytes, refusal %v", client.status, len(client.body), c.size, client.refusal)
 			}
-			if used := f.AnswerMemory.Used(); used != 0 {
+			if used := f.answerMemory.Used(); used != 0 {
 				t.Errorf("%d bytes are still held", used)
 			}
 		})
@@ -183,7 +183,7 @@
 		t.Run(c.description, func(t *testing.T) {
 			body := []byte("a sound answer")
 			route := routing.Route{Kind: routing.Idempotent, MaxAttempts: 2}
-			f := bufferForwarder(t, answermem.NewPool(2<<20), route, c.send, whole(body))
+			f := bufferForwarder(t, 2<<20, route, c.send, whole(body))
 			for range 10 {
 				if client := ask(f); !bytes.Equal(client.body, body) {
 					t.Fatalf("got status %d with %d bytes, refusal %v", client.status, len(client.body), client.refusal)
@@ -209,9 +209,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.description, func(t *testing.T) {
-			memory := answermem.NewPool(capacity)
-			bad := bufferForwarder(t, memory, c.route, c.send)
-			good := bufferForwarder(t, memory, c.route, whole(c.sound))
+			bad := bufferForwarder(t, capacity, c.route, c.send)
+			good := bufferForwarder(t, capacity, c.route, whole(c.sound))
+			good.answerMemory = bad.answerMemory // as if both services were those of one instance
 			var clients sync.WaitGroup
 			var givenUp atomic.Int32
 			for range numEndless {
@@ -234,7 +234,7 @@
 			if givenUp.Load() == 0 {
 				t.Error("no answer was given up, so what they take is not bounded")
 			}
-			if used := memory.Used(); used != 0 {
+			if used := bad.answerMemory.Used(); used != 0 {
 				t.Errorf("%d bytes are still held", used)
 			}
 		})
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -114,8 +114,8 @@
 	// Overload limits the requests accepted while this instance's network link is saturated; nil
 	// for no limit.
 	Overload *overload.Limit
-	// AnswerMemory is the memory for the answers that are buffered; nil for a pool of defaultAnswerMemory.
-	AnswerMemory *answermem.Pool
+	// AnswerMemoryBytes bounds the memory for all answers that are buffered; 0 for defaultAnswerMemory.
+	AnswerMemoryBytes int
 	// Retries limits the requests that are retried; NumInstances returns how many instances
 	// share the limit.
 	Retries      retrylimit.Settings
@@ -134,8 +134,9 @@
 // Forwarder serves requests. It is safe for concurrent use.
 type Forwarder struct {
 	Deps
-	meters   meters
-	lastSent lastSentTimes
+	meters       meters
+	lastSent     lastSentTimes
+	answerMemory *answermem.Pool
 	// startedAt is when the instance started.
 	startedAt time.Time
 
@@ -190,16 +191,17 @@
 	if deps.Origins == nil {
 		deps.Origins = noOrigins{}
 	}
-	if deps.AnswerMemory == nil {
-		deps.AnswerMemory = answermem.NewPool(defaultAnswerMemory)
+	if deps.AnswerMemoryBytes <= 0 {
+		deps.AnswerMemoryBytes = defaultAnswerMemory
 	}
 	if deps.Quarantine == nil {
 		deps.Quarantine = quarantine.NewTable("", nil)
 	}
 	return &Forwarder{
-		Deps:      deps,
-		startedAt: deps.Now(),
-		services:  map[string]*serviceState{},
+		Deps:         deps,
+		answerMemory: answermem.NewPool(deps.AnswerMemoryBytes),
+		startedAt:    deps.Now(),
+		services:     map[string]*serviceState{},
 		meters: meters{
 			accepted:       counter("forward.accepted"),
 			refused:        counter("forward.refused"),
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -247,6 +247,8 @@
 		Metrics:  r.metrics,
 		Overload: r.overloadLimit,
 
+		AnswerMemoryBytes: r.settings.AnswerMemory(),
+
 		ColdLimit:   r.coldLimit,
 		ColdOverage: r.settings.ColdOverage,
 		ColdSlack:   r.settings.ColdSlack,
--- a/pkg/settings/router.go
+++ b/pkg/settings/router.go
@@ -137,6 +137,14 @@
 	return time.Duration(r.EmptyingBoundMS) * time.Millisecond
 }
 
+// answerMemoryPercent is the share of the process's memory in which answers of upstreams may be buffered. Copies
+// that the garbage collector has not freed yet come on top.
+const answerMemoryPercent = 20
+
+// AnswerMemory returns the memory in which answers of upstreams may be buffered, in bytes; 0 if the process's
+// memory has no limit.
+func (r *Router) AnswerMemory() int { return int(r.MemoryMB << 20 * answerMemoryPercent / 100) }
+
 // RetryWindow returns the time window of the bound on retries.
 func (r *Router) RetryWindow() time.Duration { return seconds(r.RetryWindowSeconds) }
 
--- a/pkg/settings/router_test.go
+++ b/pkg/settings/router_test.go
@@ -36,3 +36,16 @@
 		t.Errorf("got %v, want an InvalidError with 3 faults", err)
 	}
 }
+
+// Guards against buffers of answers that exceed the memory of a small machine.
+func TestMemoryForAnswersIsAShareOfTheProcess(t *testing.T) {
+	for memoryMB, want := range map[string]int{"0": 0, "200": 40 << 20} {
+		r, err := ParseRouter("f", []byte(validRouter+"memory_mb = "+memoryMB))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := r.AnswerMemory(); got != want {
+			t.Errorf("with %s MB: %d bytes, want %d", memoryMB, got, want)
+		}
+	}
+}
