Own door: bound heads, trailers and chunk lines of responses

The HTTP library has a bound for the body of a response only: a head, trailers, or blanks before the end of a chunk's line are read as long as they come, and all of it is kept and parsed again with each read.

The library recognises the end of a head or of trailers by parsing, and asks for one byte more than is buffered until it succeeds. This pattern is bounded in a wrapper around the connection, which leaves bodies alone, also such whose rest is one byte more than what is buffered.

--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -64,7 +64,8 @@
 // Call sends the request and reads the response, or only its header if the body
 // is streamed. The returned function ends the call and must be called; with a
 // streamed body, only after the body has been read. When ctx ends, the connection
-// is closed immediately, even while a body is being read. Errors are *Error.
+// is closed immediately, even while a body is being read. Errors are *Error, which wraps
+// ErrHeadTooLong for a head that is too long.
 func Call(ctx context.Context, opts Options, req *protocol.Request, resp *protocol.Response) (end func(), err error) {
 	if err := ctx.Err(); err != nil {
 		return func() {}, &Error{Step: "dial", Peer: opts.Address, Err: err}
@@ -79,7 +80,7 @@
 	}
 	if err := host.Do(ctx, req, resp); err != nil {
 		end()
-		return func() {}, &Error{Step: dialer.failedStep(), Peer: opts.Address, Err: withContextCause(ctx, err)}
+		return func() {}, &Error{Step: dialer.failedStep(), Peer: opts.Address, Err: withContextCause(ctx, dialer.cause(err))}
 	}
 	return end, nil
 }
@@ -117,7 +118,7 @@
 	mu     sync.Mutex
 	dialed bool
 	closed bool
-	conn   network.Conn
+	conn   *limitedConn
 }
 
 // errSecondDial is returned when the library tries to send the request again.
@@ -158,8 +159,18 @@
 	if d.onSending != nil {
 		d.onSending()
 	}
-	d.conn = conn
-	return conn, nil
+	d.conn = &limitedConn{Conn: conn}
+	return d.conn, nil
+}
+
+// cause returns why a call failed. The library does not pass on the error of a head that is too long.
+func (d *oneShotDialer) cause(err error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conn != nil && d.conn.exceeded.Load() {
+		return ErrHeadTooLong
+	}
+	return err
 }
 
 func (d *oneShotDialer) failedStep() string {
