A copy above the limit is an error

Of a copy of more than 64 MiB the first 64 MiB were decoded, which may be a valid copy that lacks objects. The new test before: no error. Now the copy is refused.

--- a/pkg/follow/pack.go
+++ b/pkg/follow/pack.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"errors"
 	"fmt"
 	"io"
 
@@ -15,6 +16,9 @@
 // size of any kind in the store.
 const maxUnpackedBytes = 64 << 20
 
+// errCopyTooLong means that a copy has more than maxUnpackedBytes.
+var errCopyTooLong = errors.New("copy exceeds the limit")
+
 // pack encodes and compresses contents. A configuration of 330 kB, which repeats the same field
 // names, shrinks to a tenth.
 func pack(contents *followpb.Contents) ([]byte, error) {
@@ -39,7 +43,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("unpack copy: %w", err)
 	}
-	encoded, err := io.ReadAll(io.LimitReader(reader, maxUnpackedBytes))
+	encoded, err := io.ReadAll(io.LimitReader(reader, maxUnpackedBytes+1))
+	if err == nil && len(encoded) > maxUnpackedBytes {
+		err = errCopyTooLong
+	}
 	if err != nil {
 		return nil, fmt.Errorf("unpack copy: %w", err)
 	}
