Own door: an answer that is too long is no ended connection

An answer above the limit was taken for a connection that the upstream had ended, so that the upstream was probed and the request could be suspected of having crashed it. The test before: connectionEnded was true for it. The error is now ErrTooLong, for heads and for bodies of all kinds.

--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -123,7 +123,8 @@
 // request that the upstream had accepted.
 func connectionEnded(err error) bool {
 	var call *upstream.CallError
-	if !errors.As(err, &call) || errors.Is(err, upstream.ErrRequestIDMismatch) || errors.Is(err, upstream.ErrIdleTimeout) {
+	if !errors.As(err, &call) || errors.Is(err, upstream.ErrRequestIDMismatch) || errors.Is(err, upstream.ErrIdleTimeout) ||
+		errors.Is(err, upstream.ErrTooLong) {
 		return false
 	}
 	return errors.Is(err, upstream.ErrTruncated) || errors.Is(err, upstream.ErrUnknownRequest) || call.Status == 0
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
@@ -29,6 +30,8 @@
 	ErrOtherProcess = errors.New("another process answers at the address")
 	// ErrTruncated means that a stream ended without its end mark.
 	ErrTruncated = errors.New("stream ended without its end mark")
+	// ErrTooLong means that the answer, or its head, exceeded a limit: this side ended the connection.
+	ErrTooLong = errors.New("answer exceeds the limit")
 	// ErrIdleTimeout means that nothing was received for the idle timeout.
 	ErrIdleTimeout = errors.New("upstream fell silent")
 )
@@ -54,6 +57,9 @@
 func (e *CallError) Unwrap() error { return e.Err }
 
 func callError(address string, err error) error {
+	if errors.Is(err, httpcall.ErrHeadTooLong) || errors.Is(err, hertzerrors.ErrBodyTooLarge) {
+		err = &httpcall.Error{Step: "exchange", Peer: address, Err: errors.Join(ErrTooLong, err)}
+	}
 	var call *httpcall.Error
 	if errors.As(err, &call) {
 		return &CallError{Step: call.Step, Peer: address, Err: call.Err}
