An answer waits for the memory of answers that only wait for their clients

With the memory full of answers that slow clients had not taken yet, the largest answer in progress was given up though nothing had no end, and its sound upstream counted as failed. Now it waits, which the upstream sees as a client that reads slowly, until the memory is free or the request's deadline; what fails then says nothing about the upstream. An answer whose length is announced no longer takes up to twice its length.

--- a/pkg/forward/answerbuffer.go
+++ b/pkg/forward/answerbuffer.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -28,11 +29,16 @@
 // isTooLong reports whether an attempt failed because an answer, or a part of it, took more memory than it may.
 // The connection was then ended by this instance.
 func isTooLong(err error) bool {
-	return errors.Is(err, errAnswerTooLong) || errors.Is(err, answermem.ErrShort) || errors.Is(err, httpconn.ErrHeadTooLong)
+	return errors.Is(err, errAnswerTooLong) || errors.Is(err, answermem.ErrShort) ||
+		errors.Is(err, answermem.ErrFull) || errors.Is(err, httpconn.ErrHeadTooLong)
 }
 
-// newMemory returns the hold of the attempt's answer. An answer that is given up loses its connection.
-func (a *attempt) newMemory() *answermem.Hold { return a.c.f.answerMemory.NewHold(a.conn.Close) }
+// newMemory returns the hold of the attempt's answer, which waits for room until the request's deadline. An answer
+// that is given up loses its connection. cancel must be called.
+func (a *attempt) newMemory(ctx context.Context) (memory *answermem.Hold, cancel context.CancelFunc) {
+	ctx, cancel = context.WithDeadline(ctx, a.c.deadline)
+	return a.c.f.answerMemory.NewHold(ctx, a.conn.Close), cancel
+}
 
 // readError returns why a read failed: an error of a connection that was closed because the answer was given
 // up is answermem.ErrShort.
@@ -44,7 +50,8 @@
 }
 
 // readAnswer reads an answer's body whole. What the body takes is counted in memory, which the caller must
-// release. Errors: errAnswerTooLong, answermem.ErrShort or that of the body.
+// release. Errors: errAnswerTooLong, answermem.ErrShort, answermem.ErrFull or that of
+// the body.
 func readAnswer(response *http.Response, memory *answermem.Hold) ([]byte, error) {
 	length := response.ContentLength
 	if response.Body == http.NoBody {
@@ -53,8 +60,12 @@
 	if length > maxAnswerBytes {
 		return nil, errAnswerTooLong
 	}
-	buffer := answerBuffer{memory: memory}
-	if err := buffer.resize(firstSize(length)); err != nil {
+	limit := maxAnswerBytes + 1
+	if length >= 0 {
+		limit = int(length) + 1 // the end is read without another buffer
+	}
+	buffer := answerBuffer{memory: memory, limit: limit}
+	if err := buffer.resize(min(firstBufferBytes, limit)); err != nil {
 		return nil, err
 	}
 	for {
@@ -68,24 +79,17 @@
 	}
 }
 
-// firstSize returns the size of the first buffer for an answer of a length, negative if unknown. One byte more than announced leaves room to read
-// the end without another buffer.
-func firstSize(length int64) int {
-	if length < 0 || length >= firstBufferBytes {
-		return firstBufferBytes
-	}
-	return int(length) + 1
-}
-
 // answerBuffer is a buffer whose capacity is counted in the memory for answers.
 type answerBuffer struct {
 	memory *answermem.Hold
 	data   []byte
+	// limit is the largest size of the buffer of a whole answer, one byte more than the answer may have.
+	limit int
 	// searched is the length of the data in which the end of an event has been searched for.
 	searched int
 }
 
-// resize moves the data to a buffer of a size. Errors: answermem.ErrShort.
+// resize moves the data to a buffer of a size. Errors: answermem.ErrShort, answermem.ErrFull.
 func (b *answerBuffer) resize(size int) error {
 	if err := b.memory.Resize(size); err != nil {
 		return err
@@ -99,13 +103,13 @@
 // readOnce appends what one read of an answer returns.
 func (b *answerBuffer) readOnce(body io.Reader) error {
 	if len(b.data) == cap(b.data) {
-		if err := b.resize(min(2*cap(b.data), maxAnswerBytes+1)); err != nil {
+		if err := b.resize(min(2*cap(b.data), b.limit)); err != nil {
 			return err
 		}
 	}
 	n, err := body.Read(b.data[len(b.data):cap(b.data)])
 	b.data = b.data[:len(b.data)+n]
-	if len(b.data) > maxAnswerBytes {
+	if len(b.data) >= b.limit {
 		return errAnswerTooLong
 	}
 	return err
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/answermem"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/placement"
@@ -153,9 +154,9 @@
 	}
 	a.conn.SetDeadline(a.c.deadline)
 	if a.c.route.Kind == routing.Stream && head.Status < http.StatusMultipleChoices {
-		return a.deliverStream(response, &head)
+		return a.deliverStream(ctx, response, &head)
 	}
-	return a.deliverWhole(response, &head)
+	return a.deliverWhole(ctx, response, &head)
 }
 
 // connect takes an idle connection from the pool or opens one.
@@ -332,13 +333,15 @@
 	}
 	failed := a.outcomeUnknown(step, err)
 	failed.connEnded = !isTooLong(err)
+	failed.neutral = errors.Is(err, answermem.ErrFull) // says nothing about the upstream
 	return failed
 }
 
 // deliverWhole buffers the whole answer before its first byte goes to the client, so that if
 // the answer breaks off, the request can still be retried or refused.
-func (a *attempt) deliverWhole(response *http.Response, head *AnswerHead) *failure {
-	memory := a.newMemory()
+func (a *attempt) deliverWhole(ctx context.Context, response *http.Response, head *AnswerHead) *failure {
+	memory, cancel := a.newMemory(ctx)
+	defer cancel()
 	body, err := readAnswer(response, memory)
 	if err != nil {
 		memory.Release()
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -21,8 +22,9 @@
 )
 
 // deliverStream delivers complete events as they arrive.
-func (a *attempt) deliverStream(response *http.Response, head *AnswerHead) *failure {
-	memory := a.newMemory()
+func (a *attempt) deliverStream(ctx context.Context, response *http.Response, head *AnswerHead) *failure {
+	memory, cancel := a.newMemory(ctx)
+	defer cancel()
 	defer memory.Release()
 	rest := answerBuffer{memory: memory}
 	buffer := make([]byte, streamReadBytes)
