An answer's memory is returned when it has been written

The library writes an answer after the handler has returned, so that the memory of an answer counted as free while a slow client still received it. The door now tells when the response has been written, by the hook that counts requests in progress. A test reads the head of a response of 64 MiB and nothing else: the response must not count as written.

--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -178,6 +178,9 @@
 	return nil
 }
 
+// OnWritten implements forward.WrittenNotifier: the library writes an answer after the handler has returned.
+func (w *responseWriter) OnWritten(done func()) { httpserve.OnWritten(w.c, done) }
+
 // Refuse implements forward.Client.
 func (w *responseWriter) Refuse(refusal *forward.Refusal) {
 	status, header := w.server.opts.Format.EncodeRefusal(refusal)
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -362,7 +362,6 @@
 		return a.outcomeUnknown("status", errUpstreamFailure).markAnswered()
 	}
 	a.c.deliver(answer)
-	answer.discard()
 	return nil
 }
 
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -221,6 +221,7 @@
 	}
 	if c.upstreamFailure != nil {
 		c.deliver(c.upstreamFailure)
+		c.upstreamFailure = nil
 		return
 	}
 	refusal := &Refusal{Step: last.step, Peer: last.peer, Err: last.err}
@@ -247,8 +248,14 @@
 	c.f.refuse(c.r, c.client, refusal)
 }
 
+// deliver passes an answer on to the client. The answer's memory is returned when it has been written.
 func (c *call) deliver(a *wholeAnswer) {
 	err := c.client.Answer(a.head.Status, a.head.Header, a.body)
+	if client, ok := c.client.(WrittenNotifier); ok {
+		client.OnWritten(a.discard)
+	} else {
+		a.discard()
+	}
 	took := c.f.Now().Sub(c.r.Arrived)
 	c.f.meters.answered.Inc(1)
 	c.f.meters.answerTime.Update(took)
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -115,3 +115,9 @@
 	// Abort ends a streamed answer so that the client sees that it is incomplete.
 	Abort()
 }
+
+// WrittenNotifier is a Client that writes a whole answer after Answer has returned.
+type WrittenNotifier interface {
+	// OnWritten has done called when the answer has been written or discarded. It is called once, after Answer.
+	OnWritten(done func())
+}
--- a/pkg/httpserve/active.go
+++ b/pkg/httpserve/active.go
@@ -16,6 +16,12 @@
 // activeKey marks the context of a request that is counted as active.
 const activeKey = "httpserve.active"
 
+// writtenKey holds the function of OnWritten.
+const writtenKey = "httpserve.written"
+
+// OnWritten has done called when the response has been written to its end or its connection has ended.
+func OnWritten(c *app.RequestContext, done func()) { c.Set(writtenKey, done) }
+
 // activeCounter counts the active requests: those whose handler has started and whose response has not
 // been written to its end. The library writes a response after the handler has returned, and a slow
 // client may take long to receive it; a counter in the handler would miss that time. It implements the
@@ -38,6 +44,10 @@
 	if c.GetBool(activeKey) {
 		c.Set(activeKey, false)
 		a.numActive.Add(-1)
+		if done, ok := c.Value(writtenKey).(func()); ok {
+			c.Set(writtenKey, nil)
+			done()
+		}
 	}
 }
 
--- a/pkg/httpserve/active_test.go
+++ b/pkg/httpserve/active_test.go
@@ -102,3 +102,32 @@
 		}
 	}
 }
+
+// Guards against memory of a response that counts as free while a slow client still receives it.
+func TestOnWrittenWaitsForASlowClient(t *testing.T) {
+	s, err := Listen(Options{Address: "127.0.0.1:0", MaxBodyBytes: 1024, CancelOnDisconnect: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	written := make(chan struct{})
+	s.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		OnWritten(c, func() { close(written) })
+		c.Response.SetBodyRaw(make([]byte, responseBytes))
+	})
+	s.Serve()
+	t.Cleanup(s.Close)
+	response := request(t, s)
+	select {
+	case <-written:
+		t.Error("the response counts as written before it was read")
+	default:
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-written:
+	case <-time.After(testTimeout):
+		t.Error("the response does not count as written after it was read")
+	}
+}
