Merge the bounds of heads and of the memory for answers

Each attempt holds memory of its own for what it has received, also beside a silent one, and returns it when it ends or when its answer has been written.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/answermem"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/placement"
@@ -20,8 +21,6 @@
 	// silenceCheckDelay is how long a request may be without an answer before it is checked whether
 	// the links to the service have gone silent.
 	silenceCheckDelay = 250 * time.Millisecond
-	// maxAnswerBytes bounds an answer that is buffered whole.
-	maxAnswerBytes = 16 << 20
 	// concurrentSendBytes is the size in bytes above which a body is sent while the answer
 	// is being read: an upstream may answer before it has read the whole body.
 	concurrentSendBytes = 8 << 10
@@ -74,6 +73,10 @@
 	// response and head are the answer's head.
 	response *http.Response
 	head     AnswerHead
+	// memory is what the answer takes; nil without a connection, and once the answer has been passed on with
+	// it. cancelMemory ends its wait for room.
+	memory       *answermem.Hold
+	cancelMemory context.CancelFunc
 	// events reads the events of a streamed answer; nil for others. answer is an answer that has been
 	// read whole.
 	events *eventReader
@@ -143,6 +146,10 @@
 	if a.closeWithClient != nil && !a.closeWithClient() {
 		a.keepFor = -1
 	}
+	if a.cancelMemory != nil {
+		a.cancelMemory()
+		a.memory.Release()
+	}
 	a.concludeRun(ctx, failed)
 	a.release(ctx, failed)
 	if a.cancel != nil {
@@ -198,6 +205,7 @@
 	}
 	a.closeWithClient = context.AfterFunc(ctx, a.conn.Close)
 	a.conn.SetDeadline(a.c.deadline)
+	a.memory, a.cancelMemory = a.newMemory(ctx)
 	// While the connection was set up, the upstream may have announced that it is leaving. A request
 	// sent to it now could arrive after the time that leaving may take, and be cut off there. After
 	// this check, only the delay of the network remains in which the upstream may leave unnoticed.
@@ -226,7 +234,7 @@
 		return failed
 	}
 	if a.c.route.Kind == routing.Stream && a.head.Status < http.StatusMultipleChoices {
-		a.events = newEventReader(response.Body, a.noteHeard)
+		a.events = newEventReader(response.Body, a.memory, a.noteHeard)
 	}
 	return nil
 }
@@ -434,7 +442,8 @@
 		return a.silent(step, errUpstreamSilent)
 	}
 	failed := a.outcomeUnknown(step, err)
-	failed.connEnded = !errors.Is(err, reach.ErrPathLost)
+	failed.connEnded = !isTooLong(err) && !errors.Is(err, reach.ErrPathLost)
+	failed.neutral = errors.Is(err, answermem.ErrFull) // says nothing about the upstream
 	return failed
 }
 
@@ -451,14 +460,14 @@
 	if a.answer != nil {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxAnswerBytes))
+	body, err := readAnswer(a.response, a.memory)
 	if err != nil {
 		return a.connFailed("body", err)
 	}
 	if !a.response.Close {
 		a.keepFor = a.head.KeepFor
 	}
-	answer := &wholeAnswer{head: a.head, body: body}
+	answer := &wholeAnswer{head: a.head, body: body, memory: a.memory}
 	switch {
 	case a.resumes: // this answer cannot follow the events that the client has
 		return a.outcomeUnknown("status", errNoStream).markAnswered()
@@ -467,7 +476,7 @@
 		return a.outcomeUnknown("status", errRefused).markAnswered()
 	case a.head.Status >= http.StatusInternalServerError:
 		failed := a.outcomeUnknown("status", errUpstreamFailure).markAnswered()
-		failed.answer = answer
+		failed.answer, a.memory = answer, nil
 		return failed
 	}
 	a.answer = answer
@@ -478,6 +487,7 @@
 	if failed := a.readWhole(); failed != nil {
 		return failed
 	}
+	a.memory = nil // the answer keeps it until it has been written
 	a.c.deliver(a.answer)
 	return nil
 }
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/answermem"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/origin"
@@ -81,6 +82,7 @@
 // run makes attempts until the answer is delivered or no further attempt is allowed.
 func (c *call) run(ctx context.Context) {
 	defer c.settleReservation()
+	defer func() { c.upstreamFailure.discard() }()
 	c.f.meters.accepted.Inc(1)
 	c.serviceState.limit.CountFirst(c.accountName())
 	for {
@@ -191,6 +193,7 @@
 		c.numMayHaveRun--
 	}
 	if failed.answer != nil {
+		c.upstreamFailure.discard()
 		c.upstreamFailure = failed.answer
 	}
 }
@@ -202,8 +205,16 @@
 
 // wholeAnswer is an upstream's answer that has been read completely.
 type wholeAnswer struct {
-	head AnswerHead
-	body []byte
+	head   AnswerHead
+	body   []byte
+	memory *answermem.Hold
+}
+
+// discard returns the memory of an answer that is not used any more. It may be called on nil.
+func (a *wholeAnswer) discard() {
+	if a != nil {
+		a.memory.Release()
+	}
 }
 
 // Failures of an attempt.
@@ -264,6 +275,7 @@
 	}
 	if c.upstreamFailure != nil {
 		c.deliver(c.upstreamFailure)
+		c.upstreamFailure = nil
 		return
 	}
 	refusal := &Refusal{Step: last.step, Peer: last.peer, Err: last.err}
@@ -290,8 +302,14 @@
 	c.f.refuse(c.r, c.client, refusal)
 }
 
+// deliver passes an answer on to the client. The answer's memory is returned when it has been written.
 func (c *call) deliver(a *wholeAnswer) {
 	err := c.client.Answer(a.head.Status, a.head.Header, a.body)
+	if client, ok := c.client.(WrittenNotifier); ok {
+		client.OnWritten(a.discard)
+	} else {
+		a.discard()
+	}
 	took := c.f.Now().Sub(c.r.Arrived)
 	c.f.meters.answered.Inc(1)
 	c.f.meters.answerTime.Update(took)
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -92,6 +92,8 @@
 		h := <-done
 		if h.failed == nil {
 			h.attempt.end(canceledContext(), h.attempt.silent("hedge", errSuperseded))
+		} else {
+			h.failed.answer.discard()
 		}
 	}
 }
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 
+	"github.com/lavenderring/lavenderring/pkg/answermem"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 )
 
@@ -22,47 +23,71 @@
 	body io.Reader
 	// onData is called when something has been received.
 	onData func()
-	buffer []byte
+	// piece is the buffer of one read.
+	piece []byte
 	// received holds what has been received. Its first numReturned bytes have been returned; up to
 	// numComplete it holds complete events that have not.
-	received                 []byte
+	received                 answerBuffer
 	numReturned, numComplete int
 	// err is why no more can be read.
 	err error
 }
 
-func newEventReader(body io.Reader, onData func()) *eventReader {
-	return &eventReader{body: body, onData: onData, buffer: make([]byte, streamReadBytes)}
+func newEventReader(body io.Reader, memory *answermem.Hold, onData func()) *eventReader {
+	return &eventReader{
+		body: body, onData: onData, piece: make([]byte, streamReadBytes), received: answerBuffer{memory: memory},
+	}
 }
 
 // fill reads until a complete event has been received. It returns why there is none: io.EOF after the last
-// one, errIncomplete or an error of the connection.
+// one, errIncomplete, answermem.ErrShort, answermem.ErrFull or an error of the connection.
 func (r *eventReader) fill() error {
 	for r.numComplete == 0 {
-		if r.err != nil {
-			return r.err
+		if r.err == nil {
+			r.err = r.readOnce()
 		}
-		r.received = append(r.received[:0], r.received[r.numReturned:]...)
-		r.numReturned = 0
-		n, err := r.body.Read(r.buffer)
-		if n > 0 {
-			r.onData()
+		if r.numComplete == 0 && r.err != nil {
+			return r.err
 		}
-		r.received = append(r.received, r.buffer[:n]...)
-		r.numComplete = completeEventsLen(r.received)
-		r.err = r.check(err)
 	}
 	return nil
 }
 
+// readOnce receives what one read returns. It returns why no more can be read.
+func (r *eventReader) readOnce() error {
+	if err := r.dropReturned(); err != nil {
+		return err
+	}
+	n, readErr := r.body.Read(r.piece)
+	if n > 0 {
+		r.onData()
+	}
+	if err := r.received.append(r.piece[:n]); err != nil {
+		return err
+	}
+	r.numComplete = r.received.completeEventsLen()
+	return r.check(readErr)
+}
+
+func (r *eventReader) dropReturned() error {
+	if r.numReturned == 0 {
+		return nil
+	}
+	size := r.numReturned
+	r.numReturned = 0
+	return r.received.drop(size)
+}
+
 // check returns the error of a read, or errIncomplete if the answer ended or grew too long within an event.
 func (r *eventReader) check(err error) error {
-	incomplete := len(r.received) - r.numComplete
+	incomplete := len(r.received.data) - r.numComplete
 	switch {
 	case errors.Is(err, io.EOF) && incomplete > 0:
 		return errIncomplete
 	case err == nil && incomplete > maxEventBytes:
 		return errIncomplete
+	case err != nil && !errors.Is(err, io.EOF):
+		return readError(err, r.received.memory)
 	}
 	return err
 }
@@ -72,7 +97,7 @@
 	if err := r.fill(); err != nil {
 		return nil, err
 	}
-	events := r.received[:r.numComplete]
+	events := r.received.data[:r.numComplete]
 	r.numReturned, r.numComplete = r.numComplete, 0
 	return events, nil
 }
