--- a/pkg/httpserve/closing.go
+++ b/pkg/httpserve/closing.go
@@ -13,7 +13,7 @@
 	CloseTimeout = 500 * time.Millisecond
 	// arrivalTime is how long idle connections are kept after the listener has been closed, for requests
 	// that are on their way.
-	arrivalTime = 100 * time.Millisecond
+	arrivalTime = 40 * time.Millisecond
 	// closeCheckInterval is how often CloseBy looks at the open connections.
 	closeCheckInterval = 10 * time.Millisecond
 )
