Own door: a silent engine's answer is kept until something better goes on

What callers saw: an engine that fell silent for a second, and would have gone on, cost them their answer. A stream ended with an error event, another request got 502 with its outcome unknown.

Cause: the idle timeout closed the connection, and only then was the engine asked for the rest. If it refused (410), or was silent for three more idle timeouts, the answer was gone, although the first connection would have gone on.

Now the timer runs beside the read. Silence beyond the idle timeout asks the same engine for the rest over a second connection. The first one is given up when the second one goes on, and the second one when the first one does; events of the two are never mixed.

An attempt whose request was sent is now also cancelled, and its cost queried, if the last connection attempt to the engine failed to be made. Before it was taken for one that was never sent.

--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -49,7 +49,6 @@
 	billing        billing
 	triedUpstreams []string
 	out            answerWriter
-	offset         int64
 }
 
 func (e *Entry) serveChat(ctx context.Context, r *request) *Problem {
@@ -145,7 +144,6 @@
 			return p
 		}
 		c.e.metrics.retried.Inc(1)
-		c.offset = 0
 		c.out.reset()
 		if p := c.billing.reserve(ctx, c.maxCost); p != nil {
 			p.Outcome = c.r.tracker.Outcome()
@@ -182,7 +180,8 @@
 	if err == nil {
 		err = delivery.deliver(ctx)
 	}
-	c.e.concludeRun(ctx, c.r, run, delivery.sent, err)
+	sent := delivery.sent.Load()
+	c.e.concludeRun(ctx, c.r, run, sent, err)
 	if err == nil {
 		c.e.releaseLease(lease, dispatch.Result{Load: -1})
 		c.billing.settle(delivery.tokensUsed(c.maxCost))
@@ -191,8 +190,8 @@
 	}
 	clientGone := errors.Is(err, errClientGone)
 	c.e.releaseLease(lease, dispatch.Result{Failed: !clientGone, Load: -1})
-	c.billing.settle(c.cancelAttempt(lease.Upstream.Address, err))
-	return c.canRetry(err), c.attemptProblem(err)
+	c.billing.settle(c.cancelAttempt(lease.Upstream.Address, sent))
+	return c.canRetry(err, sent), c.attemptProblem(err)
 }
 
 // attemptProblem describes a failed attempt to the client.
@@ -203,13 +202,14 @@
 	return c.e.upstreamProblem(c.r, err)
 }
 
-// canRetry reports whether another engine may be tried after err. Another engine
+// canRetry reports whether another engine may be tried after err; sent is false if
+// the attempt failed before any byte of the request was sent. Another engine
 // generates a different text, so nothing of the first may have been delivered.
-func (c *chatCall) canRetry(err error) bool {
+func (c *chatCall) canRetry(err error, sent bool) bool {
 	if c.out.started() || errors.Is(err, errClientGone) || !c.e.Now().Before(c.r.deadline) {
 		return false
 	}
-	return c.idempotent || (failedBeforeSending(err) && !c.r.tracker.MaybeSent())
+	return c.idempotent || (!sent && !c.r.tracker.MaybeSent())
 }
 
 // failedBeforeSending reports whether an attempt failed before any byte of the
@@ -223,8 +223,8 @@
 // tokens. If the engine cannot report the cost, the attempt may have used all
 // that was reserved, and a budget must never be overspent: maxCost is billed,
 // and the bill's outcome is unknown unless a later attempt succeeds.
-func (c *chatCall) cancelAttempt(address string, cause error) int64 {
-	if failedBeforeSending(cause) {
+func (c *chatCall) cancelAttempt(address string, sent bool) int64 {
+	if !sent {
 		return 0
 	}
 	ctx, cancel := context.WithTimeout(c.e.background, cancelTimeout)
--- /dev/null
+++ b/pkg/entry/silence_test.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/standin/engine"
+)
+
+// Timing of the tests of silent engines.
+const (
+	// shortIdle is the shortest idle timeout that a document may set.
+	shortIdle = 50 * time.Millisecond
+	// pauseMillis is how long a sound engine falls silent, many times the idle timeout.
+	pauseMillis = 1000
+)
+
+// Guards against a sound engine's answer that is ended for a silence although no retry is left.
+func TestSilentEngineGoesOnWithoutRetries(t *testing.T) {
+	for _, pausedAfter := range []int{0, 10} {
+		s := newSite(t, 1, shortIdle)
+		var replies []reply
+		for _, stream := range []bool{true, false} {
+			s.engines[0].SetFaults(engine.Faults{PauseMillis: pauseMillis, PauseAfterTokens: pausedAfter})
+			r := s.ask(stream)
+			s.expectWhole(r, stream)
+			replies = append(replies, r)
+		}
+		s.expectBilled(replies)
+	}
+}
+
+// Guards against a sound engine's answer that is ended because the engine refuses to send the rest on a
+// second connection.
+func TestSilentEngineGoesOnThoughItRefusesResumes(t *testing.T) {
+	for _, pausedAfter := range []int{0, 10} {
+		s := newSite(t, 1, shortIdle)
+		var replies []reply
+		for _, stream := range []bool{true, false} {
+			s.engines[0].SetFaults(engine.Faults{PauseMillis: pauseMillis, PauseAfterTokens: pausedAfter, RefuseResumes: true})
+			r := s.ask(stream)
+			s.expectWhole(r, stream)
+			replies = append(replies, r)
+		}
+		s.expectBilled(replies)
+	}
+}
+
+// Guards against a sound engine's answer that is given up for another engine that refuses the request.
+func TestSilentEngineGoesOnThoughAnotherRefuses(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		s := newSite(t, 2, shortIdle)
+		s.allowRetries(maxSavedRetries)
+		s.removeEngine(1 - s.preferred())
+		s.engines[s.preferred()].SetFaults(engine.Faults{PauseMillis: pauseMillis, RefuseResumes: true})
+		r := s.ask(stream)
+		s.expectWhole(r, stream)
+		s.expectBilled([]reply{r})
+	}
+}
+
+// Guards against a sound engine's answer that is given up although the account's tokens do not suffice for
+// a second attempt.
+func TestSilentEngineGoesOnWithoutTokensForAnother(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		s := newSite(t, 2, shortIdle)
+		s.allowRetries(maxSavedRetries)
+		s.budget.prepaid = s.maxCost() + 1
+		s.engines[s.preferred()].SetFaults(engine.Faults{PauseMillis: pauseMillis, RefuseResumes: true})
+		r := s.ask(stream)
+		s.expectWhole(r, stream)
+		s.expectBilled([]reply{r})
+	}
+}
+
+// Guards against requests that wait for an engine that is silent for good while another one can answer.
+func TestEngineThatStaysSilentIsReplaced(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		s := newSite(t, 2, shortIdle)
+		s.allowRetries(maxSavedRetries)
+		s.engines[s.preferred()].SetFaults(engine.Faults{Frozen: true})
+		r := s.ask(stream)
+		s.expectWhole(r, stream)
+		s.expectBilled([]reply{r})
+		if len(s.engines[1-s.preferred()].Usage()) != 1 {
+			t.Error("the other engine did not get the request")
+		}
+	}
+}
+
+// Guards against streams that never end although their engine is silent for good.
+func TestStreamOfASilentEngineEnds(t *testing.T) {
+	s := newSite(t, 1, shortIdle)
+	s.engines[0].SetFaults(engine.Faults{PauseMillis: time.Hour.Milliseconds(), PauseAfterTokens: 5})
+	r := s.ask(true)
+	text, whole := r.text(true)
+	if whole || text == "" {
+		t.Errorf("whole: %t, text %q of an engine that fell silent after five tokens", whole, text)
+	}
+	s.expectTokens(r.id, text)
+	s.expectBilled([]reply{r})
+}
+
+// drawFaults draws an engine's faults. mayFail reports whether the engine itself ends an answer for good.
+func drawFaults(rng *rand.Rand) (faults engine.Faults, mayFail bool) {
+	faults.PauseMillis = 100 + rng.Int64N(300)
+	faults.PauseAfterTokens = rng.IntN(maxOutputTokens / 2)
+	faults.RefuseResumes = rng.IntN(2) == 0
+	if rng.IntN(3) == 0 {
+		faults.CutAfterTokens = 1 + rng.IntN(maxOutputTokens/2)
+	}
+	return faults, faults.CutAfterTokens > 0 && faults.RefuseResumes
+}
+
+// Guards against answers that are ended, mixed or billed twice when engines fall silent and connections
+// break in any order, with few retries.
+func TestDrawnSilencesEndNoAnswer(t *testing.T) {
+	const (
+		numSchedules = 8
+		numRequests  = 6
+	)
+	for seed := range uint64(numSchedules) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		s := newSite(t, 1+rng.IntN(3), shortIdle)
+		s.allowRetries(float64(rng.IntN(3)))
+		s.budget.prepaid = 2 * numRequests * s.maxCost()
+		mayFail := false
+		for _, e := range s.engines {
+			faults, may := drawFaults(rng)
+			e.SetFaults(faults)
+			mayFail = mayFail || may
+		}
+		replies := make([]reply, numRequests)
+		var clients sync.WaitGroup
+		for n := range replies {
+			clients.Go(func() { replies[n] = s.ask(n%2 == 0) })
+		}
+		clients.Wait()
+		for n, r := range replies {
+			if text, whole := r.text(n%2 == 0); !whole && mayFail {
+				s.expectTokens(r.id, text)
+				continue
+			}
+			s.expectWhole(r, n%2 == 0)
+		}
+		s.expectBilled(replies)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -59,6 +59,12 @@
 	WrongID bool `json:"wrong_id"`
 	// Frozen accepts requests and does not answer them.
 	Frozen bool `json:"frozen"`
+	// PauseMillis lets all streams fall silent for this long, in milliseconds, once, when a stream has
+	// sent PauseAfterTokens tokens; 0 for no pause.
+	PauseMillis      int64 `json:"pause_millis"`
+	PauseAfterTokens int   `json:"pause_after_tokens"`
+	// RefuseResumes answers requests for the rest of an answer as if their requests were unknown.
+	RefuseResumes bool `json:"refuse_resumes"`
 }
 
 // generation is the run of one request. It continues when the client's connection breaks.
@@ -81,9 +87,11 @@
 
 	mu sync.Mutex
 	// incarnation identifies this process in the header of every answer.
-	incarnation  string
-	generations  map[string]*generation
-	faults       Faults
+	incarnation string
+	generations map[string]*generation
+	faults      Faults
+	// pausedUntil ends the silence of the pause fault.
+	pausedUntil  time.Time
 	numRunning   int
 	numWaiting   int
 	reportedLoad string
@@ -233,6 +241,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.generations[id]
+	if resume && s.faults.RefuseResumes {
+		return nil, consts.StatusGone
+	}
 	if resume {
 		return g, consts.StatusGone
 	}
@@ -344,6 +355,7 @@
 	for sent := offset; ; {
 		generated, isOver := g.waitForTokens(sent)
 		for ; sent < generated; sent++ {
+			s.pauseIfDue(sent)
 			if s.cutIfDue(c, sent) || writeToken(w, g, id, model, sent) != nil {
 				return
 			}
@@ -355,6 +367,18 @@
 	}
 }
 
+// pauseIfDue starts the pause of the PauseMillis fault if it is due, and waits while a pause lasts.
+func (s *Server) pauseIfDue(sent int64) {
+	s.mu.Lock()
+	if s.faults.PauseMillis > 0 && sent >= int64(s.faults.PauseAfterTokens) {
+		s.pausedUntil = time.Now().Add(time.Duration(s.faults.PauseMillis) * time.Millisecond)
+		s.faults.PauseMillis = 0
+	}
+	remaining := time.Until(s.pausedUntil)
+	s.mu.Unlock()
+	time.Sleep(remaining)
+}
+
 // cutIfDue closes the connection if the CutAfterTokens fault is due.
 func (s *Server) cutIfDue(c *app.RequestContext, sent int64) bool {
 	s.mu.Lock()
--- a/pkg/upstream/stream.go
+++ b/pkg/upstream/stream.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"strconv"
-	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
@@ -14,7 +13,6 @@
 
 	"github.com/lavenderring/lavenderring/pkg/chat"
 	"github.com/lavenderring/lavenderring/pkg/httpcall"
-	"github.com/lavenderring/lavenderring/pkg/outcome"
 )
 
 // maxEventBytes bounds one event of an engine's stream.
@@ -32,8 +30,6 @@
 	Incarnation string
 	// Urgent asks the engine to start the request before others.
 	Urgent bool
-	// IdleTimeout bounds the wait for the response header and for each event.
-	IdleTimeout time.Duration
 }
 
 // Event is one part of a streamed answer.
@@ -47,17 +43,16 @@
 	End bool
 }
 
-// Stream reads a streamed answer. Close must be called.
+// Stream reads a streamed answer. Close must be called. No read has a time limit: an engine that falls
+// silent may go on, so the caller decides when to give it up, and ends the context.
 type Stream struct {
-	address     string
-	id          string
-	reader      *sse.Reader
-	resp        *protocol.Response
-	closeCall   func()
-	cancel      context.CancelCauseFunc
-	idleTimeout time.Duration
-	idleTimer   *time.Timer
-	ctx         context.Context
+	address   string
+	id        string
+	reader    *sse.Reader
+	resp      *protocol.Response
+	closeCall func()
+	cancel    context.CancelFunc
+	ctx       context.Context
 	// Load is the load that the engine reported in the response header; negative
 	// if it reported none.
 	Load float64
@@ -66,27 +61,24 @@
 	Incarnation string
 }
 
-// Open sends a request to an engine and reads the response header. tracker is
-// marked before the first byte is sent. Errors: *CallError.
-func Open(ctx context.Context, address string, r StreamRequest, tracker *outcome.Tracker) (*Stream, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	s := &Stream{address: address, id: r.ID, cancel: cancel, idleTimeout: r.IdleTimeout, ctx: ctx}
-	// An engine that stops sending would hold the connection open forever. The
-	// timer is reset at each event; when it fires the connection is closed.
-	s.idleTimer = time.AfterFunc(r.IdleTimeout, func() { cancel(ErrIdleTimeout) })
-	if err := s.open(ctx, r, tracker); err != nil {
+// Open sends a request to an engine and reads the response header. onSending is
+// called before the first byte is sent. Errors: *CallError.
+func Open(ctx context.Context, address string, r StreamRequest, onSending func()) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &Stream{address: address, id: r.ID, cancel: cancel, ctx: ctx}
+	if err := s.open(ctx, r, onSending); err != nil {
 		s.Close()
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *Stream) open(ctx context.Context, r StreamRequest, tracker *outcome.Tracker) error {
+func (s *Stream) open(ctx context.Context, r StreamRequest, onSending func()) error {
 	req := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(req)
 	s.resp = protocol.AcquireResponse()
 	fillRequest(req, s.address, r)
-	opts := httpcall.Options{Address: s.address, OnSending: tracker.MarkSending, Stream: true}
+	opts := httpcall.Options{Address: s.address, OnSending: onSending, Stream: true}
 	closeCall, err := httpcall.Call(ctx, opts, req, s.resp)
 	s.closeCall = closeCall
 	if err != nil {
@@ -137,9 +129,8 @@
 
 // Next returns the next event. A stream that ends without its end mark is an
 // error, never a shorter answer. Errors: *CallError, which wraps ErrTruncated,
-// ErrIdleTimeout, ErrRequestIDMismatch, a decoding error or the context's cause.
+// ErrRequestIDMismatch, a decoding error or the context's cause.
 func (s *Stream) Next() (Event, error) {
-	s.idleTimer.Reset(s.idleTimeout)
 	event := sse.NewEvent()
 	defer event.Release()
 	if err := s.reader.Read(event); err != nil {
@@ -175,8 +166,7 @@
 
 // Close ends the call and its connection.
 func (s *Stream) Close() {
-	s.idleTimer.Stop()
-	s.cancel(context.Canceled)
+	s.cancel()
 	if s.closeCall != nil {
 		s.closeCall()
 	}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -29,7 +29,7 @@
 	ErrOtherProcess = errors.New("another process answers at the address")
 	// ErrTruncated means that a stream ended without its end mark.
 	ErrTruncated = errors.New("stream ended without its end mark")
-	// ErrIdleTimeout means that nothing was received for the idle timeout.
+	// ErrIdleTimeout means that an upstream was silent for longer than its answer may wait.
 	ErrIdleTimeout = errors.New("upstream fell silent")
 )
 
