--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -29,6 +29,7 @@
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 	"github.com/lavenderring/lavenderring/pkg/standin/engine"
 	"github.com/lavenderring/lavenderring/pkg/standin/loopback"
+	"github.com/lavenderring/lavenderring/pkg/standin/relay"
 	"github.com/lavenderring/lavenderring/pkg/store/storefake"
 )
 
@@ -175,6 +176,40 @@
 	s.apply(2)
 }
 
+// putRelayBefore puts a relay between the Entry and an engine.
+func (s *site) putRelayBefore(n int) *relay.Relay {
+	s.t.Helper()
+	address, target := loopback.Address(), s.doc.Pools[0].Upstreams[n].Address
+	r, err := relay.Start(address, "", target)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.doc.Pools[0].Upstreams[n].Address = address
+	s.apply(2)
+	return r
+}
+
+// numEvents returns the number of the Entry's events of a kind.
+func (s *site) numEvents(number eventlog.Number) int {
+	count := 0
+	for _, event := range s.log.Recent("") {
+		if event.Number == number {
+			count++
+		}
+	}
+	return count
+}
+
+// await waits until a condition holds.
+func (s *site) await(what string, holds func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(waitTimeout); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("gave up waiting for %s", what)
+		}
+	}
+}
+
 // allowRetries gives the Entry a number of retries.
 func (s *site) allowRetries(number float64) {
 	s.entry.retries.mu.Lock()
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/standin/engine"
 )
 
@@ -103,6 +104,26 @@
 	s.expectBilled([]reply{r})
 }
 
+// Guards against tokens that are delivered but not billed: the connection breaks, and no new one to the
+// engine can be made, so its count is not known.
+func TestBrokenStreamOfAnUnreachableEngineIsBilled(t *testing.T) {
+	s := newSite(t, 1, shortIdle)
+	link := s.putRelayBefore(0)
+	s.engines[0].SetFaults(engine.Faults{PauseMillis: pauseMillis, PauseAfterTokens: 5})
+	replied := make(chan reply)
+	go func() { replied <- s.ask(true) }()
+	s.await("the engine to be silent", func() bool { return s.numEvents(eventlog.RequestResumed) > 0 })
+	link.Close()
+	r := <-replied
+	if text, whole := r.text(true); whole || text == "" {
+		t.Errorf("whole: %t, text %q of an engine that was cut off after five tokens", whole, text)
+	}
+	s.expectBilled([]reply{r})
+	if s.budget.billed != s.maxCost() {
+		t.Errorf("billed %d tokens, the answer may have cost %d", s.budget.billed, s.maxCost())
+	}
+}
+
 // drawFaults draws an engine's faults. mayFail reports whether the engine itself ends an answer for good.
 func drawFaults(rng *rand.Rand) (faults engine.Faults, mayFail bool) {
 	faults.PauseMillis = 100 + rng.Int64N(300)
