Own door: another engine is asked while a silent one is still being read

What callers saw: a request whose engine stayed silent was answered by another engine only after the first attempt had been given up; if that took longer than the deadline, or the retry budget, the account's tokens or the other engine then declined, it failed.

Cause: attempts were made one after the other. The attempt in progress was canceled at the engine before the retry was withdrawn, its tokens reserved and another engine acquired.

Now an attempt whose engine does not go on after the idle timeout, and was asked for the rest, is read on while a second one is prepared: it withdraws the retry, reserves its own tokens, asks the quarantine and acquires another engine, and gives all back if one of them declines. The first attempt that has something for the client answers it (a whole answer, if the client takes no stream), the other one is canceled at once, and its cost is billed as before. An attempt that goes on cancels the ones started during its silence. A canceled lease tells nothing about its upstream. No retry is spent on an attempt that is not made.

--- a/pkg/dispatch/picker.go
+++ b/pkg/dispatch/picker.go
@@ -272,6 +272,8 @@
 	// Failed counts as a failure of the upstream: it was unreachable, stopped
 	// responding or closed the connection early.
 	Failed bool
+	// Canceled means that the request was given up, which tells nothing about the upstream.
+	Canceled bool
 	// Load is the load that the upstream reported with its answer; negative if it
 	// reported none.
 	Load float64
@@ -287,11 +289,13 @@
 	u.inFlight--
 	p.inFlight--
 	p.recordLoad(u, r.Load)
-	if r.Failed {
+	switch {
+	case r.Canceled:
+	case r.Failed:
 		u.consecutiveFailures++
 		u.avoidUntil = p.now().Add(avoidInterval)
 		avoiding = u.consecutiveFailures == avoidAfterFailures
-	} else {
+	default:
 		u.consecutiveFailures = 0
 		serviceTime := p.now().Sub(l.started)
 		p.serviceTime = smoothed(p.serviceTime, serviceTime)
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,22 +38,37 @@
 
 // chatCall is a model request in progress.
 type chatCall struct {
-	e              *Entry
-	r              *request
-	pool           *document.Pool
-	dispatch       *dispatch.Pool
-	req            chat.Request
-	body           []byte
-	maxCost        int64
-	prefixHash     uint64
-	idempotent     bool
-	billing        billing
+	e          *Entry
+	r          *request
+	ctx        context.Context
+	pool       *document.Pool
+	dispatch   *dispatch.Pool
+	req        chat.Request
+	body       []byte
+	maxCost    int64
+	prefixHash uint64
+	idempotent bool
+	billing    billing
+	// out is the writer of the attempt that answered.
+	out answerWriter
+
+	// silent receives the attempt whose engine has been silent for some time, ended how each attempt
+	// ended. numRunning is the number of attempts that have not ended.
+	silent     chan *attempt
+	ended      chan attemptEnd
+	numRunning int
+
+	mu             sync.Mutex
 	triedUpstreams []string
-	out            answerWriter
+	// attempts holds the attempts in the order of their start; chosen is the one that answers the client.
+	attempts []*attempt
+	chosen   *attempt
 }
 
 func (e *Entry) serveChat(ctx context.Context, r *request) *Problem {
-	call := &chatCall{e: e, r: r, billing: billing{entry: e, r: r}}
+	call := &chatCall{
+		e: e, r: r, ctx: ctx, billing: billing{entry: e, r: r}, silent: make(chan *attempt, 1), ended: make(chan attemptEnd),
+	}
 	if p := call.parse(r.c.Request.Body()); p != nil {
 		return p
 	}
@@ -79,7 +95,6 @@
 	}
 	c.dispatch = c.e.pool(c.r.accountRef.Service.Service, c.pool.Name)
 	c.idempotent = !isNonIdempotent(c.pool, consts.MethodPost, chatPath)
-	c.out = newAnswerWriter(c.r, &c.req)
 	engineReq := c.req
 	engineReq.Stream = true
 	if engineReq.MaxTokens == 0 || engineReq.MaxTokens > c.pool.MaxOutputTokens {
@@ -126,72 +141,22 @@
 	if p := c.e.checkQuarantine(c.r); p != nil {
 		return p
 	}
-	if p := c.billing.reserve(ctx, c.maxCost); p != nil {
+	first := c.newAttempt()
+	if p := c.billing.reserve(ctx, c.maxCost, &first.reservation); p != nil {
 		return p
 	}
-	c.billing.open(ctx)
+	c.billing.open(ctx, first.reservation.Tokens())
 	c.e.retries.deposit()
-	for {
-		retry, p := c.attempt(ctx)
-		if p == nil {
-			c.billing.close(true)
-			c.out.finish()
-			return nil
-		}
-		if !retry || !c.e.retries.withdraw() {
-			c.billing.close(false)
-			c.out.fail(p)
-			return p
-		}
-		c.e.metrics.retried.Inc(1)
-		c.out.reset()
-		if p := c.billing.reserve(ctx, c.maxCost); p != nil {
-			p.Outcome = c.r.tracker.Outcome()
-			c.billing.close(false)
-			return p
-		}
-	}
-}
-
-// attempt runs the request on one engine. retry reports whether another engine
-// may be tried.
-func (c *chatCall) attempt(ctx context.Context) (retry bool, p *Problem) {
-	quarantineRun, p := c.e.beginRun(c.r)
-	if p != nil {
-		c.billing.settle(0)
-		return false, p
-	}
-	lease, err := c.dispatch.Acquire(ctx, dispatch.Request{
-		Pool:    c.pool.Name,
-		Prefix:  c.prefixHash,
-		Urgent:  c.pool.Urgent,
-		Tried:   c.triedUpstreams,
-		StartBy: c.r.deadline,
-	})
-	if err != nil {
-		quarantineRun.NoteEnd()
-		c.billing.settle(0)
-		return false, acquireProblem(c.r, err)
-	}
-	c.triedUpstreams = append(c.triedUpstreams, lease.Upstream.Name)
-	c.e.Log.Event(eventlog.RequestDispatched, c.r.id, eventlog.Fields{"upstream": lease.Upstream.Name})
-	delivery := &delivery{call: c, lease: lease}
-	run, err := c.e.startRunAt(ctx, quarantineRun, lease)
-	if err == nil {
-		err = delivery.deliver(ctx)
-	}
-	sent := delivery.sent.Load()
-	c.e.concludeRun(ctx, c.r, run, sent, err)
-	if err == nil {
-		c.e.releaseLease(lease, dispatch.Result{Load: -1})
-		c.billing.settle(delivery.tokensUsed(c.maxCost))
-		c.r.tracker.MarkAnswered()
-		return false, nil
-	}
-	clientGone := errors.Is(err, errClientGone)
-	c.e.releaseLease(lease, dispatch.Result{Failed: !clientGone, Load: -1})
-	c.billing.settle(c.cancelAttempt(lease.Upstream.Address, sent))
-	return c.canRetry(err, sent), c.attemptProblem(err)
+	c.start(ctx, first)
+	end := c.awaitAnswer(ctx)
+	c.billing.close(end.whole)
+	c.out = end.attempt.out
+	if !end.whole {
+		c.out.fail(end.problem)
+		return end.problem
+	}
+	c.out.finish()
+	return nil
 }
 
 // attemptProblem describes a failed attempt to the client.
@@ -206,7 +171,7 @@
 // the attempt failed before any byte of the request was sent. Another engine
 // generates a different text, so nothing of the first may have been delivered.
 func (c *chatCall) canRetry(err error, sent bool) bool {
-	if c.out.started() || errors.Is(err, errClientGone) || !c.e.Now().Before(c.r.deadline) {
+	if c.answerBegan() || errors.Is(err, errClientGone) || !c.e.Now().Before(c.r.deadline) {
 		return false
 	}
 	return c.idempotent || (!sent && !c.r.tracker.MaybeSent())
@@ -219,11 +184,11 @@
 	return errors.As(err, &call) && call.Step == "dial"
 }
 
-// cancelAttempt cancels a failed attempt on its engine and returns its cost in
+// cancelOnEngine cancels a failed attempt on its engine and returns its cost in
 // tokens. If the engine cannot report the cost, the attempt may have used all
 // that was reserved, and a budget must never be overspent: maxCost is billed,
 // and the bill's outcome is unknown unless a later attempt succeeds.
-func (c *chatCall) cancelAttempt(address string, sent bool) int64 {
+func (c *chatCall) cancelOnEngine(address string, sent bool) int64 {
 	if !sent {
 		return 0
 	}
--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -26,12 +26,11 @@
 
 // Fingerprint implements quarantine.Request.
 func (r *request) Fingerprint() fingerprint.Fingerprint {
-	if r.fingerprint == nil {
+	r.fingerprintOnce.Do(func() {
 		content := fingerprint.Content(string(r.c.Method()), string(r.c.URI().RequestURI()), r.c.Request.Body())
-		computed := fingerprint.Of(r.budget, "", content)
-		r.fingerprint = &computed
-	}
-	return *r.fingerprint
+		r.fingerprint = fingerprint.Of(r.budget, "", content)
+	})
+	return r.fingerprint
 }
 
 // checkQuarantine refuses a request that is condemned for crashing upstreams, before tokens are
@@ -98,7 +97,7 @@
 // attempt failed before the request was sent.
 func (e *Entry) concludeRun(ctx context.Context, r *request, run upstreamRun, sent bool, err error) {
 	evidence := quarantine.NoEvidence
-	switch abandoned := errors.Is(err, errClientGone) || ctx.Err() != nil; {
+	switch abandoned := errors.Is(err, errClientGone) || errors.Is(err, errSuperseded) || ctx.Err() != nil; {
 	case err == nil:
 		evidence = quarantine.WholeAnswer
 	case sent && !abandoned && connectionEnded(err):
--- a/pkg/entry/delivery.go
+++ b/pkg/entry/delivery.go
@@ -31,8 +31,9 @@
 // the rest over a second connection, and gives up the first one only when the
 // second one goes on.
 type delivery struct {
-	call  *chatCall
-	lease *dispatch.Lease
+	attempt *attempt
+	call    *chatCall
+	lease   *dispatch.Lease
 	// offset is the number of tokens delivered so far.
 	offset int64
 	usage  *chat.Usage
@@ -56,6 +57,8 @@
 	lastProgress time.Time
 	silence      *time.Timer
 	numAsks      int
+	// isSilent is true from the idle timeout on until the next token.
+	isSilent atomic.Bool
 }
 
 // deliver sends the request to the engine and delivers its answer. It returns nil once the answer is whole.
@@ -157,7 +160,7 @@
 		}
 		d.offset = event.Offset
 	}
-	return d.call.out.event(event.Offset, &event.Response)
+	return d.attempt.event(event.Offset, &event.Response)
 }
 
 func hasText(response *chat.Response) bool {
@@ -172,6 +175,9 @@
 func (d *delivery) noteProgress() {
 	d.lastProgress = d.call.e.Now()
 	d.numResumes, d.numAsks, d.replacementErr = 0, 0, nil
+	if d.isSilent.Swap(false) {
+		d.call.cancelLater(d.attempt)
+	}
 	d.silence.Reset(d.idleTimeout())
 }
 
@@ -215,18 +221,24 @@
 	d.call.e.Log.Event(number, d.call.r.id, eventlog.Fields{"offset": d.offset, "cause": cause.Error()})
 }
 
-// handleSilence asks for something better than an engine that has been silent for the idle timeout. The
-// open connection is kept meanwhile. It returns an error if the silence has lasted too long.
+// handleSilence asks for something better than an engine that has been silent for the idle timeout: first
+// for the rest over a new connection, then also for another engine. What there is, is kept meanwhile. It
+// returns an error if the silence has lasted too long.
 func (d *delivery) handleSilence(ctx context.Context) error {
 	remaining := d.silenceBound() - d.call.e.Now().Sub(d.lastProgress)
 	if remaining <= 0 {
 		return d.silenceError()
 	}
 	d.numAsks++
-	if d.mayResume() {
+	d.isSilent.Store(true)
+	mayResume := d.mayResume()
+	if mayResume {
 		d.cancelReplacement()
 		d.replacement = d.resume(ctx, upstream.ErrIdleTimeout)
 	}
+	if d.numAsks > 1 || !mayResume {
+		d.call.reportSilence(d.attempt)
+	}
 	d.silence.Reset(min(remaining, max(d.idleTimeout(), minAskInterval)))
 	return nil
 }
@@ -246,6 +258,15 @@
 	return d.streamError(upstream.ErrIdleTimeout)
 }
 
+// supersededError returns why an attempt ended that lost against another one: its engine's silence, if it
+// was silent.
+func (d *delivery) supersededError() error {
+	if d.isSilent.Load() {
+		return d.silenceError()
+	}
+	return errSuperseded
+}
+
 func (d *delivery) streamError(err error) error {
 	return &upstream.CallError{Step: "stream", Peer: d.lease.Upstream.Address, Err: err}
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -185,8 +185,9 @@
 	// responseStarted is set once a part of the response may have been sent to
 	// the client: only the rest of that response may follow.
 	responseStarted bool
-	// fingerprint is computed on first use; nil before.
-	fingerprint *fingerprint.Fingerprint
+	// fingerprint is computed on first use.
+	fingerprintOnce sync.Once
+	fingerprint     fingerprint.Fingerprint
 }
 
 // handle returns the HTTP handler for one kind of request: it admits the request,
--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -352,3 +352,17 @@
 		s.t.Errorf("bills of %d tokens, account charged %d, %d reservations left", total, s.budget.billed, len(s.budget.reserved))
 	}
 }
+
+// expectCounted checks that the account was charged what the engines, which can all be reached, counted.
+func (s *site) expectCounted() {
+	s.t.Helper()
+	var counted int64
+	for _, e := range s.engines {
+		for _, tokens := range e.Usage() {
+			counted += tokens
+		}
+	}
+	if s.budget.billed != counted {
+		s.t.Errorf("charged %d tokens, the engines counted %d", s.budget.billed, counted)
+	}
+}
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -7,6 +7,7 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"github.com/lavenderring/lavenderring/pkg/budget"
 	"github.com/lavenderring/lavenderring/pkg/chat"
 	"github.com/lavenderring/lavenderring/pkg/claim"
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
@@ -26,6 +27,7 @@
 	call           upstream.PlainRequest
 	idempotent     bool
 	billing        billing
+	reservation    budget.Reservation
 	triedUpstreams []string
 	answer         *upstream.PlainAnswer
 }
@@ -94,15 +96,15 @@
 	if problem := p.e.checkQuarantine(p.r); problem != nil {
 		return problem
 	}
-	if problem := p.billing.reserve(ctx, p.pool.PriceTokens); problem != nil {
+	if problem := p.billing.reserve(ctx, p.pool.PriceTokens, &p.reservation); problem != nil {
 		return problem
 	}
-	p.billing.open(ctx)
+	p.billing.open(ctx, p.reservation.Tokens())
 	p.e.retries.deposit()
 	for {
 		retry, problem := p.attempt(ctx)
 		if problem == nil {
-			p.billing.settle(p.pool.PriceTokens)
+			p.billing.settle(&p.reservation, p.pool.PriceTokens)
 			p.billing.close(true)
 			p.deliver()
 			return nil
@@ -119,9 +121,9 @@
 // may have run, and nothing if it did not run.
 func (p *plainCall) settleFailed(problem *Problem) {
 	if problem.Outcome == outcome.NotRun {
-		p.billing.settle(0)
+		p.billing.settle(&p.reservation, 0)
 	} else {
-		p.billing.settle(p.pool.PriceTokens)
+		p.billing.settle(&p.reservation, p.pool.PriceTokens)
 	}
 	p.billing.close(false)
 }
--- a/pkg/entry/reserve.go
+++ b/pkg/entry/reserve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
@@ -46,37 +47,39 @@
 // billing sums the cost of a request's attempts, so that the request gets one
 // bill.
 type billing struct {
-	entry       *Entry
-	r           *request
-	reservation budget.Reservation
+	entry  *Entry
+	r      *request
+	opened bool
+
+	mu          sync.Mutex
 	totalTokens int64
-	opened      bool
 }
 
 // reserve reserves maxCost tokens for one attempt.
-func (c *billing) reserve(ctx context.Context, maxCost int64) *Problem {
-	c.reservation = budget.Reservation{}
-	return c.entry.reserve(ctx, c.r, maxCost, &c.reservation)
+func (c *billing) reserve(ctx context.Context, maxCost int64, into *budget.Reservation) *Problem {
+	return c.entry.reserve(ctx, c.r, maxCost, into)
 }
 
 // open records the request in the journal before the first dispatch and waits for
 // a copy of the record: if this instance crashes, the request is known to be in
 // doubt instead of being lost.
-func (c *billing) open(ctx context.Context) {
+func (c *billing) open(ctx context.Context, maxCost int64) {
 	if c.opened {
 		return
 	}
 	c.opened = true
-	c.entry.Journal.Open(c.r.id, c.r.budget, c.reservation.Tokens())
+	c.entry.Journal.Open(c.r.id, c.r.budget, maxCost)
 	c.entry.Journal.AwaitCopy(ctx)
 }
 
 // settle charges one attempt and returns the rest of its reservation.
-func (c *billing) settle(used int64) {
-	billed := c.entry.Budgets.Settle(&c.reservation, used)
+func (c *billing) settle(reservation *budget.Reservation, used int64) {
+	billed := c.entry.Budgets.Settle(reservation, used)
 	if billed < used {
 		c.entry.Log.Event(eventlog.UsageAboveBound, c.r.id, eventlog.Fields{"reported": used, "bound": billed})
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.totalTokens += billed
 }
 
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -37,3 +37,10 @@
 	b.saved--
 	return true
 }
+
+// restore gives back a retry that was withdrawn but not made.
+func (b *retryBudget) restore() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved = min(b.saved+1, maxSavedRetries)
+}
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -91,6 +91,27 @@
 	}
 }
 
+// Guards against requests that fail because their deadline passes before a silent engine is given up, while
+// another one can answer. Nothing is billed twice.
+func TestSilentEngineIsReplacedBeforeItIsGivenUp(t *testing.T) {
+	const idle, deadline = 100 * time.Millisecond, 4 * time.Second // less than minSilenceBound
+	for _, stream := range []bool{true, false} {
+		s := newSite(t, 2, idle)
+		s.doc.Limits.DeadlineMillis = deadline.Milliseconds()
+		s.apply(2)
+		s.allowRetries(1)
+		silent, other := s.engines[s.preferred()], s.engines[1-s.preferred()]
+		silent.SetFaults(engine.Faults{PauseMillis: time.Hour.Milliseconds()})
+		r := s.ask(stream)
+		s.expectWhole(r, stream)
+		s.expectBilled([]reply{r})
+		s.expectCounted()
+		if len(other.Usage()) != 1 {
+			t.Error("the other engine did not get the request")
+		}
+	}
+}
+
 // Guards against streams that never end although their engine is silent for good.
 func TestStreamOfASilentEngineEnds(t *testing.T) {
 	s := newSite(t, 1, shortIdle)
@@ -126,7 +147,7 @@
 
 // drawFaults draws an engine's faults. mayFail reports whether the engine itself ends an answer for good.
 func drawFaults(rng *rand.Rand) (faults engine.Faults, mayFail bool) {
-	faults.PauseMillis = 100 + rng.Int64N(300)
+	faults.PauseMillis = 100 + rng.Int64N(3*pauseMillis/2)
 	faults.PauseAfterTokens = rng.IntN(maxOutputTokens / 2)
 	faults.RefuseResumes = rng.IntN(2) == 0
 	if rng.IntN(3) == 0 {
@@ -136,7 +157,7 @@
 }
 
 // Guards against answers that are ended, mixed or billed twice when engines fall silent and connections
-// break in any order, with few retries.
+// break in any order, with few retries or many.
 func TestDrawnSilencesEndNoAnswer(t *testing.T) {
 	const (
 		numSchedules = 8
@@ -145,7 +166,7 @@
 	for seed := range uint64(numSchedules) {
 		rng := rand.New(rand.NewPCG(seed, 0))
 		s := newSite(t, 1+rng.IntN(3), shortIdle)
-		s.allowRetries(float64(rng.IntN(3)))
+		s.allowRetries(float64(rng.IntN(numRequests + 1)))
 		s.budget.prepaid = 2 * numRequests * s.maxCost()
 		mayFail := false
 		for _, e := range s.engines {
@@ -167,6 +188,7 @@
 			s.expectWhole(r, n%2 == 0)
 		}
 		s.expectBilled(replies)
+		s.expectCounted()
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
 		}
--- a/pkg/entry/writer.go
+++ b/pkg/entry/writer.go
@@ -16,10 +16,8 @@
 type answerWriter interface {
 	// event handles one event; offset is 0 for events that carry no token.
 	event(offset int64, response *chat.Response) error
-	// started reports whether a part of the answer has been written to the client.
-	started() bool
-	// reset discards the buffered answer before another engine is tried.
-	reset()
+	// writesThrough reports whether each event is written to the client at once.
+	writesThrough() bool
 	// finish ends a whole answer.
 	finish()
 	// fail ends an incomplete answer.
@@ -65,11 +63,6 @@
 	}
 }
 
-func (g *answerBuffer) reset() {
-	g.text.Reset()
-	g.usage = nil
-}
-
 // bufferedWriter writes the answer as one response once it is whole.
 type bufferedWriter struct{ answerBuffer }
 
@@ -78,7 +71,7 @@
 	return nil
 }
 
-func (w *bufferedWriter) started() bool { return false }
+func (w *bufferedWriter) writesThrough() bool { return false }
 
 func (w *bufferedWriter) finish() {
 	w.r.responseStarted = true
@@ -115,7 +108,7 @@
 	return nil
 }
 
-func (w *streamWriter) started() bool { return w.sse != nil }
+func (w *streamWriter) writesThrough() bool { return true }
 
 func (w *streamWriter) finish() {
 	if w.sse == nil {
