--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -112,6 +113,40 @@
 	}
 }
 
+// Guards against tokens and retries that are lost by an attempt beside a silent engine for which there is
+// no other engine.
+func TestDeclinedAttemptGivesBackWhatItHolds(t *testing.T) {
+	s := newSite(t, 1, shortIdle)
+	s.allowRetries(1)
+	s.engines[0].SetFaults(engine.Faults{PauseMillis: pauseMillis})
+	r := s.ask(true)
+	s.expectWhole(r, true)
+	s.expectBilled([]reply{r})
+	if !s.entry.retries.withdraw() {
+		t.Error("the retry that was not made is used up")
+	}
+}
+
+// Guards against an answer with tokens of two engines.
+func TestOnlyOneAttemptAnswers(t *testing.T) {
+	call := &chatCall{r: &request{}, silent: make(chan *attempt, 1), ended: make(chan attemptEnd)}
+	first, second, third := call.newAttempt(), call.newAttempt(), call.newAttempt()
+	for _, a := range []*attempt{first, second, third} {
+		_, a.cancel = context.WithCancelCause(t.Context())
+		call.attempts = append(call.attempts, a)
+	}
+	call.cancelLater(second)
+	if call.choose(third) {
+		t.Error("an attempt was chosen that another one has superseded")
+	}
+	if !call.choose(first) || !call.choose(first) {
+		t.Error("the first attempt was not chosen")
+	}
+	if call.choose(second) {
+		t.Error("two attempts were chosen")
+	}
+}
+
 // Guards against streams that never end although their engine is silent for good.
 func TestStreamOfASilentEngineEnds(t *testing.T) {
 	s := newSite(t, 1, shortIdle)
@@ -150,6 +185,7 @@
 	faults.PauseMillis = 100 + rng.Int64N(3*pauseMillis/2)
 	faults.PauseAfterTokens = rng.IntN(maxOutputTokens / 2)
 	faults.RefuseResumes = rng.IntN(2) == 0
+	faults.RepeatTokens = rng.Int64N(4)
 	if rng.IntN(3) == 0 {
 		faults.CutAfterTokens = 1 + rng.IntN(maxOutputTokens/2)
 	}
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -65,6 +65,8 @@
 	PauseAfterTokens int   `json:"pause_after_tokens"`
 	// RefuseResumes answers requests for the rest of an answer as if their requests were unknown.
 	RefuseResumes bool `json:"refuse_resumes"`
+	// RepeatTokens is the number of tokens that each resumed stream repeats.
+	RepeatTokens int64 `json:"repeat_tokens"`
 }
 
 // generation is the run of one request. It continues when the client's connection breaks.
@@ -192,7 +194,7 @@
 		return
 	}
 	id := string(c.GetHeader(chat.HeaderRequestID))
-	offset, resume := resumeOffset(c)
+	offset, resume := s.resumeOffset(c)
 	g, status := s.findOrStart(id, &req, resume)
 	if g == nil {
 		c.SetStatusCode(status)
@@ -210,10 +212,12 @@
 	c.JSON(consts.StatusOK, fullResponse(g, responseID, req.Model))
 }
 
-func resumeOffset(c *app.RequestContext) (int64, bool) {
+func (s *Server) resumeOffset(c *app.RequestContext) (int64, bool) {
 	text := string(c.GetHeader(chat.HeaderResumeOffset))
 	offset, err := strconv.ParseInt(text, 10, 64)
-	return offset, text != "" && err == nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(offset-s.faults.RepeatTokens, 0), text != "" && err == nil
 }
 
 func (s *Server) isFrozen() bool {
