Calls to upstreams: a response header without end is closed

What callers saw: an upstream that sends a header, or trailers, without end takes all memory of the instance, and with it every request in progress.

Cause: the library keeps a header in memory until its end, without a bound (and parses it anew for each byte that comes). Only bodies had one.

Bodies were bounded before.

--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -27,6 +27,8 @@
 const (
 	defaultDialTimeout  = time.Second
 	maxIdleConnDuration = time.Second
+	// maxHeaderBytes bounds the header of a response, and its trailers.
+	maxHeaderBytes = 64 << 10
 )
 
 // Error reports the step at which a call failed and the address called.
@@ -159,7 +161,30 @@
 		d.onSending()
 	}
 	d.conn = conn
-	return conn, nil
+	return boundedConn{Conn: conn}, nil
+}
+
+// errHeaderTooLong is returned for a response header that does not end within maxHeaderBytes.
+var errHeaderTooLong = errors.New("response header too long")
+
+// boundedConn ends the read of a response header that is too long. The library keeps all of a header in memory
+// until its end, which need not come.
+type boundedConn struct{ network.Conn }
+
+// Peek implements network.Reader. The library asks for one byte more than there is while it reads a header.
+func (c boundedConn) Peek(n int) ([]byte, error) {
+	if buffered := c.Len(); buffered >= maxHeaderBytes && n > buffered {
+		return nil, errHeaderTooLong
+	}
+	return c.Conn.Peek(n)
+}
+
+// ToHertzError implements network.ErrorNormalization.
+func (c boundedConn) ToHertzError(err error) error {
+	if normalizer, ok := c.Conn.(network.ErrorNormalization); ok {
+		return normalizer.ToHertzError(err)
+	}
+	return err
 }
 
 func (d *oneShotDialer) failedStep() string {
