Calls to upstreams: events and bodies that end with their connection are bounded

What callers saw: an upstream that sends an event without end (lines of data without the blank line), or a stream that ends with its connection, takes all memory of the instance; a plain service that answers with events likewise, for the library streams these and reads them whole without a bound.

Evidence, on the code before: of streams 134,238,208 bytes (chunked lines), 134,234,112 (a long body, and one that ends with its connection) were read before an error, of a plain service 134,242,304 and the answer was passed on; the tests stop to send there. Now an event is bounded by 2 MiB, what is read before a call returns by four times the largest body, and the plain answer by 16 MiB; all connections are closed.

--- a/pkg/httpcall/endless_test.go
+++ b/pkg/httpcall/endless_test.go
@@ -51,14 +51,16 @@
 // Guards against an instance whose memory is used up by responses without end.
 func TestEndlessResponsesAreClosed(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
+	const events = ok + "Content-Type: text/event-stream\r\n"
 	for name, response := range map[string][2]string{
-		"header value":  {ok + "X-Long: ", "a"},
-		"header lines":  {ok, "X-More: a\r\n"},
-		"chunked body":  {ok + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
-		"chunk size":    {ok + "Transfer-Encoding: chunked\r\n\r\n", "0"},
-		"body to close": {ok + "\r\n", "a"},
-		"long body":     {ok + "Content-Length: 1000000000\r\n\r\n", "a"},
-		"trailers":      {ok + "Transfer-Encoding: chunked\r\nTrailer: X-More\r\n\r\n0\r\n", "X-More: a\r\n"},
+		"header value":    {ok + "X-Long: ", "a"},
+		"header lines":    {ok, "X-More: a\r\n"},
+		"chunked body":    {ok + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
+		"chunk size":      {ok + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		"body to close":   {ok + "\r\n", "a"},
+		"long body":       {ok + "Content-Length: 1000000000\r\n\r\n", "a"},
+		"trailers":        {ok + "Transfer-Encoding: chunked\r\nTrailer: X-More\r\n\r\n0\r\n", "X-More: a\r\n"},
+		"stream to close": {events + "\r\n", "data: a\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, sent := serveEndless(t, response[0], response[1])
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -29,6 +29,9 @@
 	maxIdleConnDuration = time.Second
 	// maxHeaderBytes bounds the header of a response, and its trailers.
 	maxHeaderBytes = 64 << 10
+	// maxFramingFactor bounds the bytes read of a response, per byte of its largest body: small chunks
+	// take more bytes than their contents.
+	maxFramingFactor = 4
 )
 
 // Error reports the step at which a call failed and the address called.
@@ -53,8 +56,10 @@
 	Address string
 	// DialTimeout limits the time to establish the connection. Default 1 s.
 	DialTimeout time.Duration
-	// MaxResponseBytes limits the body of a response that is not streamed; 0
-	// means no limit.
+	// MaxResponseBytes limits the body of a response; 0 means no limit. Of a
+	// streamed body it limits what is read before Call returns, which is all of a
+	// body that ends with its connection. The library streams bodies of the type
+	// text/event-stream also without Stream.
 	MaxResponseBytes int
 	// Stream leaves the response body to be read by the caller.
 	Stream bool
@@ -71,7 +76,7 @@
 	if err := ctx.Err(); err != nil {
 		return func() {}, &Error{Step: "dial", Peer: opts.Address, Err: err}
 	}
-	dialer := &oneShotDialer{Dialer: standard.NewDialer(), onSending: opts.OnSending}
+	dialer := &oneShotDialer{Dialer: standard.NewDialer(), onSending: opts.OnSending, maxBytes: maxFramingFactor * opts.MaxResponseBytes}
 	host := newHostClient(opts, dialer)
 	req.SetConnectionClose()
 	stop := context.AfterFunc(ctx, dialer.close)
@@ -83,6 +88,7 @@
 		end()
 		return func() {}, &Error{Step: dialer.failedStep(), Peer: opts.Address, Err: withContextCause(ctx, err)}
 	}
+	dialer.noteReturn()
 	return end, nil
 }
 
@@ -91,12 +97,16 @@
 	if dialTimeout <= 0 {
 		dialTimeout = defaultDialTimeout
 	}
+	maxBodyBytes := opts.MaxResponseBytes
+	if opts.Stream {
+		maxBodyBytes = 0 // a body of known length may be longer than what is read at once
+	}
 	host := http1.NewHostClient(&http1.ClientOptions{
 		Dialer:              dialer,
 		DialTimeout:         dialTimeout,
 		MaxConns:            1,
 		MaxIdleConnDuration: maxIdleConnDuration,
-		MaxResponseBodySize: opts.MaxResponseBytes,
+		MaxResponseBodySize: maxBodyBytes,
 		ResponseBodyStream:  opts.Stream,
 	})
 	host.SetDynamicConfig(&client.DynamicConfig{Addr: opts.Address})
@@ -115,11 +125,13 @@
 type oneShotDialer struct {
 	network.Dialer
 	onSending func()
+	// maxBytes bounds the bytes read before Call returns; 0 for no bound.
+	maxBytes int
 
 	mu     sync.Mutex
 	dialed bool
 	closed bool
-	conn   network.Conn
+	conn   *boundedConn
 }
 
 // errSecondDial is returned when the library tries to send the request again.
@@ -160,27 +172,51 @@
 	if d.onSending != nil {
 		d.onSending()
 	}
-	d.conn = conn
-	return boundedConn{Conn: conn}, nil
+	d.conn = &boundedConn{Conn: conn, maxBytes: d.maxBytes}
+	return d.conn, nil
+}
+
+// noteReturn lifts the limit on what is read, as the caller reads the rest of a streamed body.
+func (d *oneShotDialer) noteReturn() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conn.maxBytes = 0
 }
 
-// errHeaderTooLong is returned for a response header that does not end within maxHeaderBytes.
-var errHeaderTooLong = errors.New("response header too long")
+// Errors of a response that is too long.
+var (
+	errHeaderTooLong   = errors.New("response header too long")
+	errResponseTooLong = errors.New("response too long")
+)
 
-// boundedConn ends the read of a response header that is too long. The library keeps all of a header in memory
-// until its end, which need not come.
-type boundedConn struct{ network.Conn }
+// boundedConn ends the read of a response that is too long. The library keeps all of a header, and of a body
+// that ends with its connection, in memory until its end, which need not come.
+type boundedConn struct {
+	network.Conn
+	// maxBytes bounds the bytes read; 0 for no bound.
+	maxBytes int
+	numBytes int
+}
 
 // Peek implements network.Reader. The library asks for one byte more than there is while it reads a header.
-func (c boundedConn) Peek(n int) ([]byte, error) {
+func (c *boundedConn) Peek(n int) ([]byte, error) {
 	if buffered := c.Len(); buffered >= maxHeaderBytes && n > buffered {
 		return nil, errHeaderTooLong
 	}
+	if c.maxBytes > 0 && c.numBytes > c.maxBytes {
+		return nil, errResponseTooLong
+	}
 	return c.Conn.Peek(n)
 }
 
+// Skip implements network.Reader.
+func (c *boundedConn) Skip(n int) error {
+	c.numBytes += n
+	return c.Conn.Skip(n)
+}
+
 // ToHertzError implements network.ErrorNormalization.
-func (c boundedConn) ToHertzError(err error) error {
+func (c *boundedConn) ToHertzError(err error) error {
 	if normalizer, ok := c.Conn.(network.ErrorNormalization); ok {
 		return normalizer.ToHertzError(err)
 	}
--- a/pkg/upstream/stream.go
+++ b/pkg/upstream/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -49,6 +50,7 @@
 	address   string
 	id        string
 	reader    *sse.Reader
+	body      *boundedBody
 	resp      *protocol.Response
 	closeCall func()
 	cancel    context.CancelFunc
@@ -78,7 +80,7 @@
 	defer protocol.ReleaseRequest(req)
 	s.resp = protocol.AcquireResponse()
 	fillRequest(req, s.address, r)
-	opts := httpcall.Options{Address: s.address, OnSending: onSending, Stream: true}
+	opts := httpcall.Options{Address: s.address, OnSending: onSending, MaxResponseBytes: maxAnswerBytes, Stream: true}
 	closeCall, err := httpcall.Call(ctx, opts, req, s.resp)
 	s.closeCall = closeCall
 	if err != nil {
@@ -89,6 +91,8 @@
 	if err := s.checkHead(r.Incarnation); err != nil {
 		return err
 	}
+	s.body = &boundedBody{body: s.resp.BodyStream()}
+	s.resp.SetBodyStreamNoReset(s.body, s.resp.Header.ContentLength())
 	s.reader, err = sse.NewReader(s.resp)
 	if err != nil {
 		return &CallError{Step: "stream", Peer: s.address, Status: s.resp.StatusCode(), Err: err}
@@ -97,6 +101,26 @@
 	return nil
 }
 
+// errEventTooLong means that an event did not end in time.
+var errEventTooLong = errors.New("event too long")
+
+// boundedBody bounds what is read of a body for one event: the reader keeps all lines of an event in memory
+// until its end, which need not come.
+type boundedBody struct {
+	body      io.Reader
+	remaining int
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	if b.remaining <= 0 {
+		return 0, errEventTooLong
+	}
+	n, err := b.body.Read(p)
+	b.remaining -= n
+	return n, err
+}
+
 func fillRequest(req *protocol.Request, address string, r StreamRequest) {
 	req.SetMethod(consts.MethodPost)
 	req.SetRequestURI("http://" + address + "/v1/chat/completions")
@@ -131,6 +155,7 @@
 // error, never a shorter answer. Errors: *CallError, which wraps ErrTruncated,
 // ErrRequestIDMismatch, a decoding error or the context's cause.
 func (s *Stream) Next() (Event, error) {
+	s.body.remaining = 2 * maxEventBytes // the reader reads ahead
 	event := sse.NewEvent()
 	defer event.Release()
 	if err := s.reader.Read(event); err != nil {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 
@@ -111,15 +112,34 @@
 	if resp.Header.Get(chat.HeaderRequestID) != r.ID {
 		return nil, &CallError{Step: "exchange", Peer: address, Status: resp.StatusCode(), Err: ErrRequestIDMismatch}
 	}
+	body, err := readBody(resp)
+	if err != nil {
+		return nil, &CallError{Step: "exchange", Peer: address, Status: resp.StatusCode(), Err: err}
+	}
 	return &PlainAnswer{
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
-		Body:        append([]byte(nil), resp.Body()...),
+		Body:        body,
 		Load:        parseLoad(resp.Header.Get(chat.HeaderLoad)),
 		Incarnation: resp.Header.Get(chat.HeaderIncarnation),
 	}, nil
 }
 
+// errAnswerTooLong means that the body of an answer exceeds maxAnswerBytes.
+var errAnswerTooLong = errors.New("answer too long")
+
+// readBody returns a copy of a response's body. The library leaves a body of events to be read.
+func readBody(resp *protocol.Response) ([]byte, error) {
+	if !resp.IsBodyStream() {
+		return append([]byte(nil), resp.Body()...), nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLong
+	}
+	return body, err
+}
+
 // parseLoad parses "running/waiting" and returns the sum, or -1 if text is not a
 // valid load.
 func parseLoad(text string) float64 {
