Own door: the text of an answer is bounded

An engine that sends text without end filled the memory of the instance: the text of every answer is kept, also of streams.

--- a/pkg/entry/delivery.go
+++ b/pkg/entry/delivery.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
 	"github.com/lavenderring/lavenderring/pkg/chat"
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
@@ -21,8 +23,13 @@
 	minSilenceBound = 5 * time.Second
 	// minAskInterval is the least interval at which something better is asked for during a silence.
 	minAskInterval = 500 * time.Millisecond
+	// maxAnswerTextBytes bounds the text of an answer, all of which is kept in memory.
+	maxAnswerTextBytes = 16 << 20
 )
 
+// errAnswerTooLong means that an engine sent more text than an answer may have.
+var errAnswerTooLong = errors.New("answer too long")
+
 // errClientGone means that the answer could not be written to the client.
 var errClientGone = errors.New("the caller is gone")
 
@@ -37,6 +44,8 @@
 	// offset is the number of tokens delivered so far.
 	offset int64
 	usage  *chat.Usage
+	// textBytes is the length of the text delivered so far.
+	textBytes int
 	// incarnation is the process that generated the tokens delivered so far; empty if it did not say.
 	incarnation string
 	// sent is false while every attempt failed before the request was sent.
@@ -150,7 +159,11 @@
 	if event.Response.Usage != nil {
 		d.usage = event.Response.Usage
 	}
-	if event.Offset > 0 || hasText(&event.Response) {
+	text := textLength(&event.Response)
+	if d.textBytes += text; d.textBytes > maxAnswerTextBytes {
+		return d.streamError(errAnswerTooLong)
+	}
+	if event.Offset > 0 || text > 0 {
 		d.noteProgress()
 	}
 	if event.Offset > 0 {
@@ -163,13 +176,14 @@
 	return d.attempt.event(event.Offset, &event.Response)
 }
 
-func hasText(response *chat.Response) bool {
+func textLength(response *chat.Response) int {
+	length := 0
 	for _, choice := range response.Choices {
-		if choice.Delta != nil && choice.Delta.Content != "" {
-			return true
+		if choice.Delta != nil {
+			length += len(choice.Delta.Content)
 		}
 	}
-	return false
+	return length
 }
 
 func (d *delivery) noteProgress() {
@@ -268,7 +282,7 @@
 }
 
 func (d *delivery) streamError(err error) error {
-	return &upstream.CallError{Step: "stream", Peer: d.lease.Upstream.Address, Err: err}
+	return &upstream.CallError{Step: "stream", Peer: d.lease.Upstream.Address, Status: consts.StatusOK, Err: err}
 }
 
 // tokensUsed returns the usage that the engine reported, or maxCost if it
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -139,8 +139,10 @@
 	if call.choose(third) {
 		t.Error("an attempt was chosen that another one has superseded")
 	}
-	if !call.choose(first) || !call.choose(first) {
-		t.Error("the first attempt was not chosen")
+	for range 2 {
+		if !call.choose(first) {
+			t.Error("the first attempt was not chosen")
+		}
 	}
 	if call.choose(second) {
 		t.Error("two attempts were chosen")
@@ -180,6 +182,22 @@
 	}
 }
 
+// Guards against an instance whose memory is used up by the text of one answer.
+func TestEndlessTextIsClosed(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		s := newSite(t, 1, shortIdle)
+		s.engines[0].SetFaults(engine.Faults{EndlessText: true})
+		r := s.ask(stream)
+		if _, whole := r.text(stream); whole {
+			t.Errorf("stream %t: an answer without end was taken for whole", stream)
+		}
+		if len(r.body) > 2*maxAnswerTextBytes {
+			t.Errorf("stream %t: %d bytes were delivered", stream, len(r.body))
+		}
+		s.expectBilled([]reply{r})
+	}
+}
+
 // drawFaults draws an engine's faults. mayFail reports whether the engine itself ends an answer for good.
 func drawFaults(rng *rand.Rand) (faults engine.Faults, mayFail bool) {
 	faults.PauseMillis = 100 + rng.Int64N(3*pauseMillis/2)
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -28,6 +28,7 @@
 const (
 	maxBodyBytes       = 16 << 20
 	bytesPerToken      = 4
+	maxTextBytes       = 64 << 10 // of one event of the EndlessText fault
 	loadReportInterval = 200 * time.Millisecond
 	defaultTokenMillis = 10
 )
@@ -67,6 +68,8 @@
 	RefuseResumes bool `json:"refuse_resumes"`
 	// RepeatTokens is the number of tokens that each resumed stream repeats.
 	RepeatTokens int64 `json:"repeat_tokens"`
+	// EndlessText follows the first token of each stream with text without end.
+	EndlessText bool `json:"endless_text"`
 }
 
 // generation is the run of one request. It continues when the client's connection breaks.
@@ -363,6 +366,7 @@
 			if s.cutIfDue(c, sent) || writeToken(w, g, id, model, sent) != nil {
 				return
 			}
+			s.sendEndlessTextIfDue(w, id, model)
 		}
 		if isOver && sent == g.generatedTokens.Load() {
 			writeEnd(w, g, id, model)
@@ -383,6 +387,17 @@
 	time.Sleep(remaining)
 }
 
+// sendEndlessTextIfDue sends text until the connection is closed if the EndlessText fault is due.
+func (s *Server) sendEndlessTextIfDue(w *sse.Writer, id, model string) {
+	s.mu.Lock()
+	due := s.faults.EndlessText
+	s.mu.Unlock()
+	delta := &chat.Delta{Content: strings.Repeat("text ", maxTextBytes/len("text "))}
+	event := chat.Response{ID: id, Model: model, Choices: []chat.Choice{{Delta: delta}}}
+	for due && writeJSON(w, "", event) == nil {
+	}
+}
+
 // cutIfDue closes the connection if the CutAfterTokens fault is due.
 func (s *Server) cutIfDue(c *app.RequestContext, sent int64) bool {
 	s.mu.Lock()
