Own door: a watched request waits for an engine that is silent when it is queried

What callers saw: 504, not run, for a request of which an equal one had lost its connection before, while its sound upstream was silent for a second.

Cause: such a request is sent only if the upstream answers a query for its process, and that query was bounded by 300 ms like the ones in the background.

TestWatchedRequestWaitsForASilentEngine: 504 "context deadline exceeded" with a silence of 1 s on the code before, answered whole now that the query has 3 s.

--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -81,7 +81,7 @@
 func (e *Entry) startRunAt(ctx context.Context, r quarantine.Run, lease *dispatch.Lease) (upstreamRun, error) {
 	address := lease.Upstream.Address
 	if r.IsWatched() {
-		if err := e.queryIncarnation(ctx, address); err != nil {
+		if err := e.queryIncarnation(ctx, address, runQueryTimeout); err != nil {
 			return upstreamRun{Run: r}, &upstream.CallError{Step: "dial", Peer: address, Err: err}
 		}
 	}
--- a/pkg/entry/incarnation.go
+++ b/pkg/entry/incarnation.go
@@ -16,6 +16,9 @@
 	// incarnationInterval is the wait between rounds of queries; incarnationTimeout bounds one query.
 	incarnationInterval = 100 * time.Millisecond
 	incarnationTimeout  = 300 * time.Millisecond
+	// runQueryTimeout bounds the query before a watched request is sent. A sound upstream may fall silent
+	// for a second or more.
+	runQueryTimeout = 3 * time.Second
 	// incarnationRetryInterval is the wait before an upstream is queried again that answered without
 	// naming its incarnation.
 	incarnationRetryInterval = 10 * time.Second
@@ -123,7 +126,7 @@
 	for pause.For(ctx, incarnationInterval) {
 		var round sync.WaitGroup
 		for _, address := range e.addressesToQuery() {
-			round.Go(func() { _ = e.queryIncarnation(ctx, address) }) // a failure is logged, and the upstream queried again
+			round.Go(func() { _ = e.queryIncarnation(ctx, address, incarnationTimeout) }) // a failure is logged, and the upstream queried again
 		}
 		round.Wait()
 	}
@@ -158,8 +161,8 @@
 
 // queryIncarnation asks an upstream for its incarnation and records the answer. The first of several
 // failures in a row is logged. Errors: *upstream.CallError.
-func (e *Entry) queryIncarnation(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
+func (e *Entry) queryIncarnation(ctx context.Context, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	since := e.Now()
 	incarnation, err := upstream.FetchIncarnation(ctx, address)
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/standin/engine"
+	"github.com/lavenderring/lavenderring/pkg/standin/relay"
 )
 
 // Timing of the tests of silent engines.
@@ -198,6 +199,24 @@
 	}
 }
 
+// Guards against requests that are refused because a sound engine is silent for a second when it is asked
+// which process it is: an equal request's connection ended before.
+func TestWatchedRequestWaitsForASilentEngine(t *testing.T) {
+	s := newSite(t, 1, shortIdle)
+	link := s.putRelayBefore(0)
+	s.engines[0].SetFaults(engine.Faults{CutAfterTokens: 5, RefuseResumes: true})
+	if _, whole := s.ask(true).text(true); whole || !s.entry.Quarantine.Watching() {
+		t.Fatal("the request is not watched")
+	}
+	s.engines[0].SetFaults(engine.Faults{})
+	link.SetFaults(relay.Faults{Hold: true})
+	replied := make(chan reply)
+	go func() { replied <- s.ask(true) }()
+	time.Sleep(pauseMillis * time.Millisecond)
+	link.SetFaults(relay.Faults{})
+	s.expectWhole(<-replied, true)
+}
+
 // drawFaults draws an engine's faults. mayFail reports whether the engine itself ends an answer for good.
 func drawFaults(rng *rand.Rand) (faults engine.Faults, mayFail bool) {
 	faults.PauseMillis = 100 + rng.Int64N(3*pauseMillis/2)
