Own door: a request whose upstream leaves before it is sent goes elsewhere at once

What callers saw: 502, not run, "the upstream is not in service any more", although another upstream was: if a new service document took the upstream out between its choice and the sending, the request needed a retry to go elsewhere, and failed without one. A query for the upstream's process makes that time long.

TestRequestOfALeavingUpstreamGoesElsewhere fails so on the code before; nothing has been sent, so another upstream is now acquired without a retry.

TestAnswersOutliveTheirServiceDocument guards what held before: an answer in progress goes on when a document comes into force without its pool, its account and its upstream.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -67,14 +67,14 @@
 	if p != nil {
 		return a.decline(ctx, p)
 	}
-	lease, err := c.dispatch.Acquire(ctx, dispatch.Request{
+	lease, run, err := c.e.acquireAndStart(ctx, quarantineRun, c.dispatch, dispatch.Request{
 		Pool:    c.pool.Name,
 		Prefix:  c.prefixHash,
 		Urgent:  c.pool.Urgent,
 		Tried:   c.tried(),
 		StartBy: c.r.deadline,
 	})
-	if err != nil {
+	if lease == nil {
 		quarantineRun.NoteEnd()
 		return a.decline(ctx, acquireProblem(c.r, err))
 	}
@@ -85,7 +85,6 @@
 	}
 	c.e.Log.Event(eventlog.RequestDispatched, c.r.id, eventlog.Fields{"upstream": lease.Upstream.Name})
 	a.delivery = &delivery{attempt: a, call: c, lease: lease}
-	run, err := c.e.startRunAt(ctx, quarantineRun, lease)
 	if err == nil {
 		err = a.delivery.deliver(ctx)
 	}
--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -74,6 +74,33 @@
 	startedAt time.Time
 }
 
+// acquireAndStart acquires an upstream for a run and records where it is sent. An upstream that is not in
+// service any more is replaced by another one: nothing has been sent, so that takes no retry. The lease is
+// nil if none was acquired.
+func (e *Entry) acquireAndStart(
+	ctx context.Context, r quarantine.Run, pool *dispatch.Pool, req dispatch.Request,
+) (*dispatch.Lease, upstreamRun, error) {
+	for {
+		lease, err := pool.Acquire(ctx, req)
+		if err != nil {
+			return nil, upstreamRun{}, err
+		}
+		run, err := e.startBy(ctx, r, lease, req.StartBy)
+		if !errors.Is(err, errNotInService) {
+			return lease, run, err
+		}
+		e.releaseLease(lease, dispatch.Result{Canceled: true, Load: -1})
+	}
+}
+
+func (e *Entry) startBy(
+	ctx context.Context, r quarantine.Run, lease *dispatch.Lease, deadline time.Time,
+) (upstreamRun, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return e.startRunAt(ctx, r, lease)
+}
+
 // startRunAt records the upstream that the run is sent to, and the upstream's last known incarnation.
 // A request that crashed an upstream, or may have, is sent only if the upstream answers a query for
 // its incarnation now; the answer need not name one. No request is sent to an upstream that is not in
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -134,13 +134,13 @@
 	if problem != nil {
 		return false, problem
 	}
-	lease, err := p.dispatch.Acquire(ctx, dispatch.Request{
+	lease, run, err := p.e.acquireAndStart(ctx, quarantineRun, p.dispatch, dispatch.Request{
 		Pool:    p.pool.Name,
 		Urgent:  p.pool.Urgent,
 		Tried:   p.triedUpstreams,
 		StartBy: p.r.deadline,
 	})
-	if err != nil {
+	if lease == nil {
 		quarantineRun.NoteEnd()
 		return false, acquireProblem(p.r, err)
 	}
@@ -148,7 +148,6 @@
 	p.e.Log.Event(eventlog.RequestDispatched, p.r.id, eventlog.Fields{"upstream": lease.Upstream.Name})
 	ctx, cancel := context.WithDeadline(ctx, p.r.deadline)
 	defer cancel()
-	run, err := p.e.startRunAt(ctx, quarantineRun, lease)
 	var answer *upstream.PlainAnswer
 	if err == nil {
 		answer, err = upstream.CallPlain(ctx, lease.Upstream.Address, p.call, &p.r.tracker)
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/document"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/standin/engine"
+	"github.com/lavenderring/lavenderring/pkg/standin/loopback"
 	"github.com/lavenderring/lavenderring/pkg/standin/relay"
 )
 
@@ -217,6 +219,44 @@
 	s.expectWhole(<-replied, true)
 }
 
+// Guards against requests that are refused because their upstream leaves before they are sent, although
+// another one is in service and no retry is left.
+func TestRequestOfALeavingUpstreamGoesElsewhere(t *testing.T) {
+	s := newSite(t, 2, shortIdle)
+	n := s.preferred()
+	link := s.putRelayBefore(n)
+	s.engines[n].SetFaults(engine.Faults{CutAfterTokens: 5, RefuseResumes: true})
+	if _, whole := s.ask(true).text(true); whole || !s.entry.Quarantine.Watching() {
+		t.Fatal("the request is not watched")
+	}
+	link.SetFaults(relay.Faults{Hold: true})
+	replied := make(chan reply)
+	go func() { replied <- s.ask(true) }()
+	time.Sleep(pauseMillis * time.Millisecond)
+	s.doc.Pools[0].Upstreams[n].State = document.StateLeaving
+	s.apply(3)
+	link.SetFaults(relay.Faults{})
+	s.expectWhole(<-replied, true)
+}
+
+// Guards against answers that a new service document ends: one without their upstream, pool and account.
+func TestAnswersOutliveTheirServiceDocument(t *testing.T) {
+	for _, pausedAfter := range []int{0, 10} {
+		s := newSite(t, 1, shortIdle)
+		s.engines[0].SetFaults(engine.Faults{PauseMillis: pauseMillis, PauseAfterTokens: pausedAfter})
+		replied := make(chan reply)
+		go func() { replied <- s.ask(true) }()
+		s.await("the engine to be silent", func() bool { return s.numEvents(eventlog.RequestResumed) > 0 })
+		s.doc.Accounts[0].Name, s.doc.Accounts[0].KeySHA256 = "other", document.HashKey("other-key")
+		s.doc.Pools[0].Name, s.doc.Pools[0].Model = "other", "other"
+		s.doc.Pools[0].Upstreams[0].Address = loopback.Address()
+		s.apply(2)
+		r := <-replied
+		s.expectWhole(r, true)
+		s.expectBilled([]reply{r})
+	}
+}
+
 // drawFaults draws an engine's faults. mayFail reports whether the engine itself ends an answer for good.
 func drawFaults(rng *rand.Rand) (faults engine.Faults, mayFail bool) {
 	faults.PauseMillis = 100 + rng.Int64N(3*pauseMillis/2)
