dispatch: a lease that was given up is no success of its upstream

A waiter that was granted a lease as it gave up released it as a success: the upstream's failures in a row were forgotten, and a service time of nothing was averaged in. TestCanceledRequestsTellNothingAboutAnUpstream fails without the distinction, which attempts that lost use as well.

--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -166,7 +166,7 @@
 	p.mu.Unlock()
 	if !removed {
 		if lease := <-w.ready; lease != nil {
-			lease.Done(Result{Load: -1})
+			lease.Done(Result{Canceled: true, Load: -1})
 		}
 	}
 	return cause
