--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -47,8 +47,9 @@
 	// DeadlineMillis bounds a request from its arrival to the first byte of
 	// its answer, in milliseconds. Default 30000.
 	DeadlineMillis int64 `toml:"deadline_millis"`
-	// StreamIdleMillis bounds the time between two parts of an upstream's
-	// answer, in milliseconds. Default 10000.
+	// StreamIdleMillis is the silence of an upstream, in milliseconds, after
+	// which the rest of its answer is also asked for elsewhere. The answer is
+	// given up after four times as long, but not before 5 s. Default 10000.
 	StreamIdleMillis int64 `toml:"stream_idle_millis"`
 	// MinBytesPerToken is the minimum number of UTF-8 bytes that one prompt
 	// token covers with this service's tokenizers. Default 1, which is safe
@@ -119,7 +120,7 @@
 	return time.Duration(l.DeadlineMillis) * time.Millisecond
 }
 
-// StreamIdleTimeout returns the time limit between two parts of an answer.
+// StreamIdleTimeout returns the silence after which the rest of an answer is also asked for elsewhere.
 func (l Limits) StreamIdleTimeout() time.Duration {
 	return time.Duration(l.StreamIdleMillis) * time.Millisecond
 }
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -27,7 +27,7 @@
 	// maxPrefixBytes is the length of the part of a prompt that is hashed to
 	// find the engine whose prefix cache is likely to hold it.
 	maxPrefixBytes = 512
-	// maxResumes bounds how often one stream is resumed.
+	// maxResumes bounds how often a stream is resumed without a further token.
 	maxResumes = 3
 	// resumeDelay is the wait before a stream is resumed.
 	resumeDelay = 50 * time.Millisecond
