--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -26,12 +26,11 @@
 
 // Fingerprint implements quarantine.Request.
 func (r *request) Fingerprint() fingerprint.Fingerprint {
-	if r.fingerprint == nil {
+	r.fingerprintOnce.Do(func() {
 		content := fingerprint.Content(string(r.c.Method()), string(r.c.URI().RequestURI()), r.c.Request.Body())
-		computed := fingerprint.Of(r.budget, "", content)
-		r.fingerprint = &computed
-	}
-	return *r.fingerprint
+		r.fingerprint = fingerprint.Of(r.budget, "", content)
+	})
+	return r.fingerprint
 }
 
 // checkQuarantine refuses a request that is condemned for crashing upstreams, before tokens are
@@ -75,6 +74,33 @@
 	startedAt time.Time
 }
 
+// acquireAndStart acquires an upstream for a run and records where it is sent. An upstream that is not in
+// service any more is replaced by another one: nothing has been sent, so that takes no retry. The lease is
+// nil if none was acquired.
+func (e *Entry) acquireAndStart(
+	ctx context.Context, r quarantine.Run, pool *dispatch.Pool, req dispatch.Request,
+) (*dispatch.Lease, upstreamRun, error) {
+	for {
+		lease, err := pool.Acquire(ctx, req)
+		if err != nil {
+			return nil, upstreamRun{}, err
+		}
+		run, err := e.startBy(ctx, r, lease, req.StartBy)
+		if !errors.Is(err, errNotInService) {
+			return lease, run, err
+		}
+		e.releaseLease(lease, dispatch.Result{Canceled: true, Load: -1})
+	}
+}
+
+func (e *Entry) startBy(
+	ctx context.Context, r quarantine.Run, lease *dispatch.Lease, deadline time.Time,
+) (upstreamRun, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return e.startRunAt(ctx, r, lease)
+}
+
 // startRunAt records the upstream that the run is sent to, and the upstream's last known incarnation.
 // A request that crashed an upstream, or may have, is sent only if the upstream answers a query for
 // its incarnation now; the answer need not name one. No request is sent to an upstream that is not in
@@ -82,7 +108,7 @@
 func (e *Entry) startRunAt(ctx context.Context, r quarantine.Run, lease *dispatch.Lease) (upstreamRun, error) {
 	address := lease.Upstream.Address
 	if r.IsWatched() {
-		if err := e.queryIncarnation(ctx, address); err != nil {
+		if err := e.queryIncarnation(ctx, address, runQueryTimeout); err != nil {
 			return upstreamRun{Run: r}, &upstream.CallError{Step: "dial", Peer: address, Err: err}
 		}
 	}
@@ -98,7 +124,7 @@
 // attempt failed before the request was sent.
 func (e *Entry) concludeRun(ctx context.Context, r *request, run upstreamRun, sent bool, err error) {
 	evidence := quarantine.NoEvidence
-	switch abandoned := errors.Is(err, errClientGone) || ctx.Err() != nil; {
+	switch abandoned := errors.Is(err, errClientGone) || errors.Is(err, errSuperseded) || ctx.Err() != nil; {
 	case err == nil:
 		evidence = quarantine.WholeAnswer
 	case sent && !abandoned && connectionEnded(err):
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -7,6 +7,7 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"github.com/lavenderring/lavenderring/pkg/budget"
 	"github.com/lavenderring/lavenderring/pkg/chat"
 	"github.com/lavenderring/lavenderring/pkg/claim"
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
@@ -26,6 +27,7 @@
 	call           upstream.PlainRequest
 	idempotent     bool
 	billing        billing
+	reservation    budget.Reservation
 	triedUpstreams []string
 	answer         *upstream.PlainAnswer
 }
@@ -94,15 +96,15 @@
 	if problem := p.e.checkQuarantine(p.r); problem != nil {
 		return problem
 	}
-	if problem := p.billing.reserve(ctx, p.pool.PriceTokens); problem != nil {
+	if problem := p.billing.reserve(ctx, p.pool.PriceTokens, &p.reservation); problem != nil {
 		return problem
 	}
-	p.billing.open(ctx)
+	p.billing.open(ctx, p.reservation.Tokens())
 	p.e.retries.deposit()
 	for {
 		retry, problem := p.attempt(ctx)
 		if problem == nil {
-			p.billing.settle(p.pool.PriceTokens)
+			p.billing.settle(&p.reservation, p.pool.PriceTokens)
 			p.billing.close(true)
 			p.deliver()
 			return nil
@@ -119,9 +121,9 @@
 // may have run, and nothing if it did not run.
 func (p *plainCall) settleFailed(problem *Problem) {
 	if problem.Outcome == outcome.NotRun {
-		p.billing.settle(0)
+		p.billing.settle(&p.reservation, 0)
 	} else {
-		p.billing.settle(p.pool.PriceTokens)
+		p.billing.settle(&p.reservation, p.pool.PriceTokens)
 	}
 	p.billing.close(false)
 }
@@ -132,13 +134,13 @@
 	if problem != nil {
 		return false, problem
 	}
-	lease, err := p.dispatch.Acquire(ctx, dispatch.Request{
+	lease, run, err := p.e.acquireAndStart(ctx, quarantineRun, p.dispatch, dispatch.Request{
 		Pool:    p.pool.Name,
 		Urgent:  p.pool.Urgent,
 		Tried:   p.triedUpstreams,
 		StartBy: p.r.deadline,
 	})
-	if err != nil {
+	if lease == nil {
 		quarantineRun.NoteEnd()
 		return false, acquireProblem(p.r, err)
 	}
@@ -146,7 +148,6 @@
 	p.e.Log.Event(eventlog.RequestDispatched, p.r.id, eventlog.Fields{"upstream": lease.Upstream.Name})
 	ctx, cancel := context.WithDeadline(ctx, p.r.deadline)
 	defer cancel()
-	run, err := p.e.startRunAt(ctx, quarantineRun, lease)
 	var answer *upstream.PlainAnswer
 	if err == nil {
 		answer, err = upstream.CallPlain(ctx, lease.Upstream.Address, p.call, &p.r.tracker)
--- a/pkg/httpcall/headlimit.go
+++ b/pkg/httpcall/headlimit.go
@@ -14,6 +14,9 @@
 // ErrHeadTooLong means that a response's head or trailers exceeded maxHeadBytes.
 var ErrHeadTooLong = errors.New("response head exceeds the limit")
 
+// ErrResponseTooLong means that a body that ends with its connection exceeded Options.MaxResponseBytes.
+var ErrResponseTooLong = errors.New("response exceeds the limit")
+
 // limitedConn bounds the parts of a response for which the HTTP library has no bound. The library reads a head or
 // trailers by asking again and again for one byte more than is buffered, until it can parse them, and the
 // line before a chunk byte by byte; other parts it reads with their length known.
@@ -23,7 +26,9 @@
 	growths int
 	// lineBytes is how many bytes were read one by one.
 	lineBytes int
-	exceeded  atomic.Bool
+	// maxBytes bounds the bytes that are read before Call returns; 0 for no bound. numBytes is how many were.
+	maxBytes, numBytes int
+	exceeded           atomic.Bool
 }
 
 // Peek implements network.Reader.
@@ -37,12 +42,16 @@
 	if n > buffered && buffered >= maxHeadBytes && c.growths > 1 {
 		return nil, c.exceed()
 	}
+	if c.maxBytes > 0 && c.numBytes > c.maxBytes {
+		return nil, ErrResponseTooLong
+	}
 	return c.Conn.Peek(n)
 }
 
 // Skip implements network.Reader.
 func (c *limitedConn) Skip(n int) error {
 	c.growths = 0
+	c.numBytes += n
 	return c.Conn.Skip(n)
 }
 
--- a/pkg/httpcall/httpcall.go
+++ b/pkg/httpcall/httpcall.go
@@ -27,6 +27,9 @@
 const (
 	defaultDialTimeout  = time.Second
 	maxIdleConnDuration = time.Second
+	// maxFramingFactor bounds the bytes read of a response, per byte of its largest body: small chunks
+	// take more bytes than their contents.
+	maxFramingFactor = 4
 )
 
 // Error reports the step at which a call failed and the address called.
@@ -51,8 +54,10 @@
 	Address string
 	// DialTimeout limits the time to establish the connection. Default 1 s.
 	DialTimeout time.Duration
-	// MaxResponseBytes limits the body of a response that is not streamed; 0
-	// means no limit.
+	// MaxResponseBytes limits the body of a response; 0 means no limit. Of a
+	// streamed body it limits what is read before Call returns, which is all of a
+	// body that ends with its connection. The library streams bodies of the type
+	// text/event-stream also without Stream.
 	MaxResponseBytes int
 	// Stream leaves the response body to be read by the caller.
 	Stream bool
@@ -70,7 +75,7 @@
 	if err := ctx.Err(); err != nil {
 		return func() {}, &Error{Step: "dial", Peer: opts.Address, Err: err}
 	}
-	dialer := &oneShotDialer{Dialer: standard.NewDialer(), onSending: opts.OnSending}
+	dialer := &oneShotDialer{Dialer: standard.NewDialer(), onSending: opts.OnSending, maxBytes: maxFramingFactor * opts.MaxResponseBytes}
 	host := newHostClient(opts, dialer)
 	req.SetConnectionClose()
 	stop := context.AfterFunc(ctx, dialer.close)
@@ -82,6 +87,7 @@
 		end()
 		return func() {}, &Error{Step: dialer.failedStep(), Peer: opts.Address, Err: withContextCause(ctx, dialer.cause(err))}
 	}
+	dialer.noteReturn()
 	return end, nil
 }
 
@@ -90,12 +96,16 @@
 	if dialTimeout <= 0 {
 		dialTimeout = defaultDialTimeout
 	}
+	maxBodyBytes := opts.MaxResponseBytes
+	if opts.Stream {
+		maxBodyBytes = 0 // a body of known length may be longer than what is read at once
+	}
 	host := http1.NewHostClient(&http1.ClientOptions{
 		Dialer:              dialer,
 		DialTimeout:         dialTimeout,
 		MaxConns:            1,
 		MaxIdleConnDuration: maxIdleConnDuration,
-		MaxResponseBodySize: opts.MaxResponseBytes,
+		MaxResponseBodySize: maxBodyBytes,
 		ResponseBodyStream:  opts.Stream,
 	})
 	host.SetDynamicConfig(&client.DynamicConfig{Addr: opts.Address})
@@ -114,6 +124,8 @@
 type oneShotDialer struct {
 	network.Dialer
 	onSending func()
+	// maxBytes bounds the bytes read before Call returns; 0 for no bound.
+	maxBytes int
 
 	mu     sync.Mutex
 	dialed bool
@@ -159,10 +171,17 @@
 	if d.onSending != nil {
 		d.onSending()
 	}
-	d.conn = &limitedConn{Conn: conn}
+	d.conn = &limitedConn{Conn: conn, maxBytes: d.maxBytes}
 	return d.conn, nil
 }
 
+// noteReturn lifts the limit on what is read, as the caller reads the rest of a streamed body.
+func (d *oneShotDialer) noteReturn() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conn.maxBytes = 0
+}
+
 // cause returns why a call failed. The library does not pass on the error of a head that is too long.
 func (d *oneShotDialer) cause(err error) error {
 	d.mu.Lock()
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -28,6 +28,7 @@
 const (
 	maxBodyBytes       = 16 << 20
 	bytesPerToken      = 4
+	maxTextBytes       = 64 << 10 // of one event of the EndlessText fault
 	loadReportInterval = 200 * time.Millisecond
 	defaultTokenMillis = 10
 )
@@ -59,6 +60,16 @@
 	WrongID bool `json:"wrong_id"`
 	// Frozen accepts requests and does not answer them.
 	Frozen bool `json:"frozen"`
+	// PauseMillis lets all streams fall silent for this long, in milliseconds, once, when a stream has
+	// sent PauseAfterTokens tokens; 0 for no pause.
+	PauseMillis      int64 `json:"pause_millis"`
+	PauseAfterTokens int   `json:"pause_after_tokens"`
+	// RefuseResumes answers requests for the rest of an answer as if their requests were unknown.
+	RefuseResumes bool `json:"refuse_resumes"`
+	// RepeatTokens is the number of tokens that each resumed stream repeats.
+	RepeatTokens int64 `json:"repeat_tokens"`
+	// EndlessText follows the first token of each stream with text without end.
+	EndlessText bool `json:"endless_text"`
 }
 
 // generation is the run of one request. It continues when the client's connection breaks.
@@ -81,9 +92,11 @@
 
 	mu sync.Mutex
 	// incarnation identifies this process in the header of every answer.
-	incarnation  string
-	generations  map[string]*generation
-	faults       Faults
+	incarnation string
+	generations map[string]*generation
+	faults      Faults
+	// pausedUntil ends the silence of the pause fault.
+	pausedUntil  time.Time
 	numRunning   int
 	numWaiting   int
 	reportedLoad string
@@ -184,7 +197,7 @@
 		return
 	}
 	id := string(c.GetHeader(chat.HeaderRequestID))
-	offset, resume := resumeOffset(c)
+	offset, resume := s.resumeOffset(c)
 	g, status := s.findOrStart(id, &req, resume)
 	if g == nil {
 		c.SetStatusCode(status)
@@ -202,10 +215,12 @@
 	c.JSON(consts.StatusOK, fullResponse(g, responseID, req.Model))
 }
 
-func resumeOffset(c *app.RequestContext) (int64, bool) {
+func (s *Server) resumeOffset(c *app.RequestContext) (int64, bool) {
 	text := string(c.GetHeader(chat.HeaderResumeOffset))
 	offset, err := strconv.ParseInt(text, 10, 64)
-	return offset, text != "" && err == nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(offset-s.faults.RepeatTokens, 0), text != "" && err == nil
 }
 
 func (s *Server) isFrozen() bool {
@@ -233,6 +248,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.generations[id]
+	if resume && s.faults.RefuseResumes {
+		return nil, consts.StatusGone
+	}
 	if resume {
 		return g, consts.StatusGone
 	}
@@ -344,9 +362,11 @@
 	for sent := offset; ; {
 		generated, isOver := g.waitForTokens(sent)
 		for ; sent < generated; sent++ {
+			s.pauseIfDue(sent)
 			if s.cutIfDue(c, sent) || writeToken(w, g, id, model, sent) != nil {
 				return
 			}
+			s.sendEndlessTextIfDue(w, id, model)
 		}
 		if isOver && sent == g.generatedTokens.Load() {
 			writeEnd(w, g, id, model)
@@ -355,6 +375,29 @@
 	}
 }
 
+// pauseIfDue starts the pause of the PauseMillis fault if it is due, and waits while a pause lasts.
+func (s *Server) pauseIfDue(sent int64) {
+	s.mu.Lock()
+	if s.faults.PauseMillis > 0 && sent >= int64(s.faults.PauseAfterTokens) {
+		s.pausedUntil = time.Now().Add(time.Duration(s.faults.PauseMillis) * time.Millisecond)
+		s.faults.PauseMillis = 0
+	}
+	remaining := time.Until(s.pausedUntil)
+	s.mu.Unlock()
+	time.Sleep(remaining)
+}
+
+// sendEndlessTextIfDue sends text until the connection is closed if the EndlessText fault is due.
+func (s *Server) sendEndlessTextIfDue(w *sse.Writer, id, model string) {
+	s.mu.Lock()
+	due := s.faults.EndlessText
+	s.mu.Unlock()
+	delta := &chat.Delta{Content: strings.Repeat("text ", maxTextBytes/len("text "))}
+	event := chat.Response{ID: id, Model: model, Choices: []chat.Choice{{Delta: delta}}}
+	for due && writeJSON(w, "", event) == nil {
+	}
+}
+
 // cutIfDue closes the connection if the CutAfterTokens fault is due.
 func (s *Server) cutIfDue(c *app.RequestContext, sent int64) bool {
 	s.mu.Lock()
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 
@@ -30,9 +31,9 @@
 	ErrOtherProcess = errors.New("another process answers at the address")
 	// ErrTruncated means that a stream ended without its end mark.
 	ErrTruncated = errors.New("stream ended without its end mark")
-	// ErrTooLong means that the answer, or its head, exceeded a limit: this side ended the connection.
+	// ErrTooLong means that the answer, its head or an event exceeded a limit: this side ended the connection.
 	ErrTooLong = errors.New("answer exceeds the limit")
-	// ErrIdleTimeout means that nothing was received for the idle timeout.
+	// ErrIdleTimeout means that an upstream was silent for longer than its answer may wait.
 	ErrIdleTimeout = errors.New("upstream fell silent")
 )
 
@@ -57,7 +58,8 @@
 func (e *CallError) Unwrap() error { return e.Err }
 
 func callError(address string, err error) error {
-	if errors.Is(err, httpcall.ErrHeadTooLong) || errors.Is(err, hertzerrors.ErrBodyTooLarge) {
+	if errors.Is(err, httpcall.ErrHeadTooLong) || errors.Is(err, httpcall.ErrResponseTooLong) ||
+		errors.Is(err, hertzerrors.ErrBodyTooLarge) {
 		err = &httpcall.Error{Step: "exchange", Peer: address, Err: errors.Join(ErrTooLong, err)}
 	}
 	var call *httpcall.Error
@@ -117,15 +119,31 @@
 	if resp.Header.Get(chat.HeaderRequestID) != r.ID {
 		return nil, &CallError{Step: "exchange", Peer: address, Status: resp.StatusCode(), Err: ErrRequestIDMismatch}
 	}
+	body, err := readBody(resp)
+	if err != nil {
+		return nil, &CallError{Step: "exchange", Peer: address, Status: resp.StatusCode(), Err: err}
+	}
 	return &PlainAnswer{
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
-		Body:        append([]byte(nil), resp.Body()...),
+		Body:        body,
 		Load:        parseLoad(resp.Header.Get(chat.HeaderLoad)),
 		Incarnation: resp.Header.Get(chat.HeaderIncarnation),
 	}, nil
 }
 
+// readBody returns a copy of a response's body. The library leaves a body of events to be read.
+func readBody(resp *protocol.Response) ([]byte, error) {
+	if !resp.IsBodyStream() {
+		return append([]byte(nil), resp.Body()...), nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = ErrTooLong
+	}
+	return body, err
+}
+
 // parseLoad parses "running/waiting" and returns the sum, or -1 if text is not a
 // valid load.
 func parseLoad(text string) float64 {
