--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -232,4 +232,44 @@
 try stops-wait-for-tunnels pkg/router/stop.go 's/return s\.stoppingClients\.NumActive\(\) \+ s\.tunnels\.NumActive\(\)/return s.stoppingClients.NumActive()/; s/for s\.tunnels\.NumActive\(\) > 0 \{/for false {/' pkg/router TestStopWaitsForTunnels
 try stopping-carriers-wait pkg/router/stop.go 's/return s\.stoppingClients\.NumActive\(\) \+ s\.tunnels\.NumActive\(\)/return s.stoppingClients.NumActive()/; s/for s\.tunnels\.NumActive\(\) > 0 \{/for false {/; s/unreadyPeriod = 3500 /unreadyPeriod = 1 /' test TestStoppingCarrierCutsNoRequest
 try wants-of-descriptors-pass pkg/httpserve/listener.go 's/if !isTransient\(err\) \{/if true {/' pkg/httpserve TestServerOutlivesAWantOfDescriptors
+try heads-are-bounded pkg/httpconn/headlimit.go 's/if !l\.limited \{/if true {/' pkg/httpconn TestHeadWithoutEndIsCutOff
+try head-bound-ends-with-the-head pkg/httpconn/headlimit.go 's/func \(l \*headLimit\) end\(\) \{ l\.limited = false \}/func (l *headLimit) end() {}/' pkg/httpconn TestBoundOnHeadsLeavesBodiesAndLaterHeadsAlone
+try long-heads-are-recognised pkg/httpconn/httpconn.go 's/if c\.limit\.exceeded \{/if errors.Is(err, ErrHeadTooLong) {/' pkg/httpconn TestHeadWithoutEndIsCutOff
+try answers-are-never-cut pkg/forward/answerbuffer.go 's/if len\(b\.data\) >= b\.limit \{\n\t\treturn errAnswerTooLong/if len(b.data) >= b.limit {\n\t\treturn io.EOF/' pkg/forward TestLongAnswerIsNeverCut
+try buffers-are-counted pkg/forward/answerbuffer.go 's/b\.memory\.Resize\(size\); err/error(nil); err/' pkg/forward TestSoundAnswersAreServedBesideEndlessOnes
+try endless-is-no-crash pkg/forward/attempt.go 's/failed\.connEnded = !isTooLong\(err\) && /failed.connEnded = /' pkg/forward TestRequestGoesElsewhereWhenAnUpstreamSendsWithoutEnd
+try events-end-in-two-reads pkg/forward/answerbuffer.go 's/max\(b\.searched-len\("\\r\\n\\r\\n"\)\+1, 0\)/b.searched/' pkg/forward TestEndOfAnEventIsFoundInTwoReads
+try largest-is-given-up pkg/answermem/answermem.go 's/victim := p\.largestAbove\(bytes\)/victim := (*Hold)(nil)/' pkg/answermem TestEndlessAnswersLeaveRoomForSmallOnes
+try whole-answers-stay pkg/answermem/answermem.go 's/bytes == 0 \|\| h\.whole/bytes == 0/; s/\tdelete\(h\.pool\.growing, h\)\n\treturn nil/\treturn nil/' pkg/answermem TestWholeAnswersAreNotGivenUp
+try small-buffers-are-spared pkg/answermem/answermem.go 's/bytes = max\(bytes, p\.spared\)//' pkg/answermem TestSmallBuffersAreSpared
+try answers-wait-for-slow-clients pkg/answermem/answermem.go 's/victim == nil && p\.used/false \&\& p.used/' pkg/forward TestAnswerWaitsForTheMemoryOfSlowClients
+try wait-for-room-ends pkg/answermem/answermem.go 's/case <-h\.ctx\.Done\(\):/case <-make(chan int):/' pkg/answermem TestWaitForRoomEnds
+try freed-memory-wakes pkg/answermem/answermem.go 's/\t\tclose\(p\.freed\)\n\t\tp\.freed = nil\n/\t\t_ = p.freed\n/' pkg/answermem TestLargestAnswerWaitsForWholeOnes
+try delivered-memory-is-returned pkg/forward/call.go 's/\t\ta\.discard\(\)\n\t\}\n\ttook/\t}\n\ttook/' pkg/forward TestLongAnswerIsNeverCut
+try memory-until-written pkg/httpserve/httpserve.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ts.active.Finish(ctx, c)/' pkg/httpserve TestOnWrittenWaitsForASlowClient
+try answer-memory-is-a-share pkg/settings/router.go 's/r\.MemoryMB << 20 \* answerMemoryPercent \/ 100/r.MemoryMB << 20/' pkg/settings TestMemoryForAnswersIsAShareOfTheProcess
+try own-door-heads pkg/httpcall/headlimit.go 's/buffered >= maxHeadBytes && c\.growths > 1/false/' pkg/httpcall TestHeadWithoutEndIsCutOff
+try own-door-chunk-lines pkg/httpcall/headlimit.go 's/c\.lineBytes > maxHeadBytes/false/' pkg/httpcall TestHeadWithoutEndIsCutOff
+try own-door-bodies-are-no-heads pkg/httpcall/headlimit.go 's/ && c\.growths > 1//' pkg/httpcall TestRestOfABodyIsNotTakenForAHead
+try own-door-too-long pkg/upstream/upstream.go 's/errors\.Is\(err, httpcall\.ErrHeadTooLong\) \|\|/false ||/' pkg/upstream TestAnswerWithoutEndIsTooLong
+try own-door-too-long-is-no-crash pkg/entry/crash.go 's/ \|\|\n\t\terrors\.Is\(err, upstream\.ErrTooLong\)//' pkg/entry TestAnswerWithoutEndIsNoEndedConnection
+try store-answers-are-never-cut platform/store.go 's/len\(answer\) > maxAnswerBytes/false/' platform TestEndlessAnswerIsAnError
+try copies-are-never-cut pkg/follow/pack.go 's/len\(encoded\) > maxUnpackedBytes/false/' pkg/follow TestCopyAboveTheLimitIsAnError
+try silent-connection-is-kept pkg/entry/delivery.go 's/d\.cancelReplacement\(\)\n\t\td\.replacement = d\.resume/d.current.cancel()\n\t\td.replacement = d.resume/' pkg/entry TestSilentEngineGoesOnThoughItRefusesResumes
+try silence-has-a-least-bound pkg/entry/delivery.go 's/minSilenceBound = 5 \* time\.Second/minSilenceBound = 0/' pkg/entry TestSilentEngineGoesOnWithoutRetries
+try silence-has-a-bound pkg/entry/delivery.go 's/if remaining <= 0 \{/if false {/' pkg/entry TestStreamOfASilentEngineEnds
+try another-engine-beside-a-silent-one pkg/entry/chat_attempts.go 's/c\.numRunning == 1 &&/false \&\&/' pkg/entry TestSilentEngineIsReplacedBeforeItIsGivenUp
+try sent-once-is-sent pkg/entry/chat.go 's/if !sent \{/if true {/' pkg/entry TestBrokenStreamOfAnUnreachableEngineIsBilled
+try one-attempt-answers pkg/entry/chat_attempts.go 's/if c\.chosen != nil \|\| a\.isCanceled \{/if c.chosen != nil {/' pkg/entry TestOnlyOneAttemptAnswers
+try repeated-tokens-are-dropped pkg/entry/delivery.go 's/return event\.Offset > 0 && event\.Offset <= d\.offset/return false/' pkg/entry TestDrawnSilencesEndNoAnswer
+try declined-attempts-return-tokens pkg/entry/attempt.go 's/\ta\.call\.billing\.settle\(&a\.reservation, 0\)\n//' pkg/entry TestDeclinedAttemptGivesBackWhatItHolds
+try declined-attempts-return-retries pkg/entry/attempt.go 's/\tif a\.isRetry \{\n\t\ta\.call\.e\.retries\.restore\(\)\n\t\}\n//' pkg/entry TestDeclinedAttemptGivesBackWhatItHolds
+try body-to-close-has-a-bound pkg/httpcall/headlimit.go 's/if c\.maxBytes > 0 && c\.numBytes > c\.maxBytes \{/if false {/' pkg/httpcall TestEndlessResponsesAreClosed
+try event-has-a-bound pkg/upstream/stream.go 's/if b\.remaining <= 0 \{/if false {/' pkg/upstream TestEndlessEventsAreClosed
+try plain-events-have-a-bound pkg/upstream/upstream.go 's/io\.LimitReader\(resp\.BodyStream\(\), maxAnswerBytes\+1\)/resp.BodyStream()/' pkg/upstream TestEndlessEventsOfPlainServicesAreClosed
+try answer-text-has-a-bound pkg/entry/delivery.go 's/d\.textBytes > maxAnswerTextBytes/false/' pkg/entry TestEndlessTextIsClosed
+try watched-requests-wait pkg/entry/incarnation.go 's/runQueryTimeout = 3 \* time\.Second/runQueryTimeout = incarnationTimeout/' pkg/entry TestWatchedRequestWaitsForASilentEngine
+try leaving-upstream-takes-no-retry pkg/entry/crash.go 's/if !errors\.Is\(err, errNotInService\) \{/if true {/' pkg/entry TestRequestOfALeavingUpstreamGoesElsewhere
+try canceled-is-no-success pkg/dispatch/picker.go 's/\tcase r\.Canceled:\n//' pkg/dispatch TestCanceledRequestsTellNothingAboutAnUpstream
+try plain-answers-may-be-long pkg/httpconn/silence.go 's/if wait, err = s\.watch\.OnSilence\(\); err != nil \{/if true {/' test TestLongPlainRequestsAreAnswered
 exit $status
