Own door: what has arrived comes before a silence

A client that reads slowly keeps the delivery in a write. When it returned, the time of a silence may have passed although the engine had sent meanwhile, and one of both was handled by chance. Found by reading; no test shows it.

--- a/pkg/entry/delivery.go
+++ b/pkg/entry/delivery.go
@@ -93,7 +93,7 @@
 				return err
 			}
 		case <-d.silence.C:
-			if err := d.handleSilence(ctx); err != nil {
+			if whole, err := d.handleTimer(ctx); whole || err != nil {
 				return err
 			}
 		case <-ctx.Done():
@@ -102,6 +102,18 @@
 	}
 }
 
+// handleTimer is called when the time of a silence is over. What has been received meanwhile comes first: a client
+// that reads slowly is no silence of the engine.
+func (d *delivery) handleTimer(ctx context.Context) (whole bool, err error) {
+	select {
+	case p := <-d.parts:
+		d.silence.Reset(minAskInterval)
+		return d.handlePart(ctx, p)
+	default:
+		return false, d.handleSilence(ctx)
+	}
+}
+
 // handlePart handles one part and reports whether the answer is whole.
 func (d *delivery) handlePart(ctx context.Context, p part) (whole bool, err error) {
 	switch {
