--- a/pkg/answermem/answermem.go
+++ b/pkg/answermem/answermem.go
@@ -62,8 +62,9 @@
 	whole   bool
 }
 
-// NewHold returns a hold of nothing. ctx ends with the request. onGivenUp is called at most once, from any goroutine, when the answer is
-// given up while it is being read: it must end the reading, after which the answer's memory is free.
+// NewHold returns a hold of nothing. ctx ends with the request. onGivenUp is called at most once, from any
+// goroutine, when the answer is given up while it is being read: it must end the reading, after which the
+// answer's memory is free.
 func (p *Pool) NewHold(ctx context.Context, onGivenUp func()) *Hold {
 	return &Hold{pool: p, ctx: ctx, onGivenUp: onGivenUp}
 }
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -142,12 +142,12 @@
 // onSilence is called while the current attempt a waits for its silent upstream. It returns how long to wait
 // until the next call, or errSuperseded if a hedge has an answer.
 func (c *call) onSilence(ctx context.Context, a *attempt) (time.Duration, error) {
-	for done := c.hedges.poll(); done != nil; done = c.hedges.poll() {
-		if done.failed == nil {
-			c.hedges.done <- done // for awaitHedge
+	for h := c.hedges.poll(); h != nil; h = c.hedges.poll() {
+		if h.failed == nil {
+			c.hedges.done <- h // for awaitHedge
 			return 0, errSuperseded
 		}
-		c.noteHedgeFailed(done)
+		c.noteHedgeFailed(h)
 	}
 	if !a.isSilent() {
 		return hedgeInterval, nil
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -96,7 +96,7 @@
 		server.WithMaxRequestBodySize(opts.MaxBodyBytes),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithReadTimeout(readTimeout),
-		server.WithOnAccept(limitFirstRead(readTimeout)),
+		server.WithOnAccept(prepareConn(readTimeout)),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithKeepAliveTimeout(idleTimeout),
 		server.WithExitWaitTime(exitTimeout),
@@ -147,11 +147,11 @@
 	}
 }
 
-// limitFirstRead returns a function that sets the read deadline for a connection's
-// first request, and passes the connection on in the context of its requests. The library applies its read timeout only from the second request
-// on, so a client that connects and sends half a body would hold the connection
-// forever.
-func limitFirstRead(bound time.Duration) func(net.Conn) context.Context {
+// prepareConn returns a function that sets the read deadline for a connection's
+// first request, and passes the connection on in the context of its requests. The
+// library applies its read timeout only from the second request on, so a client that
+// connects and sends half a body would hold the connection forever.
+func prepareConn(bound time.Duration) func(net.Conn) context.Context {
 	return func(accepted net.Conn) context.Context {
 		_ = accepted.SetReadDeadline(time.Now().Add(bound))
 		return context.WithValue(context.Background(), connKey{}, accepted)
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -196,7 +196,7 @@
 try moved-routes-refuse pkg/forward/origin.go 's/err == nil && !c\.route\.LeadsTo/false \&\& !c.route.LeadsTo/' pkg/forward TestStreamThatCannotGoOnIsRefusedAndNotRun
 try own-door-knows-the-process pkg/upstream/stream.go 's/incarnation != "" && s\.Incarnation != incarnation/false/' test TestCutStreamIsNotResumedAtAnotherProcess
 try silence-is-waited-for pkg/httpconn/silence.go 's/if wait, err = s\.watch\.OnSilence\(\); err != nil \{/if true {/' pkg/forward TestSilentUpstreamIsWaitedForWithoutARetry
-try failed-hedge-ends-nothing pkg/forward/hedge.go 's/if done\.failed == nil \{\n\t\t\tc\.hedges\.done <- done/if true {\n\t\t\tc.hedges.done <- done/' pkg/forward TestFailedAttemptBesideASilentOneEndsNothing
+try failed-hedge-ends-nothing pkg/forward/hedge.go 's/if h\.failed == nil \{\n\t\t\tc\.hedges\.done <- h/if true {\n\t\t\tc.hedges.done <- h/' pkg/forward TestFailedAttemptBesideASilentOneEndsNothing
 try silent-attempt-is-taken-over pkg/forward/hedge.go 's/if c\.unnumbered \|\| c\.numSent >= c\.route\.MaxAttempts \{\n\t\treturn false/if true {\n\t\treturn false/' pkg/forward TestAnotherUpstreamTakesOverFromASilentOne
 try one-upstream-goes-on pkg/forward/stream.go 's/\tc\.abandonHedges\(\)\n\tif !c\.begun \{\n\t\tc\.begun/\tif !c.begun {\n\t\tc.begun/' pkg/forward TestAttemptBesideOneThatGoesOnIsCanceled
 try unsent-is-no-retry pkg/forward/hedge.go 's/\tc\.serviceState\.limit\.Release\(h\.retry\)\n//' pkg/forward TestUnsentAttemptIsNoRetry
