--- a/pkg/forward/silence_test.go
+++ b/pkg/forward/silence_test.go
@@ -260,8 +260,7 @@
 	for _, c := range cases {
 		t.Run(c.description, func(t *testing.T) {
 			t.Parallel()
-			asked := func() bool { return c.second.served.Load() > 0 }
-			first := &silentUpstream{pauseBefore: 3, pause: silentTimeout / 2, until: asked, breakAfter: -1}
+			first := &silentUpstream{pauseBefore: 3, pause: silentTimeout / 2, until: afterServed(c.second), breakAfter: -1}
 			client := serveSilent(silentForwarder(t, routing.Stream, silentTimeout, manyRetries, first, c.second), "1")
 			if !client.isWhole() {
 				t.Errorf("the client got %q, refusal %v, aborted %t", client.body.String(), client.refusal, client.aborted)
@@ -273,6 +272,17 @@
 	}
 }
 
+// afterServed returns a function that reports whether an upstream was asked some time ago.
+func afterServed(u *silentUpstream) func() bool {
+	var servedAt time.Time
+	return func() bool {
+		if u.served.Load() > 0 && servedAt.IsZero() {
+			servedAt = time.Now()
+		}
+		return !servedAt.IsZero() && time.Since(servedAt) > silentFor
+	}
+}
+
 // Guards against clients that wait for an upstream that is silent for good while another one would answer,
 // and against an upstream that goes on with a request that another one has taken over.
 func TestAnotherUpstreamTakesOverFromASilentOne(t *testing.T) {
