Tests: requests in progress outlast shorter times, reloads, a stop and a leaving upstream beside a silence

Guards the mend of silent upstreams together with what else may end a request: routes whose time and clients whose idle time are shortened below what the answers take, a reload of all instances, a planned stop of one and an upstream that leaves, while all upstreams are silent for 1.5 s. 48 requests of the four kinds, one retry.

--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -275,6 +275,7 @@
 try leaving-upstream-takes-no-retry pkg/entry/crash.go 's/if !errors\.Is\(err, errNotInService\) \{/if true {/' pkg/entry TestRequestOfALeavingUpstreamGoesElsewhere
 try canceled-is-no-success pkg/dispatch/picker.go 's/\tcase r\.Canceled:\n//' pkg/dispatch TestCanceledRequestsTellNothingAboutAnUpstream
 try plain-answers-may-be-long pkg/httpconn/silence.go 's/if wait, err = s\.watch\.OnSilence\(\); err != nil \{/if true {/' test TestLongPlainRequestsAreAnswered
+try silence-beside-changes-ends-nothing pkg/httpconn/silence.go 's/if wait, err = s\.watch\.OnSilence\(\); err != nil \{/if true {/' test TestChangesBesideASilenceEndNoRequest
 try hedges-bring-something-new pkg/forward/attempt.go 's/case dropDelivered\(a\.events\.complete\(\), a\.resumeAfter\)\.hasData\(\):/case true:/' pkg/forward TestSilentUpstreamIsGivenUpOnlyForSomethingNew
 try slow-bytes-are-no-answer pkg/forward/attempt.go 's/if a\.events == nil \{\n\t\twatch\.CheckBy/if false {\n\t\twatch.CheckBy/' pkg/forward TestSlowBytesAreNoAnswer
 try hedges-own-their-bodies pkg/forward/hedge.go 's/slices\.Clone\(c\.r\.Body\)/c.r.Body/' pkg/forward TestHedgeSendsItsOwnCopyOfTheBody
--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -40,6 +40,10 @@
 	retryExtra int
 	// timeout is the timeout of all routes; 0 for routeTimeout.
 	timeout time.Duration
+	// idleTimeout is how long clients' connections may be idle; 0 for clientIdleTimeout.
+	idleTimeout time.Duration
+	// grace is how long a planned stop may take; 0 for gracePeriod.
+	grace time.Duration
 	// downtime is how long a crashed upstream is down.
 	downtime time.Duration
 }
@@ -56,6 +60,10 @@
 	streamEvents = 6
 	// routeTimeout is the timeout of a route unless the fleet has another.
 	routeTimeout = 3 * time.Second
+	// clientIdleTimeout is the idle time of clients' connections unless the fleet has another.
+	clientIdleTimeout = 15 * time.Second
+	// gracePeriod is the time for a planned stop unless the fleet has another.
+	gracePeriod = 6 * time.Second
 	// promptTokens and outputTokens bound what one stream costs: its prompt, and events
 	// of one token each.
 	promptTokens, outputTokens = 100, 20
@@ -124,7 +132,7 @@
 			{Name: "jobs", MaxConnections: 100},
 			{Name: "models", MaxConnections: 100, Engine: &routing.Engine{Slots: 64, MemoryTokens: 100000, TokensPerEvent: 1}},
 		},
-		Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3 * time.Second, IdleTimeout: cmp.Or(f.idleTimeout, clientIdleTimeout)},
 		Accounts: []routing.Account{
 			{Name: "crew", Keys: []string{routedKey}, Priority: -1, PrepaidTokens: f.prepaid},
 		},
@@ -170,8 +178,8 @@
 peer_address = %q
 admin_address = %q
 store_address = %q
-grace_seconds = 6.0
-`, n, domainOf(n), i.clientAddress, i.readyAddress, i.peerAddress, i.adminAddress, f.address)
+grace_seconds = %.1f
+`, n, domainOf(n), i.clientAddress, i.readyAddress, i.peerAddress, i.adminAddress, f.address, cmp.Or(f.grace, gracePeriod).Seconds())
 	if f.retryExtra > 0 {
 		text += fmt.Sprintf("retry_extra = %d\n", f.retryExtra)
 	}
--- a/test/silent_upstreams_test.go
+++ b/test/silent_upstreams_test.go
@@ -42,10 +42,10 @@
 }
 
 // newSilentFleet starts a fleet whose requests need no key.
-func newSilentFleet(t *testing.T, retryExtra int, timeout time.Duration) *silentFleet {
+func newSilentFleet(t *testing.T, retryExtra int, timeout, grace time.Duration) *silentFleet {
 	t.Helper()
 	f := &silentFleet{routedFleet: newRoutedFleet(t, 0, 0)}
-	f.withoutKeys, f.retryExtra, f.timeout = true, retryExtra, timeout
+	f.withoutKeys, f.retryExtra, f.timeout, f.grace = true, retryExtra, timeout, grace
 	f.writeConfig()
 	for n := range f.plainUpstreams {
 		f.plainRelays = append(f.plainRelays, f.startProxy(f.plainUpstreams[n], "jobs", n))
@@ -262,7 +262,7 @@
 	}
 	for _, c := range cases {
 		t.Run(fmt.Sprintf("%s %s of %s, %d retries", c.route, c.moment, c.description, c.retryExtra), func(t *testing.T) {
-			f := newSilentFleet(t, c.retryExtra, c.timeout)
+			f := newSilentFleet(t, c.retryExtra, c.timeout, gracePeriod)
 			if c.moment == withinBody {
 				f.setFaults(f.plainUpstreams, standin.UpstreamFaults{Delay: plainDuration, PaddingBytes: paddingBytes})
 			}
@@ -280,7 +280,7 @@
 func TestBrieflySilentUpstreamsEndNoRequestOfAnyKind(t *testing.T) {
 	for _, retryExtra := range []int{fewRetries, manyRetries} {
 		t.Run(fmt.Sprint(retryExtra, " retries"), func(t *testing.T) {
-			f := newSilentFleet(t, retryExtra, silentPlainTimeout)
+			f := newSilentFleet(t, retryExtra, silentPlainTimeout, gracePeriod)
 			all := append(append([]*relay.Relay{}, f.plainRelays...), f.engineRelays...)
 			f.checkKept(f.serveBeside(requestKinds, func() { f.silence(all, "", whileRunning) }))
 		})
@@ -291,7 +291,7 @@
 func TestLongPlainRequestsAreAnswered(t *testing.T) {
 	for _, retryExtra := range []int{fewRetries, manyRetries} {
 		t.Run(fmt.Sprint(retryExtra, " retries"), func(t *testing.T) {
-			f := newSilentFleet(t, retryExtra, routeTimeout)
+			f := newSilentFleet(t, retryExtra, routeTimeout, gracePeriod)
 			f.slowDown(longPlainDuration)
 			f.checkKept(f.serveBeside([]string{"safe"}, func() {}))
 		})
@@ -303,7 +303,7 @@
 func TestFrozenInstanceEndsNoRequest(t *testing.T) {
 	for _, retryExtra := range []int{fewRetries, manyRetries} {
 		t.Run(fmt.Sprint(retryExtra, " retries"), func(t *testing.T) {
-			f := newSilentFleet(t, retryExtra, silentPlainTimeout)
+			f := newSilentFleet(t, retryExtra, silentPlainTimeout, gracePeriod)
 			f.checkKept(f.serveBeside(requestKinds, func() {
 				f.awaitWork(0)
 				f.instances[0].signal(syscall.SIGSTOP)
