httpserve: the number of ended connections that are read on is bounded

A server reads on for up to a second after the last answer of a connection, until its client closes it too. Clients that do not close held one file descriptor each for that time, without a bound: 511 of 512 requests that asked for the end of their connection in TestFewEndedConnectionsAreReadOn, now 256 at most. Beyond the bound a connection is closed at once, as before connections were read on.

--- a/pkg/httpserve/conn.go
+++ b/pkg/httpserve/conn.go
@@ -11,9 +11,14 @@
 	"time"
 )
 
-// lingerTimeout bounds how long a connection that the server has ended is read on, until its client ends
-// it too.
-const lingerTimeout = time.Second
+// Bounds of reading on a connection that the server has ended, until its client ends it too.
+const (
+	// lingerTimeout bounds how long one connection is read.
+	lingerTimeout = time.Second
+	// maxLingering bounds how many connections of a server are read. Each holds a file descriptor, and
+	// clients decide how long.
+	maxLingering = 256
+)
 
 // connKey is the key of a connection in the context of its requests.
 type connKey struct{}
@@ -190,7 +195,8 @@
 	c.closed = true
 	lingers := c.server.lingers && !c.broken && !c.silent && c.numReading == 0
 	c.mu.Unlock()
-	if lingers {
+	if lingers && c.server.conns.beginLinger() {
+		defer c.server.conns.endLinger()
 		c.linger()
 	}
 	c.server.conns.remove(c)
@@ -211,6 +217,25 @@
 type connSet struct {
 	mu   sync.Mutex
 	open map[*conn]bool
+	// numLingering counts the connections that are read on after their end.
+	numLingering int
+}
+
+// beginLinger reports whether one more connection may be read on after its end; endLinger must follow then.
+func (s *connSet) beginLinger() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.numLingering >= maxLingering {
+		return false
+	}
+	s.numLingering++
+	return true
+}
+
+func (s *connSet) endLinger() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.numLingering--
 }
 
 func (s *connSet) add(c *conn) {
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -55,6 +55,7 @@
 try drain-waits pkg/instance/run.go 's/err := i\.clientServer\.AwaitIdle\(drainCtx\)/err := drainCtx.Err()/' test TestPlannedStopCutsNothing
 try answers-are-written-out pkg/httpserve/httpserve.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ts.active.end(c)/' test TestPlannedStopLeavesSlowClientsTheirAnswers
 try own-door-writes-answers-out pkg/httpserve/httpserve.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ts.active.end(c)/' test TestPlannedStopOfTheOwnDoorLeavesSlowClientsTheirAnswers
+try few-ended-connections-are-read-on pkg/httpserve/conn.go 's/if s\.numLingering >= maxLingering \{/if false {/' pkg/httpserve TestFewEndedConnectionsAreReadOn
 try replaced-drawer-declines pkg/prepaid/drawer.go 's/if req\.Drawer != n\.Self \{/if false {/' pkg/prepaid TestReplacedDrawerDeclines
 try exhausted-only-if-too-few pkg/prepaid/write.go 's/\(writes > 0 && b\.exceedsLedger\(need\)\)/writes > 0/; s/max\(target-b\.free, b\.waiting\)/target*0/; s/max\(b\.waiting-b\.free, 0\)/0/' pkg/prepaid TestTokensTakenByOthersAreNotExhaustion
 try strangers-try-little pkg/prepaid/write.go 's/if !n\.Fleet\.Joined\(\) \{/if false {/' pkg/prepaid TestFleetThatStartsUnderLoadLeavesTheStoreAlone
