Cut connections that the test relay is still setting up

Seen: TestBrokenStreamOfAnUnreachableEngineIsBilled red beside load: the answer arrived whole and was billed with its own count instead of the bound.

Cause 1: a connection was registered at the relay only after its connection to the target was set up, so a cut or the relay's end in between missed it. The test ends the relay just when the entry opens its second connection; the engine's rest came over that one.

Mend: a link counts as open from its acceptance, and is closed after its set-up if it was cut meanwhile.

The changed test: the engine stays silent until the relay ends, which is waited for until the rest is asked for after a token, because a slow start of the answer has the rest asked for before the first one. It also checks the delivered tokens now, and is otherwise as strict as before: not whole, not empty, one bill, billed at the bound.

--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -200,6 +200,17 @@
 	return count
 }
 
+// hasResumedAfterAToken reports whether the rest of an answer has been asked for.
+func (s *site) hasResumedAfterAToken() bool {
+	for _, event := range s.log.Recent("") {
+		offset, _ := event.Fields["offset"].(int64)
+		if event.Number == eventlog.RequestResumed && offset > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // await waits until a condition holds.
 func (s *site) await(what string, holds func() bool) {
 	s.t.Helper()
--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -170,15 +170,17 @@
 func TestBrokenStreamOfAnUnreachableEngineIsBilled(t *testing.T) {
 	s := newSite(t, 1, shortIdle)
 	link := s.putRelayBefore(0)
-	s.engines[0].SetFaults(engine.Faults{PauseMillis: pauseMillis, PauseAfterTokens: 5})
+	s.engines[0].SetFaults(engine.Faults{PauseMillis: time.Hour.Milliseconds(), PauseAfterTokens: 5})
 	replied := make(chan reply)
 	go func() { replied <- s.ask(true) }()
-	s.await("the engine to be silent", func() bool { return s.numEvents(eventlog.RequestResumed) > 0 })
+	s.await("the engine to be silent after a token", s.hasResumedAfterAToken)
 	link.Close()
 	r := <-replied
-	if text, whole := r.text(true); whole || text == "" {
+	text, whole := r.text(true)
+	if whole || text == "" {
 		t.Errorf("whole: %t, text %q of an engine that was cut off after five tokens", whole, text)
 	}
+	s.expectTokens(r.id, text)
 	s.expectBilled([]reply{r})
 	if s.budget.billed != s.maxCost() {
 		t.Errorf("billed %d tokens, the answer may have cost %d", s.budget.billed, s.maxCost())
--- a/pkg/standin/relay/relay.go
+++ b/pkg/standin/relay/relay.go
@@ -38,6 +38,7 @@
 // Relay is a running relay.
 type Relay struct {
 	target   string
+	dial     func(address string) (net.Conn, error)
 	listener net.Listener
 	control  *httpserve.Server
 
@@ -48,10 +49,12 @@
 	refused map[string]bool
 }
 
-// link is one forwarded connection. frozen is closed when the connection is frozen.
+// link is one forwarded connection. frozen is closed when the connection is frozen. target is nil until the
+// target is connected, and cut says that the link was closed; both are guarded by Relay.mu.
 type link struct {
 	client, target net.Conn
 	frozen         chan struct{}
+	cut            bool
 }
 
 // Start listens on an address and forwards connections to the target. If control is not empty, the
@@ -61,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{target: target, listener: listener, links: map[*link]bool{}, refused: map[string]bool{}}
+	r := &Relay{target: target, dial: dial, listener: listener, links: map[*link]bool{}, refused: map[string]bool{}}
 	if control != "" {
 		if err := r.startControl(control); err != nil {
 			return nil, err
@@ -71,6 +74,8 @@
 	return r, nil
 }
 
+func dial(address string) (net.Conn, error) { return net.Dial("tcp", address) }
+
 func (r *Relay) startControl(address string) error {
 	server, err := httpserve.Listen(httpserve.Options{Address: address, MaxBodyBytes: maxControlBytes})
 	if err != nil {
@@ -110,27 +115,49 @@
 
 // forward connects to the target and copies in both directions, until the link is closed or frozen.
 func (r *Relay) forward(client net.Conn) {
-	r.mu.Lock()
-	cut := r.faults.Cut
-	r.mu.Unlock()
-	if cut {
+	l := r.open(client)
+	if l == nil {
 		_ = client.Close()
 		return
 	}
-	target, err := net.Dial("tcp", r.target)
+	target, err := r.dial(r.target)
 	r.noteAccepted(client.RemoteAddr().String(), err == nil)
 	if err != nil {
-		_ = client.Close()
+		r.closeLink(l)
+		return
+	}
+	if !r.join(l, target) {
+		_ = target.Close()
 		return
 	}
-	l := &link{client: client, target: target, frozen: make(chan struct{})}
-	r.mu.Lock()
-	r.links[l] = true
-	r.mu.Unlock()
 	go r.copyBytes(l, client, target)
 	r.copyBytes(l, target, client)
 }
 
+// open returns an accepted connection's link, which counts as open from now on; nil if it is to be cut.
+func (r *Relay) open(client net.Conn) *link {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.faults.Cut {
+		return nil
+	}
+	l := &link{client: client, frozen: make(chan struct{})}
+	r.links[l] = true
+	return l
+}
+
+// join adds the connection to the target to a link, and reports false if the link was cut meanwhile.
+func (r *Relay) join(l *link, target net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l.cut {
+		delete(r.links, l)
+		return false
+	}
+	l.target = target
+	return true
+}
+
 // noteAccepted records whether the target accepted a client's connection.
 func (r *Relay) noteAccepted(client string, accepted bool) {
 	r.mu.Lock()
@@ -218,7 +245,11 @@
 	l.close()
 }
 
+// close closes the link's connections. The caller holds Relay.mu.
 func (l *link) close() {
+	l.cut = true
 	_ = l.client.Close()
-	_ = l.target.Close()
+	if l.target != nil {
+		_ = l.target.Close()
+	}
 }
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -262,6 +262,7 @@
 try silence-has-a-least-bound pkg/entry/delivery.go 's/minSilenceBound = 5 \* time\.Second/minSilenceBound = 0/' pkg/entry TestSilentEngineGoesOnWithoutRetries
 try silence-has-a-bound pkg/entry/delivery.go 's/if remaining <= 0 \{/if false {/' pkg/entry TestStreamOfASilentEngineEnds
 try another-engine-beside-a-silent-one pkg/entry/chat_attempts.go 's/c\.numRunning == 1 &&/false \&\&/' pkg/entry TestSilentEngineIsReplacedBeforeItIsGivenUp
+try connections-in-set-up-are-cut pkg/standin/relay/relay.go 's/if !r\.join\(l, target\) \{/if !r.join(l, target) \&\& false {/' pkg/standin/relay TestConnectionInSetUpIsCut
 try sent-once-is-sent pkg/entry/chat.go 's/if !sent \{/if true {/' pkg/entry TestBrokenStreamOfAnUnreachableEngineIsBilled
 try one-attempt-answers pkg/entry/chat_attempts.go 's/if c\.chosen != nil \|\| a\.isCanceled \{/if c.chosen != nil {/' pkg/entry TestOnlyOneAttemptAnswers
 try repeated-tokens-are-dropped pkg/entry/delivery.go 's/return event\.Offset > 0 && event\.Offset <= d\.offset/return false/' pkg/entry TestDrawnSilencesEndNoAnswer
