Ignore a SIGHUP from before the Go runtime starts

Seen: an instance that was started again after a planned stop did not come back; two SIGHUPs had reached it soon after its start.

Cause: the signal's handler is set when the command runs. Before that, the kernel's default, and then the Go runtime's, end the process.

Mend: a C constructor ignores the signal if the first argument is serve or route. The Go runtime leaves an ignored SIGHUP ignored until signal.Notify, which both commands call first. serve now reads its settings file again on SIGHUP and logs event 104 as route does. All other commands keep the default.

Tests: TestHangupBeforeMainEndsNoInstance holds the process in the initialization of its packages by a full pipe; red before for both commands. TestHangupHasTheSettingsReadAgain: red before for serve. TestHangupEndsOtherCommands was green before and is red if all commands ignore the signal.

--- a/cmd/lavenderring/main.go
+++ b/cmd/lavenderring/main.go
@@ -15,6 +15,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
+	"github.com/lavenderring/lavenderring/pkg/hangup"
 	"github.com/lavenderring/lavenderring/pkg/instance"
 	"github.com/lavenderring/lavenderring/pkg/operator"
 	"github.com/lavenderring/lavenderring/pkg/router"
@@ -190,7 +191,9 @@
 	}
 }
 
+// serve runs an instance. On SIGHUP it checks the settings file, like route.
 func serve(ctx context.Context, path string) error {
+	hangups := hangup.Receive()
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
@@ -199,6 +202,12 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range hangups {
+			_, err := settings.Load(path)
+			i.NoteSettings(err)
+		}
+	}()
 	return i.Run(ctx)
 }
 
@@ -206,9 +215,7 @@
 // settings file has changed, it only checks the file: the settings say where the
 // process runs and listens, which cannot change while it runs.
 func route(ctx context.Context, path string) error {
-	// The handler is set before anything else, because a SIGHUP without one ends the process.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+	hangups := hangup.Receive()
 	s, err := settings.LoadRouter(path)
 	if err != nil {
 		return err
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -137,6 +137,10 @@
 	return i, nil
 }
 
+// NoteSettings logs that the settings file was read again; err is what is wrong
+// with it. The instance keeps the settings that it was started with.
+func (i *Instance) NoteSettings(err error) { life.NoteSettings(i.log, err) }
+
 func (i *Instance) provisionTLS() error {
 	var err error
 	if files := i.settings.CallerTLS; files != (settings.TLSFiles{}) {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -317,13 +317,7 @@
 
 // NoteSettings logs that the settings file was read again; err is what is wrong
 // with it. The instance keeps the settings that it was started with.
-func (r *Router) NoteSettings(err error) {
-	fields := eventlog.Fields{"valid": err == nil}
-	if err != nil {
-		fields["cause"] = err.Error()
-	}
-	r.log.Event(eventlog.SettingsRead, "", fields)
-}
+func (r *Router) NoteSettings(err error) { life.NoteSettings(r.log, err) }
 
 // State returns the state of the instance's lifecycle.
 func (r *Router) State() string { return r.lifecycle.State() }
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -283,4 +283,8 @@
 try retries-after-unsent-hedges-count pkg/forward/attempt.go 's/case hedgeFailed\.sentSomething\(\):/case true:/' pkg/forward TestRetryAfterAnUnsentHedgeIsCounted
 try abandoned-unsent-hedges-are-uncounted pkg/forward/hedge.go 's/if p\.attempt\.gate\.close\(\) \{/if p.attempt.gate.close() \&\& false {/' pkg/forward TestAbandonedUnsentHedgeIsNoAttempt
 try gone-clients-get-no-answer pkg/forward/call.go 's/\t\}\)\n\tc\.client\.Abort\(\)\n/\t})\n/' pkg/forward TestClientThatLeavesGetsNoAnswer
+try hangups-are-ignored-before-main pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupBeforeMainEndsNoInstance
+try hangups-are-ignored-at-any-time pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupAtAnyTimeOfAStartEndsNoInstance
+try hangups-end-other-commands pkg/hangup/ignore.c 's/if \(runs_instance\(argc, argv\)\)/if (argc > 0)/' test TestHangupEndsOtherCommands
+try hangups-are-received pkg/hangup/hangup.go 's/signal\.Notify\(received, syscall\.SIGHUP\)/signal.Notify(received, syscall.SIGUSR1)/' test TestHangupHasTheSettingsReadAgain
 exit $status
