--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -263,6 +263,7 @@
 try silence-has-a-least-bound pkg/entry/delivery.go 's/minSilenceBound = 5 \* time\.Second/minSilenceBound = 0/' pkg/entry TestSilentEngineGoesOnWithoutRetries
 try silence-has-a-bound pkg/entry/delivery.go 's/if remaining <= 0 \{/if false {/' pkg/entry TestStreamOfASilentEngineEnds
 try another-engine-beside-a-silent-one pkg/entry/chat_attempts.go 's/c\.numRunning == 1 &&/false \&\&/' pkg/entry TestSilentEngineIsReplacedBeforeItIsGivenUp
+try connections-in-set-up-are-cut pkg/standin/relay/relay.go 's/if !r\.join\(l, target\) \{/if !r.join(l, target) \&\& false {/' pkg/standin/relay TestConnectionInSetUpIsCut
 try sent-once-is-sent pkg/entry/chat.go 's/if !sent \{/if true {/' pkg/entry TestBrokenStreamOfAnUnreachableEngineIsBilled
 try one-attempt-answers pkg/entry/chat_attempts.go 's/if c\.chosen != nil \|\| a\.isCanceled \{/if c.chosen != nil {/' pkg/entry TestOnlyOneAttemptAnswers
 try repeated-tokens-are-dropped pkg/entry/delivery.go 's/return event\.Offset > 0 && event\.Offset <= d\.offset/return false/' pkg/entry TestDrawnSilencesEndNoAnswer
@@ -284,4 +285,8 @@
 try retries-after-unsent-hedges-count pkg/forward/attempt.go 's/case hedgeFailed\.sentSomething\(\):/case true:/' pkg/forward TestRetryAfterAnUnsentHedgeIsCounted
 try abandoned-unsent-hedges-are-uncounted pkg/forward/hedge.go 's/if p\.attempt\.gate\.close\(\) \{/if p.attempt.gate.close() \&\& false {/' pkg/forward TestAbandonedUnsentHedgeIsNoAttempt
 try gone-clients-get-no-answer pkg/forward/call.go 's/\t\}\)\n\tc\.client\.Abort\(\)\n/\t})\n/' pkg/forward TestClientThatLeavesGetsNoAnswer
+try hangups-are-ignored-before-main pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupBeforeMainEndsNoInstance
+try hangups-are-ignored-at-any-time pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupAtAnyTimeOfAStartEndsNoInstance
+try hangups-end-other-commands pkg/hangup/ignore.c 's/if \(runs_instance\(argc, argv\)\)/if (argc > 0)/' test TestHangupEndsOtherCommands
+try hangups-are-received pkg/hangup/hangup.go 's/signal\.Notify\(received, syscall\.SIGHUP\)/signal.Notify(received, syscall.SIGUSR1)/' test TestHangupHasTheSettingsReadAgain
 exit $status
