Quarantine: a watched request gets no attempt beside a running one

Cause: an attempt beside a silent one asked the quarantine like a first attempt. That lets a request run while one ending is undecided, and as the one trial while crashes are known, because the silent attempt, which began before them, is no trial. Each failed attempt beside the silent one was followed by the next, up to the route's attempts; a trial whose end is overdue by five seconds got one, too. The own door asked likewise.

Table.BeginBeside refuses a request with any crash or undecided ending on its record, so that such a request runs at one upstream of a sending at a time. A request of which nothing is known is still sent to another upstream.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -16,8 +16,10 @@
 // attempt is one run of a model request on one engine. A request has a second one beside the first while
 // the first one's engine is silent.
 type attempt struct {
-	call        *chatCall
-	isRetry     bool
+	call    *chatCall
+	isRetry bool
+	// isBeside says that another attempt was running when this one was started.
+	isBeside    bool
 	reservation budget.Reservation
 	out         answerWriter
 	lease       *dispatch.Lease
@@ -63,9 +65,11 @@
 		}
 	}
 	c := a.call
-	quarantineRun, p := c.e.beginRun(c.r)
+	quarantineRun, p := a.beginRun()
 	if p != nil {
-		return a.decline(ctx, p)
+		end := a.decline(ctx, p)
+		end.superseded = end.superseded || a.isBeside // refused for the sake of the other attempt
+		return end
 	}
 	lease, run, err := c.e.acquireAndStart(ctx, quarantineRun, c.dispatch, dispatch.Request{
 		Pool:    c.pool.Name,
--- a/pkg/entry/chat_attempts.go
+++ b/pkg/entry/chat_attempts.go
@@ -26,7 +26,7 @@
 // startRetry starts an attempt on another engine.
 func (c *chatCall) startRetry(ctx context.Context) {
 	a := c.newAttempt()
-	a.isRetry = true
+	a.isRetry, a.isBeside = true, c.numRunning > 0
 	c.start(ctx, a)
 }
 
--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -52,6 +52,19 @@
 	return run, nil
 }
 
+// beginRun asks the quarantine whether the attempt may run now.
+func (a *attempt) beginRun() (quarantine.Run, *Problem) {
+	e, r := a.call.e, a.call.r
+	if !a.isBeside {
+		return e.beginRun(r)
+	}
+	run, err := e.Quarantine.BeginBeside(r, e.Now())
+	if err != nil {
+		return run, quarantineProblem(r, err)
+	}
+	return run, nil
+}
+
 // quarantineProblem tells the client why its request is not run. If an earlier attempt may have run
 // it, the outcome stays unknown.
 func quarantineProblem(r *request, err error) *Problem {
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -88,12 +88,12 @@
 	answer *wholeAnswer
 }
 
-// newAttempt chooses an upstream for one more attempt.
-func (c *call) newAttempt() (*attempt, *failure) {
+// newAttempt chooses an upstream for one more attempt, whose run begin starts.
+func (c *call) newAttempt(begin func() (quarantine.Run, *failure)) (*attempt, *failure) {
 	if c.remaining() <= minAttemptTime {
 		return nil, &failure{step: "choose", err: errNoTime, noRetry: true}
 	}
-	run, failed := c.beginRun()
+	run, failed := begin()
 	if failed != nil {
 		return nil, failed
 	}
@@ -111,7 +111,7 @@
 // tryUpstream makes an attempt at one more upstream, and at others beside it while it is silent. It returns
 // nil when the final answer has been delivered.
 func (c *call) tryUpstream(ctx context.Context) *failure {
-	a, failed := c.newAttempt()
+	a, failed := c.newAttempt(c.beginRun)
 	if failed != nil {
 		return failed
 	}
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -26,7 +26,16 @@
 // beginRun asks the quarantine whether the request may run now; it may have become suspected since
 // it arrived.
 func (c *call) beginRun() (quarantine.Run, *failure) {
-	run, err := c.f.Quarantine.Begin(c, c.f.Now())
+	return quarantined(c.f.Quarantine.Begin(c, c.f.Now()))
+}
+
+// beginRunBeside asks the quarantine whether the request may run beside an attempt that is silent.
+func (c *call) beginRunBeside() (quarantine.Run, *failure) {
+	return quarantined(c.f.Quarantine.BeginBeside(c, c.f.Now()))
+}
+
+// quarantined returns a run, or the failure of one that the quarantine refuses.
+func quarantined(run quarantine.Run, err error) (quarantine.Run, *failure) {
 	if err != nil {
 		return run, &failure{step: stepQuarantine, err: err, noRetry: true}
 	}
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -184,14 +184,15 @@
 	return c.f.Now().Sub(c.hedges.startedAt) >= bound
 }
 
-// startHedge starts an attempt beside a if the retry limit and the choice of an upstream allow it.
+// startHedge starts an attempt beside a if the retry limit, the quarantine and the choice of an upstream
+// allow it.
 func (c *call) startHedge(ctx context.Context, a *attempt) {
 	retry, allowed := c.serviceState.limit.Reserve(c.accountName())
 	if !allowed {
 		c.f.meters.hedgesDenied.Inc(1)
 		return
 	}
-	b, failed := c.newAttempt()
+	b, failed := c.newAttempt(c.beginRunBeside)
 	if failed != nil {
 		c.serviceState.limit.Release(retry)
 		return
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -253,6 +253,28 @@
 	return run, nil
 }
 
+// BeginBeside starts a further run of a request beside one that is still in progress. A request that is
+// watched is refused, as its runs must not multiply: each could end an upstream.
+func (t *Table) BeginBeside(request Request, now time.Time) (Run, error) {
+	if !t.Watching() {
+		return Run{table: t, request: request}, nil
+	}
+	f := request.Fingerprint()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	run := Run{table: t, request: request}
+	e := t.records[f]
+	switch {
+	case e == nil:
+		return run, nil
+	case e.isWatched():
+		return Run{}, &RefusedError{Fingerprint: f, Err: ErrTrialRuns}
+	}
+	run.knownCrashes, run.knownEndings = e.lastCrashOrdinal(), e.lastTurn()
+	return run, nil
+}
+
 // mustWait reports whether the request has to wait: a trial is running, or the request has undecided
 // endings in addition to a crash, or so many of them that they would condemn it if they were crashes.
 func (e *entry) mustWait(now time.Time) bool {
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -281,5 +281,9 @@
 try unreached-hedges-leave-upstreams pkg/forward/hedge.go 's/\tc\.tried = slices\.DeleteFunc\(c\.tried, func[^\n]*\n//' pkg/forward TestUnreachedHedgeLeavesItsUpstreamToTheRequest
 try retries-after-unsent-hedges-count pkg/forward/attempt.go 's/case hedgeFailed\.sentSomething\(\):/case true:/' pkg/forward TestRetryAfterAnUnsentHedgeIsCounted
 try abandoned-unsent-hedges-are-uncounted pkg/forward/hedge.go 's/if p\.attempt\.gate\.close\(\) \{/if p.attempt.gate.close() \&\& false {/' pkg/forward TestAbandonedUnsentHedgeIsNoAttempt
+try watched-requests-get-no-hedge pkg/forward/hedge.go 's/newAttempt\(c\.beginRunBeside\)/newAttempt(c.beginRun)/' pkg/forward TestWatchedRequestGetsNoAttemptBesideASilentOne
+try endings-elsewhere-forbid-hedges pkg/quarantine/table.go 's/\tcase e\.isWatched\(\):/\tcase e.StateAt(t.self) != Clear:/' pkg/forward TestEndingElsewhereKeepsARequestAtItsSilentUpstream
+try watched-requests-get-no-run-beside pkg/quarantine/table.go 's/\tcase e\.isWatched\(\):/\tcase e.isWatched() \&\& e.mustWait(now):/' pkg/quarantine TestWatchedRequestGetsNoRunBesideAnother
+try own-door-runs-nothing-watched-beside pkg/entry/chat_attempts.go 's/a\.isBeside = true, c\.numRunning > 0/a.isBeside = true, false/' pkg/entry TestWatchedRequestIsNotRunBesideASilentEngine
 try gone-clients-get-no-answer pkg/forward/call.go 's/\t\}\)\n\tc\.client\.Abort\(\)\n/\t})\n/' pkg/forward TestClientThatLeavesGetsNoAnswer
 exit $status
