Links: an instance's own delay is not taken for a lost link

What callers saw: on a busy machine instances whose links were cut, and their neighbours with sound links, refused up to 31 of 32 requests as overloaded after "every upstream in service has been tried".

Cause, traced from the instances' logs beside eight busy processes (load 27 to 31): nearly all connections failed with "context deadline exceeded" after 300 ms, directly and through others alike; some services counted as silent and connected again 10 to 60 ms later. The instance itself, or the one that was to carry the connection, did not get to its work in time.

Package owndelay measures how long goroutines wait for a processor and how late timers fire. When the time for a connection is over, it is extended by ten times that delay, to five times the usual time at most; up to 5 ms of delay nothing changes. A request's own deadline is not extended. A connection that was established by the time its deadline was noticed is used.

Evidence: TestOwnDelayIsNoLostLink (virtual time) failed before: the connection was given up after 300 ms. Part of what remains: an instance refused requests because it took its link for full.

--- a/pkg/httpconn/httpconn.go
+++ b/pkg/httpconn/httpconn.go
@@ -117,6 +117,11 @@
 func DialWith(ctx context.Context, dial DialFunc, address string, timeout time.Duration) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	return DialUntil(ctx, dial, address)
+}
+
+// DialUntil opens a connection by the function dial. It fails when ctx ends. Errors: *Error with step "dial".
+func DialUntil(ctx context.Context, dial DialFunc, address string) (*Conn, error) {
 	began := time.Now()
 	raw, err := dial(ctx, address)
 	if err != nil {
--- a/pkg/reach/connector.go
+++ b/pkg/reach/connector.go
@@ -65,14 +65,15 @@
 	err        error
 }
 
-// Connect opens a connection to an upstream within DialTimeout and the target's deadline. Errors:
-// *httpconn.Error with step "dial".
+// Connect opens a connection to an upstream within DialTimeout, which is extended while the instance itself is
+// late, and the target's deadline. Errors: *httpconn.Error with step "dial".
 func (c *Connector) Connect(ctx context.Context, target Target) (Connection, error) {
-	timeout := DialTimeout
 	if !target.Deadline.IsZero() {
-		timeout = min(timeout, target.Deadline.Sub(c.Direct.Now()))
+		untilDeadline, cancel := context.WithTimeout(ctx, target.Deadline.Sub(c.Direct.Now()))
+		defer cancel()
+		ctx = untilDeadline
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := c.Direct.Delay.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	a := &connecting{Connector: c, ctx: ctx, target: target}
 	defer a.abandon()
@@ -97,7 +98,7 @@
 	directErr, tunnelErr error
 }
 
-// run tries the preferred way, and the other one when the first fails or is slow.
+// run tries the preferred way first.
 func (a *connecting) run() (Connection, error) {
 	paths := a.Direct.Paths
 	a.reached = paths.Reaches(a.target.Service, a.target.Address)
@@ -109,6 +110,11 @@
 			a.startDirect()
 		}
 	}
+	return a.await()
+}
+
+// await waits for the ways that are being tried, and tries the other one when the first fails or is slow.
+func (a *connecting) await() (Connection, error) {
 	hedge := time.NewTimer(hedgeDelay)
 	defer hedge.Stop()
 	for a.continues() {
@@ -129,12 +135,31 @@
 		case <-hedge.C:
 			a.startTunnel()
 		case <-a.ctx.Done():
-			return Connection{}, a.ctx.Err()
+			return a.arrived()
 		}
 	}
 	return Connection{}, a.failure()
 }
 
+// arrived returns a connection that was established by the time at which its deadline was noticed. One that came
+// after the client left is kept by abandon.
+func (a *connecting) arrived() (Connection, error) {
+	if !errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
+		return Connection{}, a.ctx.Err()
+	}
+	for _, way := range []*chan attemptResult{&a.direct, &a.tunnel} {
+		select {
+		case r := <-*way:
+			*way = nil
+			if r.err == nil {
+				return r.connection, nil
+			}
+		default:
+		}
+	}
+	return Connection{}, a.ctx.Err()
+}
+
 // continues reports whether one of the ways is still being tried. If no other instance helps, a direct
 // connection is tried although the upstream does not count as reached, unless it would time out.
 func (a *connecting) continues() bool {
--- a/pkg/reach/direct.go
+++ b/pkg/reach/direct.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/owndelay"
 )
 
 // Target is an upstream to connect to.
@@ -35,6 +36,8 @@
 	// Link may be nil.
 	Link LinkObserver
 	Now  func() time.Time
+	// Delay extends the time for a connection while the instance itself is late; it may be nil.
+	Delay *owndelay.Meter
 	// OnOpened is called for each connection that was established; it may be nil.
 	OnOpened func()
 }
@@ -43,7 +46,9 @@
 // its result tells about the link. Errors: *httpconn.Error with step "dial".
 func (d *Direct) Connect(service, address string, timeout time.Duration) (*httpconn.Conn, error) {
 	began := d.Now()
-	conn, err := httpconn.DialWith(context.Background(), d.Dial, address, timeout)
+	ctx, cancel := d.Delay.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	conn, err := httpconn.DialUntil(ctx, d.Dial, address)
 	if d.Link != nil {
 		d.Link.ObserveConnect(address, d.Now().Sub(began))
 	}
--- a/pkg/router/background.go
+++ b/pkg/router/background.go
@@ -59,6 +59,7 @@
 	for _, follower := range r.followers {
 		r.runInBackground(follower.Run)
 	}
+	r.runInBackground(r.ownDelay.Run)
 	r.runInBackground(r.publisher.Run)
 	r.runInBackground(r.discovery.Run)
 	r.runInBackground(r.gossip.Run)
--- a/pkg/router/links.go
+++ b/pkg/router/links.go
@@ -24,6 +24,7 @@
 		Paths:    reach.NewPaths(time.Now, r.onPathChange),
 		Link:     r.overloadLimit,
 		Now:      time.Now,
+		Delay:    r.ownDelay,
 		OnOpened: func() { newConns.Inc(1) },
 	}
 	tunnels := tunnel.NewClient(r.incarnation, r.othersInRegion, r.peers, time.Now)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -26,6 +26,7 @@
 	"github.com/lavenderring/lavenderring/pkg/member/memberpb"
 	"github.com/lavenderring/lavenderring/pkg/origin"
 	"github.com/lavenderring/lavenderring/pkg/overload"
+	"github.com/lavenderring/lavenderring/pkg/owndelay"
 	"github.com/lavenderring/lavenderring/pkg/peer"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/quarantine/keeper"
@@ -98,6 +99,7 @@
 	tunnels       *tunnel.Service
 	coldLimit     *coldlimit.Limit
 	overloadLimit *overload.Limit
+	ownDelay      *owndelay.Meter
 	// loggedOverloaded is the overload state that was logged last. It needs no lock, because only
 	// the background task logOverload uses it.
 	loggedOverloaded bool
@@ -146,6 +148,7 @@
 		registry:      registry.New(time.Now),
 		conns:         httpconn.NewPool(time.Now),
 		overloadLimit: overload.New(time.Now),
+		ownDelay:      &owndelay.Meter{},
 		synced:        make(chan struct{}),
 	}
 	r.backgroundCtx, r.cancelBackground = context.WithCancel(context.Background())
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -169,6 +169,11 @@
 reach=pkg/reach tunnel=pkg/tunnel
 try lost-links-are-bypassed pkg/router/links.go 's/Direct: direct, Tunnels: tunnels,/Direct: direct,/' test TestInstanceWithoutUpstreamsServes
 try others-are-asked-after-a-failure $reach/connector.go 's/\t\t\ta\.directErr = r\.err\n\t\t\ta\.startTunnel\(\)/\t\t\ta.directErr = r.err/; s/case <-hedge\.C:\n\t\t\ta\.startTunnel\(\)/case <-hedge.C:/' $reach TestLostLinkIsBypassed
+try own-delay-is-no-lost-link $reach/direct.go 's/d\.Delay\.WithTimeout\(context/(*owndelay.Meter)(nil).WithTimeout(context/' $reach TestOwnDelayIsNoLostLink
+try own-delay-extends-no-deadline $reach/connector.go 's/if !target\.Deadline\.IsZero\(\)/if false/' $reach TestOwnDelayExtendsNoDeadline
+try arrived-connections-are-used $reach/connector.go 's/return a\.arrived\(\)/return Connection{}, a.ctx.Err()/' $reach TestConnectionThatHasArrivedIsUsed
+try late-waits-are-extended pkg/owndelay/owndelay.go 's/remaining := w\.meter\.Extend\(w\.timeout\)/remaining := w.timeout/' pkg/owndelay TestWaitIsExtendedByTheOwnDelay
+try old-delays-are-forgotten pkg/owndelay/owndelay.go 's/time\.Since\(m\.delays\[0\]\.at\) > lifetime/false/' pkg/owndelay TestDelaysAreForgotten
 try lost-links-are-known $reach/paths.go 's/len\(failed\) >= minFailedAddresses/len(failed) > 99/' $reach TestLostLinkIsKnownForTheWholeService
 try heard-is-reached $reach/paths.go 's/if f\.at\.After\(s\.heardAt\) \{/if true {/' $reach TestCrashedUpstreamsAreNoLostLink
 try connections-end-with-requests $reach/connector.go 's/timeout = min\(timeout, target\.Deadline\.Sub\(c\.Direct\.Now\(\)\)\)/_ = timeout/' $reach TestConnectionWaitsNoLongerThanTheRequest
