Overload: an instance's own delay is not taken for a full link

Cause: slow connections count as a full link unless messages to other instances are fast, and those were later than 60 ms because the instance, or the machine, was late, not its link. Replies are now fast within 60 ms extended by the own delay, 300 ms at most. Replies that are slower, or do not come, show a full link as before.

Evidence: TestOwnDelayIsNoFullLink (virtual time) fails without it.

--- a/pkg/overload/limit.go
+++ b/pkg/overload/limit.go
@@ -14,12 +14,15 @@
 //
 // Connections to upstreams are also slow, or never established, if the link does not lead to the
 // upstreams any more. Then messages to other instances are as fast as ever, which they are not over a
-// saturated link: while they are fast, there is no overload.
+// saturated link: while they are fast, there is no overload. Messages that are late because the instance's own
+// machine is busy count as fast.
 package overload
 
 import (
 	"sync"
 	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/owndelay"
 )
 
 // Parameters of the detection.
@@ -59,6 +62,10 @@
 
 // Limit limits the requests that an instance has in progress. It is safe for concurrent use.
 type Limit struct {
+	// Delay extends the time of a fast reply while the instance itself is late; it may be nil. It must be set
+	// before the limit is used.
+	Delay *owndelay.Meter
+
 	now func() time.Time
 
 	mu       sync.Mutex
@@ -126,7 +133,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance()
-	l.replies = append(l.replies, reply{l.now(), answered && duration <= maxFastReply})
+	l.replies = append(l.replies, reply{l.now(), answered && duration <= l.Delay.Extend(maxFastReply)})
 }
 
 // mostRepliesFast reports whether more than half of the messages to other instances were answered fast; false
--- a/pkg/router/links.go
+++ b/pkg/router/links.go
@@ -17,6 +17,7 @@
 
 // provisionLinks creates what connects the instance to upstreams, directly and through other instances.
 func (r *Router) provisionLinks() {
+	r.overloadLimit.Delay = r.ownDelay
 	newConns := metrics.GetOrRegisterCounter("forward.new_connections", r.metrics)
 	direct := &reach.Direct{
 		Dial:     r.platform.DialUpstream,
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -125,6 +125,7 @@
 try claims-are-brought-back pkg/claim/recovery.go 's/\t\t\ts\.Claims\[key\] = claim/\t\t\t_ = claim/' pkg/claim TestAtMostOneRequestOfAKeyRunsWhenTheStoreGoesBack
 try unsettled-keys-are-not-free pkg/claim/claimer.go 's/if s\.Unsettled && s\.Claims\[key\] == nil \{\n\t\t\treplace/if false {\n\t\t\treplace/' pkg/claim TestAtMostOneRequestOfAKeyRunsWhenTheStoreGoesBack
 try own-full-link-is-noticed pkg/overload/limit.go 's/\tcase slow:/\tcase slow \&\& false:/' pkg/overload TestOverloadedInstanceServesWhatItsLinkCarries
+try own-delay-is-no-full-link pkg/overload/limit.go 's/l\.Delay\.Extend\(maxFastReply\)/maxFastReply/' pkg/overload TestOwnDelayIsNoFullLink
 try told-meanwhile-is-kept pkg/prepaid/recovery.go 's/reported\.serial <= r\.mergedSerial/reported.serial >= 0/' pkg/prepaid TestWhatIsToldDuringAWriteIsNotLost
 try an-end-counts-once pkg/follow/freshness.go 's/at\.Sub\(s\.outageEndedAt\) < sameOutageTolerance/at.Before(s.outageEndedAt)/' pkg/follow TestEndOfAnOutageCountsOnceAndAsOfItsTime
 try cut-off-alone-is-no-outage pkg/follow/follow.go 's/outage := !f\.Confirmed\w+\(\)/outage := true/' pkg/follow TestInstanceThatIsCutOffAloneHasNoOutage
