Quarantine: a request is confirmed right before it is sent

What callers saw: nothing by itself; found by reading. The time for a connection lies between the quarantine's answer and the sending: 300 ms, and up to 1.5 s on a busy machine. A request that was let run while nothing was known was sent although equal requests had meanwhile ended upstreams elsewhere, its one trial ran there, or it had been condemned; so one more upstream could end.

Run.Confirm asks once more: the request is sent as it is, as the one trial, or not at all. An attempt beside a silent one is confirmed as such, and is no attempt if it may not be sent; the silent one goes on. The own door does not confirm yet.

Evidence: TestRequestThatBecameSuspectedIsNotSent and TestHedgeIsNotSentAfterAnEnding are sent once without the confirmation; the tables of package quarantine fail without its cases.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -226,7 +226,7 @@
 	if !a.lease.InService() {
 		return &failure{step: stepBeforeSend, peer: a.lease.Address, err: errLeaving, neutral: true}
 	}
-	return nil
+	return a.confirmRun()
 }
 
 // exchange sends the request and reads the head of the answer.
--- a/pkg/forward/beside_test.go
+++ b/pkg/forward/beside_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -77,3 +79,46 @@
 		t.Errorf("sent elsewhere %d times, want none; whole %t, refusal %v", second.served.Load(), client.isWhole(), client.refusal)
 	}
 }
+
+// Guards against a request that is sent although, while its connection was set up, it was condemned or the one
+// trial of it began at another instance.
+func TestRequestThatBecameSuspectedIsNotSent(t *testing.T) {
+	u := soundUpstream()
+	f := silentForwarder(t, routing.Stream, silentTimeout, manyRetries, u)
+	dialWith(f, func(ctx context.Context, to string) (net.Conn, error) {
+		run, err := f.Quarantine.Begin(equalRequest{}, time.Now())
+		if err != nil {
+			t.Error(err)
+			return nil, err
+		}
+		crash := run.NoteCrash(quarantine.Origin{}, quarantine.Upstream{ID: "u", Address: "at u", Incarnation: "u"}, time.Now())
+		crash.Judge()
+		if _, err := f.Quarantine.Begin(equalRequest{}, time.Now()); err != nil {
+			t.Error(err)
+		}
+		return httpconn.DialTCP(ctx, to)
+	})
+	client := serveSilent(f, "1")
+	if client.refusal == nil || client.refusal.Reason != Suspected || u.served.Load() != 0 {
+		t.Errorf("sent %d times, refusal %+v; want none, suspected", u.served.Load(), client.refusal)
+	}
+}
+
+// Guards against an attempt beside a silent one that is sent after an upstream ended under an equal request.
+func TestHedgeIsNotSentAfterAnEnding(t *testing.T) {
+	first, second := &silentUpstream{pause: silentFor, breakAfter: -1}, soundUpstream()
+	f := silentForwarder(t, routing.Stream, silentTimeout, manyRetries, first, second)
+	dialWith(f, func(ctx context.Context, to string) (net.Conn, error) {
+		if to == second.address {
+			run, err := f.Quarantine.Begin(equalRequest{}, time.Now())
+			if err == nil {
+				run.NoteConnectionEnd(quarantine.Origin{}, quarantine.Upstream{ID: "u", Address: "at u", Incarnation: "u"}, time.Now())
+			}
+		}
+		return httpconn.DialTCP(ctx, to)
+	})
+	client := serveSilent(f, "1")
+	if !client.isWhole() || second.served.Load() != 0 {
+		t.Errorf("sent elsewhere %d times, want none; whole %t, refusal %v", second.served.Load(), client.isWhole(), client.refusal)
+	}
+}
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -226,6 +226,7 @@
 	errAllTried        = errors.New("every upstream in service has been tried")
 	errOverloaded      = errors.New("the network link of this instance is saturated")
 	errLeaving         = errors.New("upstream left service before the request was sent")
+	errEnded           = errors.New("upstream may have ended under an equal request before this one was sent")
 	errNoTime          = errors.New("no time left")
 	errConnections     = errors.New("connection limit of the upstream reached")
 	errAnswerMismatch  = errors.New("answer carries another request's id")
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -42,6 +42,25 @@
 	return run, nil
 }
 
+// confirmRun asks the quarantine once more before the request is sent: while the connection was set up, upstreams
+// may have ended under equal requests.
+func (a *attempt) confirmRun() *failure {
+	f := a.c.f
+	wasWatched := a.run.IsWatched()
+	run, err := a.run.Confirm(f.Now())
+	if err != nil && a.gate != nil {
+		return &failure{step: stepBeforeSend, peer: a.lease.Address, err: err, neutral: true} // the other attempt goes on
+	}
+	if err != nil {
+		return &failure{step: stepQuarantine, err: err, neutral: true, noRetry: true}
+	}
+	a.run = run
+	if run.IsTrial() && !wasWatched && a.c.processMayHaveEnded(a.lease) {
+		return &failure{step: stepBeforeSend, peer: a.lease.Address, err: errEnded, neutral: true}
+	}
+	return nil
+}
+
 // chooseForRun leases an upstream for a run. A request that may crash upstreams is not sent to one whose
 // process may have ended, since that process could not be distinguished from the next one at its address. If
 // there is no other upstream, a request that is not suspected yet is sent there all the same.
--- a/pkg/quarantine/beside_test.go
+++ b/pkg/quarantine/beside_test.go
@@ -73,3 +73,56 @@
 		t.Errorf("%d crashes, want 2", crashes)
 	}
 }
+
+// Guards against a request that runs although upstreams ended under equal ones while its connection was set up.
+func TestRunIsConfirmedBeforeItIsSent(t *testing.T) {
+	const body = "watched"
+	cases := []struct {
+		description string
+		crashes     int
+		trialRuns   bool
+		want        error
+		trial       bool
+	}{
+		{"nothing happened", 0, false, nil, false},
+		{"a crash", 1, false, nil, true},
+		{"a crash, and its trial runs elsewhere", 1, true, ErrTrialRuns, false},
+		{"condemned", CondemnAfter, false, ErrCondemned, false},
+	}
+	for _, c := range cases {
+		t.Run(c.description, func(t *testing.T) {
+			table := NewTable("a", nil)
+			run := mustBegin(t, table, body)
+			for n := range c.crashes {
+				runAndCrash(t, table, body, n)
+			}
+			if c.trialRuns {
+				mustBegin(t, table, body)
+			}
+			confirmed, err := run.Confirm(startTime)
+			if !errors.Is(err, c.want) || (c.want == nil && confirmed.IsTrial() != c.trial) {
+				t.Errorf("got error %v, trial %t; want %v, %t", err, confirmed.IsTrial(), c.want, c.trial)
+			}
+			if _, again := table.Begin(bodyRequest(body), startTime); c.trial && !errors.Is(again, ErrTrialRuns) {
+				t.Errorf("beside the confirmed trial: got error %v", again)
+			}
+		})
+	}
+}
+
+// Guards against a run beside another one that is sent although an ending became known meanwhile.
+func TestRunBesideAnotherIsConfirmedBeforeItIsSent(t *testing.T) {
+	table := NewTable("a", nil)
+	running := mustBegin(t, table, "body")
+	beside, err := table.BeginBeside(bodyRequest("body"), startTime)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := beside.Confirm(startTime); err != nil {
+		t.Errorf("before the ending: %v", err)
+	}
+	running.NoteConnectionEnd(testOrigin, upstreamNamed("u"), startTime)
+	if _, err := beside.Confirm(startTime); !errors.Is(err, ErrTrialRuns) {
+		t.Errorf("after the ending: got error %v, want ErrTrialRuns", err)
+	}
+}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -206,6 +206,8 @@
 	watched bool
 	// trial is the ordinal of the trial; 0 if the request is not suspected.
 	trial uint32
+	// beside reports that the run began beside another one.
+	beside bool
 }
 
 // IsWatched reports whether an upstream crashed under the request, or may have. For such a request it is
@@ -256,14 +258,14 @@
 // BeginBeside starts a further run of a request beside one that is still in progress. A request that is
 // watched is refused, as its runs must not multiply: each could end an upstream.
 func (t *Table) BeginBeside(request Request, now time.Time) (Run, error) {
+	run := Run{table: t, request: request, beside: true}
 	if !t.Watching() {
-		return Run{table: t, request: request}, nil
+		return run, nil
 	}
 	f := request.Fingerprint()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	run := Run{table: t, request: request}
 	e := t.records[f]
 	switch {
 	case e == nil:
@@ -275,6 +277,19 @@
 	return run, nil
 }
 
+// Confirm is called before the request is sent, which may be some time after the run began. It returns the run
+// with what is known now, or a *RefusedError if the request may not run any more.
+func (r Run) Confirm(now time.Time) (Run, error) {
+	switch {
+	case !r.table.Watching() || r.trial > 0:
+		return r, nil
+	case r.beside:
+		return r.table.BeginBeside(r.request, now)
+	default:
+		return r.table.Begin(r.request, now)
+	}
+}
+
 // mustWait reports whether the request has to wait: a trial is running, or the request has undecided
 // endings in addition to a crash, or so many of them that they would condemn it if they were crashes.
 func (e *entry) mustWait(now time.Time) bool {
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -291,5 +291,9 @@
 try endings-elsewhere-forbid-hedges pkg/quarantine/table.go 's/\tcase e\.isWatched\(\):/\tcase e.StateAt(t.self) != Clear:/' pkg/forward TestEndingElsewhereKeepsARequestAtItsSilentUpstream
 try watched-requests-get-no-run-beside pkg/quarantine/table.go 's/\tcase e\.isWatched\(\):/\tcase e.isWatched() \&\& e.mustWait(now):/' pkg/quarantine TestWatchedRequestGetsNoRunBesideAnother
 try own-door-runs-nothing-watched-beside pkg/entry/chat_attempts.go 's/a\.isBeside = true, c\.numRunning > 0/a.isBeside = true, false/' pkg/entry TestWatchedRequestIsNotRunBesideASilentEngine
+try runs-are-confirmed-before-sending pkg/forward/attempt.go 's/return a\.confirmRun\(\)/return nil/' pkg/forward TestRequestThatBecameSuspectedIsNotSent
+try hedges-are-confirmed-before-sending pkg/forward/attempt.go 's/return a\.confirmRun\(\)/return nil/' pkg/forward TestHedgeIsNotSentAfterAnEnding
+try condemned-meanwhile-is-not-sent pkg/quarantine/table.go 's/\tcase !r\.table\.Watching\(\) \|\| r\.trial > 0:/\tcase true:/' pkg/quarantine TestRunIsConfirmedBeforeItIsSent
+try runs-beside-others-stay-beside pkg/quarantine/table.go 's/\tcase r\.beside:/\tcase false:/' pkg/quarantine TestRunBesideAnotherIsConfirmedBeforeItIsSent
 try gone-clients-get-no-answer pkg/forward/call.go 's/\t\}\)\n\tc\.client\.Abort\(\)\n/\t})\n/' pkg/forward TestClientThatLeavesGetsNoAnswer
 exit $status
