--- a/pkg/router/links.go
+++ b/pkg/router/links.go
@@ -17,6 +17,7 @@
 
 // provisionLinks creates what connects the instance to upstreams, directly and through other instances.
 func (r *Router) provisionLinks() {
+	r.overloadLimit.Delay = r.ownDelay
 	newConns := metrics.GetOrRegisterCounter("forward.new_connections", r.metrics)
 	direct := &reach.Direct{
 		Dial:     r.platform.DialUpstream,
@@ -24,6 +25,7 @@
 		Paths:    reach.NewPaths(time.Now, r.onPathChange),
 		Link:     r.overloadLimit,
 		Now:      time.Now,
+		Delay:    r.ownDelay,
 		OnOpened: func() { newConns.Inc(1) },
 	}
 	tunnels := tunnel.NewClient(r.incarnation, r.othersInRegion, r.peers, time.Now)
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -126,6 +126,7 @@
 try claims-are-brought-back pkg/claim/recovery.go 's/\t\t\ts\.Claims\[key\] = claim/\t\t\t_ = claim/' pkg/claim TestAtMostOneRequestOfAKeyRunsWhenTheStoreGoesBack
 try unsettled-keys-are-not-free pkg/claim/claimer.go 's/if s\.Unsettled && s\.Claims\[key\] == nil \{\n\t\t\treplace/if false {\n\t\t\treplace/' pkg/claim TestAtMostOneRequestOfAKeyRunsWhenTheStoreGoesBack
 try own-full-link-is-noticed pkg/overload/limit.go 's/\tcase slow:/\tcase slow \&\& false:/' pkg/overload TestOverloadedInstanceServesWhatItsLinkCarries
+try own-delay-is-no-full-link pkg/overload/limit.go 's/l\.Delay\.Extend\(maxFastReply\)/maxFastReply/' pkg/overload TestOwnDelayIsNoFullLink
 try told-meanwhile-is-kept pkg/prepaid/recovery.go 's/reported\.serial <= r\.mergedSerial/reported.serial >= 0/' pkg/prepaid TestWhatIsToldDuringAWriteIsNotLost
 try an-end-counts-once pkg/follow/freshness.go 's/at\.Sub\(s\.outageEndedAt\) < sameOutageTolerance/at.Before(s.outageEndedAt)/' pkg/follow TestEndOfAnOutageCountsOnceAndAsOfItsTime
 try cut-off-alone-is-no-outage pkg/follow/follow.go 's/outage := !f\.Confirmed\w+\(\)/outage := true/' pkg/follow TestInstanceThatIsCutOffAloneHasNoOutage
@@ -170,6 +171,11 @@
 reach=pkg/reach tunnel=pkg/tunnel
 try lost-links-are-bypassed pkg/router/links.go 's/Direct: direct, Tunnels: tunnels,/Direct: direct,/' test TestInstanceWithoutUpstreamsServes
 try others-are-asked-after-a-failure $reach/connector.go 's/\t\t\ta\.directErr = r\.err\n\t\t\ta\.startTunnel\(\)/\t\t\ta.directErr = r.err/; s/case <-hedge\.C:\n\t\t\ta\.startTunnel\(\)/case <-hedge.C:/' $reach TestLostLinkIsBypassed
+try own-delay-is-no-lost-link $reach/direct.go 's/d\.Delay\.WithTimeout\(context/(*owndelay.Meter)(nil).WithTimeout(context/' $reach TestOwnDelayIsNoLostLink
+try own-delay-extends-no-deadline $reach/connector.go 's/if !target\.Deadline\.IsZero\(\)/if false/' $reach TestOwnDelayExtendsNoDeadline
+try arrived-connections-are-used $reach/connector.go 's/return a\.arrived\(\)/return Connection{}, a.ctx.Err()/' $reach TestConnectionThatHasArrivedIsUsed
+try late-waits-are-extended pkg/owndelay/owndelay.go 's/remaining := w\.meter\.Extend\(w\.timeout\)/remaining := w.timeout/' pkg/owndelay TestWaitIsExtendedByTheOwnDelay
+try old-delays-are-forgotten pkg/owndelay/owndelay.go 's/time\.Since\(m\.delays\[0\]\.at\) > lifetime/false/' pkg/owndelay TestDelaysAreForgotten
 try lost-links-are-known $reach/paths.go 's/len\(failed\) >= minFailedAddresses/len(failed) > 99/' $reach TestLostLinkIsKnownForTheWholeService
 try heard-is-reached $reach/paths.go 's/if f\.at\.After\(s\.heardAt\) \{/if true {/' $reach TestCrashedUpstreamsAreNoLostLink
 try connections-end-with-requests $reach/connector.go 's/timeout = min\(timeout, target\.Deadline\.Sub\(c\.Direct\.Now\(\)\)\)/_ = timeout/' $reach TestConnectionWaitsNoLongerThanTheRequest
@@ -288,6 +294,10 @@
 try endings-elsewhere-forbid-hedges pkg/quarantine/table.go 's/\tcase e\.isWatched\(\):/\tcase e.StateAt(t.self) != Clear:/' pkg/forward TestEndingElsewhereKeepsARequestAtItsSilentUpstream
 try watched-requests-get-no-run-beside pkg/quarantine/table.go 's/\tcase e\.isWatched\(\):/\tcase e.isWatched() \&\& e.mustWait(now):/' pkg/quarantine TestWatchedRequestGetsNoRunBesideAnother
 try own-door-runs-nothing-watched-beside pkg/entry/chat_attempts.go 's/a\.isBeside = true, c\.numRunning > 0/a.isBeside = true, false/' pkg/entry TestWatchedRequestIsNotRunBesideASilentEngine
+try runs-are-confirmed-before-sending pkg/forward/attempt.go 's/return a\.confirmRun\(\)/return nil/' pkg/forward TestRequestThatBecameSuspectedIsNotSent
+try hedges-are-confirmed-before-sending pkg/forward/attempt.go 's/return a\.confirmRun\(\)/return nil/' pkg/forward TestHedgeIsNotSentAfterAnEnding
+try condemned-meanwhile-is-not-sent pkg/quarantine/table.go 's/\tcase !r\.table\.Watching\(\) \|\| r\.trial > 0:/\tcase true:/' pkg/quarantine TestRunIsConfirmedBeforeItIsSent
+try runs-beside-others-stay-beside pkg/quarantine/table.go 's/\tcase r\.beside:/\tcase false:/' pkg/quarantine TestRunBesideAnotherIsConfirmedBeforeItIsSent
 try gone-clients-get-no-answer pkg/forward/call.go 's/\t\}\)\n\tc\.client\.Abort\(\)\n/\t})\n/' pkg/forward TestClientThatLeavesGetsNoAnswer
 try hangups-are-ignored-before-main pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupBeforeMainEndsNoInstance
 try hangups-are-ignored-at-any-time pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupAtAnyTimeOfAStartEndsNoInstance
