Take a connection that was established when the time ran out

Seen: beside load, requests to a service with one upstream refused as overloaded with "every upstream in service has been tried" (TestSoundAnswersAreServedBesideEndlessOnes). Cause, of a part of them: a process that is kept from running for the 300 ms that a connection may take sees the connection and the end of the time at once. It chose any of the two; with the end of the time it left the connection to the pool and failed.

Mend: at the end of the time an established connection is taken, unless the client has left or the request's own deadline has passed: such a request would be sent, and count as one that may have run, for nothing.

--- a/pkg/reach/connector.go
+++ b/pkg/reach/connector.go
@@ -129,12 +129,38 @@
 		case <-hedge.C:
 			a.startTunnel()
 		case <-a.ctx.Done():
-			return Connection{}, a.ctx.Err()
+			return a.takeEstablished()
 		}
 	}
 	return Connection{}, a.failure()
 }
 
+// takeEstablished returns a connection that was established before the time was over: a busy process may see both
+// at once. It returns none if the request needs none any more.
+func (a *connecting) takeEstablished() (Connection, error) {
+	err := a.ctx.Err()
+	if !errors.Is(err, context.DeadlineExceeded) || a.isLate() {
+		return Connection{}, err
+	}
+	for _, results := range []*chan attemptResult{&a.direct, &a.tunnel} {
+		select {
+		case r := <-*results: // never for a way that is not being tried
+			*results = nil
+			if r.err == nil {
+				return r.connection, nil
+			}
+		default:
+		}
+	}
+	return Connection{}, err
+}
+
+// isLate reports whether the target's deadline has passed.
+func (a *connecting) isLate() bool {
+	deadline := a.target.Deadline
+	return !deadline.IsZero() && !a.Direct.Now().Before(deadline)
+}
+
 // continues reports whether one of the ways is still being tried. If no other instance helps, a direct
 // connection is tried although the upstream does not count as reached, unless it would time out.
 func (a *connecting) continues() bool {
--- a/pkg/reach/connector_test.go
+++ b/pkg/reach/connector_test.go
@@ -261,3 +261,51 @@
 		}
 	})
 }
+
+// connectingWith returns a call of Connect that is being made, with a connection that was established directly or
+// through another instance.
+func connectingWith(ctx context.Context, deadline time.Time, tunnelled bool) *connecting {
+	a := &connecting{
+		Connector: newSimulation("up", false).connector, ctx: ctx, target: Target{Service: "s", Address: "a", Deadline: deadline},
+		directTried: true, tunnelTried: true,
+	}
+	near, _ := net.Pipe()
+	results := make(chan attemptResult, 1)
+	results <- attemptResult{connection: Connection{Conn: httpconn.NewConn(near, "a")}}
+	if tunnelled {
+		a.direct, a.tunnel = make(chan attemptResult), results
+	} else {
+		a.direct = results
+	}
+	return a
+}
+
+// Guards against requests that are refused although a connection was established in time: a busy process sees the
+// connection and the end of the time at once.
+func TestConnectionEstablishedInTimeIsTaken(t *testing.T) {
+	expired, cancel := context.WithDeadline(t.Context(), time.Now())
+	defer cancel()
+	for _, tunnelled := range []bool{false, true} {
+		for _, deadline := range []time.Time{{}, time.Now().Add(time.Hour)} {
+			for range 100 { // of what is ready, Go chooses any
+				if _, err := connectingWith(expired, deadline, tunnelled).run(); err != nil {
+					t.Fatalf("tunnelled %t, deadline %v: %v", tunnelled, deadline, err)
+				}
+			}
+		}
+	}
+}
+
+// Guards against requests that are sent, and count as possibly run, although they are over.
+func TestConnectionIsNotTakenForARequestThatIsOver(t *testing.T) {
+	expired, cancelExpired := context.WithDeadline(t.Context(), time.Now())
+	defer cancelExpired()
+	if _, err := connectingWith(expired, time.Now(), false).takeEstablished(); err == nil {
+		t.Error("taken after the request's deadline")
+	}
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := connectingWith(canceled, time.Time{}, false).takeEstablished(); err == nil {
+		t.Error("taken for a client that is gone")
+	}
+}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -287,4 +287,6 @@
 try hangups-are-ignored-at-any-time pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupAtAnyTimeOfAStartEndsNoInstance
 try hangups-end-other-commands pkg/hangup/ignore.c 's/if \(runs_instance\(argc, argv\)\)/if (argc > 0)/' test TestHangupEndsOtherCommands
 try hangups-are-received pkg/hangup/hangup.go 's/signal\.Notify\(received, syscall\.SIGHUP\)/signal.Notify(received, syscall.SIGUSR1)/' test TestHangupHasTheSettingsReadAgain
+try established-connections-are-taken pkg/reach/connector.go 's/return a\.takeEstablished\(\)/return Connection{}, a.ctx.Err()/' pkg/reach TestConnectionEstablishedInTimeIsTaken
+try no-connection-for-what-is-over pkg/reach/connector.go 's/ \|\| a\.isLate\(\) \{/ \&\& !a.isLate() \&\& false {/' pkg/reach TestConnectionIsNotTakenForARequestThatIsOver
 exit $status
