Merge connections that were established when their time ran out

Two mends of the same race met here: one function takes a connection that was established in time, and none for a request whose own deadline has passed.

--- a/pkg/reach/connector.go
+++ b/pkg/reach/connector.go
@@ -135,29 +135,36 @@
 		case <-hedge.C:
 			a.startTunnel()
 		case <-a.ctx.Done():
-			return a.arrived()
+			return a.takeEstablished()
 		}
 	}
 	return Connection{}, a.failure()
 }
 
-// arrived returns a connection that was established by the time at which its deadline was noticed. One that came
-// after the client left is kept by abandon.
-func (a *connecting) arrived() (Connection, error) {
-	if !errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
-		return Connection{}, a.ctx.Err()
+// takeEstablished returns a connection that was established before the time was over: a busy process may see both
+// at once. It returns none if the request needs none any more.
+func (a *connecting) takeEstablished() (Connection, error) {
+	err := a.ctx.Err()
+	if !errors.Is(err, context.DeadlineExceeded) || a.isLate() {
+		return Connection{}, err
 	}
-	for _, way := range []*chan attemptResult{&a.direct, &a.tunnel} {
+	for _, results := range []*chan attemptResult{&a.direct, &a.tunnel} {
 		select {
-		case r := <-*way:
-			*way = nil
+		case r := <-*results: // never for a way that is not being tried
+			*results = nil
 			if r.err == nil {
 				return r.connection, nil
 			}
 		default:
 		}
 	}
-	return Connection{}, a.ctx.Err()
+	return Connection{}, err
+}
+
+// isLate reports whether the target's deadline has passed.
+func (a *connecting) isLate() bool {
+	deadline := a.target.Deadline
+	return !deadline.IsZero() && !a.Direct.Now().Before(deadline)
 }
 
 // continues reports whether one of the ways is still being tried. If no other instance helps, a direct
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -173,7 +173,7 @@
 try others-are-asked-after-a-failure $reach/connector.go 's/\t\t\ta\.directErr = r\.err\n\t\t\ta\.startTunnel\(\)/\t\t\ta.directErr = r.err/; s/case <-hedge\.C:\n\t\t\ta\.startTunnel\(\)/case <-hedge.C:/' $reach TestLostLinkIsBypassed
 try own-delay-is-no-lost-link $reach/direct.go 's/d\.Delay\.WithTimeout\(context/(*owndelay.Meter)(nil).WithTimeout(context/' $reach TestOwnDelayIsNoLostLink
 try own-delay-extends-no-deadline $reach/connector.go 's/if !target\.Deadline\.IsZero\(\)/if false/' $reach TestOwnDelayExtendsNoDeadline
-try arrived-connections-are-used $reach/connector.go 's/return a\.arrived\(\)/return Connection{}, a.ctx.Err()/' $reach TestConnectionThatHasArrivedIsUsed
+try arrived-connections-are-used $reach/connector.go 's/return a\.takeEstablished\(\)/return Connection{}, a.ctx.Err()/' $reach TestConnectionThatHasArrivedIsUsed
 try late-waits-are-extended pkg/owndelay/owndelay.go 's/remaining := w\.meter\.Extend\(w\.timeout\)/remaining := w.timeout/' pkg/owndelay TestWaitIsExtendedByTheOwnDelay
 try old-delays-are-forgotten pkg/owndelay/owndelay.go 's/time\.Since\(m\.delays\[0\]\.at\) > lifetime/false/' pkg/owndelay TestDelaysAreForgotten
 try lost-links-are-known $reach/paths.go 's/len\(failed\) >= minFailedAddresses/len(failed) > 99/' $reach TestLostLinkIsKnownForTheWholeService
@@ -303,4 +303,6 @@
 try hangups-are-ignored-at-any-time pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupAtAnyTimeOfAStartEndsNoInstance
 try hangups-end-other-commands pkg/hangup/ignore.c 's/if \(runs_instance\(argc, argv\)\)/if (argc > 0)/' test TestHangupEndsOtherCommands
 try hangups-are-received pkg/hangup/hangup.go 's/signal\.Notify\(received, syscall\.SIGHUP\)/signal.Notify(received, syscall.SIGUSR1)/' test TestHangupHasTheSettingsReadAgain
+try established-connections-are-taken pkg/reach/connector.go 's/return a\.takeEstablished\(\)/return Connection{}, a.ctx.Err()/' pkg/reach TestConnectionEstablishedInTimeIsTaken
+try no-connection-for-what-is-over pkg/reach/connector.go 's/ \|\| a\.isLate\(\) \{/ \&\& !a.isLate() \&\& false {/' pkg/reach TestConnectionIsNotTakenForARequestThatIsOver
 exit $status
