Test: a request does not wait to its deadline for one silent upstream

An idempotent request or a resumable stream has an attempt beside a silent one. The connection of the first attempt ends, and the second upstream is silent too. The request then waits for that one alone until its deadline, although a third upstream is sound and attempts and retries are left.

Fails: both cases, after the 10 s of the route: 'request refused (timeout) at head: no time left', and a stream that is broken off after its first event.

--- a/pkg/forward/hedge_test.go
+++ b/pkg/forward/hedge_test.go
@@ -270,3 +270,38 @@
 	f.Conns.CloseIdle(address)
 	return f.Conns.NumOpen(address)
 }
+
+// Guards against requests that wait until their deadline for one silent upstream although another one could answer:
+// the connection of the attempt that was made first ends while the one beside it is silent too.
+func TestSilentHedgeIsNotTheLastAttempt(t *testing.T) {
+	for name, begins := range map[string]string{"before the head": "", "within the stream": "id: 1\ndata: x\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			second := make(chan struct{})
+			breaksOff := func(w http.ResponseWriter, _ *http.Request) {
+				if begins != "" {
+					_, _ = io.WriteString(w, begins)
+					_ = http.NewResponseController(w).Flush()
+				}
+				<-second
+				panic(http.ErrAbortHandler)
+			}
+			staysSilent := func(_ http.ResponseWriter, r *http.Request) {
+				close(second)
+				<-r.Context().Done()
+			}
+			const rest = "id: 2\ndata: x\n\n"
+			script := &scriptedAnswers{answers: []http.HandlerFunc{breaksOff, staysSilent, sendEvents(rest, false)}}
+			route := routing.Route{
+				Kind: routing.Stream, Resumable: true, Timeout: 10 * time.Second,
+				Objective: silentObjective, MaxPause: silentObjective, MaxAttempts: 3,
+			}
+			f := forwarderTo(route, resumingCodec{}, serveHandler(t, script.ServeHTTP), serveHandler(t, script.ServeHTTP), serveHandler(t, script.ServeHTTP))
+			client := &streamRecorder{}
+			f.Serve(context.Background(), &Request{ID: "1", Method: "POST", Target: "/", Host: "h", Path: "/", Arrived: time.Now()}, client)
+			if client.events != begins+rest || client.aborted || client.refusal != nil {
+				t.Errorf("received %q, aborted %t, refusal %+v", client.events, client.aborted, client.refusal)
+			}
+		})
+	}
+}
