forward: another attempt is made beside one that is silent after the first has ended

Callers got 504, or a stream was broken off at its deadline, although a sound upstream was in service.

Cause: only the current attempt watches for silence. After it has ended, the call waits for the attempts beside it without a bound below the deadline.

That wait now starts further attempts at the same interval, within the route's attempts and the retry limit. TestSilentHedgeIsNotTheLastAttempt failed before in both cases and passes now.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -117,11 +117,12 @@
 	}
 	failed = a.serve(ctx)
 	for failed != nil && c.hedges.isPending() {
-		next, hedgeFailed := c.awaitHedge()
+		next, hedgeFailed := c.awaitHedge(ctx, a)
 		switch {
 		case hedgeFailed == nil:
-			failed = next.deliver(ctx)
-			c.endAttempt(ctx, next, failed)
+			a = next
+			failed = a.deliver(ctx)
+			c.endAttempt(ctx, a, failed)
 		case hedgeFailed.sentSomething():
 			failed = hedgeFailed
 		}
--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -154,7 +154,8 @@
 	}
 	a.lease.ReportSilent() // whether or not another attempt is allowed, new requests go elsewhere
 	if c.mayHedge(a) {
-		c.startHedge(ctx, a)
+		c.hedges.waiter.set(a)
+		c.startHedge(ctx, a, a.heardAt)
 	}
 	return hedgeInterval, nil
 }
@@ -175,17 +176,19 @@
 	}
 }
 
-// mayHedge reports whether another attempt may be made beside the silent attempt a now.
+// mayHedge reports whether another attempt may be made now, as far as the request is where the attempt a has
+// brought it.
 func (c *call) mayHedge(a *attempt) bool {
 	if c.unnumbered || c.numSent >= c.route.MaxAttempts {
 		return false
 	}
-	bound, _ := a.silenceBound()
-	return c.f.Now().Sub(c.hedges.startedAt) >= bound
+	bound, bounded := a.silenceBound()
+	return bounded && c.f.Now().Sub(c.hedges.startedAt) >= bound
 }
 
-// startHedge starts an attempt beside a if the retry limit and the choice of an upstream allow it.
-func (c *call) startHedge(ctx context.Context, a *attempt) {
+// startHedge starts an attempt beside one that has been silent since a time, if the retry limit and the choice of
+// an upstream allow it.
+func (c *call) startHedge(ctx context.Context, silent *attempt, since time.Time) {
 	retry, allowed := c.serviceState.limit.Reserve(c.accountName())
 	if !allowed {
 		c.f.meters.hedgesDenied.Inc(1)
@@ -201,7 +204,7 @@
 	c.Fingerprint() // computed before two goroutines may need it
 	c.f.meters.hedged.Inc(1)
 	c.f.Log.Event(eventlog.RequestHedged, c.r.ID, eventlog.Fields{
-		"upstream": b.lease.ID, "silent": a.lease.ID, "silent_ms": c.f.Now().Sub(a.heardAt).Milliseconds(), "sent": b.number,
+		"upstream": b.lease.ID, "silent": silent.lease.ID, "silent_ms": c.f.Now().Sub(since).Milliseconds(), "sent": b.number,
 	})
 	ctx, cancel := context.WithCancel(ctx)
 	h := &hedge{attempt: b, retry: retry, cancel: cancel}
@@ -210,7 +213,6 @@
 	}
 	c.hedges.pending = append(c.hedges.pending, h)
 	c.hedges.startedAt = c.f.Now()
-	c.hedges.waiter.set(a)
 	go h.run(ctx, c.hedges.done, &c.hedges.waiter)
 }
 
@@ -236,10 +238,30 @@
 	return a.readAhead()
 }
 
-// awaitHedge waits for a pending hedge after the current attempt has ended. It returns the hedge's attempt,
+// nextDone waits until a pending hedge has ended or has an answer, after the attempt ended was the current one.
+// While the pending ones are silent, it starts others beside them.
+func (c *call) nextDone(ctx context.Context, ended *attempt) *hedge {
+	ticker := time.NewTicker(hedgeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case done := <-c.hedges.done:
+			return done
+		case <-ticker.C:
+		}
+		if !c.mayHedge(ended) {
+			continue
+		}
+		silent := c.hedges.pending[len(c.hedges.pending)-1].attempt
+		silent.lease.ReportSilent()
+		c.startHedge(ctx, silent, c.hedges.startedAt)
+	}
+}
+
+// awaitHedge waits for a pending hedge after the attempt ended was the current one. It returns the hedge's attempt,
 // which is then the current one, or why there is no answer.
-func (c *call) awaitHedge() (*attempt, *failure) {
-	done := <-c.hedges.done
+func (c *call) awaitHedge(ctx context.Context, ended *attempt) (*attempt, *failure) {
+	done := c.nextDone(ctx, ended)
 	if done.failed != nil {
 		c.noteHedgeFailed(done)
 		return nil, done.failed
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -282,4 +282,5 @@
 try retries-after-unsent-hedges-count pkg/forward/attempt.go 's/case hedgeFailed\.sentSomething\(\):/case true:/' pkg/forward TestRetryAfterAnUnsentHedgeIsCounted
 try abandoned-unsent-hedges-are-uncounted pkg/forward/hedge.go 's/if p\.attempt\.gate\.close\(\) \{/if p.attempt.gate.close() \&\& false {/' pkg/forward TestAbandonedUnsentHedgeIsNoAttempt
 try gone-clients-get-no-answer pkg/forward/call.go 's/\t\}\)\n\tc\.client\.Abort\(\)\n/\t})\n/' pkg/forward TestClientThatLeavesGetsNoAnswer
+try silent-hedge-is-not-the-last pkg/forward/hedge.go 's/if !c\.mayHedge\(ended\) \{/if true {/' pkg/forward TestSilentHedgeIsNotTheLastAttempt
 exit $status
