Tests: a begun stream outlasts limits that hold for a moment

The connection of a stream that has begun ends, and the only other upstream may get no connection, or no request, at that moment: this instance's share of its connections is in use (silent upstreams hold theirs), or it counts as cold after a connection to it was not accepted. The stream is broken off with most of its time left.

Fail: TestBegunStreamOutlastsTheLimitOfConnections and TestBegunStreamOutlastsTheLimitOfColdUpstreams, each with one event received and the stream aborted.

--- a/pkg/forward/unreached_test.go
+++ b/pkg/forward/unreached_test.go
@@ -12,7 +12,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/lavenderring/lavenderring/pkg/coldlimit"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/reach"
 	"github.com/lavenderring/lavenderring/pkg/routing"
 )
@@ -24,6 +26,10 @@
 	answers []string
 	// lostAfterFirst is how long nobody reaches an upstream after the first connection.
 	lostAfterFirst time.Duration
+	// onFirst is called with the first request; nil for nothing.
+	onFirst func()
+	// forwarder is what connects over the links.
+	forwarder *Forwarder
 
 	mu     sync.Mutex
 	served int
@@ -58,6 +64,9 @@
 	answer := l.answers[min(l.served, len(l.answers)-1)]
 	if l.served++; l.served == 1 {
 		l.until = time.Now().Add(l.lostAfterFirst)
+		if l.onFirst != nil {
+			l.onFirst()
+		}
 	}
 	return answer
 }
@@ -102,7 +111,76 @@
 			Kind: routing.Stream, Resumable: true, Timeout: 9 * time.Second, Objective: time.Second, MaxPause: time.Second, MaxAttempts: 2,
 		})
 		if client.events != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" || client.aborted {
-			t.Errorf("received %q, aborted %t", client.events, client.aborted)
+			t.Errorf("received %q, aborted %t, refusal %v", client.events, client.aborted, client.refusal)
+		}
+	})
+}
+
+// waitingColdLimit allows nothing at cold upstreams until a time.
+type waitingColdLimit struct{ until time.Time }
+
+// Allows implements placement.ColdLimit.
+func (l waitingColdLimit) Allows(string, coldlimit.Bound) bool { return !time.Now().Before(l.until) }
+
+// Sent implements placement.ColdLimit.
+func (waitingColdLimit) Sent(string) {}
+
+// resumeLater serves a stream whose first upstream breaks off after an event, over the links, at a service that
+// limits the requests to cold upstreams.
+func resumeLater(l *unreachedLinks, service routing.Service, limit placement.ColdLimit) *streamRecorder {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	l.answers = []string{head + "f\r\nid: 1\ndata: a\n\n\r\n", head + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"}
+	route := routing.Route{
+		Kind: routing.Stream, Resumable: true, Timeout: 9 * time.Second, Objective: time.Second, MaxPause: time.Second, MaxAttempts: 2,
+	}
+	f := forwarderTo(route, resumingCodec{}, "10.0.0.1:1", "10.0.0.2:1")
+	f.ColdLimit, f.ColdOverage = limit, 1
+	config := *f.Config.Table().Config
+	service.Name = "s"
+	config.Version, config.Services = config.Version+1, []routing.Service{service}
+	f.Config.Apply(&config, time.Now())
+	f.Update()
+	direct := &reach.Direct{Dial: l.dial, Pool: f.Conns, Paths: reach.NewPaths(time.Now, nil), Now: time.Now}
+	f.Links = &reach.Connector{Direct: direct, Tunnels: l}
+	l.forwarder = f
+	client := &streamRecorder{}
+	f.Serve(context.Background(), &Request{ID: "1", Method: "POST", Target: "/", Host: "h", Path: "/", Arrived: time.Now()}, client)
+	return client
+}
+
+// Guards against streams that are cut off because the upstream that could go on counts as cold for a moment, after it
+// accepted no connection.
+func TestBegunStreamOutlastsTheLimitOfColdUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limit := waitingColdLimit{until: time.Now().Add(2 * time.Second)}
+		l := &unreachedLinks{lostAfterFirst: time.Second}
+		client := resumeLater(l, routing.Service{MaxConnections: 100, ColdPerSecond: 1, ColdDuration: 5 * time.Second}, limit)
+		if client.events != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" || client.aborted {
+			t.Errorf("received %q, aborted %t, refusal %v", client.events, client.aborted, client.refusal)
+		}
+	})
+}
+
+// Guards against streams that are cut off because this instance's connections to the upstream that could go on are
+// all in use for a moment, as those to silent upstreams are.
+func TestBegunStreamOutlastsTheLimitOfConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &unreachedLinks{}
+		l.onFirst = func() {
+			for _, address := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
+				l.forwarder.Conns.CountOpened(address)
+				time.AfterFunc(time.Second, func() { l.forwarder.Conns.Drop(idleConn(address)) })
+			}
+		}
+		client := resumeLater(l, routing.Service{MaxConnections: 1}, waitingColdLimit{})
+		if client.events != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" || client.aborted {
+			t.Errorf("received %q, aborted %t, refusal %v", client.events, client.aborted, client.refusal)
 		}
 	})
 }
+
+// idleConn returns a connection to an address over which nothing is sent.
+func idleConn(address string) *httpconn.Conn {
+	near, _ := net.Pipe()
+	return httpconn.NewConn(near, address)
+}
