forward: a begun stream waits for a connection while all are in use

A stream that had begun was broken off when its upstream's connection ended and this instance had no connection left to the others, although nothing had declined it: the share of the connections counted as a refusal by the upstream. Silent upstreams hold their connections, so that lasts as long as a silence.

An upstream to which nothing was sent is tried again until the deadline, as one that was not reached already is. Requests that have not begun are refused at once as before. TestBegunStreamOutlastsTheLimitOfConnections failed before and passes now.

--- a/pkg/forward/unreached.go
+++ b/pkg/forward/unreached.go
@@ -12,20 +12,20 @@
 // unreachedPause is the time between two rounds of connections to all upstreams of a service.
 const unreachedPause = 250 * time.Millisecond
 
-// noteUnreached records whether a failed attempt could not connect to its upstream, or the upstream declined.
+// noteUnreached records whether a failed attempt did not reach its upstream, or the upstream declined.
 func (c *call) noteUnreached(a *attempt, failed *failure) {
 	switch {
-	case failed.step == stepDial && !failed.neutral:
+	case !failed.sentSomething():
 		c.unreached = append(c.unreached, a.lease.ID)
-	case failed.step != stepBeforeSend && failed.neutral:
+	case failed.neutral:
 		c.declined = true
 	}
 }
 
-// awaitUnreached waits a moment and lets the upstreams that were not reached be tried again for a stream that
-// has begun, since its client has nothing better. It reports false if the stream is to be broken off: an
-// upstream was reached and has declined, or the time is over. A request that has not begun is refused at once,
-// so that its client can go to another instance.
+// awaitUnreached waits a moment and lets the upstreams that were not reached, or may get no request now, be tried
+// again for a stream that has begun, since its client has nothing better. It reports false if the stream is to be
+// broken off: an upstream was reached and has declined, or the time is over. A request that has not begun is
+// refused at once, so that its client can go to another instance.
 func (c *call) awaitUnreached(ctx context.Context, failure *failure) bool {
 	allTried := errors.Is(failure.err, errAllTried) && len(c.unreached) > 0
 	// Those that were not reached may be limited or gone by now.
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -283,4 +283,5 @@
 try abandoned-unsent-hedges-are-uncounted pkg/forward/hedge.go 's/if p\.attempt\.gate\.close\(\) \{/if p.attempt.gate.close() \&\& false {/' pkg/forward TestAbandonedUnsentHedgeIsNoAttempt
 try gone-clients-get-no-answer pkg/forward/call.go 's/\t\}\)\n\tc\.client\.Abort\(\)\n/\t})\n/' pkg/forward TestClientThatLeavesGetsNoAnswer
 try silent-hedge-is-not-the-last pkg/forward/hedge.go 's/if !c\.mayHedge\(ended\) \{/if true {/' pkg/forward TestSilentHedgeIsNotTheLastAttempt
+try full-connections-are-waited-for pkg/forward/unreached.go 's/case !failed\.sentSomething\(\):/case failed.step == stepDial \&\& !failed.neutral:/' pkg/forward TestBegunStreamOutlastsTheLimitOfConnections
 exit $status
