forward: a begun stream waits while the other upstreams are limited as cold

A stream that had begun was broken off when its upstream's connection ended and the others might get no request for the moment, because they counted as cold after one connection to them had not been accepted. Upstreams that are silent to new connections for half a second are sound.

The pool now says whether the limit on cold upstreams alone excludes one that has not been tried. The stream then waits, until its deadline; the limit itself is kept.

--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -168,6 +168,8 @@
 	version string
 	// notRun says that the upstream states that it did not run the request.
 	notRun bool
+	// limited says that an upstream that has not been tried may be chosen later: it may have just started.
+	limited bool
 	// answer is an answer with a server error; nil for other failures.
 	answer *wholeAnswer
 	// silence is how long the upstream had been silent when the wait for it ended; 0 for other failures.
@@ -346,5 +348,5 @@
 	case len(c.tried) == 0:
 		return nil, &failure{step: "choose", err: errNoUpstream, noRetry: true}
 	}
-	return nil, &failure{step: "choose", err: errAllTried, noRetry: true}
+	return nil, &failure{step: "choose", err: errAllTried, noRetry: true, limited: c.serviceState.pool.HasLimited(request)}
 }
--- a/pkg/forward/unreached.go
+++ b/pkg/forward/unreached.go
@@ -27,7 +27,7 @@
 // broken off: an upstream was reached and has declined, or the time is over. A request that has not begun is
 // refused at once, so that its client can go to another instance.
 func (c *call) awaitUnreached(ctx context.Context, failure *failure) bool {
-	allTried := errors.Is(failure.err, errAllTried) && len(c.unreached) > 0
+	allTried := errors.Is(failure.err, errAllTried) && (len(c.unreached) > 0 || failure.limited)
 	// Those that were not reached may be limited or gone by now.
 	noneLeft := c.waited && (errors.Is(failure.err, errNoUpstream) || errors.Is(failure.err, errVersionGone))
 	if !c.begun || c.declined || (!allTried && !noneLeft) {
--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -44,6 +44,20 @@
 	return !p.coldPolicy.limitsRequests() || !s.isCold(now) || p.coldPolicy.Limit.Allows(s.ID, p.coldPolicy.Bound)
 }
 
+// HasLimited reports whether there is an upstream that could be chosen for a request but for the limit on cold
+// upstreams.
+func (p *Pool) HasLimited(req *Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for _, s := range p.upstreams {
+		if req.allows(s) && !p.withinColdLimit(s, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // assumeCold treats the upstream as cold because it may have restarted without a change of its
 // registry entry.
 func (p *Pool) assumeCold(s *upstreamState, now time.Time) {
