dispatch: who waits is sent to an upstream as soon as it is avoided no longer

Requests to the own door waited until their deadline and were refused as not run after all upstreams of a pool had failed for a moment.

Cause: waiting requests get an upstream when a request ends or the document changes. The end of the time for which an upstream is avoided is neither. It now grants leases too. TestWaitEndsWhenAnUpstreamIsNoLongerAvoided failed before (refused after 20 s of 20 s) and passes now.

--- a/pkg/dispatch/picker.go
+++ b/pkg/dispatch/picker.go
@@ -295,6 +295,9 @@
 		u.consecutiveFailures++
 		u.avoidUntil = p.now().Add(avoidInterval)
 		avoiding = u.consecutiveFailures == avoidAfterFailures
+		if u.avoided(p.now()) {
+			time.AfterFunc(avoidInterval, p.grantLeasesNow) // no request that ends may be left
+		}
 	default:
 		u.consecutiveFailures = 0
 		serviceTime := p.now().Sub(l.started)
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -172,6 +172,13 @@
 	return cause
 }
 
+// grantLeasesNow is grantLeases for a caller that does not hold p.mu.
+func (p *Pool) grantLeasesNow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.grantLeases()
+}
+
 // grantLeases grants leases to waiters, urgent ones first, while upstreams can take
 // requests. The caller holds p.mu.
 func (p *Pool) grantLeases() {
