Test: the rest of an answer is asked for again after a failed try

Own door: a stream's connection breaks, and the connection over which the rest is asked for fails as well, before an answer. The stream is then cut off, although the engine goes on, has the rest and may be asked twice more.

--- a/pkg/entry/silence_test.go
+++ b/pkg/entry/silence_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -307,3 +309,71 @@
 		}
 	}
 }
+
+// breakingLink forwards connections to a target. It can break them off once, and the next new one too.
+type breakingLink struct {
+	listener net.Listener
+	target   string
+
+	mu         sync.Mutex
+	open       []net.Conn
+	breaksNext bool
+}
+
+func (l *breakingLink) run() {
+	for {
+		client, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		target, err := net.Dial("tcp", l.target)
+		if err != nil || l.breaksOff(client, target) {
+			_ = client.Close()
+			continue
+		}
+		go func() { _, _ = io.Copy(target, client) }()
+		go func() { _, _ = io.Copy(client, target) }()
+	}
+}
+
+// breaksOff reports whether a new connection is to be broken off.
+func (l *breakingLink) breaksOff(client, target net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open = append(l.open, client, target)
+	breaks := l.breaksNext
+	l.breaksNext = false
+	return breaks
+}
+
+// breakOff closes the open connections, and the next new one.
+func (l *breakingLink) breakOff() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breaksNext = true
+	for _, conn := range l.open {
+		_ = conn.Close()
+	}
+}
+
+// Guards against streams that are cut off because the connection over which the rest is asked for fails: the engine
+// has the rest, and may be asked again.
+func TestRestIsAskedForAgainAfterAFailedTry(t *testing.T) {
+	s := newSite(t, 1, time.Minute)
+	listener, err := net.Listen("tcp", loopback.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	upstream := &s.doc.Pools[0].Upstreams[0]
+	link := &breakingLink{listener: listener, target: upstream.Address}
+	go link.run()
+	upstream.Address = listener.Addr().String()
+	s.apply(2)
+	s.engines[0].SetFaults(engine.Faults{PauseMillis: pauseMillis, PauseAfterTokens: 5})
+	replied := make(chan reply)
+	go func() { replied <- s.ask(true) }()
+	s.await("the first token", func() bool { return s.entry.metrics.timeToFirstToken.Count() > 0 })
+	link.breakOff()
+	s.expectWhole(<-replied, true)
+}
