entry: an answer without an alternative is asked for again after a failed try

Streams through the own door were cut off when the connection broke and the one over which the rest was asked for failed too, for instance because the engine accepted nothing for a moment. Three tries are allowed, but only a stream that broke off led to a further one; a try that got no answer at all ended the request.

Such a try now leads to the next one if no other engine may be tried, that is, after the answer has begun or for a request that is not idempotent. Nothing new is run: the engine is asked for the rest of the same run. The number of tries and the time of a silence stay as they are.

--- a/pkg/entry/delivery.go
+++ b/pkg/entry/delivery.go
@@ -216,13 +216,24 @@
 		d.current, d.replacement = d.replacement, nil
 		return nil
 	}
-	if !errors.Is(p.err, upstream.ErrTruncated) || !d.mayResume() || !pause.For(ctx, resumeDelay) {
+	if !d.isBroken(p.err) || !d.mayResume() || !pause.For(ctx, resumeDelay) {
 		return p.err
 	}
 	d.current = d.resume(ctx, p.err)
 	return nil
 }
 
+// isBroken reports whether the engine may still have the rest after a connection has ended. A connection that gave
+// no answer at all when the rest was asked for counts only if no other engine may be tried.
+func (d *delivery) isBroken(err error) bool {
+	if errors.Is(err, upstream.ErrTruncated) {
+		return true
+	}
+	var call *upstream.CallError
+	unanswered := errors.As(err, &call) && call.Status == 0 && !errors.Is(err, upstream.ErrTooLong)
+	return unanswered && d.numResumes > 0 && !d.call.canRetry(err, true)
+}
+
 // mayResume reports whether the engine may be asked for the rest: it may have the
 // request, and has not been asked too often since the last token. Tokens of a
 // process that is not known could come from another software version than the
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -286,4 +286,5 @@
 try full-connections-are-waited-for pkg/forward/unreached.go 's/case !failed\.sentSomething\(\):/case failed.step == stepDial \&\& !failed.neutral:/' pkg/forward TestBegunStreamOutlastsTheLimitOfConnections
 try cold-limit-is-waited-for pkg/forward/unreached.go 's/\(len\(c\.unreached\) > 0 \|\| failure\.limited\)/len(c.unreached) > 0/' pkg/forward TestBegunStreamOutlastsTheLimitOfColdUpstreams
 try waits-end-with-avoidance pkg/dispatch/picker.go 's/time\.AfterFunc\(avoidInterval, p\.grantLeasesNow\)/_ = p.grantLeasesNow/' pkg/dispatch TestWaitEndsWhenAnUpstreamIsNoLongerAvoided
+try rest-is-asked-for-again pkg/entry/delivery.go 's/return unanswered && d\.numResumes > 0/return unanswered \&\& false/' pkg/entry TestRestIsAskedForAgainAfterAFailedTry
 exit $status
