Test: a client that resumes a stream gets no event twice

An upstream that resumes a stream may repeat the event after which it is to go on. Such an event is dropped when the instance resumes a stream by itself, but passed on when the client resumed it.

--- a/pkg/forward/resume_test.go
+++ b/pkg/forward/resume_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/origin"
 	"github.com/lavenderring/lavenderring/pkg/registry"
 	"github.com/lavenderring/lavenderring/pkg/retrylimit"
 	"github.com/lavenderring/lavenderring/pkg/routing"
@@ -159,3 +160,19 @@
 			client.aborted, client.status, len(after))
 	}
 }
+
+// Guards against an event that a client receives twice: it resumed the stream after that event, and the upstream
+// repeats it.
+func TestResumedClientGetsNoEventTwice(t *testing.T) {
+	address := serveHandler(t, sendEvents("id: 2\ndata: b\n\nid: 3\ndata: c\n\n", false))
+	route := routing.Route{Kind: routing.Stream, Resumable: true, Timeout: time.Minute, MaxAttempts: 2}
+	f := forwarderTo(route, resumingCodec{}, address)
+	f.Origins = &fakeOrigins{began: origin.Origin{Service: "s", Version: "v1"}}
+	client := &streamRecorder{}
+	f.Serve(context.Background(), &Request{
+		ID: "1", Method: "POST", Target: "/", Host: "h", Path: "/", Arrived: time.Now(), LastEventID: "2", Resumes: "first",
+	}, client)
+	if client.events != "id: 3\ndata: c\n\n" {
+		t.Errorf("after event 2 received %q, refusal %v", client.events, client.refusal)
+	}
+}
