forward: an event after which the client resumed a stream is not passed on again

A client that resumed a stream received the event after which it resumed a second time if the upstream repeated it, which upstreams may do.

Repeated events were recognised by the last event that was delivered in this request, and there is none yet when the client resumes. Now the event after which the request continues counts. TestResumedClientGetsNoEventTwice failed before and passes now.

--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -147,7 +147,7 @@
 // deliverEvents delivers complete events, and the answer's head before the first.
 func (a *attempt) deliverEvents(events []byte) *failure {
 	c := a.c
-	batch := dropDelivered(events, c.lastEventID)
+	batch := dropDelivered(events, c.resumeAfter())
 	if batch.count == 0 {
 		return nil
 	}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -287,4 +287,5 @@
 try cold-limit-is-waited-for pkg/forward/unreached.go 's/\(len\(c\.unreached\) > 0 \|\| failure\.limited\)/len(c.unreached) > 0/' pkg/forward TestBegunStreamOutlastsTheLimitOfColdUpstreams
 try waits-end-with-avoidance pkg/dispatch/picker.go 's/time\.AfterFunc\(avoidInterval, p\.grantLeasesNow\)/_ = p.grantLeasesNow/' pkg/dispatch TestWaitEndsWhenAnUpstreamIsNoLongerAvoided
 try rest-is-asked-for-again pkg/entry/delivery.go 's/return unanswered && d\.numResumes > 0/return unanswered \&\& false/' pkg/entry TestRestIsAskedForAgainAfterAFailedTry
+try resumed-clients-get-no-event-twice pkg/forward/stream.go 's/dropDelivered\(events, c\.resumeAfter\(\)\)/dropDelivered(events, c.lastEventID)/' pkg/forward TestResumedClientGetsNoEventTwice
 exit $status
