--- a/pkg/forward/hedge_test.go
+++ b/pkg/forward/hedge_test.go
@@ -219,6 +219,47 @@
 	}
 }
 
+// bodyWrites records where the bodies of a length that are written lie in memory.
+type bodyWrites struct {
+	net.Conn
+	length int
+	seen   *sync.Map
+}
+
+// Write implements net.Conn.
+func (w *bodyWrites) Write(p []byte) (int, error) {
+	if len(p) == w.length {
+		w.seen.Store(unsafe.SliceData(p), true)
+	}
+	return w.Conn.Write(p)
+}
+
+// Guards against an instance whose memory is used up by copies of bodies while many upstreams are silent: all
+// attempts of a request beside a silent one send the same copy.
+func TestHedgesShareOneCopyOfTheBody(t *testing.T) {
+	first := &silentUpstream{pause: time.Hour, breakAfter: -1}
+	second, third := &silentUpstream{pause: time.Hour, breakAfter: -1}, &silentUpstream{pause: time.Hour, breakAfter: -1}
+	bothServed := func() bool { return second.served.Load() > 0 && third.served.Load() > 0 }
+	second.until, third.until = bothServed, bothServed
+	f := silentForwarder(t, routing.Stream, silentTimeout, manyRetries, first, second, third)
+	body := make([]byte, 1000)
+	var seen sync.Map
+	dialWith(f, func(ctx context.Context, to string) (net.Conn, error) {
+		conn, err := httpconn.DialTCP(ctx, to)
+		if err != nil || to == first.address {
+			return conn, err
+		}
+		return &bodyWrites{Conn: conn, length: len(body), seen: &seen}, nil
+	})
+	client := &answerRecorder{}
+	f.Serve(context.Background(), &Request{ID: "1", Method: "POST", Target: "/", Host: "h", Path: "/", Body: body, Arrived: time.Now()}, client)
+	copies := 0
+	seen.Range(func(any, any) bool { copies++; return true })
+	if !client.isWhole() || copies != 1 {
+		t.Errorf("whole %t, %d copies of the body", client.isWhole(), copies)
+	}
+}
+
 // Guards against connections that are left open by attempts beside silent ones, whenever the client leaves.
 func TestClientsThatLeaveLeaveNoConnectionInUse(t *testing.T) {
 	const seeds, clients, maxStay = 60, 6, 700
