forward: the attempts of a request beside a silent one share one copy of its body

Beside silent upstreams each further attempt held its own copy of the body, which the bound of the memory for answers does not count. A process that takes more than its memory ends with all its requests.

The body of a client's connection must be copied, since its memory is used again; the copy is only read, so that one is enough. TestHedgesShareOneCopyOfTheBody failed before (2 copies for two attempts) and passes now. The safeguard of the copy itself names the changed line.

--- a/pkg/forward/hedge.go
+++ b/pkg/forward/hedge.go
@@ -33,7 +33,9 @@
 	done chan *hedge
 	// startedAt is when the last hedge was started.
 	startedAt time.Time
-	waiter    waiter
+	// body is the copy of the request's body that all hedges send; nil before the first.
+	body   []byte
+	waiter waiter
 }
 
 // waiter is the attempt whose reading is interrupted when a hedge is done.
@@ -73,6 +75,14 @@
 	h.pending = slices.DeleteFunc(h.pending, func(p *hedge) bool { return p == done })
 }
 
+// copyOf returns the copy of the request's body that hedges send.
+func (h *hedges) copyOf(body []byte) []byte {
+	if h.body == nil {
+		h.body = slices.Clone(body)
+	}
+	return h.body
+}
+
 // abandonHedges ends the pending hedges.
 func (c *call) abandonHedges() {
 	h := &c.hedges
@@ -199,7 +209,7 @@
 		c.serviceState.limit.Release(retry)
 		return
 	}
-	b.body, b.gate = slices.Clone(c.r.Body), &sendGate{}
+	b.body, b.gate = c.hedges.copyOf(c.r.Body), &sendGate{}
 	c.count(b)
 	c.Fingerprint() // computed before two goroutines may need it
 	c.f.meters.hedged.Inc(1)
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -277,7 +277,7 @@
 try plain-answers-may-be-long pkg/httpconn/silence.go 's/if wait, err = s\.watch\.OnSilence\(\); err != nil \{/if true {/' test TestLongPlainRequestsAreAnswered
 try hedges-bring-something-new pkg/forward/attempt.go 's/case dropDelivered\(a\.events\.complete\(\), a\.resumeAfter\)\.hasData\(\):/case true:/' pkg/forward TestSilentUpstreamIsGivenUpOnlyForSomethingNew
 try slow-bytes-are-no-answer pkg/forward/attempt.go 's/if a\.events == nil \{\n\t\twatch\.CheckBy/if false {\n\t\twatch.CheckBy/' pkg/forward TestSlowBytesAreNoAnswer
-try hedges-own-their-bodies pkg/forward/hedge.go 's/slices\.Clone\(c\.r\.Body\)/c.r.Body/' pkg/forward TestHedgeSendsItsOwnCopyOfTheBody
+try hedges-own-their-bodies pkg/forward/hedge.go 's/h\.body = slices\.Clone\(body\)/h.body = body/' pkg/forward TestHedgeSendsItsOwnCopyOfTheBody
 try unreached-hedges-leave-upstreams pkg/forward/hedge.go 's/\tc\.tried = slices\.DeleteFunc\(c\.tried, func[^\n]*\n//' pkg/forward TestUnreachedHedgeLeavesItsUpstreamToTheRequest
 try retries-after-unsent-hedges-count pkg/forward/attempt.go 's/case hedgeFailed\.sentSomething\(\):/case true:/' pkg/forward TestRetryAfterAnUnsentHedgeIsCounted
 try abandoned-unsent-hedges-are-uncounted pkg/forward/hedge.go 's/if p\.attempt\.gate\.close\(\) \{/if p.attempt.gate.close() \&\& false {/' pkg/forward TestAbandonedUnsentHedgeIsNoAttempt
@@ -288,4 +288,5 @@
 try waits-end-with-avoidance pkg/dispatch/picker.go 's/time\.AfterFunc\(avoidInterval, p\.grantLeasesNow\)/_ = p.grantLeasesNow/' pkg/dispatch TestWaitEndsWhenAnUpstreamIsNoLongerAvoided
 try rest-is-asked-for-again pkg/entry/delivery.go 's/return unanswered && d\.numResumes > 0/return unanswered \&\& false/' pkg/entry TestRestIsAskedForAgainAfterAFailedTry
 try resumed-clients-get-no-event-twice pkg/forward/stream.go 's/dropDelivered\(events, c\.resumeAfter\(\)\)/dropDelivered(events, c.lastEventID)/' pkg/forward TestResumedClientGetsNoEventTwice
+try hedges-share-a-copy pkg/forward/hedge.go 's/if h\.body == nil \{/if true {/' pkg/forward TestHedgesShareOneCopyOfTheBody
 exit $status
