prepaid: a waiting request gets what it has asked a drawer for

What callers saw: requests that came at the same time to an instance that gets its tokens from a drawer were refused with 503 (tokens-not-reachable, "too few tokens in the ledger", step drawer) while the ledger had plenty. Streams that are begun one after the other at an instance that has just started were refused likewise, before their first event.

Cause, traced at the instance: the drawer granted each time what it was asked for; it refused nothing. A request asked for what it lacked beyond the free tokens of its instance, was asked about once, and was refused if the free tokens did not suffice after the answer. Between question and answer others took these tokens: other waiting requests that counted on the same ones, requests that came later, and the instance's own report, which returns surplus twice a second (a stream that was alone asked for 103 of 120 tokens, and the report returned the 17 others meanwhile).

Now each request asks for what it lacks itself: only the first of those that wait counts on free tokens, once, or each one if the ledger is known to have no more. What its answer brings is set aside for it before the lock is released. If answers overtake each other, tokens that arrive for others are claimed until the others' answers are there. A request that still lacks tokens asks again, at most three times as before, unless the drawer did not grant and the ledger has less than it lacks; then it is refused at once. A request whose time is over asks no more.

--- a/pkg/prepaid/balance.go
+++ b/pkg/prepaid/balance.go
@@ -45,6 +45,9 @@
 
 	// waiting is the number of tokens needed by the requests that wait for a write.
 	waiting int64
+	// asked is the number of tokens that waiting requests have asked drawers for and that have not been
+	// answered; claimed is the part of free that has arrived for them with answers to others.
+	asked, claimed int64
 
 	// scarce says that the ledger, when it was last seen, had too few tokens for one request of size
 	// largest at each instance that draws; depleted says that it had too few for a single one. Both
--- a/pkg/prepaid/fleet_start_test.go
+++ b/pkg/prepaid/fleet_start_test.go
@@ -54,6 +54,9 @@
 	// disruption is in force from disruptedFrom to disruptedTo.
 	disruption                 disruption
 	disruptedFrom, disruptedTo time.Time
+	// answerJitter is the longest additional time of a drawer's answer; refills counts the messages to drawers.
+	answerJitter time.Duration
+	refills      int
 }
 
 // startingInstance is one instance.
@@ -178,7 +181,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return other.Node.Refill(ctx, req), nil
+	m.fleet.mu.Lock()
+	m.fleet.refills++
+	m.fleet.mu.Unlock()
+	reply := other.Node.Refill(ctx, req)
+	if m.fleet.answerJitter > 0 {
+		time.Sleep(rand.N(m.fleet.answerJitter))
+	}
+	return reply, nil
 }
 
 // Lend implements prepaid.Peers.
--- a/pkg/prepaid/lenders.go
+++ b/pkg/prepaid/lenders.go
@@ -70,7 +70,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	b := n.balance(budget)
-	lent := max(min(maxTokens, b.free-b.waiting), 0)
+	lent := max(min(maxTokens, b.unclaimed()), 0)
 	b.free -= lent
 	return lent
 }
--- a/pkg/prepaid/node.go
+++ b/pkg/prepaid/node.go
@@ -263,13 +263,13 @@
 	return b
 }
 
-// tryTakeUnclaimed takes tokens out of the free ones that no request waits for. Tokens that a write
-// draws for waiting requests are left to these.
+// tryTakeUnclaimed takes tokens out of the free ones that no request waits for. Tokens that a write or
+// a drawer's answer brings for waiting requests are left to these.
 func (n *Node) tryTakeUnclaimed(budget string, tokens int64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	b := n.balance(budget)
-	return tokens <= b.free-b.waiting && b.take(tokens)
+	return tokens <= b.unclaimed() && b.take(tokens)
 }
 
 // tryTake takes tokens out of the free ones.
@@ -304,12 +304,12 @@
 	if n.knownExhausted(budget, tokens) {
 		return &ShortError{Budget: budget, Need: tokens, Exhausted: true, Step: "ledger", Err: ErrTooFew}
 	}
-	answered, exhausted := n.requestFromDrawers(ctx, budget, tokens)
-	if n.tryTake(budget, tokens) {
+	outcome := n.acquireFromDrawers(ctx, budget, tokens)
+	if outcome.found {
 		return nil
 	}
-	if answered {
-		return &ShortError{Budget: budget, Need: tokens, Exhausted: exhausted, Step: "drawer", Err: ErrTooFew}
+	if outcome.answered {
+		return &ShortError{Budget: budget, Need: tokens, Exhausted: outcome.exhausted, Step: "drawer", Err: ErrTooFew}
 	}
 	return n.acquireWithoutDrawer(ctx, budget, tokens)
 }
--- a/pkg/prepaid/refill.go
+++ b/pkg/prepaid/refill.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
-	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/prepaid/prepaidpb"
 )
 
@@ -84,37 +82,6 @@
 	return ""
 }
 
-// requestFromDrawers asks drawers to grant what a waiting request needs. It reports whether one
-// answered, and whether the budget is exhausted.
-func (n *Node) requestFromDrawers(ctx context.Context, budget string, tokens int64) (answered, exhausted bool) {
-	shard := n.ShardOf(budget)
-	busy := false
-	for range maxDrawersPerRequest {
-		name := n.drawerFor(shard)
-		if name == "" {
-			return busy, false
-		}
-		n.mu.Lock()
-		b := n.balance(budget)
-		demand := demandOf(budget, b, n.drawerState(name).confirmed[budget])
-		demand.Need = max(tokens-b.free, 0)
-		n.mu.Unlock()
-		req := &prepaidpb.RefillRequest{Shard: int32(shard), Demands: []*prepaidpb.Demand{demand}}
-		reply, err := n.callRefill(ctx, name, req, needTimeout)
-		switch {
-		case err == nil && len(reply.Lenders) > 0:
-			n.borrowFromEach(ctx, reply.Lenders, budget, tokens)
-			return false, false
-		case err == nil && reply.Busy:
-			busy = true
-			pause.For(ctx, busyRetryInterval/2+rand.N(busyRetryInterval))
-		case err == nil && len(reply.Supplies) == 1:
-			return true, reply.Supplies[0].Exhausted
-		}
-	}
-	return busy, false
-}
-
 // sendReport sends the drawer of a shard what this instance needs and holds, and returns its
 // surplus. At most one report of a shard is in progress.
 func (n *Node) sendReport(shard int, name string) {
@@ -138,7 +105,7 @@
 	var reply *prepaidpb.RefillReply
 	var err error
 	if len(demands) > 0 || req.ToldEra != 0 {
-		reply, err = n.callRefill(context.Background(), name, req, refillTimeout) // applyReply handles a failure
+		reply, err = n.callRefill(context.Background(), name, req, refillTimeout, nil) // applyReply handles a failure
 	}
 	n.mu.Lock()
 	n.shards[shard].reporting = false
@@ -176,7 +143,7 @@
 	if _, answered := d.granted[id]; !answered || n.Now().Sub(b.keepTargetAt) > keepTargetLifetime {
 		return
 	}
-	surplus := b.free - b.keepTarget
+	surplus := b.unclaimed() - b.keepTarget
 	if surplus <= b.keepTarget/surplusDivisor {
 		return
 	}
@@ -194,10 +161,10 @@
 	}
 }
 
-// callRefill sends one report and adds what the drawer grants. The call continues after the waiting
-// request has given up, since the granted tokens serve the next one.
+// callRefill sends one report, or the only demand of a request that asks, and adds what the drawer grants. The
+// call continues after the waiting request has given up, since the granted tokens serve the next one.
 func (n *Node) callRefill(
-	ctx context.Context, name string, req *prepaidpb.RefillRequest, timeout time.Duration,
+	ctx context.Context, name string, req *prepaidpb.RefillRequest, timeout time.Duration, a *ask,
 ) (*prepaidpb.RefillReply, error) {
 	type result struct {
 		reply *prepaidpb.RefillReply
@@ -212,7 +179,7 @@
 		if err == nil && reply.Declined {
 			err = errDeclined
 		}
-		n.applyReply(name, int(req.Shard), reply, err)
+		n.applyReply(name, req, reply, err, a)
 		done <- result{reply, err}
 	}()
 	select {
@@ -223,13 +190,21 @@
 	}
 }
 
-// applyReply updates this instance from a drawer's reply.
-func (n *Node) applyReply(name string, shard int, reply *prepaidpb.RefillReply, err error) {
+// applyReply updates this instance from a drawer's reply, and ends the ask that it answers, if any.
+func (n *Node) applyReply(
+	name string, req *prepaidpb.RefillRequest, reply *prepaidpb.RefillReply, err error, a *ask,
+) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if a != nil {
+		b := n.balance(a.budget)
+		before := b.free
+		answered := err == nil && len(reply.Supplies) > 0
+		defer func() { b.endAsk(a, req.Demands[0].Need, b.free-before, answered) }()
+	}
 	now := n.Now()
 	d := n.drawerState(name)
-	n.noteDrawer(shard, reply.GetDrawer())
+	n.noteDrawer(int(req.Shard), reply.GetDrawer())
 	if errors.Is(err, errDeclined) && n.namesOtherDrawer(name, reply) {
 		return // the drawer is healthy, and another one draws
 	}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -63,6 +63,10 @@
 try declined-is-free-again pkg/prepaid/refill.go 's/n\.balance\(id\)\.free \+= d\.returned\[id\] - d\.confirmed\[id\]//' pkg/prepaid TestDeclinedReportsLoseNothing
 try doubtful-stays-returned pkg/prepaid/refill.go 's/d\.confirmed\[id\] = sent\.Returned \/\//\/\//' pkg/prepaid TestDoubtfulReturnIsNotFreeAgain
 try resting-ends-with-the-outage pkg/prepaid/refill.go 's/d\.backoff, d\.avoidedUntil = 0, time\.Time\{\}/_ = d/' pkg/prepaid TestDrawersAreAskedAgainOnceTheStoreIsBack
+try free-tokens-are-counted-once pkg/prepaid/ask.go 's/alone := b\.asked == 0 && attempt == 0/alone := true/' pkg/prepaid TestBurstOfFirstRequestsGetsTokens
+try answers-are-set-aside pkg/prepaid/ask.go 's/\|\| need > b\.free/|| need > 0/' pkg/prepaid TestBurstOfFirstRequestsGetsTokens
+try returned-tokens-are-asked-for-again pkg/prepaid/ask.go 's/if n\.isRefused\(a\) \{/if true {/' pkg/prepaid TestRequestIsServedWhoseInstanceReturnsTokensMeanwhile
+try the-short-are-refused-at-once pkg/prepaid/ask.go 's/return a\.short && /return false \&\& a.short \&\& /' pkg/prepaid TestRequestThatTheLedgerCannotServeIsRefusedAtOnce
 try a-third-is-held pkg/prepaid/tick.go 's/holdDivisor = 3/holdDivisor = 5/' pkg/prepaid TestAccountThatLastsOutlastsACut
 try restarted-is-another pkg/placement/pool.go 's/ \|\| s\.Born != u\.Born//' pkg/placement TestRestartedUpstreamBeginsWithNothing
 try kept-views-follow-the-entries pkg/member/state.go 's/\t\tt\.cache = viewCache\{\}\n//' pkg/member TestKeptViewsAreThoseOfTheEntries
