safeguards: never-written-is-not-forgotten applies again

The edit named a variable that no longer exists, so the script reported that it does not apply. With the present condition taken out TestStoppingAskersLoseNothing fails, as it should.

--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -59,7 +59,7 @@
 try exhausted-only-if-too-few pkg/prepaid/write.go 's/\(writes > 0 && b\.exceedsLedger\(need\)\)/writes > 0/; s/max\(target-b\.free, b\.waiting\)/target*0/; s/max\(b\.waiting-b\.free, 0\)/0/' pkg/prepaid TestTokensTakenByOthersAreNotExhaustion
 try strangers-try-little pkg/prepaid/write.go 's/if !n\.Fleet\.Joined\(\) \{/if false {/' pkg/prepaid TestFleetThatStartsUnderLoadLeavesTheStoreAlone
 try unknown-totals-given-up pkg/prepaid/drawer.go 's/&requesterBudget\{returned: d\.Returned\}/&requesterBudget{}/' pkg/prepaid TestForgottenTotalsAreGivenUp
-try never-written-is-not-forgotten pkg/prepaid/shard.go 's/ && s\.Forgotten > since//' pkg/prepaid TestStoppingAskersLoseNothing
+try never-written-is-not-forgotten pkg/prepaid/shard.go 's/ && s\.Forgotten > start\.Turn//' pkg/prepaid TestStoppingAskersLoseNothing
 try declined-is-free-again pkg/prepaid/refill.go 's/n\.balance\(id\)\.free \+= d\.returned\[id\] - d\.confirmed\[id\]//' pkg/prepaid TestDeclinedReportsLoseNothing
 try doubtful-stays-returned pkg/prepaid/refill.go 's/d\.confirmed\[id\] = sent\.Returned \/\//\/\//' pkg/prepaid TestDoubtfulReturnIsNotFreeAgain
 try resting-ends-with-the-outage pkg/prepaid/refill.go 's/d\.backoff, d\.avoidedUntil = 0, time\.Time\{\}/_ = d/' pkg/prepaid TestDrawersAreAskedAgainOnceTheStoreIsBack
