--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -65,6 +65,7 @@
 try resting-ends-with-the-outage pkg/prepaid/refill.go 's/d\.backoff, d\.avoidedUntil = 0, time\.Time\{\}/_ = d/' pkg/prepaid TestDrawersAreAskedAgainOnceTheStoreIsBack
 try free-tokens-are-counted-once pkg/prepaid/ask.go 's/alone := b\.asked == 0 && attempt == 0/alone := true/' pkg/prepaid TestBurstOfFirstRequestsGetsTokens
 try answers-are-set-aside pkg/prepaid/ask.go 's/\|\| need > b\.free/|| need > 0/' pkg/prepaid TestBurstOfFirstRequestsGetsTokens
+try overtaking-answers-are-claimed pkg/prepaid/ask.go 's/b\.claimed = min\(max\(b\.claimed, 0\), b\.asked\)/b.claimed = 0/' pkg/prepaid TestBurstOfFirstRequestsGetsTokens
 try returned-tokens-are-asked-for-again pkg/prepaid/ask.go 's/if n\.isRefused\(a\) \{/if true {/' pkg/prepaid TestRequestIsServedWhoseInstanceReturnsTokensMeanwhile
 try the-short-are-refused-at-once pkg/prepaid/ask.go 's/return a\.short && /return false \&\& a.short \&\& /' pkg/prepaid TestRequestThatTheLedgerCannotServeIsRefusedAtOnce
 try a-third-is-held pkg/prepaid/tick.go 's/holdDivisor = 3/holdDivisor = 5/' pkg/prepaid TestAccountThatLastsOutlastsACut
