Cold upstreams: one that was silent is asked whether it is cold, instead of being taken for cold

Seen by callers: when all upstreams of a service with a bound for cold ones are silent to new connections for half a second, most requests are refused for the whole cold time.

Cause: a failed connection is a suspicion of a restart, and nothing but time could end it.

Proof that an upstream is the same process is not enough: it may turn cold without a restart, also while it is silent. So it is its own word that counts. The first request that the limit on cold upstreams allows to a suspected one makes a health check over its connection. The check names the incarnation, takes the request's place within the limit, and is made once after the last failed connection. An answer of that incarnation with the remaining cold time ends the suspicion, or sets it to what the upstream says; no answer, another process's, or one that does not tell the time changes nothing. A connection that failed after the question voids the answer. What the entry declares, and what follows from having been out of service, stays.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -220,6 +220,9 @@
 	a.closeWithClient = context.AfterFunc(ctx, a.conn.Close)
 	a.conn.SetDeadline(a.c.deadline)
 	a.memory, a.cancelMemory = a.newMemory(ctx)
+	if failed := a.checkCold(); failed != nil {
+		return failed
+	}
 	// While the connection was set up, the upstream may have announced that it is leaving. A request
 	// sent to it now could arrive after the time that leaving may take, and be cut off there. After
 	// this check, only the delay of the network remains in which the upstream may leave unnoticed.
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -111,6 +111,8 @@
 	// ColdOverage and ColdSlack, with the rate that each service sets, form a coldlimit.Bound.
 	ColdLimit              placement.ColdLimit
 	ColdOverage, ColdSlack float64
+	// Health makes health checks; nil if upstreams are not asked whether they are cold.
+	Health HealthCodec
 	// Overload limits the requests accepted while this instance's network link is saturated; nil
 	// for no limit.
 	Overload *overload.Limit
@@ -172,7 +174,7 @@
 
 type meters struct {
 	accepted, refused, answered, streamed, unknown, clientsGone, retried, resumed metrics.Counter
-	tunnelled, crashes, cleared, hedged, hedgesDenied                             metrics.Counter
+	tunnelled, crashes, cleared, hedged, hedgesDenied, coldChecks                 metrics.Counter
 	answerTime, firstEventTime, beforeSendTime                                    metrics.Timer
 }
 
@@ -216,6 +218,7 @@
 			cleared:        counter("quarantine.cleared"),
 			hedged:         counter("forward.hedged"),
 			hedgesDenied:   counter("forward.hedges_denied"),
+			coldChecks:     counter("forward.cold_checks"),
 			answerTime:     timer("forward.whole"),
 			firstEventTime: timer("forward.first_event"),
 			beforeSendTime: timer("forward.before_sending"),
--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -35,6 +35,12 @@
 
 // isCold reports whether the upstream has, or may have, just started.
 func (s *upstreamState) isCold(now time.Time) bool {
+	return s.isDeclaredOrReturned(now) || now.Before(s.suspectedColdUntil)
+}
+
+// isDeclaredOrReturned reports whether the upstream is cold by its entry, or counts as cold because it was out
+// of service.
+func (s *upstreamState) isDeclaredOrReturned(now time.Time) bool {
 	return now.Before(s.coldUntil) || now.Before(s.assumedColdUntil)
 }
 
@@ -70,11 +76,48 @@
 }
 
 // ReportUnreachable records that connecting to the upstream failed. The upstream counts as cold from
-// now on, since it may have restarted by the time it can be reached again.
+// now on, since it may have restarted, or turned cold, by the time it can be reached again: until it says
+// itself that it is not (StartColdCheck), or could have been cold no longer.
 func (l *Lease) ReportUnreachable() {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
-	l.pool.assumeCold(l.state, l.pool.now())
+	l.state.suspectedColdUntil = l.pool.now().Add(l.pool.coldPolicy.Duration)
+	l.state.numSuspicions++
+}
+
+// ColdCheck asks an upstream that counts as cold, only because a connection failed, whether it is.
+type ColdCheck struct {
+	lease *Lease
+	// suspicion is the upstream's number of suspicions when it was asked.
+	suspicion int
+}
+
+// StartColdCheck returns a check if the upstream is to be asked whether it is cold, and nil otherwise. It is
+// asked once after the last failed connection. The question takes the request's place within the limit on
+// cold upstreams, since the upstream may be one.
+func (l *Lease) StartColdCheck() *ColdCheck {
+	p, s := l.pool, l.state
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	suspected := now.Before(s.suspectedColdUntil) && !s.isDeclaredOrReturned(now)
+	if !suspected || !l.countedAsCold || s.lastAsked == s.numSuspicions {
+		return nil
+	}
+	s.lastAsked = s.numSuspicions
+	l.countedAsCold = false
+	return &ColdCheck{lease: l, suspicion: s.numSuspicions}
+}
+
+// Conclude records how much longer the upstream is cold, as it said itself. If a connection has failed since it
+// was asked, it may have restarted since.
+func (c *ColdCheck) Conclude(remaining time.Duration) {
+	p, s := c.lease.pool, c.lease.state
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.numSuspicions == c.suspicion {
+		s.suspectedColdUntil = p.now().Add(remaining)
+	}
 }
 
 // countColdRequest counts a request against the limit on the upstream if the upstream is cold and
--- a/pkg/placement/cold_test.go
+++ b/pkg/placement/cold_test.go
@@ -109,3 +109,101 @@
 		t.Errorf("placements by upstream: %v", got)
 	}
 }
+
+// suspectedUpstream returns a pool whose only upstream, a, counts as cold because a connection to it failed,
+// and the lease of a request that is counted against the limit on cold upstreams.
+func suspectedUpstream(t *testing.T) (*Pool, *time.Time, *Lease) {
+	t.Helper()
+	p, now := coldPool(t)
+	p.Update([]registry.Upstream{warm("a")}, true)
+	failed := p.Choose(&Request{PromptTokens: 100})
+	failed.ReportUnreachable()
+	failed.Done(Failed)
+	return p, now, p.Choose(&Request{PromptTokens: 100})
+}
+
+// Guards against a whole cold time without requests for an upstream that was silent for a moment and says
+// itself that it is not cold.
+func TestUpstreamThatSaysItIsNotColdGetsItsLoad(t *testing.T) {
+	p, _, lease := suspectedUpstream(t)
+	lease.StartColdCheck().Conclude(0)
+	if !lease.InService() {
+		t.Error("the request whose place the question took is not sent")
+	}
+	if got := placementsByUpstream(p, 200); got["a"] != 200 {
+		t.Errorf("placements by upstream: %v", got)
+	}
+}
+
+// Guards against too many requests to an upstream that says itself that it is cold.
+func TestUpstreamThatSaysItIsColdGetsWhatItTakes(t *testing.T) {
+	p, now, lease := suspectedUpstream(t)
+	lease.StartColdCheck().Conclude(2 * coldDuration)
+	*now = now.Add(2*coldDuration - time.Millisecond)
+	if got := placementsByUpstream(p, 200); got["a"] > 7 {
+		t.Errorf("placements by upstream: %v", got)
+	}
+	*now = now.Add(2 * time.Millisecond)
+	if got := placementsByUpstream(p, 200); got["a"] < 190 {
+		t.Errorf("after the cold period, placements by upstream: %v", got)
+	}
+}
+
+// Guards against taking the word of a process for that of the next one: a connection has failed since the
+// upstream was asked.
+func TestWordBeforeAFailedConnectionIsNotTaken(t *testing.T) {
+	p, _, lease := suspectedUpstream(t)
+	check := lease.StartColdCheck()
+	failed := p.Choose(&Request{PromptTokens: 100})
+	failed.ReportUnreachable()
+	failed.Done(Failed)
+	check.Conclude(0)
+	if got := placementsByUpstream(p, 200); got["a"] > 7 {
+		t.Errorf("placements by upstream: %v", got)
+	}
+	if again := p.Choose(&Request{PromptTokens: 100}); again != nil && again.StartColdCheck() == nil {
+		t.Error("the upstream is not asked again")
+	}
+}
+
+// Guards against more than a cold upstream takes: the question and the request that it delays are two.
+func TestQuestionTakesThePlaceOfARequest(t *testing.T) {
+	p, _, lease := suspectedUpstream(t)
+	if lease.StartColdCheck() == nil || lease.InService() {
+		t.Error("the request is sent as well as the question")
+	}
+	if got := placementsByUpstream(p, 200); got["a"] > 6 {
+		t.Errorf("placements by upstream beside the question: %v", got)
+	}
+}
+
+// Guards against more health checks than one after a failed connection, and any for an upstream that is cold
+// by its entry, was out of service, or is not suspected.
+func TestUpstreamIsAskedOnce(t *testing.T) {
+	p, now, lease := suspectedUpstream(t)
+	if lease.StartColdCheck() == nil || p.Choose(&Request{PromptTokens: 100}).StartColdCheck() != nil {
+		t.Error("not asked exactly once")
+	}
+	p.Update([]registry.Upstream{cold("a")}, true)
+	*now = now.Add(2 * time.Second)
+	declared := p.Choose(&Request{PromptTokens: 100})
+	declared.ReportUnreachable()
+	if declared.StartColdCheck() != nil {
+		t.Error("an upstream that is cold by its entry is asked")
+	}
+	p.Update([]registry.Upstream{warm("b")}, true)
+	p.Update([]registry.Upstream{warm("b"), warm("c")}, true)
+	for range 8 {
+		returned := p.Choose(&Request{PromptTokens: 100, Tried: []string{"b"}})
+		if returned == nil {
+			break
+		}
+		returned.ReportUnreachable()
+		if returned.StartColdCheck() != nil {
+			t.Error("an upstream that was out of service is asked")
+		}
+	}
+	if p.Choose(&Request{PromptTokens: 100}).StartColdCheck() != nil {
+		t.Error("an upstream that does not count as cold is asked")
+	}
+}
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -45,6 +45,10 @@
 	// assumedColdUntil is when the cold period ends that this instance assumes because the
 	// upstream may have restarted without declaring it.
 	assumedColdUntil time.Time
+	// suspectedColdUntil is the same for an upstream to which a connection failed. numSuspicions counts the
+	// failures; lastAsked is its value when the upstream was last asked whether it is cold.
+	suspectedColdUntil       time.Time
+	numSuspicions, lastAsked int
 
 	// running and waiting are the requests at the upstream that it reported at reportedAt.
 	running, waiting int
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -60,8 +60,10 @@
 	// CountStoreCalls returns how many calls a store client has made, by kind.
 	CountStoreCalls func(s store.Watcher) map[string]int64
 	Codec           forward.Codec
-	Format          door.Format
-	ReadyPath       string
+	// Health makes health checks of upstreams; nil if they are not asked whether they are cold.
+	Health    forward.HealthCodec
+	Format    door.Format
+	ReadyPath string
 	// DialUpstream opens direct connections to upstreams; New sets httpconn.DialTCP if it is nil.
 	DialUpstream httpconn.DialFunc
 }
@@ -252,6 +254,7 @@
 		ColdLimit:   r.coldLimit,
 		ColdOverage: r.settings.ColdOverage,
 		ColdSlack:   r.settings.ColdSlack,
+		Health:      r.platform.Health,
 
 		PeerProber: httpconn.NewPeerProber(r.platform.DialUpstream, r.conns, r.verifier.Verify, time.Now),
 		Quarantine: r.quarantine.Table(),
--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -73,6 +73,8 @@
 	// MaxConnections is the number of connections that one upstream accepts from all clients
 	// together.
 	MaxConnections int `json:"max_connections"`
+	// HealthPath is the path of the upstreams' health checks; empty if they have none.
+	HealthPath string `json:"health_path,omitempty"`
 	// Engine describes model engines; nil for plain services.
 	Engine *Engine `json:"engine,omitempty"`
 	// ColdPerSecond is the number of requests a second, from all instances together, that a cold upstream
--- a/pkg/soak/operator.go
+++ b/pkg/soak/operator.go
@@ -79,10 +79,10 @@
 		Version:     o.version,
 		KeyRequired: true,
 		Services: []routing.Service{
-			{Name: plainService, MaxConnections: 4000, ColdPerSecond: coldPerSecond, ColdDuration: coldDuration},
+			{Name: plainService, MaxConnections: 4000, ColdPerSecond: coldPerSecond, ColdDuration: coldDuration, HealthPath: standin.HealthPath},
 			{
 				Name: engineService, MaxConnections: 4000, ColdPerSecond: coldPerSecond, ColdDuration: coldDuration,
-				Engine: &routing.Engine{Slots: 64, MemoryTokens: 1 << 20, TokensPerEvent: 1},
+				HealthPath: standin.HealthPath, Engine: &routing.Engine{Slots: 64, MemoryTokens: 1 << 20, TokensPerEvent: 1},
 			},
 		},
 		Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -162,6 +162,14 @@
 try cold-limit-at-the-choice pkg/placement/pool.go 's/ \|\| !p\.withinColdLimit\(s, now\)//' pkg/placement TestColdUpstreamGetsWhatItTakes
 try returned-are-cold pkg/placement/pool.go 's/assumeReturnedCold\(before,/assumeReturnedCold(before[:0],/' pkg/placement TestReturnedUpstreamIsTakenForCold
 try cold-before-the-sending pkg/placement/pool.go 's/ && l\.withinColdLimit\(\)//' pkg/placement TestUpstreamThatTurnsColdAfterTheChoiceGetsNothing
+try suspected-are-asked pkg/forward/attempt.go 's/if failed := a\.checkCold\(\); failed != nil \{/if failed := (*failure)(nil); failed != nil {/' pkg/forward TestSilenceCostsNoColdTime
+try words-of-the-cold-bind pkg/forward/coldcheck.go 's/check\.Conclude\(health\.Cold\)/check.Conclude(0)/' pkg/forward TestUpstreamThatGoesOnColdGetsWhatItTakes
+try others-words-are-no-words pkg/forward/coldcheck.go 's/ && health\.Instance == a\.lease\.ID//' pkg/forward TestOnlyTheAddressedProcessIsBelieved
+try untold-is-no-word platform/health.go 's/if err == nil && /if err != nil || /' platform TestHealthThatDoesNotTellIsNoWord
+try health-checks-name-the-process platform/health.go 's/buf = appendHeader\(buf, headerExpectedInstance, instance\)/_ = instance/' platform TestHealthCheckNamesTheProcess
+try words-before-a-failure pkg/placement/cold.go 's/if s\.numSuspicions == c\.suspicion \{/if true {/' pkg/placement TestWordBeforeAFailedConnectionIsNotTaken
+try questions-take-a-place pkg/placement/cold.go 's/\tl\.countedAsCold = false\n//' pkg/placement TestQuestionTakesThePlaceOfARequest
+try asked-once pkg/placement/cold.go 's/ \|\| s\.lastAsked == s\.numSuspicions//' pkg/placement TestUpstreamIsAskedOnce
 try sides-share-the-bound pkg/coldlimit/limit.go 's/max\(limit\/maxSides, 1\)/limit/' pkg/coldlimit TestAllInstancesTogetherStayWithinTheBound
 try silent-keep-their-rank pkg/coldlimit/limit.go 's/nameLifetime = 10 \* time\.Minute/nameLifetime = time.Millisecond/' pkg/coldlimit TestSilentInstancesKeepTheirRank
 try starts-send-nothing-to-the-cold pkg/coldlimit/limit.go 's/if l\.now\(\)\.Sub\(l\.startedAt\) < window \{/if false {/' pkg/coldlimit TestAllInstancesTogetherStayWithinTheBound
