Cold upstreams: a request that got no connection takes no place within the limit

Seen by callers: in the first second after a silence of all upstreams most requests were refused although each upstream would have said that it is not cold: 7 or 8 of 100 served after 0.5 s, 48 to 50 after 1 s, 90 to 92 after 1.5 s, 77 or 78 after 2.5 s (seven instances, 12 upstreams); 59 to 62 after 1.5 s at 90 instances and 60 upstreams.

Cause: a request that was chosen for a suspected upstream counted as sent for 1.1 s, also when no connection to it could be opened, so that nobody was allowed to connect when it could be reached again.

Change: what was not sent is taken back, that request and no other. The bound counts requests that were sent.

TestSilenceCostsNoColdTime has a bound for the first second now, and fails without this mend.

--- a/pkg/coldlimit/limit.go
+++ b/pkg/coldlimit/limit.go
@@ -112,11 +112,23 @@
 	return len(l.recentlySent(upstream)) < l.share(upstream, limit)
 }
 
-// Sent counts a request that was sent after Allows returned true.
-func (l *Limit) Sent(upstream string) {
+// Sent counts a request that is sent after Allows returned true, and returns when it was counted.
+func (l *Limit) Sent(upstream string) (at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sent[upstream] = append(l.recentlySent(upstream), l.now())
+	at = l.now()
+	l.sent[upstream] = append(l.recentlySent(upstream), at)
+	return at
+}
+
+// NotSent takes back a request that was counted at a time and of which nothing was sent.
+func (l *Limit) NotSent(upstream string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sent := l.recentlySent(upstream)
+	if n := slices.Index(sent, at); n >= 0 {
+		l.sent[upstream] = slices.Delete(sent, n, n+1)
+	}
 }
 
 // recentlySent returns the times of the requests sent to an upstream within the window. l.mu must be held.
--- a/pkg/coldlimit/limit_test.go
+++ b/pkg/coldlimit/limit_test.go
@@ -137,6 +137,26 @@
 	}
 }
 
+// Guards against a share that is used up by requests of which nothing was sent, and against taking back another
+// request than the one that was not sent.
+func TestWhatWasNotSentIsTakenBack(t *testing.T) {
+	s := newSimulation(7, 1)
+	s.now = s.now.Add(time.Minute)
+	l := s.limits[0]
+	unsent := l.Sent("cold")
+	l.NotSent("cold", unsent)
+	if !l.Allows("cold", engineBound) {
+		t.Error("what was not sent is counted")
+	}
+	s.now = s.now.Add(time.Millisecond)
+	l.Sent("cold")
+	l.NotSent("cold", unsent)
+	l.NotSent("other", unsent)
+	if l.Allows("cold", engineBound) {
+		t.Error("another request was taken back")
+	}
+}
+
 func TestNoBoundAllowsEverything(t *testing.T) {
 	l := New("a", func() []string { return nil }, time.Now)
 	for range 1000 {
--- a/pkg/experiment/coldstart/coldstart.go
+++ b/pkg/experiment/coldstart/coldstart.go
@@ -49,7 +49,7 @@
 // limiter bounds the requests that one instance sends to cold upstreams; see coldlimit.Limit.
 type limiter interface {
 	Allows(upstream string, bound coldlimit.Bound) bool
-	Sent(upstream string)
+	Sent(upstream string) (at time.Time)
 	Observe()
 }
 
@@ -68,7 +68,7 @@
 type unlimited struct{}
 
 func (unlimited) Allows(string, coldlimit.Bound) bool { return true }
-func (unlimited) Sent(string)                         {}
+func (unlimited) Sent(string) (at time.Time)          { return at }
 func (unlimited) Observe()                            {}
 
 // equalShare allows an instance one request in each span of time in which all instances that it
@@ -84,8 +84,12 @@
 	return e.last.IsZero() || e.now().Sub(e.last) >= span
 }
 
-func (e *equalShare) Sent(string) { e.last = e.now() }
-func (e *equalShare) Observe()    {}
+func (e *equalShare) Sent(string) (at time.Time) {
+	e.last = e.now()
+	return e.last
+}
+
+func (e *equalShare) Observe() {}
 
 // Result holds the outcome of a history.
 type Result struct {
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -312,6 +312,7 @@
 		Service: a.lease.Service, ID: a.lease.ID, Address: address, Domain: a.lease.Domain, Deadline: a.c.deadline,
 	})
 	if err != nil {
+		a.lease.ReportNotConnected()
 		if ctx.Err() == nil {
 			a.lease.ReportUnreachable()
 		}
--- a/pkg/forward/cold_silence_test.go
+++ b/pkg/forward/cold_silence_test.go
@@ -411,6 +411,9 @@
 		if f.share(1) < 90 || f.share(2) < 98 {
 			t.Errorf("%v: %d and %d of 100 served in the second and third second after it", day, f.share(1), f.share(2))
 		}
+		if f.share(0) < 55 {
+			t.Errorf("%v: %d of 100 served in the first second after it", day, f.share(0))
+		}
 		if f.checks > day.instances*day.silent {
 			t.Errorf("%v: %d health checks", day, f.checks)
 		}
--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -10,9 +10,11 @@
 // may send to a cold upstream.
 type ColdLimit interface {
 	// Allows reports whether one more request may be sent to the upstream now.
-	// Sent counts a request as sent.
+	// Sent counts a request as sent and returns when it was counted. NotSent takes back one that was
+	// counted at a time.
 	Allows(upstream string, bound coldlimit.Bound) bool
-	Sent(upstream string)
+	Sent(upstream string) (at time.Time)
+	NotSent(upstream string, at time.Time)
 }
 
 // ColdPolicy limits the requests to upstreams of a service that have, or may have, just started.
@@ -121,13 +123,24 @@
 }
 
 // countColdRequest counts a request against the limit on the upstream if the upstream is cold and
-// requests to cold upstreams are limited, and reports whether it did.
-func (p *Pool) countColdRequest(s *upstreamState, now time.Time) (counted bool) {
+// requests to cold upstreams are limited, and reports whether and when it did.
+func (p *Pool) countColdRequest(s *upstreamState, now time.Time) (counted bool, at time.Time) {
 	if !p.coldPolicy.limitsRequests() || !s.isCold(now) {
-		return false
+		return false, time.Time{}
+	}
+	return true, p.coldPolicy.Limit.Sent(s.ID)
+}
+
+// ReportNotConnected records that no connection was opened for the request, so that nothing of it was sent: it
+// takes no place within the limit on cold upstreams.
+func (l *Lease) ReportNotConnected() {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.countedAsCold {
+		l.countedAsCold = false
+		p.coldPolicy.Limit.NotSent(l.state.ID, l.countedAt)
 	}
-	p.coldPolicy.Limit.Sent(s.ID)
-	return true
 }
 
 // withinColdLimit reports whether the request may be sent: it was counted against the limit of a cold
--- a/pkg/placement/cold_test.go
+++ b/pkg/placement/cold_test.go
@@ -207,3 +207,18 @@
 		t.Error("an upstream that does not count as cold is asked")
 	}
 }
+
+// Guards against a suspected upstream that gets nothing when it can be reached again, because failed connections
+// have used up what it may get.
+func TestFailedConnectionTakesNoPlace(t *testing.T) {
+	p, _, lease := suspectedUpstream(t)
+	lease.Done(Neutral)
+	lease.ReportNotConnected()
+	lease.ReportNotConnected()
+	if lease.InService() {
+		t.Error("a request that takes no place is sent")
+	}
+	if got := placementsByUpstream(p, 200); got["a"] != 7 {
+		t.Errorf("placements by upstream: %v", got)
+	}
+}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -166,8 +166,9 @@
 	Long bool
 
 	// countedAsCold reports whether the request was counted against the limit of a cold
-	// upstream.
+	// upstream, at countedAt.
 	countedAsCold bool
+	countedAt     time.Time
 	pendingTokens int64
 	sentAt        time.Time
 	// silent says that the request counts as failed while it goes on.
@@ -339,8 +340,11 @@
 			s.evictStaleParts(now)
 		}
 	}
-	counted := p.countColdRequest(s, now)
-	return &Lease{Upstream: s.Upstream, pool: p, state: s, pendingTokens: pendingTokens, sentAt: now, countedAsCold: counted}
+	counted, countedAt := p.countColdRequest(s, now)
+	return &Lease{
+		Upstream: s.Upstream, pool: p, state: s, pendingTokens: pendingTokens, sentAt: now,
+		countedAsCold: counted, countedAt: countedAt,
+	}
 }
 
 // maxCachedParts is the number of parts recorded for one engine above which stale ones are
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -169,6 +169,8 @@
 try health-checks-name-the-process platform/health.go 's/buf = appendHeader\(buf, headerExpectedInstance, instance\)/_ = instance/' platform TestHealthCheckNamesTheProcess
 try words-before-a-failure pkg/placement/cold.go 's/if s\.numSuspicions == c\.suspicion \{/if true {/' pkg/placement TestWordBeforeAFailedConnectionIsNotTaken
 try questions-take-a-place pkg/placement/cold.go 's/\tl\.countedAsCold = false\n//' pkg/placement TestQuestionTakesThePlaceOfARequest
+try not-connected-takes-no-place pkg/forward/attempt.go 's/\t\ta\.lease\.ReportNotConnected\(\)\n//' pkg/forward TestSilenceCostsNoColdTime
+try not-sent-is-taken-back pkg/coldlimit/limit.go 's/if n := slices\.Index\(sent, at\); n >= 0 \{/if n := 0; len(sent) > 0 {/' pkg/coldlimit TestWhatWasNotSentIsTakenBack
 try asked-once pkg/placement/cold.go 's/ \|\| s\.lastAsked == s\.numSuspicions//' pkg/placement TestUpstreamIsAskedOnce
 try sides-share-the-bound pkg/coldlimit/limit.go 's/max\(limit\/maxSides, 1\)/limit/' pkg/coldlimit TestAllInstancesTogetherStayWithinTheBound
 try silent-keep-their-rank pkg/coldlimit/limit.go 's/nameLifetime = 10 \* time\.Minute/nameLifetime = time.Millisecond/' pkg/coldlimit TestSilentInstancesKeepTheirRank
