--- a/pkg/forward/unreached_test.go
+++ b/pkg/forward/unreached_test.go
@@ -123,7 +123,10 @@
 func (l waitingColdLimit) Allows(string, coldlimit.Bound) bool { return !time.Now().Before(l.until) }
 
 // Sent implements placement.ColdLimit.
-func (waitingColdLimit) Sent(string) {}
+func (waitingColdLimit) Sent(string) time.Time { return time.Now() }
+
+// NotSent implements placement.ColdLimit.
+func (waitingColdLimit) NotSent(string, time.Time) {}
 
 // resumeLater serves a stream whose first upstream breaks off after an event, over the links, at a service that
 // limits the requests to cold upstreams.
