Tests: started programs have the default action of SIGHUP, whatever the test's own parent ignores

Seen: a whole run whose parent ignored the signal was red in TestHangupEndsOtherCommands: ignored signals are inherited, so the commands ignored it as well. A signal that the starting process handles has its default action in its children. Green with the signal ignored by the parent and without; the checks are unchanged.

--- a/test/hangup_test.go
+++ b/test/hangup_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -165,6 +166,10 @@
 // startCommand starts a command and kills it when the test ends.
 func startCommand(t *testing.T, cmd *exec.Cmd) {
 	t.Helper()
+	// Children have the default action of a signal that this process handles, also if its own parent ignores it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
