Event 210 names the prompt's parts and how much the client had got

The log of the incident shows which requests ran at each upstream that crashed, but not what they share: whether one prompt part is among all of them, or whether the endings were no crashes, cannot be told apart without the parts.

--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -111,7 +111,7 @@
 	RequestReplayed:   {"request-replayed", "a retry got the recorded answer of a request that ran", "none"},
 	CallerGone:        {"caller-gone", "the caller went away; the upstream was cancelled", "none"},
 	RequestRepeated:   {"request-repeated", "an attempt failed and another upstream is asked; version is the software version of an upstream whose stream broke off, silent_ms as in request-failed", "by the step and cause fields"},
-	RequestBrokeOff:   {"request-broke-off", "a connection to an upstream ended before the whole answer; state tells whether the upstream crashed, answers or is silent, fingerprint is the same for equal requests of one account", "see OPERATIONS, upstreams end one after the other"},
+	RequestBrokeOff:   {"request-broke-off", "a connection to an upstream ended before the whole answer; state tells whether the upstream crashed, answers or is silent, fingerprint is the same for equal requests of one account, prompt_parts names the prompt's first parts, events is how many the client had got", "see OPERATIONS, upstreams end one after the other"},
 	RequestSuspected:  {"request-suspected", "an upstream crashed while a request ran there; crashes tells how many did in a row, condemned that it does not run again", "see OPERATIONS, upstreams end one after the other"},
 	RequestCleared:    {"request-cleared", "a suspected request was answered whole, so others crashed the upstreams", "none"},
 	RequestReleased:   {"request-released", "an operator released a request from quarantine", "none"},
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
@@ -116,10 +117,23 @@
 		"state": state, "upstream": a.lease.ID, "address": a.lease.Address, "step": failed.step,
 		"fingerprint": a.c.Fingerprint().String(), "route": a.c.route.Name, "account": a.c.accountName(),
 		"ran_ms": a.c.f.Now().Sub(a.sentAt).Milliseconds(), "sent": a.number,
+		"prompt_parts": a.c.loggedParts(), "events": a.c.numEvents,
 	})
 	return state
 }
 
+// maxLoggedParts limits the prompt parts listed in one event.
+const maxLoggedParts = 8
+
+// loggedParts returns the IDs of the prompt's first parts in hexadecimal, as clients send them.
+func (c *call) loggedParts() []string {
+	var out []string
+	for _, part := range c.r.Prompt[:min(len(c.r.Prompt), maxLoggedParts)] {
+		out = append(out, strconv.FormatUint(part.ID, 16))
+	}
+	return out
+}
+
 func (a *attempt) noteCrash(record *quarantine.Record) {
 	f := a.c.f
 	f.meters.crashes.Inc(1)
