--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -88,7 +88,7 @@
 		c.e.metrics.retried.Inc(1)
 	}
 	c.e.Log.Event(eventlog.RequestDispatched, c.r.id, eventlog.Fields{"upstream": lease.Upstream.Name})
-	a.delivery = &delivery{attempt: a, call: c, lease: lease}
+	a.delivery = &delivery{attempt: a, call: c, lease: lease, run: &run.Run}
 	if err == nil {
 		err = a.delivery.deliver(ctx)
 	}
--- a/pkg/entry/beside_test.go
+++ b/pkg/entry/beside_test.go
@@ -15,6 +15,9 @@
 // equalRequest has the fingerprint of a model request.
 type equalRequest fingerprint.Fingerprint
 
+// Prompt implements quarantine.Request.
+func (equalRequest) Prompt() quarantine.Prompt { return quarantine.Prompt{} }
+
 // Fingerprint implements quarantine.Request.
 func (r equalRequest) Fingerprint() fingerprint.Fingerprint { return fingerprint.Fingerprint(r) }
 
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -16,6 +16,7 @@
 	"github.com/lavenderring/lavenderring/pkg/document"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
+	"github.com/lavenderring/lavenderring/pkg/quarantine"
 	"github.com/lavenderring/lavenderring/pkg/upstream"
 )
 
@@ -107,9 +108,24 @@
 	c.body = encoded
 	c.maxCost = c.r.doc.Limits.MaxPromptTokens(len(encoded)) + engineReq.MaxTokens
 	c.prefixHash = xxhash.Sum64(promptPrefix(c.req.Messages))
+	c.r.prompt = quarantine.Prompt{
+		Account: c.r.budget, Service: c.pool.Name, Model: quarantine.ModelName(c.req.Model), Parts: sharedParts(c.req.Messages),
+	}
 	return nil
 }
 
+// sharedParts returns the hashes of the messages that other conversations may share: all but the last.
+func sharedParts(messages []chat.Message) []uint64 {
+	var parts []uint64
+	for _, m := range messages[:len(messages)-1] {
+		digest := xxhash.New()
+		_, _ = digest.WriteString(m.Role + "\x00") // a hash never fails
+		_, _ = digest.WriteString(m.Content)
+		parts = append(parts, digest.Sum64())
+	}
+	return parts
+}
+
 // promptPrefix returns the first maxPrefixBytes of the messages' contents.
 func promptPrefix(messages []chat.Message) []byte {
 	var prefix []byte
--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -33,10 +33,13 @@
 	return r.fingerprint
 }
 
+// Prompt implements quarantine.Request.
+func (r *request) Prompt() quarantine.Prompt { return r.prompt }
+
 // checkQuarantine refuses a request that is condemned for crashing upstreams, before tokens are
 // reserved for it.
 func (e *Entry) checkQuarantine(r *request) *Problem {
-	if err := e.Quarantine.Refuse(r); err != nil {
+	if err := e.Quarantine.Refuse(r, e.Now()); err != nil {
 		return quarantineProblem(r, err)
 	}
 	return nil
--- a/pkg/entry/delivery.go
+++ b/pkg/entry/delivery.go
@@ -13,6 +13,7 @@
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/pause"
+	"github.com/lavenderring/lavenderring/pkg/quarantine"
 	"github.com/lavenderring/lavenderring/pkg/upstream"
 )
 
@@ -38,6 +39,7 @@
 	attempt *attempt
 	call    *chatCall
 	lease   *dispatch.Lease
+	run     *quarantine.Run
 	// offset is the number of tokens delivered so far.
 	offset int64
 	usage  *chat.Usage
@@ -177,6 +179,7 @@
 	}
 	if event.Offset > 0 {
 		if d.offset == 0 {
+			d.run.NoteBegun(d.call.e.Now())
 			d.incarnation = d.current.incarnation
 			d.call.e.metrics.timeToFirstToken.UpdateSince(d.call.r.started)
 		}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -187,6 +187,8 @@
 	// fingerprint is computed on first use.
 	fingerprintOnce sync.Once
 	fingerprint     fingerprint.Fingerprint
+	// prompt describes a model request's prompt; empty for other requests.
+	prompt quarantine.Prompt
 }
 
 // handle returns the HTTP handler for one kind of request: it admits the request,
--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -40,6 +40,7 @@
 	OriginFault       Number = 216
 	RequestHedged     Number = 217
 	HedgeFailed       Number = 218
+	PartCondemned     Number = 219
 	ReservationDenied Number = 300
 	RequestBilled     Number = 301
 	UsageAboveBound   Number = 302
@@ -120,6 +121,7 @@
 	OriginFault:       {"origin-fault", "records of which software version began a stream were not kept at or not found out from another instance; suppressed tells how many more faults there were since the last event. A stream whose record is lost is refused when its client resumes it", "by the step and cause fields, if it lasts"},
 	RequestHedged:     {"request-hedged", "an upstream has sent nothing for silent_ms, and another one runs the request as well; the first answer is delivered", "none; if many, see the upstreams named by silent"},
 	HedgeFailed:       {"hedge-failed", "an attempt beside a silent one failed; the silent one goes on", "by the step and cause fields"},
+	PartCondemned:     {"part-condemned", "upstreams crashed under requests that have only this part of their prompts in common; requests of the account with it, or of all accounts if none is named, do not run any more", "see OPERATIONS, a request is refused for good"},
 	ReservationDenied: {"reservation-denied", "the account's budget had no tokens to reserve", "top up, or see OPERATING, refusals"},
 	RequestBilled:     {"request-billed", "a request's cost was taken from its reservation", "none"},
 	UsageAboveBound:   {"usage-above-bound", "an upstream reported more tokens than were reserved; billed at the bound", "correct min_bytes_per_token or the engine"},
--- a/pkg/experiment/blame/request.go
+++ b/pkg/experiment/blame/request.go
@@ -24,6 +24,9 @@
 	return fingerprint.Of("crew", "", fingerprint.Content("POST", "/", []byte(r.body)))
 }
 
+// Prompt implements quarantine.Request.
+func (r *request) Prompt() quarantine.Prompt { return quarantine.Prompt{} }
+
 // attempt is one run of a request at an upstream.
 type attempt struct {
 	request      *request
--- a/pkg/fingerprint/fingerprint.go
+++ b/pkg/fingerprint/fingerprint.go
@@ -3,6 +3,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 )
 
@@ -33,3 +34,12 @@
 	_, _ = digest.Write(content[:])
 	return Fingerprint(digest.Sum(nil)[:Size])
 }
+
+// Part returns the fingerprint of a part of prompts that are sent to a service for a model: in the
+// requests of one account, or of all accounts if account is empty.
+func Part(account, service, model string, id uint64) Fingerprint {
+	digest := sha256.New()
+	_, _ = digest.Write([]byte("part\x00" + account + "\x00" + service + "\x00" + model + "\x00"))
+	_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, id))
+	return Fingerprint(digest.Sum(nil)[:Size])
+}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -284,6 +284,7 @@
 		case err != nil:
 			return a.streamFailed(err)
 		case dropDelivered(a.events.complete(), a.resumeAfter).hasData():
+			a.run.NoteBegun(a.c.f.Now())
 			return nil
 		}
 		a.events.skip()
@@ -533,6 +534,9 @@
 	if failed := a.readWhole(); failed != nil {
 		return failed
 	}
+	if a.head.Status < http.StatusMultipleChoices {
+		a.run.NoteBegun(a.c.f.Now())
+	}
 	a.c.abandonHedges()
 	a.memory = nil // the answer keeps it until it has been written
 	a.c.deliver(a.answer)
--- a/pkg/forward/beside_test.go
+++ b/pkg/forward/beside_test.go
@@ -22,6 +22,9 @@
 // equalRequest is the request of serveSilent, as the quarantine sees it.
 type equalRequest struct{}
 
+// Prompt implements quarantine.Request.
+func (equalRequest) Prompt() quarantine.Prompt { return quarantine.Prompt{} }
+
 // Fingerprint implements quarantine.Request.
 func (equalRequest) Fingerprint() fingerprint.Fingerprint {
 	return fingerprint.Of("", "h", fingerprint.Content("POST", "/", nil))
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -18,7 +18,7 @@
 
 // refuseCondemned refuses a request that crashed the upstreams that ran it.
 func (c *call) refuseCondemned() *Refusal {
-	if err := c.f.Quarantine.Refuse(c); err != nil {
+	if err := c.f.Quarantine.Refuse(c, c.f.Now()); err != nil {
 		return &Refusal{Reason: Quarantined, Step: stepQuarantine, Err: err}
 	}
 	return nil
@@ -175,6 +175,15 @@
 	return *c.fingerprint
 }
 
+// Prompt implements quarantine.Request.
+func (c *call) Prompt() quarantine.Prompt {
+	p := quarantine.Prompt{Account: c.accountName(), Service: c.target.Name, Model: quarantine.ModelName(c.r.Model)}
+	for _, part := range c.r.Prompt[:max(len(c.r.Prompt)-1, 0)] {
+		p.Parts = append(p.Parts, part.ID)
+	}
+	return p
+}
+
 // accountName returns the account's name; empty where no account is needed.
 func (c *call) accountName() string {
 	if c.account == nil {
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -31,6 +31,8 @@
 	ClientTimeout time.Duration
 	// Arrived is when the request had been read completely.
 	Arrived time.Time
+	// Model is the model that the request names; empty for none.
+	Model string
 	// Prompt lists the parts of the prompt in order; the last belongs to this
 	// request alone.
 	Prompt []PromptPart
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -151,6 +151,9 @@
 	if batch.count == 0 {
 		return nil
 	}
+	if batch.hasData() {
+		a.run.NoteBegun(c.f.Now())
+	}
 	c.abandonHedges()
 	if !c.begun {
 		c.begun = true
--- a/pkg/operator/quarantine.go
+++ b/pkg/operator/quarantine.go
@@ -55,10 +55,14 @@
 		return printJSON(out, body)
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "ID\tSTATE\tCRASHES\tACCOUNT\tROUTE\tLAST UPSTREAM\tLAST CRASH") // Flush returns errors
+	_, _ = fmt.Fprintln(table, "ID\tSTATE\tCRASHES\tACCOUNT\tROUTE OR PART\tLAST UPSTREAM\tLAST CRASH") // Flush returns errors
 	for _, v := range views {
+		where := v.Route
+		if v.Part != "" {
+			where = "prompt part " + v.Part + " at " + v.Service
+		}
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\t%s\t%s\n",
-			v.ID, v.State, v.Crashes, v.Account, v.Route, v.Upstream, v.LastCrash.UTC().Format(time.RFC3339))
+			v.ID, v.State, v.Crashes, v.Account, where, v.Upstream, v.LastCrash.UTC().Format(time.RFC3339))
 	}
 	return table.Flush()
 }
--- a/pkg/quarantine/bound.go
+++ b/pkg/quarantine/bound.go
@@ -34,7 +34,11 @@
 		Account:     record.Account,
 		Route:       record.Route,
 		Crashes:     map[string]uint32{},
+		Part:        record.Part,
 	}}
+	if e.Part != nil {
+		t.parts.records[scopedPart{Account: e.Account, Part: *e.Part}] = e
+	}
 	t.records[record.Fingerprint] = e
 	t.accounts[record.Account]++
 	return e
@@ -62,6 +66,9 @@
 	e.endings = nil
 	t.updateIndex(e)
 	delete(t.records, e.Fingerprint)
+	if e.Part != nil {
+		delete(t.parts.records, scopedPart{Account: e.Account, Part: *e.Part})
+	}
 	delete(t.pending, e.Fingerprint)
 	if t.accounts[e.Account]--; t.accounts[e.Account] <= 0 {
 		delete(t.accounts, e.Account)
--- a/pkg/quarantine/ending.go
+++ b/pkg/quarantine/ending.go
@@ -59,6 +59,8 @@
 	// Isolated reports that the ending was a crash, and that no other upstream crashed at that time
 	// for an unknown cause.
 	Isolated bool
+	// Suspects are the parts of the request's prompt; empty if the answer had begun.
+	Suspects suspects
 }
 
 func (e ending) isUndecided() bool { return e.Crash == 0 && !e.Refuted }
--- a/pkg/quarantine/hash_test.go
+++ b/pkg/quarantine/hash_test.go
@@ -12,6 +12,9 @@
 // numberedRequest is a request identified by a number.
 type numberedRequest byte
 
+// Prompt implements Request.
+func (numberedRequest) Prompt() Prompt { return Prompt{} }
+
 func (h numberedRequest) Fingerprint() fingerprint.Fingerprint {
 	return fingerprint.Fingerprint{byte(h) + 1}
 }
--- a/pkg/quarantine/keeper/keeper.go
+++ b/pkg/quarantine/keeper/keeper.go
@@ -42,12 +42,14 @@
 	storeRequests *ring.Queue[struct{}]
 	// lateCrashes holds crashes that were detected late and are still to be logged.
 	lateCrashes *ring.Queue[quarantine.Record]
-	counters    counters
+	// condemnedParts holds the parts that this instance condemned and that are still to be logged.
+	condemnedParts *ring.Queue[quarantine.PartVerdict]
+	counters       counters
 }
 
-type counters struct{ learned, released, stored, lateCrashes metrics.Counter }
+type counters struct{ learned, released, stored, lateCrashes, condemnedParts metrics.Counter }
 
-// maxLateCrashes limits the late crashes that wait to be logged.
+// maxLateCrashes limits the late crashes, and the condemned parts, that wait to be logged.
 const maxLateCrashes = 64
 
 // New returns a keeper. The caller must run both Run and Spread.
@@ -57,15 +59,20 @@
 		Deps:          deps,
 		storeRequests: ring.New[struct{}](1),
 		lateCrashes:   ring.New[quarantine.Record](maxLateCrashes),
+
+		condemnedParts: ring.New[quarantine.PartVerdict](maxLateCrashes),
 		counters: counters{
 			learned:     counter("quarantine.learned"),
 			released:    counter("quarantine.released"),
 			stored:      counter("quarantine.stored"),
 			lateCrashes: counter("quarantine.decided_late"),
+
+			condemnedParts: counter("quarantine.condemned_parts"),
 		},
 	}
 	k.spreader = quarantine.NewSpreader(deps.Self, peers{k}, deps.Now, k.onLearned, k.logFault)
 	k.Table().OnCondemned(k.requestStore)
+	k.Table().OnPartCondemned(func(v quarantine.PartVerdict) { k.condemnedParts.TryPut(v) })
 	k.Table().OnCrashConfirmed(func(r quarantine.Record) { k.lateCrashes.TryPut(r) })
 	return k
 }
@@ -100,6 +107,8 @@
 			k.storeVerdicts(ctx)
 		case r := <-k.lateCrashes.Items():
 			k.logLateCrash(&r)
+		case v := <-k.condemnedParts.Items():
+			k.logCondemnedPart(&v)
 		}
 	}
 }
@@ -110,14 +119,23 @@
 	k.counters.lateCrashes.Inc(1)
 	k.Log.Event(eventlog.RequestSuspected, "", eventlog.Fields{
 		"fingerprint": r.Fingerprint.String(), "crashes": r.ConsecutiveCrashes(), "upstream": r.Upstream, "late": true,
-		"condemned": r.StateAt(k.Self) == quarantine.Condemned,
+		"condemned": k.Table().StateOf(r.Fingerprint) == quarantine.Condemned,
+	})
+}
+
+func (k *Keeper) logCondemnedPart(v *quarantine.PartVerdict) {
+	k.counters.condemnedParts.Inc(1)
+	k.Log.Event(eventlog.PartCondemned, "", eventlog.Fields{
+		"fingerprint": v.Record.Fingerprint.String(), "part": v.Record.Part.Name(), "service": v.Record.Part.Service,
+		"account": v.Record.Account, "crashes": v.Crashes, "requests": v.Requests, "since_ms": v.Since.Milliseconds(),
+		"upstream": v.Record.Upstream,
 	})
 }
 
-// Release clears a watched request, so that it runs without restrictions at all instances. It reports
+// Release clears a watched request or part, so that it runs without restrictions at all instances. It reports
 // whether the request was watched.
 func (k *Keeper) Release(f fingerprint.Fingerprint) bool {
-	if !k.Table().Release(f) {
+	if !k.Table().Release(f, k.Now()) {
 		return false
 	}
 	k.counters.released.Inc(1)
@@ -133,7 +151,7 @@
 	k.counters.learned.Inc(int64(len(records)))
 	var condemned []string
 	for i := range records {
-		if records[i].StateAt(k.Self) == quarantine.Condemned && len(condemned) < maxLoggedRequests {
+		if k.Table().StateOf(records[i].Fingerprint) == quarantine.Condemned && len(condemned) < maxLoggedRequests {
 			condemned = append(condemned, records[i].Fingerprint.String())
 		}
 	}
--- a/pkg/quarantine/keeper/view.go
+++ b/pkg/quarantine/keeper/view.go
@@ -13,13 +13,17 @@
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 )
 
-// View is a record as shown to operators.
+// View is the record of a request, or of a part of prompts, as shown to operators.
 type View struct {
-	// ID is the request's fingerprint in hexadecimal.
+	// ID is the fingerprint of the request or part in hexadecimal.
 	ID      string           `json:"id"`
 	State   quarantine.State `json:"state"`
 	Account string           `json:"account"`
 	Route   string           `json:"route"`
+	// Part is the ID of the part of prompts that the record is about, and Service the service that runs
+	// them; empty for a request.
+	Part    string `json:"part,omitempty"`
+	Service string `json:"service,omitempty"`
 	// Crashes is the number of consecutive crashes, Upstream the incarnation that crashed last.
 	Crashes  uint32 `json:"crashes"`
 	Upstream string `json:"upstream"`
@@ -62,9 +66,12 @@
 
 func (k *Keeper) view(r *quarantine.Record) View {
 	view := View{
-		ID: r.Fingerprint.String(), State: r.StateAt(k.Self), Account: r.Account, Route: r.Route,
+		ID: r.Fingerprint.String(), State: k.Table().StateOf(r.Fingerprint), Account: r.Account, Route: r.Route,
 		Crashes: r.ConsecutiveCrashes(), Undecided: r.NumUndecided(), Upstream: r.Upstream, LastCrash: r.LastCrash,
 	}
+	if r.Part != nil {
+		view.Part, view.Service = r.Part.Name(), r.Part.Service
+	}
 	for instance := range r.Crashes {
 		view.Instances = append(view.Instances, instance)
 	}
@@ -76,7 +83,7 @@
 func (k *Keeper) Summary() Summary {
 	var s Summary
 	for _, r := range k.Table().All() {
-		switch r.StateAt(k.Self) {
+		switch k.Table().StateOf(r.Fingerprint) {
 		case quarantine.Suspected:
 			s.Suspected++
 		case quarantine.Condemned:
--- /dev/null
+++ b/pkg/quarantine/part_test.go
@@ -0,0 +1,308 @@
+package quarantine
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lavenderring/lavenderring/pkg/fingerprint"
+)
+
+// promptRequest is a request of which no two are alike, apart from the parts of its prompt.
+type promptRequest struct {
+	account string
+	number  int
+	parts   []uint64
+}
+
+// Fingerprint implements Request.
+func (r promptRequest) Fingerprint() fingerprint.Fingerprint {
+	return fingerprint.Of(r.account, "", fingerprint.Content("POST", "/", fmt.Append(nil, r.number)))
+}
+
+// Prompt implements Request.
+func (r promptRequest) Prompt() Prompt {
+	return Prompt{Account: r.account, Service: "models", Model: "m", Parts: r.parts}
+}
+
+// Parts of the prompts in these tests.
+const (
+	systemPart, documentPart, crashingPart, otherPart = 1, 2, 3, 4
+)
+
+// partScene plays requests with prompts at one table, in virtual time.
+type partScene struct {
+	t      *testing.T
+	table  *Table
+	now    time.Time
+	number int
+}
+
+func newPartScene(t *testing.T) *partScene {
+	return &partScene{t: t, table: NewTable("a", nil), now: startTime}
+}
+
+// begin begins a request that is like no other.
+func (s *partScene) begin(account string, parts ...uint64) (Run, error) {
+	s.number++
+	return s.table.Begin(promptRequest{account, s.number, parts}, s.now)
+}
+
+func (s *partScene) mustBegin(account string, parts ...uint64) Run {
+	s.t.Helper()
+	run, err := s.begin(account, parts...)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return run
+}
+
+// serve serves a request: its answer begins and ends.
+func (s *partScene) serve(account string, parts ...uint64) {
+	s.t.Helper()
+	run := s.mustBegin(account, parts...)
+	run.NoteBegun(s.now)
+	run.NoteAnswer()
+}
+
+// crash crashes an upstream at which runs have not ended, and waits until that can be judged.
+func (s *partScene) crash(runs ...Run) {
+	s.number++
+	upstream := upstreamNamed(fmt.Sprint("u", s.number))
+	for _, run := range runs {
+		crash := run.NoteCrash(Origin{Account: run.request.Prompt().Account, Route: "r"}, upstream, s.now)
+		crash.Judge()
+	}
+	s.now = s.now.Add(200 * time.Millisecond)
+}
+
+// crashUnder crashes an upstream under one request with each of prompts.
+func (s *partScene) crashUnder(account string, prompts ...[]uint64) {
+	s.t.Helper()
+	var runs []Run
+	for _, parts := range prompts {
+		runs = append(runs, s.mustBegin(account, parts...))
+	}
+	s.crash(runs...)
+}
+
+func (s *partScene) refuses(account string, parts ...uint64) bool {
+	s.number++
+	return errors.Is(s.table.Refuse(promptRequest{account, s.number, parts}, s.now), ErrCondemned)
+}
+
+// crashRepeatedly crashes as many upstreams under unlike requests with crashingPart, while others are served.
+func (s *partScene) crashRepeatedly(account string, crashes int) {
+	s.t.Helper()
+	for range crashes {
+		s.crashUnder(account, []uint64{systemPart, crashingPart})
+		s.serve("other", systemPart)
+	}
+}
+
+// Guards against counting crashes by whole requests only, and against refusing what shares the account and
+// the other parts.
+func TestPartThatUnlikeRequestsShareIsCondemned(t *testing.T) {
+	s := newPartScene(t)
+	s.serve("crew", systemPart, documentPart)
+	s.crashRepeatedly("crew", CondemnAfter)
+	if !s.refuses("crew", systemPart, crashingPart) || !s.refuses("crew", crashingPart, documentPart) {
+		t.Error("the crashing part is not condemned")
+	}
+	if s.refuses("crew", systemPart, documentPart) {
+		t.Error("a harmless request that shares the account and parts is refused")
+	}
+}
+
+// Guards against condemning the parts that all requests share, because they were at every crash.
+func TestPartsThatAreAnsweredAreNotAccused(t *testing.T) {
+	s := newPartScene(t)
+	s.serve("crew", systemPart, documentPart)
+	for range CondemnAtMost + 1 {
+		if !s.refuses("crew", systemPart, crashingPart) {
+			s.crashUnder("crew", []uint64{systemPart, documentPart, crashingPart}, []uint64{systemPart, documentPart})
+		}
+		s.serve("crew", systemPart)
+	}
+	if s.refuses("crew", systemPart, documentPart) {
+		t.Error("parts that were answered before are condemned")
+	}
+	if !s.refuses("crew", systemPart, documentPart, crashingPart) {
+		t.Error("the crashing part is not condemned")
+	}
+}
+
+// Guards against condemning a shared part when an instance has just started, so knows of no answers, and
+// upstreams crash under whatever they run.
+func TestNoPartIsCondemnedWhileNothingIsAnswered(t *testing.T) {
+	s := newPartScene(t)
+	for range 4 * CondemnAtMost {
+		if run, err := s.begin("crew", systemPart, documentPart); err == nil {
+			s.crash(run)
+		}
+		s.now = s.now.Add(time.Second)
+	}
+	if s.refuses("crew", systemPart) {
+		t.Error("a part is condemned though the service answered nobody")
+	}
+}
+
+// Guards against an account that has another's part condemned by listing it beside what crashes upstreams.
+func TestPartIsCondemnedForTheAccountThatSentIt(t *testing.T) {
+	s := newPartScene(t)
+	s.crashRepeatedly("crew", CondemnAfter)
+	if !s.refuses("crew", crashingPart) || s.refuses("other", crashingPart) {
+		t.Fatal("want the part condemned for the account whose requests crashed upstreams, and for no other")
+	}
+	s.crashUnder("other", []uint64{crashingPart})
+	if !s.refuses("third", crashingPart) {
+		t.Error("the part is not condemned for all accounts after crashes under two of them")
+	}
+}
+
+// Guards against taking the part of another service or model with the same ID for the condemned one.
+func TestPartOfAnotherModelIsAnotherPart(t *testing.T) {
+	s := newPartScene(t)
+	s.crashRepeatedly("crew", CondemnAfter)
+	p := Prompt{Account: "crew", Service: "models", Model: "another", Parts: []uint64{crashingPart}}
+	if s.table.condemnedRecord("crew", p.part(crashingPart)) != nil {
+		t.Error("the part is condemned for another model")
+	}
+}
+
+// Guards against condemning a part for a request that crashes upstreams by its own content and comes again.
+func TestRepeatedRequestDoesNotCondemnItsParts(t *testing.T) {
+	s := newPartScene(t)
+	request := promptRequest{"crew", 0, []uint64{systemPart, documentPart}}
+	for range CondemnAtMost {
+		run, err := s.table.Begin(request, s.now)
+		if err != nil {
+			break
+		}
+		s.crash(run)
+		s.serve("other", systemPart)
+	}
+	if s.refuses("crew", documentPart) {
+		t.Error("a part is condemned by the crashes of one request")
+	}
+	if _, err := s.table.Begin(request, s.now); !errors.Is(err, ErrCondemned) {
+		t.Errorf("the request itself: %v, want it condemned", err)
+	}
+}
+
+// Guards against accusing requests whose answers had begun when their upstream crashed.
+func TestBegunAnswersAreNotAccused(t *testing.T) {
+	s := newPartScene(t)
+	for range CondemnAtMost {
+		run := s.mustBegin("crew", otherPart)
+		run.NoteBegun(s.now)
+		s.crash(run)
+		s.serve("other", systemPart)
+	}
+	if s.refuses("crew", otherPart) {
+		t.Error("a part is condemned though answers on it began")
+	}
+}
+
+// Guards against a verdict that an answer which began later does not lift.
+func TestAnswerLiftsTheVerdictOnAPart(t *testing.T) {
+	s := newPartScene(t)
+	running := s.mustBegin("crew", systemPart, crashingPart)
+	s.crashRepeatedly("crew", CondemnAfter)
+	if !s.refuses("crew", crashingPart) {
+		t.Fatal("the part is not condemned")
+	}
+	running.NoteBegun(s.now)
+	s.now = s.now.Add(time.Second)
+	if s.refuses("crew", crashingPart) {
+		t.Error("the part is condemned after an answer on it began")
+	}
+}
+
+// Guards against a part that a release frees only until its old crashes are counted again.
+func TestReleasedPartStaysReleased(t *testing.T) {
+	s := newPartScene(t)
+	s.crashRepeatedly("crew", CondemnAfter)
+	var refused *RefusedError
+	if err := s.table.Refuse(promptRequest{"crew", 0, []uint64{crashingPart}}, s.now); !errors.As(err, &refused) {
+		t.Fatalf("got %v, want a refusal", err)
+	}
+	if !s.table.Release(refused.Fingerprint, s.now) {
+		t.Fatal("the part is not known under its fingerprint")
+	}
+	s.now = s.now.Add(time.Second)
+	s.crashUnder("crew", []uint64{systemPart})
+	if s.refuses("crew", crashingPart) {
+		t.Error("the part is condemned again without further crashes")
+	}
+}
+
+// Guards against requests that are suspected or condemned for crashes which a condemned part explains.
+func TestRequestsBesideACondemnedPartAreCleared(t *testing.T) {
+	s := newPartScene(t)
+	beside := promptRequest{"crew", -1, []uint64{systemPart}}
+	for range CondemnAfter {
+		run, err := s.table.Begin(beside, s.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.crash(run, s.mustBegin("crew", systemPart, crashingPart))
+		s.serve("other", systemPart)
+	}
+	if !s.refuses("crew", crashingPart) {
+		t.Fatal("the crashing part is not condemned")
+	}
+	if state := s.table.StateOf(beside.Fingerprint()); state != Clear {
+		t.Errorf("a request beside the condemned part is %s", state)
+	}
+}
+
+// Guards against running several requests with a suspected part at a time.
+func TestSuspectedPartRunsOnceAtATime(t *testing.T) {
+	s := newPartScene(t)
+	s.crashRepeatedly("crew", minSuspectedMoments)
+	first := s.mustBegin("crew", systemPart, crashingPart)
+	if _, err := s.begin("crew", systemPart, crashingPart); !errors.Is(err, ErrTrialRuns) {
+		t.Errorf("a second request with the part: %v, want it to wait", err)
+	}
+	if _, err := s.begin("crew", systemPart); err != nil {
+		t.Errorf("a request without the part: %v", err)
+	}
+	first.NoteEnd()
+	s.mustBegin("crew", systemPart, crashingPart)
+}
+
+// Guards against several culprits that keep each other from being condemned.
+func TestTwoCrashingPartsAreBothCondemned(t *testing.T) {
+	s := newPartScene(t)
+	for range 2 * CondemnAtMost {
+		for _, part := range []uint64{crashingPart, otherPart} {
+			if run, err := s.begin("crew", systemPart, part); err == nil {
+				s.crash(run)
+			}
+			s.serve("crew", systemPart)
+		}
+	}
+	if !s.refuses("crew", crashingPart) || !s.refuses("crew", otherPart) {
+		t.Error("want both parts condemned")
+	}
+}
+
+// Guards against upstreams that end at one moment, as when a failure domain loses power: a new part that many
+// requests have is at all of them.
+func TestCrashesAtOneMomentCondemnNoPart(t *testing.T) {
+	s := newPartScene(t)
+	var runs []Run
+	for range 2 * CondemnAtMost {
+		runs = append(runs, s.mustBegin("crew", systemPart, otherPart))
+	}
+	for n, run := range runs {
+		run.NoteCrash(testOrigin, upstreamNamed(fmt.Sprint("d", n)), s.now)
+	}
+	s.now = s.now.Add(time.Second)
+	s.serve("other", systemPart)
+	if s.refuses("crew", otherPart) {
+		t.Error("a part is condemned by crashes at one moment")
+	}
+}
--- /dev/null
+++ b/pkg/quarantine/partrun.go
@@ -0,0 +1,160 @@
+package quarantine
+
+import "time"
+
+// partTrial is a run of a request with a suspected part, of which one runs at a time in the fleet.
+type partTrial struct {
+	part Part
+	// ordinal is that of the trial in the part's record.
+	ordinal uint32
+}
+
+// refuseParts returns a *RefusedError if a part of the prompt is condemned, or is suspected and the request has
+// to wait. t.mu must be held.
+func (t *Table) refuseParts(prompt *Prompt, now time.Time) error {
+	if len(prompt.Parts) == 0 {
+		return nil
+	}
+	t.judgeParts(now)
+	if err := t.refuseCondemnedParts(prompt, now); err != nil {
+		return err
+	}
+	for _, id := range prompt.Parts {
+		p := prompt.part(id)
+		if t.isSuspectedPart(prompt.Account, p) && t.partMustWait(p, now) {
+			return &RefusedError{Fingerprint: scopedPart{Part: p}.fingerprint(), Part: &p, Err: ErrTrialRuns}
+		}
+	}
+	return nil
+}
+
+// refuseCondemnedParts returns a *RefusedError if a part of the prompt is condemned. t.mu must be held.
+func (t *Table) refuseCondemnedParts(prompt *Prompt, now time.Time) error {
+	for _, id := range prompt.Parts {
+		p := prompt.part(id)
+		if e := t.condemnedRecord(prompt.Account, p); e != nil {
+			return &RefusedError{
+				Fingerprint: e.Fingerprint, Part: &p, Crashes: e.ConsecutiveCrashes(), LastCrashAge: now.Sub(e.LastCrash), Err: ErrCondemned,
+			}
+		}
+	}
+	return nil
+}
+
+// isSuspectedPart reports whether runs of the part are trials: enough crashes accuse it, or it is condemned by
+// a report that this instance does not trust alone.
+func (t *Table) isSuspectedPart(account string, p Part) bool {
+	if !t.policy.PartTrials {
+		return false
+	}
+	if y := t.parts.tallies[p]; y != nil && y.moments >= minSuspectedMoments {
+		return true
+	}
+	for _, scope := range []string{"", account} {
+		if e := t.parts.records[scopedPart{Account: scope, Part: p}]; e != nil && t.stateOf(e) == Suspected {
+			return true
+		}
+	}
+	return false
+}
+
+// partMustWait reports whether a trial of the part is running, or a crash under it is still to be judged.
+func (t *Table) partMustWait(p Part, now time.Time) bool {
+	if y := t.parts.tallies[p]; y != nil && now.Sub(y.last) < JudgeDelay {
+		return true
+	}
+	e := t.parts.records[scopedPart{Part: p}]
+	return e != nil && e.Started > e.Ended && now.Before(e.trialExpiry)
+}
+
+// beginPartTrials starts a trial of each suspected part of the prompt. t.mu must be held.
+func (t *Table) beginPartTrials(run *Run, prompt *Prompt, now time.Time) {
+	for _, id := range prompt.Parts {
+		p := prompt.part(id)
+		if !t.isSuspectedPart(prompt.Account, p) {
+			continue
+		}
+		e := t.partRecord(p)
+		if e == nil {
+			continue // the table is full
+		}
+		e.Started = max(e.Started, e.Ended) + 1
+		e.trialExpiry = now.Add(trialTimeout)
+		run.partTrials = append(run.partTrials, partTrial{part: p, ordinal: e.Started})
+		run.watched = true
+		t.markPending(e.Fingerprint)
+	}
+}
+
+// partRecord returns the record of a part in the requests of all accounts, adding it if there is none. It
+// returns nil if the table is full. t.mu must be held.
+func (t *Table) partRecord(p Part) *entry {
+	scoped := scopedPart{Part: p}
+	if e := t.parts.records[scoped]; e != nil {
+		return e
+	}
+	return t.add(&Record{Fingerprint: scoped.fingerprint(), Part: &p})
+}
+
+// endPartTrials ends the trials of a run. t.mu must be held.
+func (t *Table) endPartTrials(r *Run) {
+	for _, trial := range r.partTrials {
+		if e := t.parts.records[scopedPart{Part: trial.part}]; e != nil {
+			t.update(e, func() bool { return raise(&e.Ended, trial.ordinal) })
+		}
+	}
+}
+
+// NoteBegun records that the upstream began its answer: the first event of a stream, or a whole answer, has
+// arrived. This shows that no part of the prompt crashes what begins to answer it.
+func (r *Run) NoteBegun(now time.Time) {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	t := r.table
+	prompt := r.request.Prompt()
+	if prompt.Service == "" {
+		return
+	}
+	t.answered.note(&prompt, now)
+	if !t.watchesParts() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range prompt.Parts {
+		t.refute(prompt.Account, prompt.part(id), now)
+	}
+	t.endPartTrials(r)
+}
+
+// refute withdraws all accusations against a part from before a time, because an answer on it began then or an
+// operator released it. t.mu must be held.
+func (t *Table) refute(account string, p Part, now time.Time) {
+	if t.needsRefutation(p, now) {
+		t.parts.changed = true
+		if e := t.partRecord(p); e != nil {
+			t.update(e, func() bool {
+				e.Answered = now
+				return true
+			})
+		}
+	}
+	for _, scope := range []string{"", account} {
+		if e := t.parts.records[scopedPart{Account: scope, Part: p}]; e != nil && e.isWatched() {
+			t.update(e, func() bool { return raise(&e.Cleared, e.lastCrashOrdinal()) })
+		}
+	}
+}
+
+// needsRefutation reports whether a crash before a time accuses a part, and no instance has reported an answer
+// since. Only such an answer is worth reporting.
+func (t *Table) needsRefutation(p Part, now time.Time) bool {
+	accusedAt, accused := t.parts.lastAccused[p]
+	if !accused || accusedAt.After(now) {
+		return false
+	}
+	e := t.parts.records[scopedPart{Part: p}]
+	return e == nil || e.Answered.Before(accusedAt)
+}
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -20,7 +20,7 @@
 // maxReporters limits the instances listed in Record.Crashes. Two are enough to condemn a request.
 const maxReporters = 4
 
-// Record is what is known about one request. Every counter only grows, and merging takes the higher
+// Record is what is known about one request, or about one part of prompts. Every counter only grows, and merging takes the higher
 // value, so records may be received in any order and more than once.
 type Record struct {
 	Fingerprint fingerprint.Fingerprint
@@ -45,6 +45,12 @@
 	LastCrash time.Time
 	// Upstream is the ID of the incarnation that crashed last.
 	Upstream string
+	// Part is the part that the record is about, in the requests of Account or, if that is empty, of all
+	// accounts; nil for a request.
+	Part *Part
+	// Answered is when an answer on the part last began after the part had been accused, by this instance's
+	// clock; zero if none has.
+	Answered time.Time
 	// endings are the recent connections that ended before the answer was complete.
 	endings map[endingKey]ending
 }
@@ -119,12 +125,27 @@
 	changed = raise(&r.Started, other.Started) || changed
 	changed = raise(&r.Ended, other.Ended) || changed
 	changed = r.mergeEndings(other.endings) || changed
+	changed = r.raiseAnswered(other.Answered) || changed
 	if other.LastCrash.After(r.LastCrash) {
 		r.LastCrash, r.Upstream = other.LastCrash, other.Upstream
 	}
 	return changed
 }
 
+// raiseAnswered records that an answer on the part began at a time, and reports whether that is later than the
+// last one known. Times that differ by less than answerPrecision are the same answer, told by several instances.
+func (r *Record) raiseAnswered(at time.Time) bool {
+	if at.Sub(r.Answered) < answerPrecision {
+		return false
+	}
+	r.Answered = at
+	return true
+}
+
+// answerPrecision is how much the times that instances derive for one answer may differ, by the latency of
+// messages.
+const answerPrecision = 100 * time.Millisecond
+
 func raise(counter *uint32, value uint32) bool {
 	if value <= *counter {
 		return false
@@ -151,10 +172,10 @@
 	return copied
 }
 
-// WithoutEndings returns a copy without the endings, which are only relevant for seconds.
+// WithoutEndings returns a copy without the endings and the last answer, which are only relevant for seconds.
 func (r *Record) WithoutEndings() Record {
 	copied := r.clone()
-	copied.endings = nil
+	copied.endings, copied.Answered = nil, time.Time{}
 	return copied
 }
 
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -6,6 +6,9 @@
 // An answer clears a request; CondemnAfter consecutive crashes condemn it permanently, unless an operator
 // releases it. More crashes are needed if other upstreams crash at the same time and no suspected request
 // explains those crashes.
+//
+// The cause may also be one part of a prompt, in requests of which no two are alike. Parts are judged by the
+// crashes that they explain, see partJudge.
 package quarantine
 
 import (
@@ -34,14 +37,25 @@
 
 // RefusedError is returned for a request that may not run.
 type RefusedError struct {
-	// Fingerprint identifies the request to operators.
+	// Fingerprint identifies the request, or the part of its prompt, to operators.
 	Fingerprint fingerprint.Fingerprint
+	// Part is the part of the prompt for which the request is refused; nil if it is the request itself.
+	Part *Part
+	// Crashes is how many upstreams crashed under a condemned part, LastCrashAge how long ago the last did.
+	Crashes      uint32
+	LastCrashAge time.Duration
 	// Err is ErrCondemned or ErrTrialRuns.
 	Err error
 }
 
 // Error implements error.
-func (e *RefusedError) Error() string { return fmt.Sprintf("quarantine %s: %v", e.Fingerprint, e.Err) }
+func (e *RefusedError) Error() string {
+	if e.Part == nil {
+		return fmt.Sprintf("quarantine %s: %v", e.Fingerprint, e.Err)
+	}
+	return fmt.Sprintf("quarantine %s: prompt part %x, %d crashes, the last %v ago: %v",
+		e.Fingerprint, e.Part.ID, e.Crashes, e.LastCrashAge.Round(time.Millisecond), e.Err)
+}
 
 // Unwrap returns Err.
 func (e *RefusedError) Unwrap() error { return e.Err }
@@ -53,10 +67,29 @@
 	Trials bool
 	// DiscountConcurrent gives less weight to a crash if other upstreams crashed at the same time.
 	DiscountConcurrent bool
-}
+	// Parts controls how parts of prompts are judged.
+	Parts PartPolicy
+	// PartTrials makes requests with a suspected part run one at a time.
+	PartTrials bool
+}
+
+// PartPolicy controls how parts of prompts are judged. Each policy adds to the one before.
+type PartPolicy int
+
+// Policies for parts.
+const (
+	// IgnoreParts judges whole requests only.
+	IgnoreParts PartPolicy = iota
+	// CountParts condemns the parts with enough crashes since the last answer on them.
+	CountParts
+	// JudgeByCover condemns the part that explains most crashes; a crash that it explains accuses no other.
+	JudgeByCover
+	// JudgeByAnswers accuses a part that was answered not long before only where no other part was there.
+	JudgeByAnswers
+)
 
 // DefaultPolicy is the policy that instances use.
-var DefaultPolicy = Policy{Trials: true, DiscountConcurrent: true}
+var DefaultPolicy = Policy{Trials: true, DiscountConcurrent: true, Parts: JudgeByAnswers, PartTrials: true}
 
 // Table holds the records known to one instance. It is safe for concurrent use.
 type Table struct {
@@ -82,12 +115,19 @@
 	// be examined.
 	numUndecidedAddresses atomic.Int64
 	// recent holds the upstream crashes of the last seconds, under whatever request.
-	recent   recentCrashes
+	recent recentCrashes
+	// parts is what parts of prompts are judged by; numCases is the number of its crashes, answered the parts
+	// on which answers began.
+	parts    partJudge
+	numCases atomic.Int64
+	answered *answeredParts
 	onChange func()
 	// onCondemned is called when this instance judges a request and finds it condemned.
 	onCondemned func()
 	// onCrashConfirmed is called with the record when an undecided ending is found to be a crash.
 	onCrashConfirmed func(Record)
+	// onPartCondemned is called when this instance condemns a part.
+	onPartCondemned func(PartVerdict)
 }
 
 // entry is a record with state that is local to this instance.
@@ -146,10 +186,13 @@
 		crashedProcesses: map[process]time.Time{},
 
 		recent:   recentCrashes{},
+		parts:    newPartJudge(),
+		answered: newAnsweredParts(),
 		onChange: onChange,
 
 		onCondemned:      func() {},
 		onCrashConfirmed: func(Record) {},
+		onPartCondemned:  func(PartVerdict) {},
 	}
 }
 
@@ -161,6 +204,10 @@
 // be a crash. It must not block, and must be set before the table is used.
 func (t *Table) OnCrashConfirmed(call func(Record)) { t.onCrashConfirmed = call }
 
+// OnPartCondemned sets a function that is called when this instance condemns a part of prompts. It must not
+// block, and must be set before the table is used.
+func (t *Table) OnPartCondemned(call func(PartVerdict)) { t.onPartCondemned = call }
+
 // Watching reports whether any record has crashes or undecided endings. It takes no lock.
 func (t *Table) Watching() bool { return t.watched.Load() > 0 }
 
@@ -172,25 +219,47 @@
 	if e == nil {
 		return Clear
 	}
-	return e.StateAt(t.self)
+	return t.stateOf(e)
 }
 
-// Refuse returns a *RefusedError if the request is condemned, else nil. The fingerprint is computed only
-// while any request is watched.
-func (t *Table) Refuse(request Request) error {
-	if !t.Watching() {
-		return nil
+// stateOf returns the state of an entry at this instance. A part that another instance alone condemns is
+// condemned here too, unless this instance knows of answers on it. t.mu must be held.
+func (t *Table) stateOf(e *entry) State {
+	state := e.StateAt(t.self)
+	if state == Suspected && e.Part != nil && e.IsCondemned() && t.answered.last(*e.Part).IsZero() {
+		return Condemned
 	}
-	f := request.Fingerprint()
-	if t.StateOf(f) != Condemned {
+	return state
+}
+
+// Refuse returns a *RefusedError if the request or a part of its prompt is condemned, else nil. The
+// fingerprint is computed only while any request is watched.
+func (t *Table) Refuse(request Request, now time.Time) error {
+	if !t.watchesParts() {
 		return nil
 	}
-	return &RefusedError{Fingerprint: f, Err: ErrCondemned}
+	prompt, f := request.Prompt(), t.fingerprintOf(request)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.records[f]; e != nil && t.stateOf(e) == Condemned {
+		return &RefusedError{Fingerprint: f, Err: ErrCondemned}
+	}
+	t.judgeParts(now)
+	return t.refuseCondemnedParts(&prompt, now)
+}
+
+// fingerprintOf returns the request's fingerprint; the zero one while no request is watched.
+func (t *Table) fingerprintOf(request Request) fingerprint.Fingerprint {
+	if !t.Watching() {
+		return fingerprint.Fingerprint{}
+	}
+	return request.Fingerprint()
 }
 
-// Request is a request whose fingerprint is computed on demand.
+// Request is a request whose fingerprint and prompt are determined on demand.
 type Request interface {
 	Fingerprint() fingerprint.Fingerprint
+	Prompt() Prompt
 }
 
 // Run is one run of a request at an upstream. Its end is recorded once: by Conclude, or by one of
@@ -208,14 +277,18 @@
 	trial uint32
 	// beside reports that the run began beside another one.
 	beside bool
+	// partTrials are the run's trials of suspected parts.
+	partTrials []partTrial
+	// begun reports that the upstream began its answer.
+	begun bool
 }
 
 // IsWatched reports whether an upstream crashed under the request, or may have. For such a request it is
 // worth a query to learn which process is about to run it.
 func (r Run) IsWatched() bool { return r.watched }
 
-// IsTrial reports whether the request is suspected.
-func (r Run) IsTrial() bool { return r.trial > 0 }
+// IsTrial reports whether the request, or a part of its prompt, is suspected.
+func (r Run) IsTrial() bool { return r.trial > 0 || len(r.partTrials) > 0 }
 
 // Origin shows operators whose request it is and where it is sent.
 type Origin struct{ Account, Route string }
@@ -224,48 +297,69 @@
 // computed only while any request is watched.
 func (t *Table) Begin(request Request, now time.Time) (Run, error) {
 	run := Run{table: t, request: request}
-	if !t.Watching() {
+	if !t.watchesParts() {
 		return run, nil
 	}
-	f := request.Fingerprint()
+	prompt, f := request.Prompt(), t.fingerprintOf(request)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+	if err := t.refuseParts(&prompt, now); err != nil {
+		return Run{}, err
+	}
+	if err := t.beginRequest(&run, f, now); err != nil {
+		return Run{}, err
+	}
+	t.beginPartTrials(&run, &prompt, now)
+	return run, nil
+}
+
+// beginRequest starts a run of a request, and a trial if the request is suspected. t.mu must be held.
+func (t *Table) beginRequest(run *Run, f fingerprint.Fingerprint, now time.Time) error {
 	e := t.records[f]
 	if e == nil {
-		return run, nil
+		return nil
 	}
 	run.knownCrashes, run.knownEndings, run.watched = e.lastCrashOrdinal(), e.lastTurn(), e.isWatched()
-	if e.StateAt(t.self) == Suspected {
+	if t.stateOf(e) == Suspected {
 		t.condemn(e, now) // several instances may each have judged some of its crashes separately
 	}
-	switch e.StateAt(t.self) {
+	switch t.stateOf(e) {
 	case Clear:
-		return run, nil
+		return nil
 	case Condemned:
-		return Run{}, &RefusedError{Fingerprint: f, Err: ErrCondemned}
+		return &RefusedError{Fingerprint: f, Err: ErrCondemned}
 	}
 	if t.policy.Trials && e.mustWait(now) {
-		return Run{}, &RefusedError{Fingerprint: f, Err: ErrTrialRuns}
+		return &RefusedError{Fingerprint: f, Err: ErrTrialRuns}
 	}
 	e.Started = max(e.Started, e.Ended) + 1
 	e.trialExpiry = now.Add(trialTimeout)
 	run.trial = e.Started
 	t.markPending(f)
-	return run, nil
+	return nil
 }
 
 // BeginBeside starts a further run of a request beside one that is still in progress. A request that is
-// watched is refused, as its runs must not multiply: each could end an upstream.
+// watched, or a part of which is suspected, is refused, as its runs must not multiply: each could end an
+// upstream.
 func (t *Table) BeginBeside(request Request, now time.Time) (Run, error) {
 	run := Run{table: t, request: request, beside: true}
-	if !t.Watching() {
+	if !t.watchesParts() {
 		return run, nil
 	}
-	f := request.Fingerprint()
+	prompt, f := request.Prompt(), t.fingerprintOf(request)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+	if err := t.refuseParts(&prompt, now); err != nil {
+		return Run{}, err
+	}
+	for _, id := range prompt.Parts {
+		if p := prompt.part(id); t.isSuspectedPart(prompt.Account, p) {
+			return Run{}, &RefusedError{Fingerprint: scopedPart{Part: p}.fingerprint(), Part: &p, Err: ErrTrialRuns}
+		}
+	}
 	e := t.records[f]
 	switch {
 	case e == nil:
@@ -281,8 +375,10 @@
 // with what is known now, or a *RefusedError if the request may not run any more.
 func (r Run) Confirm(now time.Time) (Run, error) {
 	switch {
-	case !r.table.Watching() || r.trial > 0:
+	case !r.table.watchesParts():
 		return r, nil
+	case r.IsTrial():
+		return r, r.confirmTrial(now)
 	case r.beside:
 		return r.table.BeginBeside(r.request, now)
 	default:
@@ -290,6 +386,20 @@
 	}
 }
 
+// confirmTrial returns a *RefusedError, and ends the trial, if a part of the prompt has been condemned since the
+// trial began.
+func (r Run) confirmTrial(now time.Time) error {
+	t, prompt := r.table, r.request.Prompt()
+	t.mu.Lock()
+	t.judgeParts(now)
+	err := t.refuseCondemnedParts(&prompt, now)
+	t.mu.Unlock()
+	if err != nil {
+		r.NoteEnd()
+	}
+	return err
+}
+
 // mustWait reports whether the request has to wait: a trial is running, or the request has undecided
 // endings in addition to a crash, or so many of them that they would condemn it if they were crashes.
 func (e *entry) mustWait(now time.Time) bool {
@@ -322,9 +432,10 @@
 		Crashes:     map[string]uint32{t.self: before + 1},
 		LastCrash:   now,
 		Upstream:    upstream.ID,
-		endings:     map[endingKey]ending{key: {At: now, Crash: before + 1}},
+		endings:     map[endingKey]ending{key: {At: now, Crash: before + 1, Suspects: r.suspects(now)}},
 	}}
 	t.merge(&crash.record, now)
+	t.endPartTrials(&r)
 	return crash
 }
 
@@ -384,7 +495,7 @@
 	if e.ConsecutiveCrashes() >= CondemnAfter && t.hasEnoughIsolated(e, now) {
 		t.merge(&Record{Fingerprint: e.Fingerprint, Verdict: e.lastCrashOrdinal()}, now)
 	}
-	if e.StateAt(t.self) == Condemned {
+	if t.stateOf(e) == Condemned {
 		t.onCondemned()
 	}
 }
@@ -399,17 +510,18 @@
 // its earlier crashes. It reports whether the request was suspected or condemned until then.
 func (r Run) NoteAnswer() bool {
 	t := r.table
-	if !t.Watching() {
+	if !t.watchesParts() {
 		return false
 	}
-	f := r.request.Fingerprint()
+	f := t.fingerprintOf(r.request)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endPartTrials(&r)
 	e := t.records[f]
 	if e == nil {
 		return false
 	}
-	suspected := e.StateAt(t.self) != Clear
+	suspected := t.stateOf(e) != Clear
 	t.update(e, func() bool {
 		ended := raise(&e.Ended, r.trial)
 		refuted := e.refuteUndecided()
@@ -421,26 +533,31 @@
 // NoteEnd records that the run ended without evidence about the request.
 func (r Run) NoteEnd() {
 	t := r.table
-	if r.trial == 0 {
+	if !r.IsTrial() {
 		return
 	}
 	f := r.request.Fingerprint()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.records[f]; e != nil {
+	t.endPartTrials(&r)
+	if e := t.records[f]; e != nil && r.trial > 0 {
 		t.update(e, func() bool { return raise(&e.Ended, r.trial) })
 	}
 }
 
-// Release clears a watched request, so that it runs without restrictions. It reports whether the request
-// was watched.
-func (t *Table) Release(f fingerprint.Fingerprint) bool {
+// Release clears a watched request or part, so that it runs without restrictions. It reports whether it was
+// watched.
+func (t *Table) Release(f fingerprint.Fingerprint, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.records[f]
 	if e == nil || !e.isWatched() {
 		return false
 	}
+	if e.Part != nil {
+		t.refute(e.Account, *e.Part, now)
+		return true
+	}
 	t.update(e, func() bool {
 		refuted := e.refuteUndecided()
 		return raise(&e.Cleared, e.lastCrashOrdinal()) || refuted
@@ -517,6 +634,10 @@
 	if e.Started > started {
 		e.trialExpiry = now.Add(trialTimeout)
 	}
+	t.noteCases(e, record.endings)
+	if changed && e.Part != nil {
+		t.parts.changed = true
+	}
 	return changed
 }
 
@@ -559,7 +680,7 @@
 	defer t.mu.Unlock()
 	var out []Record
 	for _, e := range t.records {
-		if e.StateAt(t.self) == Condemned {
+		if t.stateOf(e) == Condemned {
 			out = append(out, e.clone())
 		}
 	}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -22,6 +22,9 @@
 	return fingerprint.Content("POST", "/", []byte(r))
 }
 
+// Prompt implements Request.
+func (r bodyRequest) Prompt() Prompt { return Prompt{} }
+
 func mustBegin(t testing.TB, table *Table, body string) Run {
 	t.Helper()
 	run, err := table.Begin(bodyRequest(body), startTime)
@@ -179,7 +182,7 @@
 		runAndCrash(t, a, "fatal", n)
 	}
 	b.Merge(a.All(), startTime, true)
-	if !b.Release(bodyRequest("fatal").Fingerprint()) || b.Release(bodyRequest("fatal").Fingerprint()) {
+	if !b.Release(bodyRequest("fatal").Fingerprint(), startTime) || b.Release(bodyRequest("fatal").Fingerprint(), startTime) {
 		t.Error("Release must report true once, then false")
 	}
 	a.Merge(b.TakePending(), startTime, true)
@@ -249,6 +252,9 @@
 // unhashableRequest is a request whose fingerprint must not be computed.
 type unhashableRequest struct{ t testing.TB }
 
+// Prompt implements Request.
+func (unhashableRequest) Prompt() Prompt { return Prompt{} }
+
 // Fingerprint implements Request.
 func (h unhashableRequest) Fingerprint() fingerprint.Fingerprint {
 	h.t.Error("the fingerprint was computed")
--- a/pkg/quarantine/undecided.go
+++ b/pkg/quarantine/undecided.go
@@ -22,10 +22,19 @@
 		Fingerprint: f,
 		Account:     origin.Account,
 		Route:       origin.Route,
-		endings:     map[endingKey]ending{key: {At: now}},
+		endings:     map[endingKey]ending{key: {At: now, Suspects: r.suspects(now)}},
 	}, now)
 	e := t.records[f]
-	return e != nil && e.StateAt(t.self) != Clear
+	return e != nil && t.stateOf(e) != Clear
+}
+
+// suspects returns the parts that the run's crash accuses.
+func (r Run) suspects(now time.Time) suspects {
+	if r.begun {
+		return suspects{}
+	}
+	prompt := r.request.Prompt()
+	return r.table.suspectsOf(&prompt, now)
 }
 
 // endingKeyFor returns the key of a run's ending. A run that began while nothing was watched did not look
@@ -159,14 +168,15 @@
 	t.numUndecidedAddresses.Store(int64(len(t.undecided)))
 }
 
-// Expire removes expired endings.
+// Expire removes expired endings, and judges parts whose crashes are old enough.
 func (t *Table) Expire(now time.Time) {
-	if t.numUndecidedAddresses.Load() == 0 {
+	if t.numUndecidedAddresses.Load() == 0 && t.numCases.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+	t.judgeParts(now)
 }
 
 // expire is Expire for callers that hold t.mu.
--- a/pkg/quarantine/wire.go
+++ b/pkg/quarantine/wire.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"slices"
@@ -52,6 +53,13 @@
 		LastCrashMs: r.LastCrash.UnixMilli(),
 		Upstream:    r.Upstream,
 	}
+	if r.Part != nil {
+		m.Part = &quarantinepb.Part{Service: r.Part.Service, Model: r.Part.Model, Id: r.Part.ID}
+	}
+	if !r.Answered.IsZero() {
+		age := uint32(max(now.Sub(r.Answered), 0).Milliseconds())
+		m.AnsweredAgeMs = &age
+	}
 	for _, instance := range slices.Sorted(maps.Keys(r.Crashes)) {
 		m.Crashes = append(m.Crashes, &quarantinepb.Crashes{Instance: instance, Ordinal: r.Crashes[instance]})
 	}
@@ -67,11 +75,19 @@
 			Crash:       e.Crash,
 			Refuted:     e.Refuted,
 			Alone:       e.Isolated,
+			Suspects:    encodeSuspects(&e.Suspects),
 		})
 	}
 	return m
 }
 
+func encodeSuspects(s *suspects) *quarantinepb.Suspects {
+	if len(s.Unanswered)+len(s.Answered) == 0 {
+		return nil
+	}
+	return &quarantinepb.Suspects{Service: s.Service, Model: s.Model, Unanswered: s.Unanswered, Answered: s.Answered}
+}
+
 // Decode converts messages that were received at now to records. Invalid ones are skipped and reported
 // as *BadRecordError.
 func Decode(messages []*quarantinepb.Record, now time.Time) (records []Record, bad []error) {
@@ -93,6 +109,12 @@
 			LastCrash:   time.UnixMilli(m.LastCrashMs),
 			Upstream:    m.Upstream,
 		}
+		if m.Part != nil {
+			r.Part = &Part{Service: m.Part.Service, Model: m.Part.Model, ID: m.Part.Id}
+		}
+		if m.AnsweredAgeMs != nil {
+			r.Answered = now.Add(-time.Duration(*m.AnsweredAgeMs) * time.Millisecond)
+		}
 		for _, crashes := range m.Crashes {
 			r.Crashes[crashes.Instance] = max(r.Crashes[crashes.Instance], crashes.Ordinal)
 		}
@@ -115,11 +137,17 @@
 		}
 		upstream := Upstream{ID: m.Upstream, Address: m.Address, Incarnation: m.Incarnation}
 		key := endingKey{Turn: m.Turn, Instance: m.Instance, Upstream: upstream}
-		endings[key] = ending{At: now.Add(-age), Crash: m.Crash, Refuted: m.Refuted, Isolated: m.Alone}
+		endings[key] = ending{
+			At: now.Add(-age), Crash: m.Crash, Refuted: m.Refuted, Isolated: m.Alone, Suspects: decodeSuspects(m.Suspects),
+		}
 	}
 	return endings
 }
 
+func decodeSuspects(m *quarantinepb.Suspects) suspects {
+	return suspects{Service: m.GetService(), Model: m.GetModel(), Unanswered: m.GetUnanswered(), Answered: m.GetAnswered()}
+}
+
 // validate returns why a record is invalid; empty if it is valid.
 func validate(m *quarantinepb.Record) string {
 	switch {
@@ -127,6 +155,8 @@
 		return fmt.Sprintf("fingerprint has %d bytes, want %d", len(m.GetFingerprint()), fingerprint.Size)
 	case max(len(m.Account), len(m.Route), len(m.Upstream)) > maxNameBytes:
 		return fmt.Sprintf("account, route or upstream name is longer than %d bytes", maxNameBytes)
+	case m.Part != nil && !isPartRecord(m):
+		return "part has names that are too long, or another fingerprint"
 	case len(m.Crashes) > maxReporters:
 		return fmt.Sprintf("crashes of %d instances, at most %d allowed", len(m.Crashes), maxReporters)
 	case max(m.Cleared, m.Alone, m.Verdict, m.Started, m.Ended) > maxOrdinal:
@@ -145,6 +175,17 @@
 		if e.GetInstance() == "" || longest > maxNameBytes || max(e.GetTurn(), e.GetCrash()) > maxOrdinal {
 			return "ending has an invalid name or ordinal"
 		}
+		s := e.GetSuspects()
+		if len(s.GetUnanswered())+len(s.GetAnswered()) > maxSuspects || max(len(s.GetService()), len(s.GetModel())) > maxNameBytes {
+			return fmt.Sprintf("ending has invalid names or more than %d suspects", maxSuspects)
+		}
 	}
 	return ""
 }
+
+// isPartRecord reports whether the record's fingerprint is that of its part.
+func isPartRecord(m *quarantinepb.Record) bool {
+	p := scopedPart{Account: m.Account, Part: Part{Service: m.Part.Service, Model: m.Part.Model, ID: m.Part.Id}}
+	own := p.fingerprint()
+	return max(len(p.Service), len(p.Model)) <= maxNameBytes && bytes.Equal(own[:], m.Fingerprint)
+}
