Experiment: policies on prompts with a part that crashes upstreams

Histories in virtual time with the real table: parts at several rates, two at once, beside releases, domains and halves that end at once, a new part in all prompts, and releases without a culprit. Counted are requests sent late, harmless requests not served and harmless parts condemned.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -19,6 +19,7 @@
 	Seeds           int    `arg:"--seeds" default:"3" help:"runs of each cell"`
 	Only            string `arg:"--only" help:"run only scenarios whose name contains this"`
 	QuarantineSeeds int    `arg:"--quarantine" help:"instead: compare policies of the quarantine on so many seeds"`
+	PartSeeds       int    `arg:"--parts" help:"instead: compare policies of the quarantine on prompts, on so many seeds"`
 	Plot            string `arg:"--plot" help:"with --quarantine: SVG file to write"`
 	ColdHistories   int    `arg:"--cold" help:"instead: compare bounds on what cold upstreams get on so many histories"`
 	SafetyRuns      int    `arg:"--safety" help:"instead: so many short runs with random faults; exits 1 if one overspends"`
@@ -37,6 +38,10 @@
 		exitOnError(compareQuarantine(a.QuarantineSeeds, a.Plot))
 		return
 	}
+	if a.PartSeeds > 0 {
+		exitOnError(blame.CompareParts(os.Stdout, a.PartSeeds, blame.Sizes))
+		return
+	}
 	if a.ColdHistories > 0 {
 		exitOnError(coldstart.Compare(os.Stdout, a.ColdHistories))
 		return
--- a/pkg/experiment/blame/blame_test.go
+++ b/pkg/experiment/blame/blame_test.go
@@ -31,3 +31,19 @@
 		t.Errorf("two runs with seed 5 differ: %+v and %+v", one, two)
 	}
 }
+
+// Guards against a policy that finds a crashing part of prompts late, or condemns a part that harmless requests
+// share.
+func TestDefaultPolicyFindsTheCrashingPartOnly(t *testing.T) {
+	for _, scenario := range PartScenarios {
+		for seed := range uint64(3) {
+			r := Simulate(Sizes[0], scenario, &quarantine.DefaultPolicy, seed)
+			if r.PartsCondemned > 0 {
+				t.Errorf("%s, seed %d: %d harmless parts were condemned", scenario.Name, seed, r.PartsCondemned)
+			}
+			if r.MaxLateSent > 3 {
+				t.Errorf("%s, seed %d: %d requests with a crashing part were sent late", scenario.Name, seed, r.MaxLateSent)
+			}
+		}
+	}
+}
--- a/pkg/experiment/blame/request.go
+++ b/pkg/experiment/blame/request.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -13,6 +14,10 @@
 type request struct {
 	body     string
 	crashing bool // whether it crashes the upstream that runs it
+	// parts are the shared parts of its prompt; empty for a request without one. cause is the crashing
+	// part's name, if it has one.
+	parts []uint64
+	cause string
 	// triesLeft is how many times its client may still send it.
 	triesLeft int
 	// besideCrash reports whether the request, a harmless one, ran at an upstream that crashed.
@@ -25,7 +30,12 @@
 }
 
 // Prompt implements quarantine.Request.
-func (r *request) Prompt() quarantine.Prompt { return quarantine.Prompt{} }
+func (r *request) Prompt() quarantine.Prompt {
+	return quarantine.Prompt{Account: "crew", Service: "models", Parts: r.parts}
+}
+
+// name returns under what the request's crashes are counted.
+func (r *request) name() string { return cmp.Or(r.cause, r.body) }
 
 // attempt is one run of a request at an upstream.
 type attempt struct {
@@ -53,6 +63,9 @@
 		w.sendRecords(instance)
 		a.run = run
 	}
+	if r.cause != "" {
+		w.sentTimes[r.cause] = append(w.sentTimes[r.cause], w.Now())
+	}
 	u := w.pickUpstream()
 	if u == nil {
 		w.attemptFailed(a)
@@ -64,12 +77,15 @@
 	if r.crashing {
 		work = 1 + w.drawBelow(maxCrashingRunTime)
 	}
+	if len(r.parts) > 0 {
+		work = w.beginAnswer(a, u, work)
+	}
 	w.after(work, func() {
 		if u.incarnation != incarnation || !u.running[a] {
 			return // the upstream crashed while the request ran
 		}
 		if r.crashing {
-			w.crashTimes[r.body] = append(w.crashTimes[r.body], w.Now())
+			w.crashTimes[r.name()] = append(w.crashTimes[r.name()], w.Now())
 			w.crashUpstream(u)
 			return
 		}
--- a/pkg/experiment/blame/scenario.go
+++ b/pkg/experiment/blame/scenario.go
@@ -91,3 +91,36 @@
 	})
 	return out
 }
+
+// PartPolicies are the policies that are compared on prompts.
+var PartPolicies = []NamedPolicy{
+	{"none", nil},
+	{"three crashes of a part", &quarantine.Policy{Trials: true, DiscountConcurrent: true, Parts: quarantine.CountParts}},
+	{"the part that explains most", &quarantine.Policy{Trials: true, DiscountConcurrent: true, Parts: quarantine.JudgeByCover}},
+	{"and answers before", &quarantine.Policy{Trials: true, DiscountConcurrent: true, Parts: quarantine.JudgeByAnswers}},
+	{"and suspects one at a time", &quarantine.DefaultPolicy},
+}
+
+// PartScenarios are the scenarios that the policies are compared in on prompts.
+var PartScenarios = []Scenario{
+	{Name: "one part, 0.5 a second", Prompts: &Prompts{CrashingParts: 1, PerSecond: 0.5, StartAt: firstCrashAt}},
+	{Name: "one part, 6 a second", Prompts: &Prompts{CrashingParts: 1, PerSecond: 6, StartAt: firstCrashAt}},
+	{Name: "one part, 20 a second", Prompts: &Prompts{CrashingParts: 1, PerSecond: 20, StartAt: firstCrashAt}},
+	{Name: "one part, 100 a second", Prompts: &Prompts{CrashingParts: 1, PerSecond: 100, StartAt: firstCrashAt}},
+	{Name: "the same, from the start", Prompts: &Prompts{CrashingParts: 1, PerSecond: 20}},
+	{Name: "the same, 5 harmless a second", Prompts: &Prompts{CrashingParts: 1, PerSecond: 20, StartAt: firstCrashAt, HarmlessPerSecond: 5}},
+	{Name: "two parts, 20 a second each", Prompts: &Prompts{CrashingParts: 2, PerSecond: 20, StartAt: firstCrashAt}},
+	{
+		Name: "one part, a release of one each 0.7 s", OtherCrashes: crashInTurn(releaseInterval),
+		Prompts: &Prompts{CrashingParts: 1, PerSecond: 20, StartAt: firstCrashAt},
+	},
+	{Name: "a release of one each 0.7 s", OtherCrashes: crashInTurn(releaseInterval), Prompts: &Prompts{}},
+	{Name: "a release, 5 harmless a second", OtherCrashes: crashInTurn(releaseInterval), Prompts: &Prompts{HarmlessPerSecond: 5}},
+	{Name: "a release, a new part in all", OtherCrashes: crashInTurn(releaseInterval), Prompts: &Prompts{NewPart: systemPart + 1}},
+	{Name: "half at once, each 2.5 s", OtherCrashes: crashHalves, Prompts: &Prompts{}},
+	{Name: "half at once, a new part in all", OtherCrashes: crashHalves, Prompts: &Prompts{NewPart: systemPart + 1}},
+	{Name: "a domain at once, a new part in all", OtherCrashes: crashDomains, Prompts: &Prompts{NewPart: systemPart + 1}},
+}
+
+// releaseInterval is the time between two upstreams that a release replaces.
+const releaseInterval = 700 * time.Millisecond
--- a/pkg/experiment/blame/table.go
+++ b/pkg/experiment/blame/table.go
@@ -19,7 +19,7 @@
 // size. If plot is not nil, it receives a plot of the first size as SVG.
 func Compare(out, plot io.Writer, seeds int, sizes []Size) error {
 	for n, size := range sizes {
-		cells := simulateAll(size, seeds)
+		cells := simulateAll(size, seeds, Scenarios, Policies)
 		if err := printTable(out, size, seeds, cells); err != nil {
 			return err
 		}
@@ -32,20 +32,31 @@
 	return nil
 }
 
+// CompareParts is like Compare for requests with prompts, without a plot.
+func CompareParts(out io.Writer, seeds int, sizes []Size) error {
+	for _, size := range sizes {
+		cells := simulateAll(size, seeds, PartScenarios, PartPolicies)
+		if err := printPartTable(out, size, seeds, cells); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // simulateAll returns the cells by scenario and policy. It uses half of the processors.
-func simulateAll(size Size, seeds int) [][]cell {
-	cells := make([][]cell, len(Scenarios))
+func simulateAll(size Size, seeds int, scenarios []Scenario, policies []NamedPolicy) [][]cell {
+	cells := make([][]cell, len(scenarios))
 	var mu sync.Mutex
 	var runs sync.WaitGroup
 	limit := make(chan struct{}, max(runtime.NumCPU()/2, 1))
-	for s := range Scenarios {
-		cells[s] = make([]cell, len(Policies))
-		for p := range Policies {
+	for s := range scenarios {
+		cells[s] = make([]cell, len(policies))
+		for p := range policies {
 			for seed := range seeds {
 				runs.Go(func() {
 					limit <- struct{}{}
 					defer func() { <-limit }()
-					result := Simulate(size, Scenarios[s], Policies[p].Policy, uint64(seed))
+					result := Simulate(size, scenarios[s], policies[p].Policy, uint64(seed))
 					mu.Lock()
 					defer mu.Unlock()
 					cells[s][p].sum.add(result)
@@ -76,6 +87,24 @@
 	return err
 }
 
+func printPartTable(out io.Writer, size Size, seeds int, cells [][]cell) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Prompts: %d instances, %d upstreams, %d seeds\n\n", size.Instances, size.Upstreams, seeds)
+	b.WriteString("| history | policy | ended by the worst part: least, mean, most | sent late, most | sound not served in 100 | sound parts condemned |\n")
+	b.WriteString("|---|---|---:|---:|---:|---:|\n")
+	for s, scenario := range PartScenarios {
+		for p, policy := range PartPolicies {
+			c := &cells[s][p]
+			least, mean, most := minMeanMax(c.crashes)
+			fmt.Fprintf(&b, "| %s | %s | %d, %.1f, %d | %d | %.2f | %d |\n", scenario.Name, policy.Name,
+				least, mean, most, c.sum.MaxLateSent, failedPercent(c), c.sum.PartsCondemned)
+		}
+	}
+	b.WriteString("\n")
+	_, err := io.WriteString(out, b.String())
+	return err
+}
+
 // failedPercent returns the percentage of harmless requests that were not served.
 func failedPercent(c *cell) float64 {
 	return 100 * float64(c.sum.Failed) / float64(max(c.sum.Harmless, 1))
--- a/pkg/experiment/blame/world.go
+++ b/pkg/experiment/blame/world.go
@@ -57,6 +57,8 @@
 	CrashingPerSecond float64
 	// OtherCrashes schedules crashes of upstreams for other reasons; nil for none.
 	OtherCrashes func(w *simulation)
+	// Prompts adds prompts with parts to all requests; it is nil for requests without.
+	Prompts *Prompts
 }
 
 // Size is the size of a fleet.
@@ -73,6 +75,9 @@
 	// MaxCrashes is the number of crashes under the crashing body that caused most. LateCrashes is the
 	// number of crashes, under all crashing bodies, more than a second after the third of their body.
 	MaxCrashes, LateCrashes int
+	// MaxLateSent is the number of requests with the crashing part of which most reached upstreams more than
+	// lateSentDelay after the fifth crash under it. PartsCondemned is the number of harmless parts condemned.
+	MaxLateSent, PartsCondemned int
 }
 
 func (r *Result) add(o Result) {
@@ -82,6 +87,8 @@
 	r.Condemned += o.Condemned
 	r.MaxCrashes = max(r.MaxCrashes, o.MaxCrashes)
 	r.LateCrashes += o.LateCrashes
+	r.MaxLateSent = max(r.MaxLateSent, o.MaxLateSent)
+	r.PartsCondemned += o.PartsCondemned
 }
 
 // simulation is one history.
@@ -92,7 +99,10 @@
 	upstreams         []*upstream
 	crashTimes        map[string][]time.Duration
 	condemnedHarmless map[fingerprint.Fingerprint]bool
-	result            Result
+	prompts           *Prompts
+	// sentTimes holds, for each crashing part, when requests with it reached upstreams.
+	sentTimes map[string][]time.Duration
+	result    Result
 }
 
 // upstream is one upstream; its incarnation rises with each crash.
@@ -109,6 +119,8 @@
 		rng:               rand.New(rand.NewPCG(seed, 3)),
 		crashTimes:        map[string][]time.Duration{},
 		condemnedHarmless: map[fingerprint.Fingerprint]bool{},
+		prompts:           scenario.Prompts,
+		sentTimes:         map[string][]time.Duration{},
 	}
 	for n := range size.Instances {
 		if policy != nil {
@@ -120,7 +132,8 @@
 	for n := range size.Upstreams {
 		w.upstreams = append(w.upstreams, &upstream{name: fmt.Sprint("u", n), running: map[*attempt]bool{}})
 	}
-	w.sendHarmless(time.Second / time.Duration(harmlessPerSecond*size.Upstreams))
+	w.sendHarmless(w.prompts.interval(time.Second / time.Duration(harmlessPerSecond*size.Upstreams)))
+	w.sendCrashingParts()
 	for n := range scenario.CrashingBodies {
 		w.sendCrashing(fmt.Sprint("fatal-", n), time.Duration(float64(time.Second)/scenario.CrashingPerSecond))
 	}
@@ -154,7 +167,7 @@
 	if w.rng.Float64() < sharedBodyShare {
 		body = fmt.Sprint("hot-", w.rng.IntN(numSharedBodies))
 	}
-	w.send(&request{body: body, triesLeft: clientTries})
+	w.send(&request{body: body, parts: w.drawParts(), triesLeft: clientTries})
 	w.after(time.Duration(w.rng.ExpFloat64()*float64(between)), func() { w.sendHarmless(between) })
 }
 
@@ -200,4 +213,5 @@
 		}
 	}
 	w.result.Condemned = len(w.condemnedHarmless)
+	w.collectParts()
 }
