Tests: streams that clients resume across two losses of all instances join no versions

Streams are begun at all instances, resumed while the first instance back is alone, once all are back, and after the old version's upstreams left. None goes on at another version: what no instance knows the beginning of is refused, whatever versions are in service.

--- a/test/versions_test.go
+++ b/test/versions_test.go
@@ -37,11 +37,13 @@
 	versionOf map[*standin.Upstream]string
 	// numBegun numbers the requests that begin streams.
 	numBegun int
+	// resumptionsOf holds the requests that resumed each stream, by the request that began it.
+	resumptionsOf map[string][]string
 }
 
 func newVersionedFleet(t testing.TB, instances int) *versionedFleet {
 	t.Helper()
-	f := &versionedFleet{routedFleet: newRoutedFleet(t, 0, 1_000_000), versionOf: map[*standin.Upstream]string{}}
+	f := &versionedFleet{routedFleet: newRoutedFleet(t, 0, 1_000_000), versionOf: map[*standin.Upstream]string{}, resumptionsOf: map[string][]string{}}
 	for _, u := range f.engines { // three of the old version
 		f.versionOf[u] = oldVersion
 	}
@@ -331,3 +333,54 @@
 	}
 	return total
 }
+
+// Guards against streams that clients resume after two losses of all instances in quick succession and that join
+// two software versions: the instances that come back know an older or no record of what began them.
+func TestLossesOfAllJoinNoVersions(t *testing.T) {
+	f := newVersionedFleet(t, 3)
+	var began []string
+	for round, lost := range []int{2, 3, 3} {
+		for _, i := range f.instances {
+			began = append(began, f.beginAll(i)...)
+		}
+		for _, i := range f.instances[:lost] {
+			i.kill()
+		}
+		for n, i := range f.instances[:lost] {
+			i.process = f.startProcess(i)
+			if n == 0 && round > 0 { // the records of streams that go on now are still on their way at the next loss
+				f.await("the instance to be ready", i.isReady)
+				f.resumeSome(i, began, round)
+			}
+		}
+		f.awaitFleet(len(f.instances))
+		f.resumeSome(f.instances[round], began, round)
+	}
+	for n, u := range f.engines {
+		if f.versionOf[u] == oldVersion {
+			f.putEngine(u, n, true)
+		}
+	}
+	f.resumeSome(f.instances[0], began, len(began))
+	for _, first := range began {
+		want := f.versionsOf(first)
+		for _, id := range f.resumptionsOf[first] {
+			for _, version := range f.versionsOf(id) {
+				if len(want) == 0 || version != want[0] {
+					t.Errorf("%s ran at %v, %s went on at %s", first, want, id, version)
+				}
+			}
+		}
+	}
+}
+
+// resumeSome resumes each seventh stream of those that began; others are resumed in another round.
+func (f *versionedFleet) resumeSome(i *routedInstance, began []string, round int) {
+	f.t.Helper()
+	for n := round % 7; n < len(began); n += 7 {
+		first := began[n]
+		id := fmt.Sprintf("next-%d-%s", len(f.resumptionsOf[first]), first)
+		f.resumptionsOf[first] = append(f.resumptionsOf[first], id)
+		f.resume(i, id, first)
+	}
+}
