Quarantine: names of the judgement of parts; its cost is bounded

A run compared each crash with each part and sender; now only with the condemned parts, which are few, and the other figures of a part are looked at only once enough crashes count against it.

--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -116,7 +116,7 @@
 }
 
 // Guards against condemning the parts that all requests share, because they were at every crash.
-func TestPartsThatAreAnsweredAreNotAccused(t *testing.T) {
+func TestPartsThatAreAnsweredAreNotSuspected(t *testing.T) {
 	s := newPartScene(t)
 	s.serve("crew", systemPart, documentPart)
 	for range CondemnAtMost + 1 {
@@ -191,8 +191,8 @@
 	}
 }
 
-// Guards against accusing requests whose answers had begun when their upstream crashed.
-func TestBegunAnswersAreNotAccused(t *testing.T) {
+// Guards against suspecting requests whose answers had begun when their upstream crashed.
+func TestBegunAnswersAreNotSuspected(t *testing.T) {
 	s := newPartScene(t)
 	for range CondemnAtMost {
 		run := s.mustBegin("crew", otherPart)
--- a/pkg/quarantine/partjudge.go
+++ b/pkg/quarantine/partjudge.go
@@ -10,33 +10,35 @@
 )
 
 // A part of prompts that crashes upstreams is found by the crashes that it explains: those at which a request
-// with it was running whose answer had not begun. An answer that begins on a part refutes all its earlier
-// accusations, and a crash that a condemned part explains accuses no other part or request.
+// with it was running whose answer had not begun. After an answer begins on a part, its earlier crashes no longer
+// count, and a crash that a condemned part explains counts against no other part or request.
 //
-// The judgement is derived from the reports of endings, which all instances exchange, so instances need not
-// agree on it: one that condemns a part tells the others.
+// Each instance derives this from the reports of endings, which all instances exchange, so they need not agree on
+// it: one that condemns a part tells the others.
 
 // Bounds on judging parts.
 const (
-	// minAccusers is the number of different requests that condemn a part. Of a single one, the request
+	// minRequests is the number of different requests that condemn a part. Of a single one, the request
 	// itself is condemned instead.
-	minAccusers = 2
+	minRequests = 2
 	// minSuspectedMoments is the number of crashes that makes a part suspected. After a single one, all parts
 	// that were there are alike.
 	minSuspectedMoments = 2
 	// judgeInterval limits how often the parts are judged anew.
-	judgeInterval = 10 * time.Millisecond
+	judgeInterval = 20 * time.Millisecond
 )
 
 // partJudge is the state by which parts are judged. It belongs to a Table and is guarded by its mutex.
 type partJudge struct {
-	cases map[caseKey]*crashCase
+	crashes map[crashKey]*upstreamCrash
 	// records indexes the records of parts.
 	records map[scopedPart]*entry
-	// tallies holds the parts that are accused now, lastAccused when each part was last at a crash.
+	// condemned holds the condemned parts as of the last run of judgeParts.
+	condemned []scopedPart
+	// tallies holds the parts that crashes count against, lastPresent when each part was last at a crash.
 	tallies     map[Part]*tally
-	lastAccused map[Part]time.Time
-	// changed reports that cases or answers were added since the last judgement, due when the next one is
+	lastPresent map[Part]time.Time
+	// changed reports that crashes or answers were added since the last run, due when the next one is
 	// due for a crash that was too young to be judged; zero if there is none.
 	changed      bool
 	due, lastRun time.Time
@@ -44,13 +46,13 @@
 
 func newPartJudge() partJudge {
 	return partJudge{
-		cases: map[caseKey]*crashCase{}, records: map[scopedPart]*entry{}, tallies: map[Part]*tally{}, lastAccused: map[Part]time.Time{},
+		crashes: map[crashKey]*upstreamCrash{}, records: map[scopedPart]*entry{}, tallies: map[Part]*tally{}, lastPresent: map[Part]time.Time{},
 	}
 }
 
-// tally is the case against one part.
+// tally sums up the crashes that count against one part.
 type tally struct {
-	// moments counts the crashes that accuse the part, those within JudgeDelay of each other as one.
+	// moments counts the crashes, those within JudgeDelay of each other as one.
 	// judged counts those of them that are older than JudgeDelay.
 	moments, judged uint32
 	// first and last are the times of the first and last crash.
@@ -63,11 +65,10 @@
 	// answeredBefore reports that answers on the part had begun not long before.
 	answeredBefore bool
 	lastMoment     int
-	numCases       int
 }
 
-// watchesParts reports whether any crash accuses parts, or any part is condemned. It takes no lock.
-func (t *Table) watchesParts() bool { return t.numCases.Load() > 0 || t.Watching() }
+// watchesParts reports whether any crash counts against parts, or any part is condemned. It takes no lock.
+func (t *Table) watchesParts() bool { return t.numCrashes.Load() > 0 || t.Watching() }
 
 // judgeParts brings the tallies up to date and condemns parts. t.mu must be held.
 func (t *Table) judgeParts(now time.Time) {
@@ -76,23 +77,24 @@
 	if t.policy.Parts == IgnoreParts || !isDue || now.Sub(s.lastRun).Abs() < judgeInterval {
 		return
 	}
-	t.expireCases(now)
+	t.expireCrashes(now)
 	s.changed, s.lastRun, s.due = false, now, time.Time{}
+	s.condemned = t.listCondemned()
 	s.tallies = t.tallyParts(now)
-	for p, found := t.findGuilty(now); found; p, found = t.findGuilty(now) {
-		t.condemnPart(p, now)
+	for p, found := t.findPartToCondemn(now); found && t.condemnPart(p, now); p, found = t.findPartToCondemn(now) {
+		s.condemned = t.listCondemned()
 		s.tallies = t.tallyParts(now)
 	}
 	t.clearExplained()
 }
 
-// tallyParts counts the crashes that accuse each part and that no other, condemned part explains.
+// tallyParts counts the crashes at which each part was present and that no other, condemned part explains.
 func (t *Table) tallyParts(now time.Time) map[Part]*tally {
 	s := &t.parts
 	tallies := map[Part]*tally{}
 	moment, momentStart := 0, time.Time{}
 	for _, k := range s.ordered() {
-		c := s.cases[k]
+		c := s.crashes[k]
 		if c.at.Sub(momentStart) >= JudgeDelay {
 			moment, momentStart = moment+1, c.at
 		}
@@ -106,7 +108,7 @@
 					first: c.at, reporters: map[string]uint32{}, accounts: map[string]bool{}, requests: map[fingerprint.Fingerprint]bool{},
 				}
 			}
-			tallies[p].add(c, c.accused[p], moment, answeredBefore, now)
+			tallies[p].add(c, c.parts[p], moment, answeredBefore, now)
 		}
 		if judgeAt := c.at.Add(JudgeDelay); judgeAt.After(now) {
 			s.due = judgeAt
@@ -115,8 +117,7 @@
 	return tallies
 }
 
-func (y *tally) add(c *crashCase, a *accusation, moment int, answeredBefore bool, now time.Time) {
-	y.numCases++
+func (y *tally) add(c *upstreamCrash, a *presence, moment int, answeredBefore bool, now time.Time) {
 	if moment != y.lastMoment {
 		y.lastMoment = moment
 		y.moments++
@@ -133,11 +134,11 @@
 	}
 }
 
-// candidates returns the parts that a crash accuses: those without an answer since, and among these those
+// candidates returns the parts that a crash counts against: those without an answer since, and among these those
 // without an answer not long before, if there are any. The value reports such an answer.
-func (t *Table) candidates(c *crashCase) map[Part]bool {
+func (t *Table) candidates(c *upstreamCrash) map[Part]bool {
 	unanswered, answered := map[Part]bool{}, map[Part]bool{}
-	for p, a := range c.accused {
+	for p, a := range c.parts {
 		last := t.lastAnswer(p)
 		switch {
 		case !last.Before(c.at):
@@ -163,25 +164,27 @@
 }
 
 // explainingParts returns the condemned parts that explain a crash.
-func (t *Table) explainingParts(c *crashCase) (parts []Part) {
-	if t.policy.Parts < JudgeByCover {
-		return nil
-	}
-	for p, a := range c.accused {
-		if t.isCondemnedForAny(p, a) {
-			parts = append(parts, p)
+func (t *Table) explainingParts(c *upstreamCrash) (parts []Part) {
+	for _, condemned := range t.parts.condemned {
+		a := c.parts[condemned.Part]
+		if a != nil && a.isIn(condemned.Account) && !slices.Contains(parts, condemned.Part) {
+			parts = append(parts, condemned.Part)
 		}
 	}
 	return parts
 }
 
-func (t *Table) isCondemnedForAny(p Part, a *accusation) bool {
-	for by := range a.by {
-		if t.condemnedRecord(by.account, p) != nil {
-			return true
+// listCondemned returns the condemned parts whose crashes count against no other part.
+func (t *Table) listCondemned() (condemned []scopedPart) {
+	if t.policy.Parts < JudgeByCover {
+		return nil
+	}
+	for scoped, e := range t.parts.records {
+		if t.stateOf(e) == Condemned {
+			condemned = append(condemned, scoped)
 		}
 	}
-	return false
+	return condemned
 }
 
 // condemnedRecord returns the record that condemns a part in the requests of an account; nil if there is none.
@@ -194,15 +197,15 @@
 	return nil
 }
 
-// findGuilty returns the part to condemn next, if any: the one with most crashes against it. Of several that
+// findPartToCondemn returns the part to condemn next, if any: the one with most crashes against it. Of several that
 // explain as many, none is condemned until further crashes tell them apart.
-func (t *Table) findGuilty(now time.Time) (guilty Part, found bool) {
-	for _, p := range t.accusedParts() {
+func (t *Table) findPartToCondemn(now time.Time) (part Part, found bool) {
+	for _, p := range t.suspectedParts() {
 		y := t.parts.tallies[p]
-		if !t.hasProof(p, y, now) {
+		if !t.hasEnoughEvidence(p, y, now) {
 			continue
 		}
-		if t.policy.Parts >= JudgeByCover && y.judged < CondemnAtMost && t.hasRival(p, y) {
+		if t.policy.Parts >= JudgeByCover && y.judged < CondemnAtMost && t.isTied(p, y) {
 			return Part{}, false
 		}
 		return p, true
@@ -210,8 +213,8 @@
 	return Part{}, false
 }
 
-// accusedParts returns the accused parts that are not condemned yet, those with most crashes first.
-func (t *Table) accusedParts() []Part {
+// suspectedParts returns the parts with crashes that are not condemned yet, those with most crashes first.
+func (t *Table) suspectedParts() []Part {
 	var parts []Part
 	for p, y := range t.parts.tallies {
 		if t.condemnedRecord(y.scope(), p) == nil {
@@ -225,22 +228,23 @@
 	return parts
 }
 
-// hasRival reports whether another part without an answer not long before explains as many crashes.
-func (t *Table) hasRival(p Part, y *tally) bool {
-	for other, rival := range t.parts.tallies {
-		if other != p && !rival.answeredBefore && rival.judged >= y.judged && t.condemnedRecord(rival.scope(), other) == nil {
+// isTied reports whether another part without an answer not long before explains as many crashes.
+func (t *Table) isTied(p Part, y *tally) bool {
+	for other, o := range t.parts.tallies {
+		if other != p && !o.answeredBefore && o.judged >= y.judged && t.condemnedRecord(o.scope(), other) == nil {
 			return true
 		}
 	}
 	return false
 }
 
-// hasProof reports whether the case against a part is strong enough.
-func (t *Table) hasProof(p Part, y *tally, now time.Time) bool {
+// hasEnoughEvidence reports whether enough crashes, of different requests, count against a part.
+func (t *Table) hasEnoughEvidence(p Part, y *tally, now time.Time) bool {
 	if t.policy.Parts < JudgeByCover {
 		return y.judged >= CondemnAfter
 	}
-	return y.judged >= t.requiredMoments(p, y, now) && len(y.requests) >= minAccusers && t.servesOthers(p, y)
+	return y.judged >= CondemnAfter && len(y.requests) >= minRequests && t.servesOthers(p, y) &&
+		y.judged >= t.requiredMoments(p, y, now)
 }
 
 // servesOthers reports whether the service answers other requests: a service that answers none may crash under
@@ -260,8 +264,8 @@
 		return CondemnAtMost
 	}
 	others := 0
-	for _, c := range t.parts.cases {
-		if c.accused[p] == nil && now.Sub(c.at) <= recentCrashLifetime && len(t.explainingParts(c)) == 0 {
+	for _, c := range t.parts.crashes {
+		if c.parts[p] == nil && now.Sub(c.at) <= recentCrashLifetime && len(t.explainingParts(c)) == 0 {
 			others++
 		}
 	}
@@ -287,8 +291,9 @@
 	return ""
 }
 
-// condemnPart condemns a part for the accounts under whose requests upstreams crashed. t.mu must be held.
-func (t *Table) condemnPart(p Part, now time.Time) {
+// condemnPart condemns a part for the accounts under whose requests upstreams crashed. It reports whether this
+// instance applies that now: the table may be full. t.mu must be held.
+func (t *Table) condemnPart(p Part, now time.Time) bool {
 	y := t.parts.tallies[p]
 	scoped := scopedPart{Account: y.scope(), Part: p}
 	base := uint32(0)
@@ -310,18 +315,19 @@
 	verdict.trimReporters()
 	t.merge(&verdict, now)
 	e := t.parts.records[scoped]
-	if e == nil {
-		return // the table is full
+	if e == nil || t.stateOf(e) != Condemned {
+		return false
 	}
 	t.onCondemned()
 	t.onPartCondemned(PartVerdict{Record: e.clone(), Crashes: y.moments, Since: now.Sub(y.first), Requests: len(y.requests)})
+	return true
 }
 
 // PartVerdict tells why a part was condemned.
 type PartVerdict struct {
 	Record Record
 	// Crashes is the number of crashes that condemned the part, Since how long ago the first of them was, and
-	// Requests the number of different requests that accused the part.
+	// Requests the number of different requests with the part.
 	Crashes  uint32
 	Since    time.Duration
 	Requests int
@@ -331,7 +337,7 @@
 func (t *Table) clearExplained() {
 	explained := map[string]bool{}
 	requests := map[fingerprint.Fingerprint]bool{}
-	for _, c := range t.parts.cases {
+	for _, c := range t.parts.crashes {
 		if len(t.explainingParts(c)) > 0 {
 			explained[c.upstream] = true
 			maps.Copy(requests, c.requests)
--- a/pkg/quarantine/partrun.go
+++ b/pkg/quarantine/partrun.go
@@ -41,7 +41,7 @@
 	return nil
 }
 
-// isSuspectedPart reports whether runs of the part are trials: enough crashes accuse it, or it is condemned by
+// isSuspectedPart reports whether runs of the part are trials: enough crashes count against it, or it is condemned by
 // a report that this instance does not trust alone.
 func (t *Table) isSuspectedPart(account string, p Part) bool {
 	if !t.policy.PartTrials {
@@ -129,7 +129,7 @@
 	t.endPartTrials(r)
 }
 
-// refute withdraws all accusations against a part from before a time, because an answer on it began then or an
+// refute withdraws all presences against a part from before a time, because an answer on it began then or an
 // operator released it. t.mu must be held.
 func (t *Table) refute(account string, p Part, now time.Time) {
 	if t.needsRefutation(p, now) {
@@ -148,13 +148,13 @@
 	}
 }
 
-// needsRefutation reports whether a crash before a time accuses a part, and no instance has reported an answer
+// needsRefutation reports whether a crash before a time counts against a part, and no instance has reported an answer
 // since. Only such an answer is worth reporting.
 func (t *Table) needsRefutation(p Part, now time.Time) bool {
-	accusedAt, accused := t.parts.lastAccused[p]
-	if !accused || accusedAt.After(now) {
+	lastCrashAt, present := t.parts.lastPresent[p]
+	if !present || lastCrashAt.After(now) {
 		return false
 	}
 	e := t.parts.records[scopedPart{Part: p}]
-	return e == nil || e.Answered.Before(accusedAt)
+	return e == nil || e.Answered.Before(lastCrashAt)
 }
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -48,7 +48,7 @@
 	// Part is the part that the record is about, in the requests of Account or, if that is empty, of all
 	// accounts; nil for a request.
 	Part *Part
-	// Answered is when an answer on the part last began after the part had been accused, by this instance's
+	// Answered is when an answer on the part last began after a crash had counted against the part, by this instance's
 	// clock; zero if none has.
 	Answered time.Time
 	// endings are the recent connections that ended before the answer was complete.
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -82,9 +82,9 @@
 	IgnoreParts PartPolicy = iota
 	// CountParts condemns the parts with enough crashes since the last answer on them.
 	CountParts
-	// JudgeByCover condemns the part that explains most crashes; a crash that it explains accuses no other.
+	// JudgeByCover condemns the part that explains most crashes; a crash that it explains counts against no other.
 	JudgeByCover
-	// JudgeByAnswers accuses a part that was answered not long before only where no other part was there.
+	// JudgeByAnswers counts a crash against a part that was answered not long before only where no other part was there.
 	JudgeByAnswers
 )
 
@@ -116,12 +116,12 @@
 	numUndecidedAddresses atomic.Int64
 	// recent holds the upstream crashes of the last seconds, under whatever request.
 	recent recentCrashes
-	// parts is what parts of prompts are judged by; numCases is the number of its crashes, answered the parts
+	// parts is what parts of prompts are judged by; numCrashes is the number of its crashes, answered the parts
 	// on which answers began.
-	parts    partJudge
-	numCases atomic.Int64
-	answered *answeredParts
-	onChange func()
+	parts      partJudge
+	numCrashes atomic.Int64
+	answered   *answeredParts
+	onChange   func()
 	// onCondemned is called when this instance judges a request and finds it condemned.
 	onCondemned func()
 	// onCrashConfirmed is called with the record when an undecided ending is found to be a crash.
@@ -634,7 +634,7 @@
 	if e.Started > started {
 		e.trialExpiry = now.Add(trialTimeout)
 	}
-	t.noteCases(e, record.endings)
+	t.noteCrashes(e, record.endings)
 	if changed && e.Part != nil {
 		t.parts.changed = true
 	}
--- a/pkg/quarantine/undecided.go
+++ b/pkg/quarantine/undecided.go
@@ -28,7 +28,7 @@
 	return e != nil && t.stateOf(e) != Clear
 }
 
-// suspects returns the parts that the run's crash accuses.
+// suspects returns the parts that the run's crash counts against.
 func (r Run) suspects(now time.Time) suspects {
 	if r.begun {
 		return suspects{}
@@ -170,7 +170,7 @@
 
 // Expire removes expired endings, and judges parts whose crashes are old enough.
 func (t *Table) Expire(now time.Time) {
-	if t.numUndecidedAddresses.Load() == 0 && t.numCases.Load() == 0 {
+	if t.numUndecidedAddresses.Load() == 0 && t.numCrashes.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
