--- a/pkg/quarantine/keeper/verdicts_test.go
+++ b/pkg/quarantine/keeper/verdicts_test.go
@@ -83,3 +83,23 @@
 		t.Error("no error for invalid JSON")
 	}
 }
+
+// Guards against a part of prompts that crashes upstreams again after the loss of all instances, because only
+// requests are stored.
+func TestStoredVerdictsContainParts(t *testing.T) {
+	part := &quarantine.Part{Service: "models", Model: "m", ID: 7}
+	known := condemnedRecord(1)
+	known.Part, known.Account, known.Answered = part, "crew", time.UnixMilli(500)
+	known.Fingerprint = fingerprint.Part("crew", part.Service, part.Model, part.ID)
+	value, err := encodeVerdicts(mergeVerdicts(nil, []quarantine.Record{known}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored, err := decodeVerdicts(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(stored) != 1 || stored[0].Part == nil || *stored[0].Part != *part || !stored[0].IsCondemned() || !stored[0].Answered.IsZero() {
+		t.Errorf("got %+v, want the condemned part", stored)
+	}
+}
--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -306,3 +306,116 @@
 		t.Error("a part is condemned by crashes at one moment")
 	}
 }
+
+// Guards against records of parts, or the parts of a crash, that instances lose or change when they exchange them.
+func TestPartRecordsSurviveTheExchange(t *testing.T) {
+	s := newPartScene(t)
+	s.crashRepeatedly("crew", CondemnAfter)
+	s.refuses("crew", crashingPart)
+	messages := Encode(s.table.All(), s.now)
+	records, bad := Decode(messages, s.now)
+	if len(bad) > 0 {
+		t.Fatal(bad)
+	}
+	other := NewTable("b", nil)
+	other.Merge(records, s.now, false)
+	if other.Hash() != s.table.Hash() {
+		t.Error("tables differ after an exchange")
+	}
+	err := other.Refuse(promptRequest{"crew", 0, []uint64{crashingPart}}, s.now)
+	if !errors.Is(err, ErrCondemned) {
+		t.Errorf("the other instance: %v, want the part condemned", err)
+	}
+}
+
+// Guards against a faulty instance whose record condemns another part than it names.
+func TestPartRecordWithAnotherFingerprintIsRejected(t *testing.T) {
+	p := scopedPart{Account: "crew", Part: Part{Service: "models", Model: "m", ID: crashingPart}}
+	record := Record{Fingerprint: p.fingerprint(), Account: "crew", Part: &Part{Service: "models", Model: "m", ID: otherPart}}
+	if _, bad := Decode(Encode([]Record{record}, startTime), startTime); len(bad) != 1 {
+		t.Errorf("%d records rejected, want 1", len(bad))
+	}
+}
+
+// Guards against a faulty instance that takes from the others what they answer: its report alone does not
+// condemn a part that this instance has answered.
+func TestOneReportDoesNotCondemnAnAnsweredPart(t *testing.T) {
+	s := newPartScene(t)
+	s.serve("crew", otherPart)
+	p := scopedPart{Account: "crew", Part: Part{Service: "models", Model: "m", ID: otherPart}}
+	s.table.Merge([]Record{{
+		Fingerprint: p.fingerprint(), Account: "crew", Part: &p.Part, Crashes: map[string]uint32{"faulty": CondemnAtMost},
+		Verdict: CondemnAtMost, LastCrash: s.now, Upstream: "u",
+	}}, s.now, false)
+	if s.refuses("crew", otherPart) {
+		t.Error("the part is condemned by one other instance's report")
+	}
+	first := s.mustBegin("crew", otherPart)
+	if _, err := s.begin("crew", otherPart); !errors.Is(err, ErrTrialRuns) {
+		t.Errorf("a second request with the part: %v, want it to wait", err)
+	}
+	first.NoteBegun(s.now)
+	s.mustBegin("crew", otherPart)
+}
+
+// Guards against prompts of very many parts that take the memory of the table or are rejected by other instances.
+func TestSuspectsOfAPromptAreBounded(t *testing.T) {
+	s := newPartScene(t)
+	parts := make([]uint64, 1000)
+	for n := range parts {
+		parts[n] = uint64(n + 1000)
+	}
+	s.crashUnder("crew", parts)
+	if _, bad := Decode(Encode(s.table.All(), s.now), s.now); len(bad) > 0 {
+		t.Error(bad)
+	}
+	for _, r := range s.table.All() {
+		for _, e := range r.endings {
+			if n := len(e.Suspects.Unanswered) + len(e.Suspects.Answered); n > maxSuspects {
+				t.Errorf("%d suspects in one ending", n)
+			}
+		}
+	}
+}
+
+// Guards against the memory of answered parts growing with the parts that clients name.
+func TestAnsweredPartsAreBounded(t *testing.T) {
+	answered := newAnsweredParts()
+	for n := range 4 * maxAnswered {
+		answered.note(&Prompt{Service: "models", Model: fmt.Sprint(n), Parts: []uint64{uint64(n)}}, startTime)
+	}
+	if n := len(answered.recent) + len(answered.older); n > 2*maxAnswered || len(answered.services) > maxServices {
+		t.Errorf("%d parts and %d services are kept", n, len(answered.services))
+	}
+	last := Part{Service: "models", Model: fmt.Sprint(4*maxAnswered - 1), ID: 4*maxAnswered - 1}
+	if !answered.isRecent(last, startTime) || answered.isRecent(last, startTime.Add(answeredLifetime+time.Second)) {
+		t.Error("want the last part answered, and no longer after answeredLifetime")
+	}
+}
+
+// Guards against crashes that are kept without bound.
+func TestUpstreamCrashesAreBounded(t *testing.T) {
+	s := newPartScene(t)
+	for n := range 2 * maxUpstreamCrashes {
+		run := Run{table: s.table, request: promptRequest{"crew", n, []uint64{uint64(n + 1000)}}}
+		run.NoteCrash(testOrigin, upstreamNamed(fmt.Sprint("b", n)), s.now)
+	}
+	if n := len(s.table.parts.crashes); n > maxUpstreamCrashes {
+		t.Errorf("%d crashes are kept", n)
+	}
+	s.now = s.now.Add(crashLifetime + time.Second)
+	s.table.parts.changed = true
+	s.refuses("crew", crashingPart)
+	if n := len(s.table.parts.crashes); n > 0 {
+		t.Errorf("%d crashes are kept after crashLifetime", n)
+	}
+}
+
+func BenchmarkNoteBegun(b *testing.B) {
+	table := NewTable("a", nil)
+	request := promptRequest{"crew", 1, []uint64{systemPart, documentPart, otherPart}}
+	for b.Loop() {
+		run := Run{table: table, request: request}
+		run.NoteBegun(startTime)
+	}
+}
