--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -419,3 +419,36 @@
 		run.NoteBegun(startTime)
 	}
 }
+
+// Guards against a second part that is condemned for crashes which a condemned one explains.
+func TestPartThatACondemnedOneExplainsIsNotCondemned(t *testing.T) {
+	s := newPartScene(t)
+	for n := range CondemnAfter {
+		prompts := [][]uint64{{systemPart, crashingPart}}
+		if n > 0 {
+			prompts = append(prompts, []uint64{systemPart, otherPart})
+		}
+		s.crashUnder("crew", prompts...)
+		s.serve("other", systemPart)
+	}
+	if !s.refuses("crew", crashingPart) {
+		t.Fatal("the crashing part is not condemned")
+	}
+	s.crashUnder("crew", []uint64{systemPart, otherPart})
+	s.serve("other", systemPart)
+	if s.refuses("crew", otherPart) {
+		t.Error("a part is condemned that was beside the crashing one at all crashes but one")
+	}
+}
+
+// Guards against a trial that is sent although its part was condemned since it began.
+func TestTrialOfAPartCondemnedMeanwhileIsNotSent(t *testing.T) {
+	s := newPartScene(t)
+	s.crashRepeatedly("crew", minSuspectedMoments)
+	trial := s.mustBegin("crew", systemPart, crashingPart)
+	running := Run{table: s.table, request: promptRequest{"crew", -1, []uint64{systemPart, crashingPart}}}
+	s.crash(running)
+	if _, err := trial.Confirm(s.now); !errors.Is(err, ErrCondemned) {
+		t.Errorf("got %v, want a refusal", err)
+	}
+}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -311,7 +311,7 @@
 try own-door-runs-nothing-watched-beside pkg/entry/chat_attempts.go 's/a\.isBeside = true, c\.numRunning > 0/a.isBeside = true, false/' pkg/entry TestWatchedRequestIsNotRunBesideASilentEngine
 try runs-are-confirmed-before-sending pkg/forward/attempt.go 's/return a\.confirmRun\(\)/return nil/' pkg/forward TestRequestThatBecameSuspectedIsNotSent
 try hedges-are-confirmed-before-sending pkg/forward/attempt.go 's/return a\.confirmRun\(\)/return nil/' pkg/forward TestHedgeIsNotSentAfterAnEnding
-try condemned-meanwhile-is-not-sent pkg/quarantine/table.go 's/\tcase !r\.table\.Watching\(\) \|\| r\.trial > 0:/\tcase true:/' pkg/quarantine TestRunIsConfirmedBeforeItIsSent
+try condemned-meanwhile-is-not-sent pkg/quarantine/table.go 's/\tcase !r\.table\.watchesParts\(\):/\tcase true:/' pkg/quarantine TestRunIsConfirmedBeforeItIsSent
 try runs-beside-others-stay-beside pkg/quarantine/table.go 's/\tcase r\.beside:/\tcase false:/' pkg/quarantine TestRunBesideAnotherIsConfirmedBeforeItIsSent
 try gone-clients-get-no-answer pkg/forward/call.go 's/\t\}\)\n\tc\.client\.Abort\(\)\n/\t})\n/' pkg/forward TestClientThatLeavesGetsNoAnswer
 try hangups-are-ignored-before-main pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupBeforeMainEndsNoInstance
@@ -327,4 +327,26 @@
 try rest-is-asked-for-again pkg/entry/delivery.go 's/return unanswered && d\.numResumes > 0/return unanswered \&\& false/' pkg/entry TestRestIsAskedForAgainAfterAFailedTry
 try resumed-clients-get-no-event-twice pkg/forward/stream.go 's/dropDelivered\(events, c\.resumeAfter\(\)\)/dropDelivered(events, c.lastEventID)/' pkg/forward TestResumedClientGetsNoEventTwice
 try hedges-share-a-copy pkg/forward/hedge.go 's/if h\.body == nil \{/if true {/' pkg/forward TestHedgesShareOneCopyOfTheBody
+# Parts of prompts that crash upstreams.
+try parts-are-judged $q/partjudge.go 's/t\.policy\.Parts == IgnoreParts/true/' test TestPartOfPromptsThatCrashesEnginesIsRefused
+try own-door-names-parts pkg/entry/chat.go 's/Parts: sharedParts\(c\.req\.Messages\)/Parts: nil/' test TestOwnDoorRefusesMessageThatCrashesEngines
+try parts-explain-crashes $q/partjudge.go 's/if len\(explaining\) > 1 \|\| \(len\(explaining\) == 1 && explaining\[0\] != p\) \{/if false {/' $q TestPartThatACondemnedOneExplainsIsNotCondemned
+try answers-before-count $q/partjudge.go 's/answered\[p\] = true/unanswered[p] = false/' $q TestPartsThatAreAnsweredAreNotSuspected
+try services-answer-others $q/partjudge.go 's/ && t\.servesOthers\(p, y\)//' $q TestNoPartIsCondemnedWhileNothingIsAnswered
+try verdicts-name-the-account $q/partjudge.go 's/if len\(y\.accounts\) != 1 \{/if true {/' $q TestPartIsCondemnedForTheAccountThatSentIt
+try one-request-condemns-no-part $q/partjudge.go 's/ && len\(y\.requests\) >= minRequests//' $q TestRepeatedRequestDoesNotCondemnItsParts
+try begun-answers-are-no-suspects $q/undecided.go 's/if r\.begun \{/if false {/' $q TestBegunAnswersAreNotSuspected
+try answers-lift-verdicts $q/partrun.go 's/if e := t\.parts\.records\[scopedPart\{Account: scope, Part: p\}\]; e != nil && e\.isWatched\(\) \{/if e := t.parts.records[scopedPart{Account: scope, Part: p}]; false {/' $q TestAnswerLiftsTheVerdictOnAPart
+try released-parts-stay-released $q/partrun.go 's/if t\.needsRefutation\(p, now\) \{/if false {/' $q TestReleasedPartStaysReleased
+try explained-requests-are-cleared $q/partjudge.go 's/\tt\.clearExplained\(\)\n//' $q TestRequestsBesideACondemnedPartAreCleared
+try suspected-parts-run-alone $q/partrun.go 's/if !t\.policy\.PartTrials \{/if true {/' $q TestSuspectedPartRunsOnceAtATime
+try moments-count-once $q/partjudge.go 's/if moment != y\.lastMoment \{/if true {/' $q TestCrashesAtOneMomentCondemnNoPart
+try part-records-name-their-part $q/wire.go 's/case m\.Part != nil && !isPartRecord\(m\):/case false:/' $q TestPartRecordWithAnotherFingerprintIsRejected
+try one-report-is-not-trusted $q/table.go 's/ && t\.answered\.last\(\*e\.Part\)\.IsZero\(\)//' $q TestOneReportDoesNotCondemnAnAnsweredPart
+try suspects-are-bounded $q/prompt.go 's/s\.Unanswered\[:min\(len\(s\.Unanswered\), maxSuspects\)\]/s.Unanswered/; s/maxSuspects-len\(s\.Unanswered\)/max(maxSuspects-len(s.Unanswered), 0)/' $q TestSuspectsOfAPromptAreBounded
+try part-crashes-are-bounded $q/upstreamcrash.go 's/if len\(t\.parts\.crashes\) >= maxUpstreamCrashes \{/if false {/' $q TestUpstreamCrashesAreBounded
+try parts-are-stored $q/wire.go 's/if r\.Part != nil \{/if false {/' $q/keeper TestStoredVerdictsContainParts
+try part-trials-are-confirmed $q/table.go 's/return r, r\.confirmTrial\(now\)/return r, nil/' $q TestTrialOfAPartCondemnedMeanwhileIsNotSent
+try versions-of-lost-streams-are-not-guessed pkg/forward/origin.go 's/if err == nil && !c\.route\.LeadsTo\(began\.Service\) \{/if err != nil \&\& c.r.Resumes != "" { return origin.Origin{Service: c.route.SelectService(c.r.ID), Version: "v2"}, nil }\n\tif err == nil \&\& !c.route.LeadsTo(began.Service) {/' test TestLossesOfAllJoinNoVersions
+
 exit $status
