Tests of parts that fail without what they guard; the experiment on prompts has one size

Taken out one by one, three safeguards were not noticed: answers before, begun answers and moments. Their tests now have what tells the difference.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -39,7 +39,7 @@
 		return
 	}
 	if a.PartSeeds > 0 {
-		exitOnError(blame.CompareParts(os.Stdout, a.PartSeeds, blame.Sizes))
+		exitOnError(blame.CompareParts(os.Stdout, a.PartSeeds, blame.Sizes[:1]))
 		return
 	}
 	if a.ColdHistories > 0 {
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -330,8 +330,8 @@
 # Parts of prompts that crash upstreams.
 try parts-are-judged $q/partjudge.go 's/t\.policy\.Parts == IgnoreParts/true/' test TestPartOfPromptsThatCrashesEnginesIsRefused
 try own-door-names-parts pkg/entry/chat.go 's/Parts: sharedParts\(c\.req\.Messages\)/Parts: nil/' test TestOwnDoorRefusesMessageThatCrashesEngines
-try parts-explain-crashes $q/partjudge.go 's/if len\(explaining\) > 1 \|\| \(len\(explaining\) == 1 && explaining\[0\] != p\) \{/if false {/' $q TestPartThatACondemnedOneExplainsIsNotCondemned
-try answers-before-count $q/partjudge.go 's/answered\[p\] = true/unanswered[p] = false/' $q TestPartsThatAreAnsweredAreNotSuspected
+try parts-explain-crashes $q/partjudge.go 's/if len\(explaining\) > 1 \|\| \(len\(explaining\) == 1 && explaining\[0\] != p\) \{/if len(explaining) > 9 {/' $q TestPartThatACondemnedOneExplainsIsNotCondemned
+try answers-before-count $q/partjudge.go 's/answered\[p\] = true/unanswered[p] = false/' $q TestPartsThatWereAnsweredBeforeAreNotSuspected
 try services-answer-others $q/partjudge.go 's/ && t\.servesOthers\(p, y\)//' $q TestNoPartIsCondemnedWhileNothingIsAnswered
 try verdicts-name-the-account $q/partjudge.go 's/if len\(y\.accounts\) != 1 \{/if true {/' $q TestPartIsCondemnedForTheAccountThatSentIt
 try one-request-condemns-no-part $q/partjudge.go 's/ && len\(y\.requests\) >= minRequests//' $q TestRepeatedRequestDoesNotCondemnItsParts
