Streams that end with their connection: no event is no answer, and the end is examined

What callers saw: a 200 without any event that looked whole, where an upstream crashed after the head of an answer that has neither a length nor chunks; a stream that was resumed at such an upstream ended as if it were complete.

Cause: the end of the connection is the end of such an answer, so no error shows the crash. Neither the request nor its parts were counted, and engines crashed on.

Evidence: TestPartOfPromptsThatCrashesEnginesIsRefused, "until close", never refused in 60 s before; at most six engines crash now.

Mend: such a stream without any event, or that ends inside one, is a failure whose connection ended: the upstream is probed as after a reset, and only a process that is gone counts as crashed. An event beyond the size limit is told apart, since there the connection did not end.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -280,7 +280,7 @@
 		err := a.events.fill()
 		switch {
 		case errors.Is(err, io.EOF):
-			return a.outcomeUnknown("stream", errNoStream)
+			return a.streamEnded(errNoStream)
 		case err != nil:
 			return a.streamFailed(err)
 		case dropDelivered(a.events.complete(), a.resumeAfter).hasData():
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -29,6 +29,8 @@
 	// numComplete it holds complete events that have not.
 	received                 answerBuffer
 	numReturned, numComplete int
+	// hadData reports that an event with an id or data has been returned.
+	hadData bool
 	// err is why no more can be read.
 	err error
 }
@@ -40,7 +42,7 @@
 }
 
 // fill reads until a complete event has been received. It returns why there is none: io.EOF after the last
-// one, errIncomplete, answermem.ErrShort, answermem.ErrFull or an error of the connection.
+// one, errIncomplete, errEventTooLong, answermem.ErrShort, answermem.ErrFull or an error of the connection.
 func (r *eventReader) fill() error {
 	for r.numComplete == 0 {
 		if r.err == nil {
@@ -78,14 +80,14 @@
 	return r.received.drop(size)
 }
 
-// check returns the error of a read, or errIncomplete if the answer ended or grew too long within an event.
+// check returns the error of a read, or why the present event cannot be read whole.
 func (r *eventReader) check(err error) error {
 	incomplete := len(r.received.data) - r.numComplete
 	switch {
 	case errors.Is(err, io.EOF) && incomplete > 0:
 		return errIncomplete
 	case err == nil && incomplete > maxEventBytes:
-		return errIncomplete
+		return errEventTooLong
 	case err != nil && !errors.Is(err, io.EOF):
 		return readError(err, r.received.memory)
 	}
@@ -106,13 +108,18 @@
 func (r *eventReader) complete() []byte { return r.received.data[:r.numComplete] }
 
 // skip passes over the complete events.
-func (r *eventReader) skip() { r.numReturned, r.numComplete = r.numComplete, 0 }
+func (r *eventReader) skip() {
+	r.hadData = r.hadData || dropDelivered(r.complete(), "").hasData()
+	r.numReturned, r.numComplete = r.numComplete, 0
+}
 
 // deliverStream delivers complete events as they arrive.
 func (a *attempt) deliverStream() *failure {
 	for {
 		events, err := a.events.next()
 		switch {
+		case errors.Is(err, io.EOF) && a.endsWithConnection() && !a.events.hadData:
+			return a.streamEnded(errNoStream)
 		case errors.Is(err, io.EOF):
 			return a.finishStream()
 		case err != nil:
@@ -271,11 +278,28 @@
 	return nil
 }
 
+// endsWithConnection reports whether the answer has neither a length nor chunks: its end looks like that of an
+// upstream that crashes.
+func (a *attempt) endsWithConnection() bool {
+	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
+}
+
+// streamEnded returns the failure of a stream that ended too soon.
+func (a *attempt) streamEnded(err error) *failure {
+	failed := a.outcomeUnknown("stream", err)
+	failed.connEnded = a.endsWithConnection()
+	failed.version = a.lease.Version
+	return failed
+}
+
 // streamFailed returns the failure of a stream that broke off. If the route allows it, the
 // stream is resumed at another upstream after the last event that was delivered.
 func (a *attempt) streamFailed(err error) *failure {
-	if errors.Is(err, errIncomplete) {
-		return a.outcomeUnknown("stream", errIncomplete)
+	switch {
+	case errors.Is(err, errEventTooLong):
+		return a.outcomeUnknown("stream", err)
+	case errors.Is(err, errIncomplete):
+		return a.streamEnded(err)
 	}
 	failed := a.connFailed("stream", err)
 	failed.version = a.lease.Version
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -348,5 +348,6 @@
 try parts-are-stored $q/wire.go 's/if r\.Part != nil \{/if false {/' $q/keeper TestStoredVerdictsContainParts
 try part-trials-are-confirmed $q/table.go 's/return r, r\.confirmTrial\(now\)/return r, nil/' $q TestTrialOfAPartCondemnedMeanwhileIsNotSent
 try versions-of-lost-streams-are-not-guessed pkg/forward/origin.go 's/if err == nil && !c\.route\.LeadsTo\(began\.Service\) \{/if err != nil \&\& c.r.Resumes != "" { return origin.Origin{Service: c.route.SelectService(c.r.ID), Version: "v2"}, nil }\n\tif err == nil \&\& !c.route.LeadsTo(began.Service) {/' test TestLossesOfAllJoinNoVersions
+try streams-without-events-are-no-answers pkg/forward/stream.go 's/ && a\.endsWithConnection\(\) && !a\.events\.hadData:/ \&\& false:/' test TestPartOfPromptsThatCrashesEnginesIsRefused
 
 exit $status
--- a/test/quarantine_parts_test.go
+++ b/test/quarantine_parts_test.go
@@ -25,11 +25,12 @@
 // until it is condemned, and three that are allowed later.
 const maxPartCrashes = 6
 
-// injectFatalPart makes all engines crash on fatalPart and restart after f.downtime.
-func (f *routedFleet) injectFatalPart() *crashCounter {
+// injectFatalPart makes all engines crash on fatalPart and restart after f.downtime. If untilClose is set, their
+// answers have neither a length nor chunks, so that the end of a connection is no error by itself.
+func (f *routedFleet) injectFatalPart(untilClose bool) *crashCounter {
 	c := &crashCounter{bodies: map[string]int{}}
 	for n, u := range f.engines {
-		f.injectFault(u, "models", n, c, standin.UpstreamFaults{FatalPart: fatalPart})
+		f.injectFault(u, "models", n, c, standin.UpstreamFaults{FatalPart: fatalPart, UntilClose: untilClose})
 	}
 	return c
 }
@@ -64,12 +65,13 @@
 		"first":           {fatalPart, firstPart, secondPart},
 		"second":          {firstPart, fatalPart, secondPart},
 		"before the last": {firstPart, secondPart, fatalPart},
+		"until close":     {firstPart, fatalPart, secondPart},
 	}
 	for place, parts := range places {
 		t.Run(place, func(t *testing.T) {
 			f := newRoutedFleet(t, 3, 1_000_000)
 			defer f.logQuarantine()
-			crashed := f.injectFatalPart()
+			crashed := f.injectFatalPart(place == "until close")
 			numSound := 0
 			sendSound := func(i *routedInstance) int {
 				numSound++
--- a/test/until_close_test.go
+++ b/test/until_close_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/lavenderring/lavenderring/platform/standin"
@@ -34,26 +36,26 @@
 	f := newRoutedFleet(t, 1, 1_000_000)
 	f.retryExtra = 1000
 	f.setFaults(f.engines[:2], standin.UpstreamFaults{UntilClose: true, CutAfter: 3})
-	broken, resumed := 0, 0
+	var broken, resumed atomic.Int32
+	var running sync.WaitGroup
 	for n := range untilCloseRequests {
-		id := fmt.Sprintf("stream-%d", n)
-		a := f.send(f.instances[0], id, "stream", id)
-		if a.err == nil && a.body != streamBody(1, streamEvents) {
-			t.Errorf("%s looks whole: status %d, %q", id, a.status, a.body)
-		}
-		if a.err != nil {
-			broken++
-		}
-		id = fmt.Sprintf("resumable-%d", n)
-		a = f.send(f.instances[0], id, "resumable", id)
-		if a.err == nil && a.body != streamBody(1, streamEvents) {
-			t.Errorf("%s looks whole: status %d, %q", id, a.status, a.body)
-		}
-		if a.err == nil && len(f.runsOf(id)) > 1 {
-			resumed++
+		for _, route := range []string{"stream", "resumable"} {
+			running.Go(func() {
+				id := fmt.Sprintf("%s-%d", route, n)
+				a := f.send(f.instances[0], id, route, id)
+				switch {
+				case a.err != nil:
+					broken.Add(1)
+				case a.body != streamBody(1, streamEvents):
+					t.Errorf("%s looks whole: status %d, %q", id, a.status, a.body)
+				case len(f.runsOf(id)) > 1:
+					resumed.Add(1)
+				}
+			})
 		}
 	}
-	if broken == 0 || resumed == 0 {
-		t.Errorf("%d streams were broken off and %d went on at another engine, expected some of each", broken, resumed)
+	running.Wait()
+	if broken.Load() == 0 || resumed.Load() == 0 {
+		t.Errorf("%d streams were broken off and %d went on at another engine, expected some of each", broken.Load(), resumed.Load())
 	}
 }
