Quarantine: what clients choose in a prompt is bounded and fit for the exchange

A model's name that is not valid UTF-8 made every message that held its record fail to encode, so that one request beside a crash could keep an instance from telling the others of any; found by reading. A header of 16 kB could name some 4,000 parts, each looked up under the table's lock for each attempt: the first 64 are considered.

--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -108,22 +108,20 @@
 	c.body = encoded
 	c.maxCost = c.r.doc.Limits.MaxPromptTokens(len(encoded)) + engineReq.MaxTokens
 	c.prefixHash = xxhash.Sum64(promptPrefix(c.req.Messages))
-	c.r.prompt = quarantine.Prompt{
-		Account: c.r.budget, Service: c.pool.Name, Model: quarantine.ModelName(c.req.Model), Parts: sharedParts(c.req.Messages),
-	}
+	c.r.prompt = quarantine.NewPrompt(c.r.budget, c.pool.Name, c.req.Model, messageHashes(c.req.Messages))
 	return nil
 }
 
-// sharedParts returns the hashes of the messages that other conversations may share: all but the last.
-func sharedParts(messages []chat.Message) []uint64 {
-	var parts []uint64
-	for _, m := range messages[:len(messages)-1] {
+// messageHashes returns the hashes of the messages, which are the parts of the prompt.
+func messageHashes(messages []chat.Message) []uint64 {
+	hashes := make([]uint64, 0, len(messages))
+	for _, m := range messages {
 		digest := xxhash.New()
 		_, _ = digest.WriteString(m.Role + "\x00") // a hash never fails
 		_, _ = digest.WriteString(m.Content)
-		parts = append(parts, digest.Sum64())
+		hashes = append(hashes, digest.Sum64())
 	}
-	return parts
+	return hashes
 }
 
 // promptPrefix returns the first maxPrefixBytes of the messages' contents.
--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -177,11 +177,11 @@
 
 // Prompt implements quarantine.Request.
 func (c *call) Prompt() quarantine.Prompt {
-	p := quarantine.Prompt{Account: c.accountName(), Service: c.target.Name, Model: quarantine.ModelName(c.r.Model)}
-	for _, part := range c.r.Prompt[:max(len(c.r.Prompt)-1, 0)] {
-		p.Parts = append(p.Parts, part.ID)
+	parts := make([]uint64, 0, len(c.r.Prompt))
+	for _, part := range c.r.Prompt {
+		parts = append(parts, part.ID)
 	}
-	return p
+	return quarantine.NewPrompt(c.accountName(), c.target.Name, c.r.Model, parts)
 }
 
 // accountName returns the account's name; empty where no account is needed.
--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 )
@@ -416,6 +418,23 @@
 	}
 }
 
+// Guards against a model's name that makes the records of all requests unfit for the exchange, and against very
+// many parts, each of which is looked up.
+func TestNamesAndPartsThatClientsChooseAreBounded(t *testing.T) {
+	for _, model := range []string{"m\xff", strings.Repeat("é", maxModelBytes), strings.Repeat("m", 10*maxModelBytes)} {
+		p := NewPrompt("crew", "models", model, make([]uint64, 10*maxPromptParts))
+		if !utf8.ValidString(p.Model) || len(p.Model) > maxModelBytes || len(p.Parts) != maxPromptParts {
+			t.Errorf("model of %d bytes %q, %d parts", len(p.Model), p.Model, len(p.Parts))
+		}
+	}
+	if p := NewPrompt("crew", "models", "m", nil); len(p.Parts) != 0 {
+		t.Errorf("parts %v of no prompt", p.Parts)
+	}
+	if p := NewPrompt("crew", "models", "m", []uint64{systemPart, otherPart}); len(p.Parts) != 1 || p.Parts[0] != systemPart {
+		t.Errorf("parts %v, want all but the last", p.Parts)
+	}
+}
+
 func BenchmarkNoteBegun(b *testing.B) {
 	table := NewTable("a", nil)
 	request := promptRequest{"crew", 1, []uint64{systemPart, documentPart, otherPart}}
--- a/pkg/quarantine/partrun.go
+++ b/pkg/quarantine/partrun.go
@@ -129,7 +129,7 @@
 	t.endPartTrials(r)
 }
 
-// refute withdraws all presences against a part from before a time, because an answer on it began then or an
+// refute makes the crashes before a time no longer count against a part, because an answer on it began then or an
 // operator released it. t.mu must be held.
 func (t *Table) refute(account string, p Part, now time.Time) {
 	if t.needsRefutation(p, now) {
--- a/pkg/quarantine/prompt.go
+++ b/pkg/quarantine/prompt.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
@@ -19,11 +20,25 @@
 	Parts []uint64
 }
 
-// maxModelBytes limits the model's name, which clients choose.
-const maxModelBytes = 128
+// Bounds on what clients choose in a prompt.
+const (
+	// maxModelBytes limits the model's name.
+	maxModelBytes = 128
+	// maxPromptParts limits the parts that are considered, each of which is looked up for each attempt.
+	maxPromptParts = 64
+)
 
-// ModelName returns the name of a model in a Prompt: its beginning if it is very long.
-func ModelName(name string) string { return name[:min(len(name), maxModelBytes)] }
+// NewPrompt returns a prompt; parts are all its parts with the last. A model's name is cut where it is very long,
+// and made valid UTF-8, without which records could not be exchanged. Of very many parts the first are kept.
+func NewPrompt(account, service, model string, parts []uint64) Prompt {
+	shared := parts[:max(len(parts)-1, 0)]
+	return Prompt{
+		Account: account,
+		Service: service,
+		Model:   strings.ToValidUTF8(model[:min(len(model), maxModelBytes)], "?"),
+		Parts:   shared[:min(len(shared), maxPromptParts)],
+	}
+}
 
 // Part identifies a part of prompts. Equal IDs under another service or model are other parts.
 type Part struct {
--- a/pkg/quarantine/upstreamcrash.go
+++ b/pkg/quarantine/upstreamcrash.go
@@ -33,7 +33,7 @@
 // presence lists who sent a part to an upstream that crashed before the answer began.
 type presence struct {
 	by map[sender]bool
-	// answered reports that an sender's instance knew of a recent answer on the part.
+	// answered reports that a sender's instance knew of a recent answer on the part.
 	answered bool
 }
 
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -329,7 +329,7 @@
 try hedges-share-a-copy pkg/forward/hedge.go 's/if h\.body == nil \{/if true {/' pkg/forward TestHedgesShareOneCopyOfTheBody
 # Parts of prompts that crash upstreams.
 try parts-are-judged $q/partjudge.go 's/t\.policy\.Parts == IgnoreParts/true/' test TestPartOfPromptsThatCrashesEnginesIsRefused
-try own-door-names-parts pkg/entry/chat.go 's/Parts: sharedParts\(c\.req\.Messages\)/Parts: nil/' test TestOwnDoorRefusesMessageThatCrashesEngines
+try own-door-names-parts pkg/entry/chat.go 's/messageHashes\(c\.req\.Messages\)\)/nil)/' test TestOwnDoorRefusesMessageThatCrashesEngines
 try parts-explain-crashes $q/partjudge.go 's/if len\(explaining\) > 1 \|\| \(len\(explaining\) == 1 && explaining\[0\] != p\) \{/if len(explaining) > 9 {/' $q TestPartThatACondemnedOneExplainsIsNotCondemned
 try answers-before-count $q/partjudge.go 's/answered\[p\] = true/unanswered[p] = false/' $q TestPartsThatWereAnsweredBeforeAreNotSuspected
 try services-answer-others $q/partjudge.go 's/ && t\.servesOthers\(p, y\)//' $q TestNoPartIsCondemnedWhileNothingIsAnswered
