--- a/test/marked_bytes_test.go
+++ b/test/marked_bytes_test.go
@@ -52,10 +52,12 @@
 	return string(body)
 }
 
-// Guards against bytes of one connection that reach the request or the answer of another one, beside clients that
-// leave while their requests are read, run or answered.
-func TestBytesStayWithTheirConnectionBesideLeavingClients(t *testing.T) {
-	f := newRoutedFleet(t, 1, 1_000_000)
+// sendMarkedByAll sends the requests of all clients, of which half leave, and checks with isOwn that each answer
+// belongs to its request.
+func sendMarkedByAll(
+	t *testing.T, send func(client *http.Client, id string, random *rand.Rand, leaves bool) string, isOwn func(answer, id string) bool,
+) {
+	t.Helper()
 	var running sync.WaitGroup
 	var answered atomic.Int32
 	for n := range markedClients {
@@ -65,11 +67,12 @@
 			defer client.CloseIdleConnections()
 			for k := range requestsPerMarkedClient {
 				id := fmt.Sprintf("m%d-%d", n, k)
-				answer := f.sendMarked(client, id, random, n%2 == 0)
-				if answer != "" {
-					answered.Add(1)
+				answer := send(client, id, random, n%2 == 0)
+				if answer == "" {
+					continue
 				}
-				if answer != "" && !strings.HasSuffix(answer, " to "+id) {
+				answered.Add(1)
+				if !isOwn(answer, id) {
 					t.Errorf("%s got %q", id, answer)
 				}
 			}
@@ -79,45 +82,27 @@
 	if answered.Load() == 0 {
 		t.Error("no request was answered")
 	}
-	runs := 0
+}
+
+// Guards against bytes of one connection that reach the request or the answer of another one, beside clients that
+// leave while their requests are read, run or answered.
+func TestBytesStayWithTheirConnectionBesideLeavingClients(t *testing.T) {
+	f := newRoutedFleet(t, 1, 1_000_000)
+	sendMarkedByAll(t, f.sendMarked, func(answer, id string) bool { return strings.HasSuffix(answer, " to "+id) })
 	for _, u := range f.plainUpstreams {
 		for _, run := range u.Runs() {
-			runs++
 			if marks := strings.Count(run.Body, ";"); run.Body != markedBody(run.ID, marks) || marks == 0 {
 				t.Errorf("%s ran with a body of %d bytes that is not its own", run.ID, len(run.Body))
 			}
 		}
 	}
-	t.Logf("%d runs", runs)
 }
 
 // Guards against the same through package entry ("lavenderring serve"): the upstream's answer names the path that it
 // got, which is marked with the request.
 func TestOwnDoorKeepsBytesWithTheirConnectionBesideLeavingClients(t *testing.T) {
 	f := newFleet(t, options{instances: 1, engines: 1, services: 2, prepaid: 1_000_000})
-	var running sync.WaitGroup
-	var answered atomic.Int32
-	for n := range markedClients {
-		running.Go(func() {
-			random := rand.New(rand.NewPCG(uint64(n), 8))
-			client := &http.Client{Transport: &http.Transport{}}
-			defer client.CloseIdleConnections()
-			for k := range requestsPerMarkedClient {
-				id := fmt.Sprintf("m%d-%d", n, k)
-				answer := f.sendMarked(client, id, random, n%2 == 0)
-				if answer != "" {
-					answered.Add(1)
-				}
-				if answer != "" && !strings.Contains(answer, id+`"`) {
-					t.Errorf("%s got %q", id, answer)
-				}
-			}
-		})
-	}
-	running.Wait()
-	if answered.Load() == 0 {
-		t.Error("no request was answered")
-	}
+	sendMarkedByAll(t, f.sendMarked, func(answer, id string) bool { return strings.Contains(answer, id+`"`) })
 }
 
 // sendMarked is like that of routedFleet; the request's path is marked, too.
