--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -20,8 +20,8 @@
 // maxReporters limits the instances listed in Record.Crashes. Two are enough to condemn a request.
 const maxReporters = 4
 
-// Record is what is known about one request, or about one part of prompts. Every counter only grows, and merging takes the higher
-// value, so records may be received in any order and more than once.
+// Record is what is known about one request, or about one part of prompts. Every counter only grows, and
+// merging takes the higher value, so records may be received in any order and more than once.
 type Record struct {
 	Fingerprint fingerprint.Fingerprint
 	// Account and Route show operators whose request it is and where it is sent.
@@ -48,8 +48,8 @@
 	// Part is the part that the record is about, in the requests of Account or, if that is empty, of all
 	// accounts; nil for a request.
 	Part *Part
-	// Answered is when an answer on the part last began after a crash had counted against the part, by this instance's
-	// clock; zero if none has.
+	// Answered is when an answer on the part last began after a crash had counted against the part, by this
+	// instance's clock; zero if none has.
 	Answered time.Time
 	// endings are the recent connections that ended before the answer was complete.
 	endings map[endingKey]ending
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -84,7 +84,8 @@
 	CountParts
 	// JudgeByCover condemns the part that explains most crashes; a crash that it explains counts against no other.
 	JudgeByCover
-	// JudgeByAnswers counts a crash against a part that was answered not long before only where no other part was there.
+	// JudgeByAnswers counts a crash against a part that was answered not long before only where no other
+	// part was there.
 	JudgeByAnswers
 )
 
