--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -122,6 +122,7 @@
 func TestPartsThatWereAnsweredBeforeAreNotSuspected(t *testing.T) {
 	s := newPartScene(t)
 	s.serve("crew", systemPart, documentPart)
+	s.now = s.now.Add(time.Second)
 	for range CondemnAfter {
 		s.crashUnder("crew", []uint64{systemPart, documentPart, crashingPart}, []uint64{systemPart, documentPart})
 		s.serve("crew", otherPart)
