Quarantine: requests and parts share the start of trials, their clearing and the number of crashes

The judgement of parts had written again what requests had: how a trial starts and whether one runs, how crashes are cleared, and how many crashes condemn where others crash; each is one function now. The two records of a part that concern an account were looked up in four loops, and a run beside another one checked its parts twice.

No change of behaviour.

--- a/pkg/forward/crash.go
+++ b/pkg/forward/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"strconv"
 
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
@@ -129,7 +128,7 @@
 func (c *call) loggedParts() []string {
 	var out []string
 	for _, part := range c.r.Prompt[:min(len(c.r.Prompt), maxLoggedParts)] {
-		out = append(out, strconv.FormatUint(part.ID, 16))
+		out = append(out, quarantine.Part{ID: part.ID}.Name())
 	}
 	return out
 }
--- a/pkg/quarantine/partjudge.go
+++ b/pkg/quarantine/partjudge.go
@@ -189,8 +189,8 @@
 
 // condemnedRecord returns the record that condemns a part in the requests of an account; nil if there is none.
 func (t *Table) condemnedRecord(account string, p Part) *entry {
-	for _, scope := range []string{"", account} {
-		if e := t.parts.records[scopedPart{Account: scope, Part: p}]; e != nil && t.stateOf(e) == Condemned {
+	for e := range t.partRecords(account, p) {
+		if t.stateOf(e) == Condemned {
 			return e
 		}
 	}
@@ -269,14 +269,7 @@
 			others++
 		}
 	}
-	switch {
-	case others <= maxFewOthers:
-		return CondemnAfter
-	case others <= maxSomeOthers:
-		return CondemnAfter + 1
-	default:
-		return CondemnAtMost
-	}
+	return requiredCrashes(others)
 }
 
 // scope returns the account in whose requests the part is condemned: a single account that sent it, or
@@ -348,7 +341,7 @@
 		if e == nil || e.ConsecutiveCrashes() == 0 || !isSubset(e.crashedUpstreams, explained) {
 			continue
 		}
-		t.update(e, func() bool { return raise(&e.Cleared, e.lastCrashOrdinal()) })
+		t.clearCrashes(e)
 	}
 }
 
--- a/pkg/quarantine/partrun.go
+++ b/pkg/quarantine/partrun.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // partTrial is a run of a request with a suspected part, of which one runs at a time in the fleet.
 type partTrial struct {
@@ -10,8 +13,8 @@
 }
 
 // refuseParts returns a *RefusedError if a part of the prompt is condemned, or is suspected and the request has
-// to wait. t.mu must be held.
-func (t *Table) refuseParts(prompt *Prompt, now time.Time) error {
+// to wait. A run beside another one has to wait for every suspected part. t.mu must be held.
+func (t *Table) refuseParts(prompt *Prompt, beside bool, now time.Time) error {
 	if len(prompt.Parts) == 0 {
 		return nil
 	}
@@ -21,7 +24,7 @@
 	}
 	for _, id := range prompt.Parts {
 		p := prompt.part(id)
-		if t.isSuspectedPart(prompt.Account, p) && t.partMustWait(p, now) {
+		if t.isSuspectedPart(prompt.Account, p) && (beside || t.partMustWait(p, now)) {
 			return &RefusedError{Fingerprint: scopedPart{Part: p}.fingerprint(), Part: &p, Err: ErrTrialRuns}
 		}
 	}
@@ -50,8 +53,8 @@
 	if y := t.parts.tallies[p]; y != nil && y.moments >= minSuspectedMoments {
 		return true
 	}
-	for _, scope := range []string{"", account} {
-		if e := t.parts.records[scopedPart{Account: scope, Part: p}]; e != nil && t.stateOf(e) == Suspected {
+	for e := range t.partRecords(account, p) {
+		if t.stateOf(e) == Suspected {
 			return true
 		}
 	}
@@ -64,7 +67,7 @@
 		return true
 	}
 	e := t.parts.records[scopedPart{Part: p}]
-	return e != nil && e.Started > e.Ended && now.Before(e.trialExpiry)
+	return e != nil && e.isTrialRunning(now)
 }
 
 // beginPartTrials starts a trial of each suspected part of the prompt. t.mu must be held.
@@ -78,11 +81,20 @@
 		if e == nil {
 			continue // the table is full
 		}
-		e.Started = max(e.Started, e.Ended) + 1
-		e.trialExpiry = now.Add(trialTimeout)
-		run.partTrials = append(run.partTrials, partTrial{part: p, ordinal: e.Started})
+		run.partTrials = append(run.partTrials, partTrial{part: p, ordinal: t.startTrial(e, now)})
 		run.watched = true
-		t.markPending(e.Fingerprint)
+	}
+}
+
+// partRecords yields the records of a part that concern an account: in the requests of all accounts, and in its own.
+func (t *Table) partRecords(account string, p Part) iter.Seq[*entry] {
+	return func(yield func(*entry) bool) {
+		if e := t.parts.records[scopedPart{Part: p}]; e != nil && !yield(e) {
+			return
+		}
+		if e := t.parts.records[scopedPart{Account: account, Part: p}]; e != nil && account != "" {
+			yield(e)
+		}
 	}
 }
 
@@ -141,9 +153,9 @@
 			})
 		}
 	}
-	for _, scope := range []string{"", account} {
-		if e := t.parts.records[scopedPart{Account: scope, Part: p}]; e != nil && e.isWatched() {
-			t.update(e, func() bool { return raise(&e.Cleared, e.lastCrashOrdinal()) })
+	for e := range t.partRecords(account, p) {
+		if e.isWatched() {
+			t.clearCrashes(e)
 		}
 	}
 }
--- a/pkg/quarantine/recent_crashes.go
+++ b/pkg/quarantine/recent_crashes.go
@@ -55,16 +55,27 @@
 	return false
 }
 
-// Numbers of other recently crashed upstreams above which a request needs more isolated crashes to be
-// condemned.
+// Numbers of other recently crashed upstreams above which a request or part needs more crashes to be condemned.
 const (
 	maxFewOthers  = 4
 	maxSomeOthers = 8
 )
 
+// requiredCrashes returns the number of crashes that condemns a request or part where others crashed lately. It
+// grows with their number, whatever the cause: where crashes are frequent, a harmless request is present at several.
+func requiredCrashes(others int) uint32 {
+	switch {
+	case others <= maxFewOthers:
+		return CondemnAfter
+	case others <= maxSomeOthers:
+		return CondemnAfter + 1
+	default:
+		return CondemnAtMost
+	}
+}
+
 // requiredIsolated returns the number of isolated crashes that condemns a request; own are the
-// upstreams that crashed under it. It grows with the number of other upstreams that crashed recently for
-// whatever cause: where crashes are frequent, a harmless request is present at several of them.
+// upstreams that crashed under it. The first crash need not be isolated.
 func (s recentCrashes) requiredIsolated(own map[string]bool, now time.Time) uint32 {
 	others := 0
 	for id, crash := range s {
@@ -72,12 +83,5 @@
 			others++
 		}
 	}
-	switch {
-	case others <= maxFewOthers:
-		return CondemnAfter - 1
-	case others <= maxSomeOthers:
-		return CondemnAfter
-	default:
-		return CondemnAtMost - 1
-	}
+	return requiredCrashes(others) - 1
 }
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -305,7 +305,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if err := t.refuseParts(&prompt, now); err != nil {
+	if err := t.refuseParts(&prompt, false, now); err != nil {
 		return Run{}, err
 	}
 	if err := t.beginRequest(&run, f, now); err != nil {
@@ -334,11 +334,16 @@
 	if t.policy.Trials && e.mustWait(now) {
 		return &RefusedError{Fingerprint: f, Err: ErrTrialRuns}
 	}
+	run.trial = t.startTrial(e, now)
+	return nil
+}
+
+// startTrial starts a trial and returns its ordinal. t.mu must be held.
+func (t *Table) startTrial(e *entry, now time.Time) uint32 {
 	e.Started = max(e.Started, e.Ended) + 1
 	e.trialExpiry = now.Add(trialTimeout)
-	run.trial = e.Started
-	t.markPending(f)
-	return nil
+	t.markPending(e.Fingerprint)
+	return e.Started
 }
 
 // BeginBeside starts a further run of a request beside one that is still in progress. A request that is
@@ -353,14 +358,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if err := t.refuseParts(&prompt, now); err != nil {
+	if err := t.refuseParts(&prompt, true, now); err != nil {
 		return Run{}, err
 	}
-	for _, id := range prompt.Parts {
-		if p := prompt.part(id); t.isSuspectedPart(prompt.Account, p) {
-			return Run{}, &RefusedError{Fingerprint: scopedPart{Part: p}.fingerprint(), Part: &p, Err: ErrTrialRuns}
-		}
-	}
 	e := t.records[f]
 	switch {
 	case e == nil:
@@ -401,10 +401,15 @@
 	return err
 }
 
+// isTrialRunning reports whether a trial has begun and is not known to have ended.
+func (e *entry) isTrialRunning(now time.Time) bool {
+	return e.Started > e.Ended && now.Before(e.trialExpiry)
+}
+
 // mustWait reports whether the request has to wait: a trial is running, or the request has undecided
 // endings in addition to a crash, or so many of them that they would condemn it if they were crashes.
 func (e *entry) mustWait(now time.Time) bool {
-	if e.Started > e.Ended && now.Before(e.trialExpiry) {
+	if e.isTrialRunning(now) {
 		return true
 	}
 	undecided, crashes := e.NumUndecided(), e.ConsecutiveCrashes()
@@ -566,6 +571,11 @@
 	return true
 }
 
+// clearCrashes makes the crashes of an entry no longer count. t.mu must be held.
+func (t *Table) clearCrashes(e *entry) {
+	t.update(e, func() bool { return raise(&e.Cleared, e.lastCrashOrdinal()) })
+}
+
 // update calls apply to change an entry. If apply reports a change, update adjusts the count of watched
 // records and the index of undecided endings, and marks the record as pending. t.mu must be held.
 func (t *Table) update(e *entry, apply func() bool) {
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -336,7 +336,7 @@
 try verdicts-name-the-account $q/partjudge.go 's/if len\(y\.accounts\) != 1 \{/if true {/' $q TestPartIsCondemnedForTheAccountThatSentIt
 try one-request-condemns-no-part $q/partjudge.go 's/ && len\(y\.requests\) >= minRequests//' $q TestRepeatedRequestDoesNotCondemnItsParts
 try begun-answers-are-no-suspects $q/undecided.go 's/if r\.begun \{/if false {/' $q TestBegunAnswersAreNotSuspected
-try answers-lift-verdicts $q/partrun.go 's/if e := t\.parts\.records\[scopedPart\{Account: scope, Part: p\}\]; e != nil && e\.isWatched\(\) \{/if e := t.parts.records[scopedPart{Account: scope, Part: p}]; false {/' $q TestAnswerLiftsTheVerdictOnAPart
+try answers-lift-verdicts $q/partrun.go 's/if e\.isWatched\(\) \{/if false {/' $q TestAnswerLiftsTheVerdictOnAPart
 try released-parts-stay-released $q/partrun.go 's/if t\.needsRefutation\(p, now\) \{/if false {/' $q TestReleasedPartStaysReleased
 try explained-requests-are-cleared $q/partjudge.go 's/\tt\.clearExplained\(\)\n//' $q TestRequestsBesideACondemnedPartAreCleared
 try suspected-parts-run-alone $q/partrun.go 's/if !t\.policy\.PartTrials \{/if true {/' $q TestSuspectedPartRunsOnceAtATime
--- a/test/quarantine_parts_test.go
+++ b/test/quarantine_parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"net/http"
 	"slices"
 	"strings"
@@ -48,13 +49,11 @@
 	return roundTrip(req)
 }
 
-// hashOf returns a hash of a text (FNV-1a).
+// hashOf returns a hash of a text.
 func hashOf(text string) uint32 {
-	hash := uint32(2166136261)
-	for _, c := range []byte(text) {
-		hash = (hash ^ uint32(c)) * 16777619
-	}
-	return hash
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(text)) // a hash never fails
+	return hash.Sum32()
 }
 
 // Guards against requests of which no two are alike, but whose prompts share a part that crashes every
