Log how old the list of upstreams was when a request was sent

Two requests reached upstreams three seconds after these had said that they leave, and nothing told what the instance knew when it sent them. Event 202 has the age of the list and the instance's own delay, which tell a copy that could not be renewed from an instance that was late itself; event 503 has the delay, too.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -338,6 +338,14 @@
 	if a.via != "" {
 		fields["via"] = a.via
 	}
+	if a.c.f.UpstreamsAge != nil {
+		if age, known := a.c.f.UpstreamsAge(); known {
+			fields["upstreams_age_ms"] = age.Milliseconds()
+		}
+	}
+	if delay := a.c.f.OwnDelay.Delay(); delay > 0 {
+		fields["own_delay_ms"] = delay.Milliseconds()
+	}
 	if a.c.route.Kind == routing.Stream {
 		fields["version"] = a.lease.Version
 	}
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/origin"
 	"github.com/lavenderring/lavenderring/pkg/overload"
+	"github.com/lavenderring/lavenderring/pkg/owndelay"
 	"github.com/lavenderring/lavenderring/pkg/placement"
 	"github.com/lavenderring/lavenderring/pkg/prepaid"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
@@ -127,6 +128,11 @@
 	Synced <-chan struct{}
 	// StoreAvailable reports whether the platform's store answered the last call.
 	StoreAvailable func() bool
+	// UpstreamsAge returns the time since the list of upstreams was last known to be complete; false if it
+	// never was. It is logged with each dispatch; nil if it is not known.
+	UpstreamsAge func() (time.Duration, bool)
+	// OwnDelay is how late the instance itself is; it is logged with each dispatch and may be nil.
+	OwnDelay *owndelay.Meter
 	// ConfigCurrent reports whether the configuration in force is known to have been the newest one
 	// within the time that a change may take; nil if it always is.
 	ConfigCurrent func() bool
--- a/pkg/router/background.go
+++ b/pkg/router/background.go
@@ -129,6 +129,9 @@
 	if age, read := r.followers[copyUpstreams].Age(); read {
 		fields["copy_age_ms"] = age.Milliseconds()
 	}
+	if delay := r.ownDelay.Delay(); delay > 0 {
+		fields["own_delay_ms"] = delay.Milliseconds()
+	}
 	r.log.Event(eventlog.UpstreamsLeft, "", fields)
 }
 
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -270,6 +270,8 @@
 		NumInstances:   r.table.CountLive,
 		Synced:         r.synced,
 		StoreAvailable: r.storeMonitor.Available,
+		UpstreamsAge:   r.upstreamsAge,
+		OwnDelay:       r.ownDelay,
 		ConfigCurrent:  r.configCurrent,
 		Now:            time.Now,
 	})
