--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -46,6 +46,10 @@
 	grace time.Duration
 	// downtime is how long a crashed upstream is down.
 	downtime time.Duration
+	// storeAddress is where instances that are started from now on reach the store; empty for address.
+	storeAddress string
+	// seeds are the seeds of instances that are started from now on.
+	seeds []string
 }
 
 type routedInstance struct {
@@ -179,7 +183,10 @@
 admin_address = %q
 store_address = %q
 grace_seconds = %.1f
-`, n, domainOf(n), i.clientAddress, i.readyAddress, i.peerAddress, i.adminAddress, f.address, cmp.Or(f.grace, gracePeriod).Seconds())
+`, n, domainOf(n), i.clientAddress, i.readyAddress, i.peerAddress, i.adminAddress, cmp.Or(f.storeAddress, f.address), cmp.Or(f.grace, gracePeriod).Seconds())
+	for _, seed := range f.seeds {
+		text += fmt.Sprintf("seeds = [%q]\n", seed)
+	}
 	if f.retryExtra > 0 {
 		text += fmt.Sprintf("retry_extra = %d\n", f.retryExtra)
 	}
