Begin nothing for clients that have left, and end their work behind unread bytes

Callers saw upstreams at work for clients that had left (GONE). When an instance is late, a request and the end of its connection wait side by side. The HTTP library looks for the end in parallel with the handler, which does not wait for it, so 16 to 40 of 40 such requests were begun (own door: 40 of 40). After bytes of a next request the library does not read on at all: 40 of 40 were begun, and work went on for 4 of 4 routes until its end.

Class: acting on a state that was true when it was read. Both doors now ask the kernel for the connection's state at the last moment before a request is sent (also again, beside another one, or through another instance), which does not depend on what has been read, and every 100 ms for requests in progress. Abort waits for the library's reader by the library's own context, since the request's may end before.

--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -147,6 +147,9 @@
 	return nil
 }
 
+// IsGone implements forward.DepartureChecker.
+func (w *responseWriter) IsGone() bool { return httpserve.ClientGone(w.ctx) }
+
 // OnWritten implements forward.WrittenNotifier: the library writes an answer after the handler has returned.
 func (w *responseWriter) OnWritten(done func()) { httpserve.OnWritten(w.c, done) }
 
--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -11,6 +11,7 @@
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/httpserve"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 	"github.com/lavenderring/lavenderring/pkg/upstream"
@@ -131,6 +132,9 @@
 	if !lease.InService() {
 		return upstreamRun{Run: r}, &upstream.CallError{Step: "dial", Peer: address, Err: errNotInService}
 	}
+	if httpserve.ClientGone(ctx) {
+		return upstreamRun{Run: r}, &upstream.CallError{Step: "dial", Peer: address, Err: errClientGone}
+	}
 	return upstreamRun{Run: r, startedAt: e.Now(), upstream: quarantine.Upstream{
 		ID: lease.Upstream.Name, Address: address, Incarnation: e.incarnationAt(address),
 	}}, nil
--- a/pkg/entry/delivery.go
+++ b/pkg/entry/delivery.go
@@ -28,7 +28,8 @@
 	maxAnswerTextBytes = 16 << 20
 )
 
-// errClientGone means that the answer could not be written to the client.
+// errClientGone means that the answer could not be written to the client, or that the client left before the
+// request was sent.
 var errClientGone = errors.New("the caller is gone")
 
 // delivery passes one engine's answer on to the client. It resumes the stream at
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
+	"github.com/lavenderring/lavenderring/pkg/httpserve"
 	"github.com/lavenderring/lavenderring/pkg/ledger"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
@@ -196,6 +197,9 @@
 func (e *Entry) handle(serve func(context.Context, *request) *Problem) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		r, p := e.admit(c)
+		if p == nil && httpserve.ClientGone(ctx) {
+			p = notRunProblem(consts.StatusServiceUnavailable, kindClientGone, errClientGone.Error(), 0)
+		}
 		if p == nil {
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -154,7 +154,8 @@
 	}
 	p.e.concludeRun(ctx, p.r, run, !failedBeforeSending(err), err)
 	if err != nil {
-		p.e.releaseLease(lease, dispatch.Result{Failed: true, Load: -1})
+		gone := errors.Is(err, errClientGone)
+		p.e.releaseLease(lease, dispatch.Result{Failed: !gone, Canceled: gone, Load: -1})
 		return p.canRetry(err), p.e.upstreamProblem(p.r, err)
 	}
 	p.e.recordIncarnation(lease.Upstream.Address, answer.Incarnation, run.startedAt)
@@ -169,6 +170,9 @@
 func (p *plainCall) canRetry(err error) bool {
 	var call *upstream.CallError
 	notSent := errors.As(err, &call) && call.Step == "dial"
+	if errors.Is(err, errClientGone) {
+		return false
+	}
 	return (p.idempotent || (notSent && !p.r.tracker.MaybeSent())) && p.e.Now().Before(p.r.deadline)
 }
 
--- a/pkg/entry/problem.go
+++ b/pkg/entry/problem.go
@@ -44,6 +44,7 @@
 	kindBudgetUnreachable    = "budget-unreachable"
 	kindOverloaded           = "overloaded"
 	kindDraining             = "draining"
+	kindClientGone           = "client-gone"
 	kindStoreUnavailable     = "store-unavailable"
 	kindUpstreamFailed       = "upstream-failed"
 	kindDeadlineExceeded     = "deadline-exceeded"
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -230,6 +230,9 @@
 	if !a.lease.InService() {
 		return &failure{step: stepBeforeSend, peer: a.lease.Address, err: errLeaving, neutral: true}
 	}
+	if isGone(a.c.client) {
+		return &failure{step: stepBeforeSend, peer: a.lease.Address, err: errClientGone, neutral: true, noRetry: true}
+	}
 	return a.confirmRun()
 }
 
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -93,7 +93,7 @@
 		if c.awaitUnreached(ctx, failure) {
 			continue
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(failure.err, errClientGone) {
 			c.handleClientGone()
 			return
 		}
@@ -228,6 +228,7 @@
 	errAllTried        = errors.New("every upstream in service has been tried")
 	errOverloaded      = errors.New("the network link of this instance is saturated")
 	errLeaving         = errors.New("upstream left service before the request was sent")
+	errClientGone      = errors.New("client left before the request was sent")
 	errEnded           = errors.New("upstream may have ended under an equal request before this one was sent")
 	errNoTime          = errors.New("no time left")
 	errConnections     = errors.New("connection limit of the upstream reached")
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -282,6 +282,10 @@
 		}
 		defer f.Overload.End()
 	}
+	if isGone(client) {
+		(&call{f: f, r: r, client: client}).handleClientGone()
+		return
+	}
 	call, refusal := f.admit(ctx, r)
 	if refusal != nil {
 		f.refuse(r, client, refusal)
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -123,3 +123,16 @@
 	// OnWritten has done called when the answer has been written or discarded. It is called once, after Answer.
 	OnWritten(done func())
 }
+
+// DepartureChecker is a Client that can tell whether it has left.
+type DepartureChecker interface {
+	// IsGone reports whether the client has closed its connection, or the sending side of it. It may be called
+	// from any goroutine.
+	IsGone() bool
+}
+
+// isGone reports whether a client is known to have left.
+func isGone(client Client) bool {
+	checker, ok := client.(DepartureChecker)
+	return ok && checker.IsGone()
+}
--- a/pkg/httpserve/conn.go
+++ b/pkg/httpserve/conn.go
@@ -43,6 +43,10 @@
 	silent bool
 	// broken says that the client is gone, or that its answer is incomplete.
 	broken, closed bool
+	// readerDone ends when the library's reader has found out that the client is gone, which is the last that
+	// it does. cancel ends the context of the request in progress. Both are nil before the first request.
+	readerDone context.Context
+	cancel     context.CancelFunc
 }
 
 // connOf returns the connection of a request by the context of its handler; nil if there is none.
@@ -133,11 +137,31 @@
 	return n, err
 }
 
-// beginServing notes that a request is being served.
-func (c *conn) beginServing() {
+// beginServing notes that a request is being served, and returns its context, which also ends when the client has
+// been found to be gone in another way than by the library's reader, whose context ctx is. The returned function
+// must be called when the handler has returned.
+func (c *conn) beginServing(ctx context.Context) (context.Context, context.CancelFunc) {
+	serving, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving = true
+	c.serving, c.readerDone, c.cancel = true, ctx, cancel
+	return serving, cancel
+}
+
+// awaitReader waits until the library has stopped reading from the connection, for at most a timeout.
+func (c *conn) awaitReader(timeout time.Duration) {
+	c.mu.Lock()
+	done := c.readerDone
+	c.mu.Unlock()
+	if done == nil {
+		return
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-done.Done():
+	case <-timer.C:
+	}
 }
 
 // finishRequest notes that a request's response has been written to its end. numBuffered returns the
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -47,7 +47,7 @@
 	// ReadTimeout limits the time to read one request. Default 30 s.
 	ReadTimeout time.Duration
 	// CancelOnDisconnect cancels a request's context when its client closes the
-	// connection.
+	// connection, or the sending side of it.
 	CancelOnDisconnect bool
 	// WrapConn, if not nil, wraps each accepted connection.
 	WrapConn func(net.Conn) net.Conn
@@ -66,10 +66,12 @@
 	wrapConn func(net.Conn) net.Conn
 	refuse   app.HandlerFunc
 	// lingers says that connections are read on after their last answer.
-	lingers            bool
-	draining, refusing atomic.Bool
-	started            atomic.Bool
-	done               chan struct{} // closed when no more connections are accepted
+	lingers bool
+	// cancelsOnDisconnect says that a request ends when its client is gone.
+	cancelsOnDisconnect bool
+	draining, refusing  atomic.Bool
+	started             atomic.Bool
+	done                chan struct{} // closed when no more connections are accepted
 }
 
 // Listen creates a server and binds its address, so that an address in use is
@@ -78,7 +80,7 @@
 	hlog.SetOutput(io.Discard) // the library's own log lines are not events of the event log
 	s := &Server{
 		active: &activeCounter{}, conns: connSet{open: map[*conn]bool{}}, wrapConn: opts.WrapConn,
-		refuse: opts.Refuse, lingers: opts.Refuse != nil, done: make(chan struct{}),
+		refuse: opts.Refuse, lingers: opts.Refuse != nil, cancelsOnDisconnect: opts.CancelOnDisconnect, done: make(chan struct{}),
 	}
 	bound, err := net.Listen("tcp", opts.Address)
 	if err != nil {
@@ -139,7 +141,9 @@
 		return
 	}
 	if conn := connOf(ctx); conn != nil {
-		conn.beginServing()
+		var cancel context.CancelFunc
+		ctx, cancel = conn.beginServing(ctx)
+		defer cancel()
 	}
 	c.Next(ctx)
 	if s.draining.Load() && c.Response.GetHijackWriter() == nil { // otherwise the head has been sent
@@ -169,13 +173,13 @@
 // is the context of the request's handler. The server must have been started with
 // CancelOnDisconnect: its reader cancels ctx as its last action.
 func Abort(ctx context.Context, c *app.RequestContext) {
-	if conn := connOf(ctx); conn != nil {
+	conn := connOf(ctx)
+	if conn != nil {
 		conn.cut()
 	}
 	_ = c.GetConn().Close()
-	select {
-	case <-ctx.Done():
-	case <-time.After(abortTimeout):
+	if conn != nil {
+		conn.awaitReader(abortTimeout)
 	}
 }
 
@@ -195,6 +199,9 @@
 // Serve answers requests in the background until Close.
 func (s *Server) Serve() {
 	s.started.Store(true)
+	if s.cancelsOnDisconnect {
+		go s.watchDepartures()
+	}
 	go func() {
 		defer close(s.done)
 		_ = s.Run() // returns when the listener closes
--- a/pkg/router/followers.go
+++ b/pkg/router/followers.go
@@ -71,7 +71,9 @@
 
 // upstreamsAge returns the time since the copy of the upstreams was last known to be complete; false if it
 // never was.
-func (r *Router) upstreamsAge() (age time.Duration, known bool) { return r.followers[copyUpstreams].Age() }
+func (r *Router) upstreamsAge() (age time.Duration, known bool) {
+	return r.followers[copyUpstreams].Age()
+}
 
 // configCurrent reports whether the configuration in force was the newest one within the time that a
 // change may take.
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -313,6 +313,10 @@
 try hedges-are-confirmed-before-sending pkg/forward/attempt.go 's/return a\.confirmRun\(\)/return nil/' pkg/forward TestHedgeIsNotSentAfterAnEnding
 try condemned-meanwhile-is-not-sent pkg/quarantine/table.go 's/\tcase !r\.table\.watchesParts\(\):/\tcase true:/' pkg/quarantine TestRunIsConfirmedBeforeItIsSent
 try runs-beside-others-stay-beside pkg/quarantine/table.go 's/\tcase r\.beside:/\tcase false:/' pkg/quarantine TestRunBesideAnotherIsConfirmedBeforeItIsSent
+try departed-clients-are-noticed pkg/httpserve/departure.go 's/ended := c\.broken \|\| c\.closed/ended := false/; s/return ok && peerClosed\(socket\)/return ok && false \&\& peerClosed(socket)/' test TestRequestsOfDepartedClientsAreNotBegun
+try own-door-notices-departed-clients pkg/httpserve/departure.go 's/ended := c\.broken \|\| c\.closed/ended := false/; s/return ok && peerClosed\(socket\)/return ok && false \&\& peerClosed(socket)/' test TestOwnDoorDoesNotBeginRequestsOfDepartedClients
+try departures-are-watched pkg/httpserve/httpserve.go 's/go s\.watchDepartures\(\)/_ = s/' test TestWorkEndsForDepartedClientsWithUnreadBytes
+try departures-are-checked-before-sending pkg/forward/attempt.go 's/if isGone\(a\.c\.client\) \{/if false {/' pkg/forward TestClientThatLeavesBeforeTheSendingGetsNoWork
 try gone-clients-get-no-answer pkg/forward/call.go 's/\t\}\)\n\tc\.client\.Abort\(\)\n/\t})\n/' pkg/forward TestClientThatLeavesGetsNoAnswer
 try hangups-are-ignored-before-main pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupBeforeMainEndsNoInstance
 try hangups-are-ignored-at-any-time pkg/hangup/ignore.c 's/\(void\)signal/\/\/ (void)signal/' test TestHangupAtAnyTimeOfAStartEndsNoInstance
--- a/test/departed_clients_test.go
+++ b/test/departed_clients_test.go
@@ -18,8 +18,8 @@
 const (
 	// departedClients is how many clients leave while the instance is stopped.
 	departedClients = 40
-	// departurePause is the time between a client's request and its leaving, and from then until the
-	// instance goes on.
+	// departurePause is the time from the signal until the instance has stopped and clients send, from then until
+	// they leave, and from then until the instance goes on.
 	departurePause = 300 * time.Millisecond
 	// settlePause is the time in which requests that were begun would reach an upstream.
 	settlePause = time.Second
@@ -62,6 +62,7 @@
 // request.
 func departWhileStopped(conns []net.Conn, stopped *process, extra string, request func(n int) string) {
 	stopped.signal(syscall.SIGSTOP)
+	time.Sleep(departurePause)
 	for n, conn := range conns {
 		_, _ = io.WriteString(conn, request(n)+extra)
 	}
