Act on copies of the store only while they are known to be valid

Requests reached upstreams three seconds after these had said that they leave (DRAIN), through an instance whose own link was saturated. The timeouts by which a copy is renewed keep its bound only while messages take as long as on an idle link; past that each call ended with its timeout, its answer was thrown away, and nothing that sends looked at the age of the copy. Class: safety that rests on being on time.

The age of the copies (upstreams, configuration, emptied domains) is looked at when a request is admitted and right before it is sent, also again and beside another. An expired copy is not acted upon, unless another instance knows as little or nobody is heard. Late answers of the store are applied, and fetches of copies await their connection as long as their call.

--- a/pkg/follow/copyserver.go
+++ b/pkg/follow/copyserver.go
@@ -159,8 +159,12 @@
 		p.server.cacheReceived(name, since, contents, reply.Packed)
 	}
 	// The reply was made at an unknown time since the request.
-	age := time.Duration(reply.AgeMs)*time.Millisecond + time.Since(requestedAt)
-	f.Confirm(lastChangeOf(contents), age)
+	age := time.Duration(reply.AgeMs) * time.Millisecond
+	took := time.Since(requestedAt)
+	f.Confirm(lastChangeOf(contents), age+took)
+	if p.onReply != nil {
+		p.onReply(name, age, took)
+	}
 	return advanced, nil, nil
 }
 
@@ -225,7 +229,7 @@
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses[:min(numQueriedPeers, len(addresses))] {
 		go func() {
-			_, _, _ = p.FetchFrom(ctx, name, address) // without a reply the store is called soon
+			_, _, _ = p.fetchWithTimeout(ctx, name, address) // without a reply the store is called soon
 		}()
 	}
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -89,6 +89,10 @@
 	// OnCallAnswered is called for each call that the store answered, with whether the answer
 	// contained a change; it may be nil.
 	OnCallAnswered func(changed bool)
+	// OnAnswer is called for each answer without a change, also for one that came after its call had failed for
+	// want of it, with the time that it took at most; it may be nil. When the store made an answer with a change
+	// is not known.
+	OnAnswer func(latency time.Duration)
 	// OnEra is called when another instance's copy moved this one to a later era of the store;
 	// it may be nil.
 	OnEra func(store.Era)
@@ -228,7 +232,7 @@
 		return errCallDeferred
 	}
 	list, err := hedged(ctx, f.hedgeDelay(), func(ctx context.Context) (store.Listing, error) {
-		return f.Store.List(ctx, f.Kind)
+		return f.Store.List(f.withLateListing(ctx), f.Kind)
 	})
 	f.Breaker.Record(err == nil)
 	if err != nil {
@@ -236,6 +240,7 @@
 	}
 	f.needsList = false
 	f.recordSuccess()
+	f.noteAnswer(list.asOf)
 	f.notifyAnswered(f.applyListAsOf(list.value, list.asOf))
 	return nil
 }
@@ -332,6 +337,9 @@
 		return nil // another instance's contents were applied first; the next watch starts at their position
 	}
 	changed := len(watched.value.Changes) > 0
+	if !changed {
+		f.noteAnswer(watched.asOf)
+	}
 	f.notifyAnswered(changed)
 	if changed {
 		pause.For(ctx, coalescePause)
@@ -388,7 +396,7 @@
 	timing := f.timing()
 	if age, read := f.fresh.readAge(); f.Breaker.Tripped() || !read || age > timing.WatchTimeout {
 		return hedged(ctx, f.hedgeDelay(), func(ctx context.Context) (store.Changes, error) {
-			return f.Store.Watch(ctx, f.Kind, since, 0)
+			return f.Store.Watch(f.withLateChanges(ctx, since, 0), f.Kind, since, 0)
 		})
 	}
 	wait := timing.WatchTimeout
@@ -407,7 +415,7 @@
 // without changes was made at the end of the wait, and one with changes at an unknown time before.
 func (f *Follower) waitForChanges(ctx context.Context, since store.Position, wait time.Duration) (answer[store.Changes], error) {
 	sentAt := time.Now()
-	changes, err := f.Store.Watch(ctx, f.Kind, since, wait)
+	changes, err := f.Store.Watch(f.withLateChanges(ctx, since, wait), f.Kind, since, wait)
 	asOf := sentAt
 	if len(changes.Changes) == 0 && time.Since(sentAt) >= wait {
 		asOf = sentAt.Add(wait)
--- a/pkg/follow/publisher.go
+++ b/pkg/follow/publisher.go
@@ -48,6 +48,9 @@
 	// OnContradiction is called once for each statement of another instance that this instance's
 	// copy contradicts; it may be nil. It must be set before Run is called.
 	OnContradiction func(Contradiction)
+	// onReply is called for each reply of another instance about a copy, with the age of that copy and how long
+	// the reply took; it may be nil.
+	onReply func(name string, age, took time.Duration)
 	// lastPublished holds the position in this instance's last confirmation, by name; used by Run
 	// only.
 	lastPublished map[string]store.Position
--- a/pkg/follow/simulation_test.go
+++ b/pkg/follow/simulation_test.go
@@ -119,11 +119,15 @@
 	partitioned bool
 	refusal     storeBehavior
 	lossPercent int
+	// delay is how long each message and each answer takes longer, in each direction, over a saturated link.
+	delay time.Duration
 	// disturbed are the spans in which the instance is not in contact.
 	disturbed []span
 	crashedAt time.Time
 	startedAt time.Time
 	publisher *Publisher
+	hearing   *Hearing
+	validity  *Validity
 	copies    map[string]*simCopy
 	// trace holds the calls and messages of the instance, with -trace.
 	trace []string
@@ -196,10 +200,16 @@
 		f.FetchInitial = func(ctx context.Context) bool { return i.fetchInitial(ctx, kind) }
 	}
 	publisher := NewPublisher(i.name(), followers, i, TimingFor(i.sim.bound))
-	for _, f := range followers {
+	hearing := &Hearing{}
+	bounds := map[string]time.Duration{}
+	for kind, f := range followers {
 		f.OnCallFailed = func(error) { publisher.QueryRandomPeer(ctx) }
+		f.OnAnswer = hearing.HeardAfter
+		bounds[kind] = i.sim.bound
 	}
+	validity := NewValidity(publisher, hearing, bounds)
 	i.mu.Lock()
+	i.hearing, i.validity = hearing, validity
 	i.publisher, i.copies, i.stop, i.crashedAt, i.startedAt = publisher, copies, stop, time.Time{}, time.Now()
 	i.lastServed = map[string][]byte{}
 	i.mu.Unlock()
@@ -207,6 +217,7 @@
 		i.sim.running.Go(func() { f.Run(ctx) })
 	}
 	i.sim.running.Go(func() { publisher.Run(ctx) })
+	i.sim.running.Go(func() { hearing.Run(ctx) })
 }
 
 // tracef adds a line to an instance's trace.
@@ -308,6 +319,9 @@
 
 // callStore makes one call to the store, up to the point where its behavior determines the outcome.
 func (i *simInstance) callStore(ctx context.Context, wait time.Duration) error {
+	if err := i.crossLink(ctx, i); err != nil {
+		return err
+	}
 	m := i.storeBehavior()
 	if m != storeAnswers {
 		i.tracef("store call, behavior %d", m)
@@ -334,6 +348,12 @@
 
 // List implements store.Watcher.
 func (i *simInstance) List(ctx context.Context, kind string) (store.Listing, error) {
+	return lateOverLink(ctx, i, 0, store.LateListing(ctx), func(ctx context.Context) (store.Listing, error) {
+		return i.list(ctx, kind)
+	})
+}
+
+func (i *simInstance) list(ctx context.Context, kind string) (store.Listing, error) {
 	if err := i.callStore(ctx, 0); err != nil {
 		return store.Listing{}, err
 	}
@@ -358,6 +378,12 @@
 
 // Watch implements store.Watcher.
 func (i *simInstance) Watch(ctx context.Context, kind string, since store.Position, wait time.Duration) (store.Changes, error) {
+	return lateOverLink(ctx, i, wait, store.LateChanges(ctx), func(ctx context.Context) (store.Changes, error) {
+		return i.watch(ctx, kind, since, wait)
+	})
+}
+
+func (i *simInstance) watch(ctx context.Context, kind string, since store.Position, wait time.Duration) (store.Changes, error) {
 	if err := i.callStore(ctx, wait); err != nil {
 		return store.Changes{}, err
 	}
@@ -458,6 +484,9 @@
 	}
 	request.Asker = i.name()
 	pause.For(ctx, simMessageTime)
+	if err := i.crossLink(ctx, other); err != nil {
+		return nil, err
+	}
 	_, publisher, _ := other.state()
 	reply, err := publisher.HandleFetch(request)
 	if err != nil {
@@ -474,6 +503,10 @@
 		return nil, err
 	}
 	pause.For(ctx, simMessageTime)
+	if err := other.crossLink(ctx, i); err != nil {
+		return nil, err
+	}
+	i.heard()
 	return reply, i.receive(ctx, len(reply.Packed), text)
 }
 
@@ -498,9 +531,16 @@
 		return awaitLostMessage(ctx)
 	}
 	pause.For(ctx, simMessageTime)
+	if !i.acknowledgedInTime(other) {
+		return awaitLostMessage(ctx)
+	}
+	if err := i.crossLink(ctx, other); err != nil {
+		return err
+	}
 	if err := other.receive(ctx, size, size); err != nil {
 		return err
 	}
+	other.heard()
 	_, publisher, _ := other.state()
 	other.tracef("confirmation: %v", confirmation)
 	publisher.HandleConfirmation(confirmation)
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -228,6 +228,7 @@
 	errAllTried        = errors.New("every upstream in service has been tried")
 	errOverloaded      = errors.New("the network link of this instance is saturated")
 	errLeaving         = errors.New("upstream left service before the request was sent")
+	errOutdated        = errors.New("it is not known whether upstreams have left or the configuration has changed")
 	errClientGone      = errors.New("client left before the request was sent")
 	errEnded           = errors.New("upstream may have ended under an equal request before this one was sent")
 	errNoTime          = errors.New("no time left")
@@ -296,6 +297,8 @@
 		if quarantined == Suspected {
 			refusal.RetryAfter = defaultRetryAfter
 		}
+	case errors.Is(last.err, errOutdated):
+		refusal.Reason, refusal.RetryAfter = StateOutdated, defaultRetryAfter
 	case errors.Is(last.err, errVersionGone):
 		refusal.Reason, refusal.RetryAfter = VersionGone, originRetryAfter
 	case errors.Is(last.err, errNoUpstream):
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -88,6 +88,14 @@
 	Find(ctx context.Context, account, requestID string) (origin.Origin, error)
 }
 
+// Validity decides whether the instance may act on what it knows of the platform's store.
+type Validity interface {
+	// Check returns an error if it may not.
+	Check() error
+	// Await waits a moment until it may, and returns an error if it may not.
+	Await(ctx context.Context) error
+}
+
 // Deps holds the dependencies of a Forwarder.
 type Deps struct {
 	// Domain is the instance's failure domain.
@@ -133,6 +141,9 @@
 	UpstreamsAge func() (time.Duration, bool)
 	// OwnDelay is how late the instance itself is; it is logged with each dispatch and may be nil.
 	OwnDelay *owndelay.Meter
+	// Validity decides whether the list of upstreams and the configuration may be acted upon; nil if they
+	// always may.
+	Validity Validity
 	// ConfigCurrent reports whether the configuration in force is known to have been the newest one
 	// within the time that a change may take; nil if it always is.
 	ConfigCurrent func() bool
@@ -312,6 +323,15 @@
 	return &Refusal{Reason: ConfigurationOutdated, RetryAfter: f.noConfigRetryAfter()}
 }
 
+// awaitValidity returns an error if this instance may lack a change that others have. Another instance serves the
+// client.
+func (f *Forwarder) awaitValidity(ctx context.Context) error {
+	if f.Validity == nil {
+		return nil
+	}
+	return f.Validity.Await(ctx)
+}
+
 // admit checks whether the request may be forwarded, and reserves its cost.
 func (f *Forwarder) admit(ctx context.Context, r *Request) (*call, *Refusal) {
 	f.awaitSynced(ctx)
@@ -319,6 +339,9 @@
 	if table == nil {
 		return nil, &Refusal{Reason: NoConfiguration, RetryAfter: f.noConfigRetryAfter()}
 	}
+	if err := f.awaitValidity(ctx); err != nil {
+		return nil, &Refusal{Reason: StateOutdated, RetryAfter: defaultRetryAfter, Step: "admit", Err: err}
+	}
 	limits := &table.Config.Limits
 	switch {
 	case limits.HeaderBytes > 0 && r.HeadBytes > limits.HeaderBytes:
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -15,13 +15,16 @@
 	// ConfigurationOutdated means that the configuration in force does not allow the request, but that
 	// this instance may lack a newer one that does.
 	ConfigurationOutdated Reason = "configuration-outdated"
-	NoRoute               Reason = "no-route"
-	UnknownKey            Reason = "unknown-key"
-	Malformed             Reason = "malformed"
-	HeadTooLarge          Reason = "head-too-large"
-	BodyTooLarge          Reason = "body-too-large"
-	PrepaidExhausted      Reason = "prepaid-exhausted"
-	TokensUnreachable     Reason = "tokens-not-reachable"
+	// StateOutdated means that this instance cannot find out whether the configuration and the upstreams that it
+	// knows are those in force, while other instances may.
+	StateOutdated     Reason = "state-outdated"
+	NoRoute           Reason = "no-route"
+	UnknownKey        Reason = "unknown-key"
+	Malformed         Reason = "malformed"
+	HeadTooLarge      Reason = "head-too-large"
+	BodyTooLarge      Reason = "body-too-large"
+	PrepaidExhausted  Reason = "prepaid-exhausted"
+	TokensUnreachable Reason = "tokens-not-reachable"
 	// TokensKeptForUrgent means that the account's remaining tokens are kept for urgent requests.
 	TokensKeptForUrgent Reason = "tokens-kept-for-urgent"
 	NoUpstream          Reason = "no-upstream"
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -121,8 +121,22 @@
 	}
 }
 
+// dialFunc opens a connection to an address.
+type dialFunc func(ctx context.Context, address string) (drpcpool.Conn, error)
+
+// dial opens a connection within dialTimeout.
 func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	return c.dialWithin(ctx, dialTimeout, address)
+}
+
+// dialPatiently opens a connection within the time of the call that it is for: over a saturated link it takes longer
+// than dialTimeout.
+func (c *Client) dialPatiently(ctx context.Context, address string) (drpcpool.Conn, error) {
+	return c.dialWithin(ctx, callTimeout, address)
+}
+
+func (c *Client) dialWithin(ctx context.Context, timeout time.Duration, address string) (drpcpool.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -158,10 +172,18 @@
 func callAddress[Reply any](
 	ctx context.Context, c *Client, step, address string, timeout time.Duration,
 	call func(context.Context, drpc.Conn) (Reply, error),
+) (Reply, error) {
+	return callOver(ctx, c, step, address, timeout, c.dial, call)
+}
+
+// callOver makes a call over a kept connection or one that dial opens.
+func callOver[Reply any](
+	ctx context.Context, c *Client, step, address string, timeout time.Duration, dial dialFunc,
+	call func(context.Context, drpc.Conn) (Reply, error),
 ) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn := c.pool(address).Get(ctx, address, c.dial)
+	conn := c.pool(address).Get(ctx, address, dial)
 	defer func() { _ = conn.Close() }()
 	reply, err := call(ctx, conn)
 	if err != nil {
@@ -315,7 +337,7 @@
 func (c *Client) FetchChanges(
 	ctx context.Context, address string, request *followpb.FetchRequest,
 ) (*followpb.FetchReply, error) {
-	return callAddress(ctx, c, "fetch-changes", address, callTimeout,
+	return callOver(ctx, c, "fetch-changes", address, callTimeout, c.dialPatiently,
 		func(ctx context.Context, conn drpc.Conn) (*followpb.FetchReply, error) {
 			return followpb.NewDRPCCopiesClient(conn).FetchChanges(ctx, request)
 		})
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -25,13 +25,16 @@
 }
 
 func (r *Router) serveReady(_ context.Context, c *app.RequestContext) {
-	if r.State() != life.Ready || r.overloadLimit.Overloaded() {
+	if r.State() != life.Ready || r.shedsClients() {
 		c.SetStatusCode(consts.StatusServiceUnavailable)
 		return
 	}
 	c.SetStatusCode(consts.StatusOK)
 }
 
+// shedsClients reports whether other instances serve clients better than this one.
+func (r *Router) shedsClients() bool { return r.overloadLimit.Overloaded() || r.validity.Lasting() }
+
 // serveMetrics writes counters, gauges and timers as text, one value per line.
 // Times are in milliseconds.
 func (r *Router) serveMetrics(_ context.Context, c *app.RequestContext) {
--- a/pkg/router/background.go
+++ b/pkg/router/background.go
@@ -61,6 +61,7 @@
 	}
 	r.runInBackground(r.ownDelay.Run)
 	r.runInBackground(r.publisher.Run)
+	r.runInBackground(r.hearing.Run)
 	r.runInBackground(r.discovery.Run)
 	r.runInBackground(r.gossip.Run)
 	r.runInBackground(r.quarantine.Run)
--- a/pkg/router/followers.go
+++ b/pkg/router/followers.go
@@ -42,6 +42,12 @@
 	r.ageMonitor = follow.AgeMonitor{Report: r.reportCopyAge}
 	r.publisher = follow.NewPublisher(r.incarnation, r.followers, copyPeers{r}, follow.TimingFor(r.settings.ChangeBound()))
 	r.publisher.OnContradiction = r.reportContradiction
+	r.validity = follow.NewValidity(r.publisher, &r.hearing, map[string]time.Duration{
+		copyRouting:   r.settings.ConfigBound(),
+		copyUpstreams: r.settings.LeavingBound(),
+		copyEmptied:   max(r.settings.EmptyingBound(), r.settings.ChangeBound()),
+	})
+	r.forward.Validity = r.validity
 }
 
 // setCallbacks connects a follower to the log and to the rest of the instance.
@@ -60,6 +66,7 @@
 			r.registry.NoteStoreAvailable()
 		}
 	}
+	follower.OnAnswer = r.hearing.HeardAfter
 	follower.FetchInitial = func(ctx context.Context) bool { return r.fetchInitialCopy(ctx, name) }
 	follower.OnEra = func(era store.Era) { r.tokens.NotePeerEra(uint64(era)) }
 	follower.OnWatchStarted = func(reason follow.Reason, waited time.Duration) {
@@ -179,7 +186,12 @@
 	ctx context.Context, address string, request *followpb.FetchRequest,
 ) (*followpb.FetchReply, error) {
 	request.Asker = p.r.settings.PeerAddress
-	return p.r.peers.FetchChanges(ctx, address, request)
+	began := time.Now()
+	reply, err := p.r.peers.FetchChanges(ctx, address, request)
+	if err == nil {
+		p.r.hearing.HeardAfter(time.Since(began))
+	}
+	return reply, err
 }
 
 // Confirm implements follow.Peers. A lost confirmation is only counted: the heartbeats detect
@@ -194,7 +206,7 @@
 
 // Confirm implements the copies service.
 func (r *Router) Confirm(_ context.Context, confirmation *followpb.Confirmation) (*followpb.ConfirmReply, error) {
-	r.table.MarkHeard(confirmation.From)
+	r.notePeerHeard(confirmation.From)
 	r.tokens.NotePeerEra(latestEra(confirmation))
 	r.publisher.HandleConfirmation(confirmation)
 	return &followpb.ConfirmReply{}, nil
--- a/pkg/router/links.go
+++ b/pkg/router/links.go
@@ -51,6 +51,9 @@
 func (r *Router) sendHeartbeat(ctx context.Context, address string, digest *memberpb.Digest) (*memberpb.Digest, error) {
 	began := time.Now()
 	reply, err := r.peers.Heartbeat(ctx, address, digest)
+	if err == nil {
+		r.hearing.HeardAfter(time.Since(began))
+	}
 	inRegion := func(m *memberpb.Member) bool { return m.PeerAddress == address }
 	if slices.ContainsFunc(r.othersInRegion(), inRegion) {
 		r.overloadLimit.ObserveReply(time.Since(began), err == nil)
--- a/pkg/router/members.go
+++ b/pkg/router/members.go
@@ -36,6 +36,7 @@
 
 // Heartbeat implements the members service.
 func (r *Router) Heartbeat(_ context.Context, d *memberpb.Digest) (*memberpb.Digest, error) {
+	r.hearing.Heard()
 	reply, _ := r.gossip.Answer(d)
 	return reply, nil
 }
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -120,6 +120,10 @@
 	// domains by the names of their copies.
 	followers map[string]*follow.Follower
 	publisher *follow.Publisher
+	// hearing tells whether the store or another instance is heard.
+	hearing follow.Hearing
+	// validity decides whether the copies may be acted upon.
+	validity *follow.Validity
 	// ageMonitor needs no lock, because only the background task housekeep uses it.
 	ageMonitor follow.AgeMonitor
 	// discovery finds the other instances.
@@ -169,8 +173,17 @@
 	return r, nil
 }
 
+// notePeerHeard records an answer of another instance.
+func (r *Router) notePeerHeard(incarnation string) {
+	r.table.MarkHeard(incarnation)
+	r.hearing.Heard()
+}
+
 // recordStoreResult records whether the store answered a call.
 func (r *Router) recordStoreResult(err error) {
+	if err == nil {
+		r.hearing.Heard()
+	}
 	if r.storeMonitor.Record(err) {
 		r.tokens.NoteStoreAvailable()
 	}
@@ -188,7 +201,7 @@
 		},
 		Now: time.Now,
 	})
-	r.peers = peer.NewClient(r.table.Address, r.table.MarkHeard, &r.traffic, nil)
+	r.peers = peer.NewClient(r.table.Address, r.notePeerHeard, &r.traffic, nil)
 	r.quarantine = keeper.New(keeper.Deps{
 		Self:     s.Name,
 		Members:  r.table,
@@ -308,7 +321,7 @@
 		ReadTimeout: readTimeout,
 		Format:      r.platform.Format,
 		Pipeline:    r.forward,
-		Overloaded:  r.overloadLimit.Overloaded,
+		Overloaded:  r.shedsClients,
 	})
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
--- a/pkg/settings/router.go
+++ b/pkg/settings/router.go
@@ -127,8 +127,16 @@
 
 // ChangeBound returns the shorter of LeavingBoundMS and ConfigBoundMS, within which every change of
 // the configuration or the upstreams must be in force.
-func (r *Router) ChangeBound() time.Duration {
-	return time.Duration(min(r.LeavingBoundMS, r.ConfigBoundMS)) * time.Millisecond
+func (r *Router) ChangeBound() time.Duration { return min(r.LeavingBound(), r.ConfigBound()) }
+
+// LeavingBound returns the time within which all instances must have stopped sending to an upstream that leaves.
+func (r *Router) LeavingBound() time.Duration {
+	return time.Duration(r.LeavingBoundMS) * time.Millisecond
+}
+
+// ConfigBound returns the time within which a change of the configuration must be in force.
+func (r *Router) ConfigBound() time.Duration {
+	return time.Duration(r.ConfigBoundMS) * time.Millisecond
 }
 
 // EmptyingBound returns the time within which all instances must have stopped sending to an emptied
--- a/pkg/store/callcontext.go
+++ b/pkg/store/callcontext.go
@@ -32,3 +32,30 @@
 	needed, _ := ctx.Value(newConnectionKey{}).(bool)
 	return needed
 }
+
+type lateListingKey struct{}
+
+// WithLateListing returns a context for a List whose client, when it has given the call up as unanswered, awaits the
+// answer for a further time and passes it to onLate.
+func WithLateListing(ctx context.Context, onLate func(Listing)) context.Context {
+	return context.WithValue(ctx, lateListingKey{}, onLate)
+}
+
+// LateListing returns the function of WithLateListing; nil if ctx has none.
+func LateListing(ctx context.Context) func(Listing) {
+	onLate, _ := ctx.Value(lateListingKey{}).(func(Listing))
+	return onLate
+}
+
+type lateChangesKey struct{}
+
+// WithLateChanges is WithLateListing for a Watch.
+func WithLateChanges(ctx context.Context, onLate func(Changes)) context.Context {
+	return context.WithValue(ctx, lateChangesKey{}, onLate)
+}
+
+// LateChanges returns the function of WithLateChanges; nil if ctx has none.
+func LateChanges(ctx context.Context) func(Changes) {
+	onLate, _ := ctx.Value(lateChangesKey{}).(func(Changes))
+	return onLate
+}
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -313,6 +313,11 @@
 try hedges-are-confirmed-before-sending pkg/forward/attempt.go 's/return a\.confirmRun\(\)/return nil/' pkg/forward TestHedgeIsNotSentAfterAnEnding
 try condemned-meanwhile-is-not-sent pkg/quarantine/table.go 's/\tcase !r\.table\.watchesParts\(\):/\tcase true:/' pkg/quarantine TestRunIsConfirmedBeforeItIsSent
 try runs-beside-others-stay-beside pkg/quarantine/table.go 's/\tcase r\.beside:/\tcase false:/' pkg/quarantine TestRunBesideAnotherIsConfirmedBeforeItIsSent
+try expired-copies-are-not-acted-upon pkg/forward/attempt.go 's/if err := f\.Validity\.Check\(\); err != nil/if err := f.Validity.Check(); false/' pkg/forward TestNothingIsSentOnOutdatedState
+try old-lists-of-upstreams-are-not-used pkg/follow/validity.go 's/return &ExpiredError\{Copy: name, Age: age, Limit: limit\}/return nil/' test TestSlowWayToTheStoreSendsNothingToUpstreamsThatLeft
+try agreement-keeps-copies-in-use pkg/follow/validity.go 's/ \|\| v\.nobodyKnowsMore\(name\)//' pkg/follow TestCopiesAreActedUponWhileTheyAreValid
+try isolation-keeps-copies-in-use pkg/follow/validity.go 's/ \|\| v\.hearing\.Isolated\(\)//' test TestIsolatedInstanceServesItsClients
+try late-answers-are-delivered platform/lateanswer.go 's/if r := <-results; r\.err == nil \{/if r := <-results; false {\n\t\t\t_ = r/' platform TestAnswersThatComeLateAreDelivered
 try departed-clients-are-noticed pkg/httpserve/departure.go 's/ended := c\.broken \|\| c\.closed/ended := false/; s/return ok && peerClosed\(socket\)/return ok && false \&\& peerClosed(socket)/' test TestRequestsOfDepartedClientsAreNotBegun
 try own-door-notices-departed-clients pkg/httpserve/departure.go 's/ended := c\.broken \|\| c\.closed/ended := false/; s/return ok && peerClosed\(socket\)/return ok && false \&\& peerClosed(socket)/' test TestOwnDoorDoesNotBeginRequestsOfDepartedClients
 try departures-are-watched pkg/httpserve/httpserve.go 's/go s\.watchDepartures\(\)/_ = s/' test TestWorkEndsForDepartedClientsWithUnreadBytes
