Own door: a whole answer does not wait for the attempts beside it

A client got its answer up to 2 s late when the engine beside the one that answered was silent: its attempt was canceled and settled first, and it does not say what it cost either. The answer goes out now, and the bill is closed when the others are settled, which a planned stop awaits. What the losers need of the request is copied before its buffers are used again.

--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -163,16 +163,35 @@
 	c.e.retries.deposit()
 	c.start(ctx, first)
 	end := c.awaitAnswer(ctx)
-	c.billing.close(end.whole)
 	c.out = end.attempt.out
 	if !end.whole {
+		c.billing.close(false)
 		c.out.fail(end.problem)
 		return end.problem
 	}
+	if c.numRunning == 0 {
+		c.billing.close(true)
+		c.out.finish()
+		return nil
+	}
 	c.out.finish()
+	c.r.Fingerprint() // the request's buffers are used again once it has been answered
+	c.e.settling.Add(1)
+	go c.settleOthers()
 	return nil
 }
 
+// settleOthers waits until the attempts beside the one that answered are canceled on their engines and settled, and
+// closes the bill. The client has its answer meanwhile: an engine that was silent may not say either what its attempt
+// cost.
+func (c *chatCall) settleOthers() {
+	defer c.e.settling.Add(-1)
+	for ; c.numRunning > 0; c.numRunning-- {
+		<-c.ended
+	}
+	c.billing.close(true)
+}
+
 // attemptProblem describes a failed attempt to the client.
 func (c *chatCall) attemptProblem(err error) *Problem {
 	if errors.Is(err, errClientGone) {
--- a/pkg/entry/chat_attempts.go
+++ b/pkg/entry/chat_attempts.go
@@ -31,7 +31,7 @@
 }
 
 // awaitAnswer returns the end of the attempt that answered whole, or of the one
-// whose problem is told to the client. All attempts have ended then.
+// whose problem is told to the client; all attempts have ended in the second case.
 func (c *chatCall) awaitAnswer(ctx context.Context) attemptEnd {
 	var failed attemptEnd
 	for {
@@ -43,7 +43,6 @@
 		case end := <-c.ended:
 			c.numRunning--
 			if end.whole {
-				c.awaitOthers()
 				return end
 			}
 			if c.isFailure(end) {
@@ -70,14 +69,6 @@
 	return !end.superseded && !end.declined && (c.chosen == nil || c.chosen == end.attempt)
 }
 
-// awaitOthers waits until the attempts that lost have been canceled on their
-// engines and settled.
-func (c *chatCall) awaitOthers() {
-	for ; c.numRunning > 0; c.numRunning-- {
-		<-c.ended
-	}
-}
-
 // reportSilence tells that an attempt's engine has been silent for some time.
 func (c *chatCall) reportSilence(a *attempt) {
 	select {
--- a/pkg/entry/crash.go
+++ b/pkg/entry/crash.go
@@ -153,7 +153,7 @@
 		evidence = quarantine.NoAnswer
 	}
 	conclusion := run.Conclude(ctx, quarantine.Attempt{
-		Origin:   quarantine.Origin{Account: r.budget, Route: string(r.c.Path())},
+		Origin:   quarantine.Origin{Account: r.budget, Route: r.route},
 		Upstream: run.upstream,
 		Evidence: evidence,
 	}, func() bool { return e.PeerProber.Probe(run.upstream.Address) == httpconn.Crashed }, e.Now)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -8,6 +8,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -29,6 +30,7 @@
 	"github.com/lavenderring/lavenderring/pkg/httpserve"
 	"github.com/lavenderring/lavenderring/pkg/ledger"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
+	"github.com/lavenderring/lavenderring/pkg/pause"
 	"github.com/lavenderring/lavenderring/pkg/quarantine"
 )
 
@@ -93,6 +95,9 @@
 	// canceled in it.
 	background context.Context
 
+	// settling is the number of requests that have been answered and of which other attempts are not settled.
+	settling atomic.Int64
+
 	mu             sync.Mutex
 	pools          map[string]*dispatch.Pool
 	emptiedDomains []string
@@ -171,9 +176,25 @@
 	notRunProblem(consts.StatusServiceUnavailable, kindDraining, "this instance is stopping", drainRetryAfter).write(c)
 }
 
+// settledCheckInterval is how often AwaitSettled checks.
+const settledCheckInterval = 20 * time.Millisecond
+
+// AwaitSettled waits until all attempts of the requests that have been answered are settled and billed; it returns
+// ctx's error if ctx is done first.
+func (e *Entry) AwaitSettled(ctx context.Context) error {
+	for e.settling.Load() > 0 {
+		if !pause.For(ctx, settledCheckInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // request is a client request in progress.
 type request struct {
-	id             string
+	id string
+	// route is the path pattern that the request matched.
+	route          string
 	accountRef     configsync.AccountRef
 	doc            *document.Document
 	budget         string
@@ -212,7 +233,7 @@
 // admit authenticates the client and checks the request against the limits of
 // the service.
 func (e *Entry) admit(c *app.RequestContext) (*request, *Problem) {
-	r := &request{id: ulid.Make().String(), started: e.Now(), c: c}
+	r := &request{id: ulid.Make().String(), route: string(c.Path()), started: e.Now(), c: c}
 	c.Header(chat.HeaderRequestID, r.id)
 	key, isBearer := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
 	ref, found := e.Config.Snapshot().Account(strings.TrimSpace(key))
--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -236,6 +236,9 @@
 	if err := s.server.AwaitIdle(ctx); err != nil {
 		s.t.Fatal(err)
 	}
+	if err := s.entry.AwaitSettled(ctx); err != nil {
+		s.t.Fatal(err)
+	}
 }
 
 // maxCost returns the tokens that are reserved for one attempt.
--- a/pkg/instance/run.go
+++ b/pkg/instance/run.go
@@ -195,6 +195,9 @@
 	defer cancel()
 	i.clientServer.Refuse()
 	err := i.clientServer.AwaitIdle(drainCtx)
+	if settleErr := i.entry.AwaitSettled(drainCtx); err == nil {
+		err = settleErr
+	}
 	i.log.Event(eventlog.InstanceClosing, "", eventlog.Fields{
 		"after_ms": time.Since(began).Milliseconds(), "active": i.clientServer.NumActive(),
 	})
