Simplify the checks before sending, the late answers and their tests

No behaviour changes. The tests of leaving upstreams use the forwarder with a single route, and the two of a slow store share what they send. One seed is what a fleet of the tests sets; several would not have been valid settings.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -230,11 +230,9 @@
 	if !a.lease.InService() {
 		return &failure{step: stepBeforeSend, peer: a.lease.Address, err: errLeaving, neutral: true}
 	}
-	if f := a.c.f; f.Validity != nil {
-		if err := f.Validity.Check(); err != nil {
-			err = errors.Join(errOutdated, err)
-			return &failure{step: stepBeforeSend, peer: a.lease.Address, err: err, neutral: true, noRetry: true}
-		}
+	if err := a.c.f.Validity.Check(); err != nil {
+		err = errors.Join(errOutdated, err)
+		return &failure{step: stepBeforeSend, peer: a.lease.Address, err: err, neutral: true, noRetry: true}
 	}
 	if isGone(a.c.client) {
 		return &failure{step: stepBeforeSend, peer: a.lease.Address, err: errClientGone, neutral: true, noRetry: true}
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -96,6 +96,15 @@
 	Await(ctx context.Context) error
 }
 
+// alwaysValid is the Validity of an instance that is told all changes.
+type alwaysValid struct{}
+
+// Check implements Validity.
+func (alwaysValid) Check() error { return nil }
+
+// Await implements Validity.
+func (alwaysValid) Await(context.Context) error { return nil }
+
 // Deps holds the dependencies of a Forwarder.
 type Deps struct {
 	// Domain is the instance's failure domain.
@@ -210,6 +219,9 @@
 	if deps.Origins == nil {
 		deps.Origins = noOrigins{}
 	}
+	if deps.Validity == nil {
+		deps.Validity = alwaysValid{}
+	}
 	if deps.AnswerMemoryBytes <= 0 {
 		deps.AnswerMemoryBytes = defaultAnswerMemory
 	}
@@ -323,15 +335,6 @@
 	return &Refusal{Reason: ConfigurationOutdated, RetryAfter: f.noConfigRetryAfter()}
 }
 
-// awaitValidity returns an error if this instance may lack a change that others have. Another instance serves the
-// client.
-func (f *Forwarder) awaitValidity(ctx context.Context) error {
-	if f.Validity == nil {
-		return nil
-	}
-	return f.Validity.Await(ctx)
-}
-
 // admit checks whether the request may be forwarded, and reserves its cost.
 func (f *Forwarder) admit(ctx context.Context, r *Request) (*call, *Refusal) {
 	f.awaitSynced(ctx)
@@ -339,7 +342,7 @@
 	if table == nil {
 		return nil, &Refusal{Reason: NoConfiguration, RetryAfter: f.noConfigRetryAfter()}
 	}
-	if err := f.awaitValidity(ctx); err != nil {
+	if err := f.Validity.Await(ctx); err != nil { // another instance serves the client
 		return nil, &Refusal{Reason: StateOutdated, RetryAfter: defaultRetryAfter, Step: "admit", Err: err}
 	}
 	limits := &table.Config.Limits
--- a/pkg/forward/leaving_test.go
+++ b/pkg/forward/leaving_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -11,12 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
-	"github.com/lavenderring/lavenderring/pkg/eventlog"
-	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/registry"
-	"github.com/lavenderring/lavenderring/pkg/retrylimit"
 	"github.com/lavenderring/lavenderring/pkg/routing"
 	"github.com/lavenderring/lavenderring/pkg/store"
 )
@@ -63,34 +57,20 @@
 // by another upstream, and the first one must get nothing.
 func TestUpstreamThatLeavesBeforeTheSendingGetsNothing(t *testing.T) {
 	var leavingServed, stayingServed atomic.Int32
-	leaving := registry.Upstream{ID: "leaving", Service: "jobs", Address: countingUpstream(t, &leavingServed)}
-	staying := registry.Upstream{ID: "staying", Service: "jobs", Address: countingUpstream(t, &stayingServed)}
-	upstreams := registry.New(time.Now)
-	upstreams.Replace([]registry.Upstream{leaving}, store.At(1))
-	config := &routing.State{}
-	config.Apply(&routing.Config{
-		Version:  1,
-		Services: []routing.Service{{Name: "jobs", MaxConnections: 8}},
-		Routes: []routing.Route{{
-			Name: "r", Host: "h", Prefix: "/", Kind: routing.Once, Timeout: time.Minute, MaxAttempts: 1,
-			Targets: []routing.Target{{Service: "jobs", Weight: 1}},
-		}},
-	}, time.Now())
+	leaving := registry.Upstream{ID: "leaving", Service: "s", Address: countingUpstream(t, &leavingServed)}
+	staying := registry.Upstream{ID: "staying", Service: "s", Address: countingUpstream(t, &stayingServed)}
+	deps := singleRouteDeps(leaving.Address, routing.Once)
+	deps.Registry.Replace([]registry.Upstream{leaving}, store.At(1))
 	var f *Forwarder
-	f = New(Deps{
-		Config: config, Registry: upstreams, Codec: plainCodec{}, Conns: httpconn.NewPool(time.Now),
-		Log: eventlog.New("test", io.Discard), Metrics: metrics.NewRegistry(),
-		Retries: retrylimit.Settings{Window: 10 * time.Second},
-		// Called between choosing the upstream and connecting to it.
-		NumInstances: func() int {
-			leaving.Leaving = true
-			upstreams.Put(leaving)
-			upstreams.Put(staying)
-			f.Update()
-			return 1
-		},
-		StoreAvailable: func() bool { return true }, Now: time.Now,
-	})
+	// Called between choosing the upstream and connecting to it.
+	deps.NumInstances = func() int {
+		leaving.Leaving = true
+		deps.Registry.Put(leaving)
+		deps.Registry.Put(staying)
+		f.Update()
+		return 1
+	}
+	f = New(deps)
 	f.Update()
 	outcome := &outcomeRecorder{}
 	f.Serve(context.Background(), &Request{ID: "1", Method: "POST", Target: "/", Host: "h", Path: "/", Arrived: time.Now()}, outcome)
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -315,7 +315,7 @@
 try runs-beside-others-stay-beside pkg/quarantine/table.go 's/\tcase r\.beside:/\tcase false:/' pkg/quarantine TestRunBesideAnotherIsConfirmedBeforeItIsSent
 try odd-entries-are-walked-over platform/store.go 's/ok && err != nil/ok \&\& false/' test TestOddEntriesDoNotStopTheFollowing
 try pages-of-odd-entries-go-on platform/store.go 's/err = wire\.walk\(item\)/_ = item/' platform TestManyOddEntriesHideNoOthers
-try expired-copies-are-not-acted-upon pkg/forward/attempt.go 's/if err := f\.Validity\.Check\(\); err != nil/if err := f.Validity.Check(); false/' pkg/forward TestNothingIsSentOnOutdatedState
+try expired-copies-are-not-acted-upon pkg/forward/attempt.go 's/if err := a\.c\.f\.Validity\.Check\(\); err != nil/if err := a.c.f.Validity.Check(); false/' pkg/forward TestNothingIsSentOnOutdatedState
 try old-lists-of-upstreams-are-not-used pkg/follow/validity.go 's/return &ExpiredError\{Copy: name, Age: age, Limit: limit\}/return nil/' test TestSlowWayToTheStoreSendsNothingToUpstreamsThatLeft
 try agreement-keeps-copies-in-use pkg/follow/validity.go 's/ \|\| v\.nobodyKnowsMore\(name\)//' pkg/follow TestCopiesAreActedUponWhileTheyAreValid
 try isolation-keeps-copies-in-use pkg/follow/validity.go 's/ \|\| v\.hearing\.Isolated\(\)//' test TestIsolatedInstanceServesItsClients
--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -48,8 +48,8 @@
 	downtime time.Duration
 	// storeAddress is where instances that are started from now on reach the store; empty for address.
 	storeAddress string
-	// seeds are the seeds of instances that are started from now on.
-	seeds []string
+	// seed is the peer address that instances which are started from now on contact first; empty for none.
+	seed string
 }
 
 type routedInstance struct {
@@ -184,8 +184,8 @@
 store_address = %q
 grace_seconds = %.1f
 `, n, domainOf(n), i.clientAddress, i.readyAddress, i.peerAddress, i.adminAddress, cmp.Or(f.storeAddress, f.address), cmp.Or(f.grace, gracePeriod).Seconds())
-	for _, seed := range f.seeds {
-		text += fmt.Sprintf("seeds = [%q]\n", seed)
+	if f.seed != "" {
+		text += fmt.Sprintf("seeds = [%q]\n", f.seed)
 	}
 	if f.retryExtra > 0 {
 		text += fmt.Sprintf("retry_extra = %d\n", f.retryExtra)
--- a/test/slow_store_test.go
+++ b/test/slow_store_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/follow"
 	"github.com/lavenderring/lavenderring/pkg/standin/relay"
+	"github.com/lavenderring/lavenderring/platform/standin"
 )
 
 const (
@@ -32,10 +33,8 @@
 		f.must(err)
 		t.Cleanup(r.Close)
 		relays = append(relays, r)
-		if n > 0 {
-			f.seeds = []string{f.instances[0].peerAddress}
-		}
 		f.instances = append(f.instances, f.startInstance(n))
+		f.seed = f.instances[0].peerAddress
 	}
 	for _, i := range f.instances {
 		f.await("the instance to be ready", func() bool { return i.isReady() })
@@ -61,6 +60,19 @@
 	return served, refused
 }
 
+// sendBesideLeaving sends requests to an instance while an upstream leaves. It returns how many reached that upstream
+// later than the bound allows, and how many requests were served and refused after the bound.
+func (f *routedFleet) sendBesideLeaving(i *routedInstance, leaving *standin.Upstream) (late, served, refused int) {
+	f.t.Helper()
+	f.sendUntil(i, "before", time.Now().Add(slowStoreSettling))
+	f.markLeaving(leaving)
+	acknowledged := time.Now()
+	f.sendUntil(i, "within", acknowledged.Add(follow.DefaultBound))
+	before := len(leaving.Runs())
+	served, refused = f.sendUntil(i, "after", acknowledged.Add(slowStorePeriod))
+	return len(leaving.Runs()) - before, served, refused
+}
+
 // Guards against requests for an upstream that left long ago, from an instance for which the way to the store is
 // slow: what it was told last must not be used for longer than a change may take.
 func TestSlowWayToTheStoreSendsNothingToUpstreamsThatLeft(t *testing.T) {
@@ -68,14 +80,9 @@
 		t.Run(delay.String(), func(t *testing.T) {
 			f, relays := newSlowStoreFleet(t, 1)
 			relays[0].SetFaults(relay.Faults{DelayMillis: delay.Milliseconds()})
-			i, leaving := f.instances[0], f.plainUpstreams[0]
-			f.sendUntil(i, "before", time.Now().Add(slowStoreSettling))
-			f.markLeaving(leaving)
-			acknowledged := time.Now()
-			f.sendUntil(i, "within", acknowledged.Add(follow.DefaultBound))
-			before := len(leaving.Runs())
-			served, refused := f.sendUntil(i, "after", acknowledged.Add(slowStorePeriod))
-			if late := len(leaving.Runs()) - before; late > 0 {
+			i := f.instances[0]
+			late, served, refused := f.sendBesideLeaving(i, f.plainUpstreams[0])
+			if late > 0 {
 				t.Errorf("%d requests reached the upstream later than %v after it had left", late, follow.DefaultBound)
 			}
 			t.Logf("%d served, %d refused", served, refused)
@@ -90,14 +97,8 @@
 func TestSlowWayToTheStoreIsBridgedByOtherInstances(t *testing.T) {
 	f, relays := newSlowStoreFleet(t, 3)
 	relays[0].SetFaults(relay.Faults{DelayMillis: 1200})
-	i, leaving := f.instances[0], f.plainUpstreams[0]
-	f.sendUntil(i, "before", time.Now().Add(slowStoreSettling))
-	f.markLeaving(leaving)
-	acknowledged := time.Now()
-	f.sendUntil(i, "within", acknowledged.Add(follow.DefaultBound))
-	before := len(leaving.Runs())
-	served, refused := f.sendUntil(i, "after", acknowledged.Add(slowStorePeriod))
-	if late := len(leaving.Runs()) - before; late > 0 || served < 9*refused {
+	late, served, refused := f.sendBesideLeaving(f.instances[0], f.plainUpstreams[0])
+	if late > 0 || served < 9*refused {
 		t.Errorf("%d requests reached the upstream that had left, %d were served, %d refused", late, served, refused)
 	}
 }
