--- a/review/_src/kit/kit.go
+++ b/review/_src/kit/kit.go
@@ -41,13 +41,12 @@
 type Deployment struct {
 	Store *standin.Server
 	// StoreAddress is where routers that are started from now on reach the store.
-	StoreAddress    string
-	storeOfOperator string
-	client          *platform.Client
-	folder          string
-	program         string
-	routers         []*Router
-	replicas        []*Replica
+	StoreAddress string
+	client       *platform.Client
+	folder       string
+	program      string
+	routers      []*Router
+	replicas     []*Replica
 
 	mu     sync.Mutex
 	record *os.File
@@ -102,7 +101,7 @@
 	if d.Store, err = standin.Start(address); err != nil {
 		return false, err
 	}
-	d.StoreAddress, d.storeOfOperator = address, address
+	d.StoreAddress = address
 	d.client = platform.NewClient(address, 5*time.Second, nil)
 	return play(d)
 }
@@ -307,19 +306,18 @@
 	}
 }
 
-// Withdraw removes a replica's entry from the store, as the platform does for one that has left.
-func (d *Deployment) Withdraw(r *Replica) error {
-	request, err := http.NewRequest(http.MethodDelete, "http://"+d.storeOfOperator+platform.ObjectsPath+platform.UpstreamKind+"/"+r.ID, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
+// StartAgain starts routers whose processes have ended, and waits until they are ready.
+func StartAgain(routers []*Router) error {
+	for _, router := range routers {
+		router.AwaitEnd(5 * time.Second)
+		if err := router.Start(); err != nil {
+			return err
+		}
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("remove the entry of %s: %s", r.ID, resp.Status)
+	for _, router := range routers {
+		if err := router.AwaitReady(15 * time.Second); err != nil {
+			return err
+		}
 	}
 	return nil
 }
