Review, case 5: users who come at once with allowed requests push routers over their memory

Every body is read whole into memory before anything decides whether the request is taken on, and nothing bounds the bodies of all requests together.

--- a/review/_src/kit/kit.go
+++ b/review/_src/kit/kit.go
@@ -321,3 +321,16 @@
 	}
 	return nil
 }
+
+// MemoryMB returns the process's resident memory; 0 if it has ended.
+func (r *Router) MemoryMB() int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", r.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(text), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * int64(os.Getpagesize()) >> 20
+}
