--- a/review/_src/kit/client.go
+++ b/review/_src/kit/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 )
 
@@ -15,6 +16,8 @@
 	Header     http.Header
 	RetryAfter string
 	Err        error
+	// Kept says that the request was sent over a connection that had been used before.
+	Kept bool
 }
 
 // Request describes a client's request.
@@ -46,14 +49,17 @@
 	for name, value := range request.Header {
 		req.Header.Set(name, value)
 	}
+	kept := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { kept = info.Reused }}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	// A client that gets nothing leaves a little after its deadline.
 	timer := *client
 	timer.Timeout = request.Deadline + 500*time.Millisecond
 	resp, err := timer.Do(req)
 	if err != nil {
-		return Reply{Err: err}
+		return Reply{Err: err, Kept: kept}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return Reply{Status: resp.StatusCode, Body: string(body), Header: resp.Header, RetryAfter: resp.Header.Get("Retry-After"), Err: err}
+	return Reply{Status: resp.StatusCode, Body: string(body), Header: resp.Header, RetryAfter: resp.Header.Get("Retry-After"), Err: err, Kept: kept}
 }
--- a/review/_src/kit/spending.go
+++ b/review/_src/kit/spending.go
@@ -15,8 +15,8 @@
 	SpendPrompt   = 200
 	SpendOutput   = 20
 	SpendDeadline = 4 * time.Second
-	// numSpenders clients send a request each, then pause.
-	numSpenders = 12
+	// NumSpenders clients send a request each, then pause.
+	NumSpenders = 12
 	spendPause  = 200 * time.Millisecond
 	// quietTime is for how long nothing more must be served before the budget counts as used up.
 	quietTime    = 6 * time.Second
@@ -30,8 +30,10 @@
 	Engine  *Engine
 	// Events counts the output tokens delivered; OK, Short and Others the answers 200, 402 and all others.
 	Events, OK, Short, Others atomic.Int64
-	// OnShort is called for each 402; it may be nil.
-	OnShort func(router *Router, id string)
+	// OnReply is called for each answer with when its request was sent; it may be nil.
+	OnReply func(sentAt time.Time, status int)
+	// Period is the time between two requests of a client; if it is 0, a client pauses after each answer.
+	Period time.Duration
 
 	began      time.Time
 	lastServed atomic.Int64
@@ -76,7 +78,7 @@
 func (s *Spending) Begin() {
 	s.began = time.Now()
 	s.lastServed.Store(s.began.UnixNano())
-	for n := range numSpenders {
+	for n := range NumSpenders {
 		s.clients.Go(func() { s.client(n) })
 	}
 }
@@ -99,6 +101,7 @@
 	for count := 0; !s.isOver(); count++ {
 		router := s.Routers[(n+count)%len(s.Routers)]
 		id := fmt.Sprintf("query-%d-%d", n, count)
+		sentAt := time.Now()
 		status, events, err := Stream(client, router, Request{
 			ID: id, Path: "/query/x", Body: "question " + id, Deadline: SpendDeadline,
 			Header: map[string]string{Names.Tokens: fmt.Sprintf("%d,%d", SpendPrompt, SpendOutput)},
@@ -111,18 +114,30 @@
 			s.lastServed.Store(time.Now().UnixNano())
 		case http.StatusPaymentRequired:
 			s.Short.Add(1)
-			if s.OnShort != nil {
-				s.OnShort(router, id)
-			}
 		default:
 			s.Others.Add(1)
 		}
-		time.Sleep(spendPause)
+		if s.OnReply != nil {
+			s.OnReply(sentAt, status)
+		}
+		s.pause(sentAt)
 	}
 }
 
+// pause waits until the next request of a client is due.
+func (s *Spending) pause(sentAt time.Time) {
+	if s.Period > 0 {
+		time.Sleep(time.Until(sentAt.Add(s.Period)))
+		return
+	}
+	time.Sleep(spendPause)
+}
+
 // isOver reports whether the budget is used up.
 func (s *Spending) isOver() bool {
+	if s.Period > 0 {
+		return s.stop.Load()
+	}
 	quiet := time.Since(time.Unix(0, s.lastServed.Load())) > quietTime
 	return s.stop.Load() || time.Since(s.began) > maxSpendTime || (quiet && s.Short.Load() > 0)
 }
--- a/review/_src/late_extra/main.go
+++ b/review/_src/late_extra/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,14 @@
 	work          = 15 * time.Millisecond
 )
 
+// maxAttempts is the route's; ATTEMPTS=1 plays the route with a single one.
+func maxAttempts() int {
+	if os.Getenv("ATTEMPTS") == "1" {
+		return 1
+	}
+	return 2
+}
+
 // runs counts the runs of each client attempt.
 type runs struct {
 	mu   sync.Mutex
@@ -79,7 +88,7 @@
 		Accounts: []routing.Account{{Name: "crew", Keys: []string{kit.Key}, Priority: -1, PrepaidTokens: -1}},
 		Routes: []routing.Route{{
 			Name: "assign", Host: kit.Host, Prefix: "/assign/", Kind: routing.Once, Timeout: deadline, Objective: 100 * time.Millisecond,
-			MaxAttempts: 2, Targets: []routing.Target{{Service: "dispatch-app", Weight: 1}},
+			MaxAttempts: maxAttempts(), Targets: []routing.Target{{Service: "dispatch-app", Weight: 1}},
 		}},
 	}
 	if err := d.Configure(config); err != nil {
--- a/review/_src/uploads/main.go
+++ b/review/_src/uploads/main.go
@@ -1,5 +1,6 @@
-// Command uploads lets many users come at once whose requests stay within the configured limits, and checks that no
-// router process exceeds its memory. It ends a process that does, as the platform does, and starts it again.
+// Command uploads lets many users come at once whose requests stay within the configured limits, and checks that
+// requests of kept connections that were passed on to a replica are answered. It ends a router process that exceeds its
+// memory, as the platform does, and starts it again.
 package main
 
 import (
@@ -24,17 +25,19 @@
 	bodyBytes = 4_194_000
 	deadline  = 4 * time.Second
 	work      = 100 * time.Millisecond
-	// usual clients at each router send a request a round; in a burst, 1.7 times as many do.
-	usual     = 25
-	burst     = 42
-	numRounds = 12
-	// burstEvery is how often a round is a burst. The rounds between are longer than a restart takes.
-	burstEvery   = 4
+	// usual clients at each router send a request a round; once, in burstRound, 1.7 times as many do. All of them have
+	// their connections from the round openRound, in which they send a small request each.
+	usual      = 25
+	burst      = 42
+	numRounds  = 8
+	openRound  = 3
+	burstRound = 4
+
 	roundPause   = 1500 * time.Millisecond
 	restartAfter = 300 * time.Millisecond
 	pollInterval = 5 * time.Millisecond
-	// maxEnds: a process that ends by itself so often on two machines is a fault.
-	maxEnds = 3
+	// maxLost is how many requests of kept connections may be passed on and get no answer.
+	maxLost = 3
 )
 
 // watch ends a router that exceeds its memory, and starts it again.
@@ -43,6 +46,9 @@
 	router *kit.Router
 	ends   atomic.Int64
 	most   atomic.Int64
+	// lost counts the requests of kept connections that ran and whose connection ended without an answer.
+	lost    atomic.Int64
+	clients []*http.Client
 }
 
 func (w *watch) run(stop *atomic.Bool) {
@@ -66,7 +72,9 @@
 }
 
 func play(d *kit.Deployment) (bool, error) {
+	var ran sync.Map
 	handle := func(e *kit.Exchange) bool {
+		ran.Store(e.ID, true)
 		d.RecordQuietly("replica %s runs %s: %d bytes", e.Replica.ID, e.ID, len(e.Body))
 		time.Sleep(work)
 		return e.Whole(http.StatusOK, "done "+e.ID) == nil
@@ -95,52 +103,60 @@
 		if err != nil {
 			return false, err
 		}
-		watches, seeds = append(watches, &watch{d: d, router: router}), append(seeds, router.Peer)
+		w := &watch{d: d, router: router}
+		for range burst {
+			w.clients = append(w.clients, kit.Client(true))
+		}
+		watches, seeds = append(watches, w), append(seeds, router.Peer)
 	}
 	var stop atomic.Bool
 	var watching sync.WaitGroup
 	for _, w := range watches {
 		watching.Go(func() { w.run(&stop) })
 	}
-	served, lost := send(d, watches)
+	served := send(d, watches, &ran)
 	stop.Store(true)
 	watching.Wait()
-	faulty := 0
+	broken := false
 	for _, w := range watches {
-		d.Record("router %s: %d MB at most, ended %d times", w.router.Name, w.most.Load(), w.ends.Load())
-		if w.ends.Load() >= maxEnds {
-			faulty++
-		}
+		d.Record("summary: router %s took %d MB at most and ended %d times; %d requests of kept connections ran and got no answer; more than %d break the rule",
+			w.router.Name, w.most.Load(), w.ends.Load(), w.lost.Load(), maxLost)
+		broken = broken || w.lost.Load() > maxLost
 	}
-	d.Record("summary: %d requests served, %d without an answer; processes on %d of %d machines ended %d times or more", served, lost, faulty, numRouters, maxEnds)
+	d.Record("%d requests served", served)
 	if served == 0 {
 		return false, fmt.Errorf("no request was served")
 	}
-	return faulty >= 2, nil
+	return broken, nil
 }
 
-// send sends the requests round by round.
-func send(d *kit.Deployment, watches []*watch) (served, lost int64) {
-	var numServed, numLost atomic.Int64
-	text := strings.Repeat("x", bodyBytes)
+// send sends the requests round by round, and returns how many were served.
+func send(d *kit.Deployment, watches []*watch, ran *sync.Map) int64 {
+	var served atomic.Int64
+	large := strings.Repeat("x", bodyBytes)
 	for round := range numRounds {
-		count := usual
-		if kit.Trouble() && round%burstEvery == burstEvery-1 {
+		count, text := usual, large
+		switch {
+		case round == openRound:
+			count, text = burst, "x"
+		case round == burstRound && kit.Trouble():
 			count = burst
 		}
-		d.Record("round %d: %d clients at each router", round, count)
+		d.Record("round %d: %d clients at each router send %d bytes each", round, count, len(text))
 		var clients sync.WaitGroup
 		for _, w := range watches {
 			for n := range count {
 				clients.Go(func() {
 					id := fmt.Sprintf("job-%s-%d-%d", w.router.Name, round, n)
-					reply := kit.Send(kit.Client(false), w.router, kit.Request{ID: id, Path: "/assign/x", Body: text, Deadline: deadline})
-					d.RecordQuietly("client gets for %s: %d %v", id, reply.Status, reply.Err)
-					switch {
-					case reply.Err != nil:
-						numLost.Add(1)
-					case reply.Status == http.StatusOK:
-						numServed.Add(1)
+					request := kit.Request{ID: id, Path: "/assign/x", Body: text, Deadline: deadline}
+					reply := kit.Send(w.clients[n], w.router, request)
+					d.RecordQuietly("client gets for %s: %d %v (kept connection: %v)", id, reply.Status, reply.Err, reply.Kept)
+					if reply.Status == http.StatusOK && reply.Err == nil {
+						served.Add(1)
+					}
+					if _, passedOn := ran.Load(id); passedOn && reply.Err != nil && reply.Kept {
+						w.lost.Add(1)
+						d.RecordQuietly("LOST: %s ran and its connection ended without an answer", id)
 					}
 				})
 			}
@@ -148,5 +164,5 @@
 		clients.Wait()
 		time.Sleep(roundPause)
 	}
-	return numServed.Load(), numLost.Load()
+	return served.Load()
 }
