Review, case 5: bodies over slow lines, and the way a script starts routers

Bodies that are sent at once would choke a machine's link, which excuses it; clients take 5 s for each now, and 22 and 37 of them are enough. Scripts choose a router's addresses together and start a router that is not ready once more.

--- a/review/_src/kit/client.go
+++ b/review/_src/kit/client.go
@@ -25,6 +25,32 @@
 	ID, Method, Path, Body string
 	Deadline               time.Duration
 	Header                 map[string]string
+	// Upload is the time that the client takes to send the body; 0 to send it as fast as it can.
+	Upload time.Duration
+}
+
+// pieceBytes is the size of the pieces in which a slow client sends a body.
+const pieceBytes = 32 << 10
+
+// slowBody returns a body in pieces, so that all of it takes a time.
+type slowBody struct {
+	rest  string
+	pause time.Duration
+}
+
+func newSlowBody(body string, upload time.Duration) *slowBody {
+	return &slowBody{rest: body, pause: upload / time.Duration(len(body)/pieceBytes+1)}
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.rest == "" {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	n := copy(p[:min(len(p), pieceBytes)], b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
 }
 
 // Client returns an HTTP client that keeps its connections or not.
@@ -42,6 +68,9 @@
 	if err != nil {
 		return Reply{Err: err}
 	}
+	if request.Upload > 0 {
+		req.Body, req.GetBody = io.NopCloser(newSlowBody(request.Body, request.Upload)), nil
+	}
 	req.Host = Host
 	req.Header.Set("Authorization", "Bearer "+Key)
 	req.Header.Set(Names.RequestID, request.ID)
--- a/review/_src/kit/kit.go
+++ b/review/_src/kit/kit.go
@@ -136,6 +136,20 @@
 	return listener.Addr().String(), nil
 }
 
+// freeAddresses returns different loopback addresses with free ports.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", loopback+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
 // Configure writes the operator's configuration.
 func (d *Deployment) Configure(config *routing.Config) error { return d.Store.Configure(config) }
 
@@ -175,16 +189,28 @@
 }
 
 // StartRouter starts a router process with the command of the deploy file and waits until it is ready. extra is
-// added to its settings.
+// added to its settings. If it is not ready in time, its log goes to the record, and another one is started once: a port
+// may have been taken meanwhile.
 func (d *Deployment) StartRouter(name, zone string, seeds []string, extra string) (*Router, error) {
+	r, err := d.startRouter(name, zone, seeds, extra)
+	if err == nil || r == nil {
+		return r, err
+	}
+	d.Record("%v; its log:\n%s", err, r.Log())
+	if !r.Ended() {
+		r.Signal(syscall.SIGKILL)
+		r.AwaitEnd(5 * time.Second)
+	}
+	return d.startRouter(name, zone, seeds, extra)
+}
+
+func (d *Deployment) startRouter(name, zone string, seeds []string, extra string) (*Router, error) {
 	r := &Router{Name: name, d: d}
-	for _, address := range []*string{&r.Front, &r.Ready, &r.Peer, &r.Admin} {
-		free, err := FreeAddress()
-		if err != nil {
-			return nil, err
-		}
-		*address = free
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		return nil, err
 	}
+	r.Front, r.Ready, r.Peer, r.Admin = addresses[0], addresses[1], addresses[2], addresses[3]
 	quoted := make([]string, 0, len(seeds))
 	for _, seed := range seeds {
 		quoted = append(quoted, fmt.Sprintf("%q", seed))
--- a/review/_src/uploads/main.go
+++ b/review/_src/uploads/main.go
@@ -4,7 +4,10 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -21,19 +24,20 @@
 const (
 	numRouters = 2
 	memoryMB   = 284
-	// bodyBytes is a little below limits.max_body_bytes of the site, 4,194,304.
+	// bodyBytes is a little below limits.max_body_bytes of the site, 4,194,304. A client takes upload to send a body: all
+	// of a burst take a fifth of a router's link of 1,000 Mbit/s.
 	bodyBytes = 4_194_000
-	deadline  = 4 * time.Second
-	work      = 100 * time.Millisecond
-	// usual clients at each router send a request a round; once, in burstRound, 1.7 times as many do. All of them have
-	// their connections from the round openRound, in which they send a small request each.
-	usual      = 25
-	burst      = 42
-	numRounds  = 8
-	openRound  = 3
-	burstRound = 4
+	upload    = 5 * time.Second
+	deadline  = 12 * time.Second
+	work      = 1500 * time.Millisecond
+	// usual clients send requests to each router, one after the other. For burstTime, 1.7 times as many do.
+	usual       = 22
+	burst       = 37
+	clientPause = 200 * time.Millisecond
+	burstAt     = 12 * time.Second
+	burstTime   = 3 * time.Second
+	endAt       = 24 * time.Second
 
-	roundPause   = 1500 * time.Millisecond
 	restartAfter = 300 * time.Millisecond
 	pollInterval = 5 * time.Millisecond
 	// maxLost is how many requests of kept connections may be passed on and get no answer.
@@ -114,7 +118,9 @@
 	for _, w := range watches {
 		watching.Go(func() { w.run(&stop) })
 	}
-	served := send(d, watches, &ran)
+	l := &load{d: d, ran: &ran, began: time.Now()}
+	l.run(watches)
+	served := l.served.Load()
 	stop.Store(true)
 	watching.Wait()
 	broken := false
@@ -130,39 +136,59 @@
 	return broken, nil
 }
 
-// send sends the requests round by round, and returns how many were served.
-func send(d *kit.Deployment, watches []*watch, ran *sync.Map) int64 {
-	var served atomic.Int64
-	large := strings.Repeat("x", bodyBytes)
-	for round := range numRounds {
-		count, text := usual, large
-		switch {
-		case round == openRound:
-			count, text = burst, "x"
-		case round == burstRound && kit.Trouble():
-			count = burst
+// load is the clients' work.
+type load struct {
+	d      *kit.Deployment
+	ran    *sync.Map
+	began  time.Time
+	served atomic.Int64
+}
+
+// run lets all clients send until endAt.
+func (l *load) run(watches []*watch) {
+	var clients sync.WaitGroup
+	for _, w := range watches {
+		for n := range burst {
+			clients.Go(func() { l.client(w, n) })
 		}
-		d.Record("round %d: %d clients at each router send %d bytes each", round, count, len(text))
-		var clients sync.WaitGroup
-		for _, w := range watches {
-			for n := range count {
-				clients.Go(func() {
-					id := fmt.Sprintf("job-%s-%d-%d", w.router.Name, round, n)
-					request := kit.Request{ID: id, Path: "/assign/x", Body: text, Deadline: deadline}
-					reply := kit.Send(w.clients[n], w.router, request)
-					d.RecordQuietly("client gets for %s: %d %v (kept connection: %v)", id, reply.Status, reply.Err, reply.Kept)
-					if reply.Status == http.StatusOK && reply.Err == nil {
-						served.Add(1)
-					}
-					if _, passedOn := ran.Load(id); passedOn && reply.Err != nil && reply.Kept {
-						w.lost.Add(1)
-						d.RecordQuietly("LOST: %s ran and its connection ended without an answer", id)
-					}
-				})
-			}
+	}
+	clients.Wait()
+}
+
+// client sends requests over one connection. The first is small, and so is each that a client of the burst sends
+// before it, to keep its connection.
+func (l *load) client(w *watch, n int) {
+	time.Sleep(rand.N(upload)) // clients don't send in step
+	for count := 0; time.Since(l.began) < endAt; count++ {
+		large := count > 0 && (n < usual || l.inBurst())
+		if n >= usual && time.Since(l.began) > burstAt+burstTime {
+			return
 		}
-		clients.Wait()
-		time.Sleep(roundPause)
+		l.send(w, n, fmt.Sprintf("job-%s-%d-%d", w.router.Name, n, count), large)
+		time.Sleep(clientPause)
 	}
-	return served.Load()
 }
+
+func (l *load) inBurst() bool {
+	passed := time.Since(l.began)
+	return kit.Trouble() && passed >= burstAt && passed < burstAt+burstTime
+}
+
+// send sends one request and judges its end.
+func (l *load) send(w *watch, n int, id string, large bool) {
+	request := kit.Request{ID: id, Path: "/assign/x", Body: "x", Deadline: deadline}
+	if large {
+		request.Body, request.Upload = largeBody, upload
+	}
+	reply := kit.Send(w.clients[n], w.router, request)
+	l.d.RecordQuietly("client gets for %s (%d bytes): %d %v (kept connection: %v)", id, len(request.Body), reply.Status, reply.Err, reply.Kept)
+	if reply.Status == http.StatusOK && reply.Err == nil {
+		l.served.Add(1)
+	}
+	if _, passedOn := l.ran.Load(id); passedOn && reply.Err != nil && !errors.Is(reply.Err, context.DeadlineExceeded) && reply.Kept {
+		w.lost.Add(1)
+		l.d.RecordQuietly("LOST: %s ran and its connection ended without an answer", id)
+	}
+}
+
+var largeBody = strings.Repeat("x", bodyBytes)
