--- a/review/_src/kit/kit.go
+++ b/review/_src/kit/kit.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -47,6 +48,8 @@
 	program      string
 	routers      []*Router
 	replicas     []*Replica
+	// processMu is held while a process is started.
+	processMu sync.Mutex
 
 	mu     sync.Mutex
 	record *os.File
@@ -79,6 +82,7 @@
 	}
 	defer func() { _ = os.RemoveAll(d.folder) }()
 	defer d.stopAll()
+	go d.endEarly()
 	d.Record("trouble: %v", Trouble())
 	broken, err := d.start(play)
 	switch {
@@ -93,6 +97,28 @@
 	return Held
 }
 
+// maxTime bounds a run.
+const maxTime = 115 * time.Second
+
+// endEarly ends a run that is interrupted or lasts too long, with all processes that it has started.
+func (d *Deployment) endEarly() {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-interrupted:
+	case <-time.After(maxTime):
+	}
+	d.Record("the case could not run: it was ended early")
+	d.processMu.Lock() // never released: nothing is started any more
+	for _, r := range d.routers {
+		if r.command != nil && r.command.Process != nil {
+			_ = r.command.Process.Kill()
+		}
+	}
+	_ = os.RemoveAll(d.folder)
+	os.Exit(NotRun)
+}
+
 func (d *Deployment) start(play func(d *Deployment) (bool, error)) (bool, error) {
 	address, err := FreeAddress()
 	if err != nil {
@@ -236,15 +262,19 @@
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
+	d.processMu.Lock()
+	d.routers = append(d.routers, r)
+	d.processMu.Unlock()
 	if err := r.Start(); err != nil {
 		return nil, err
 	}
-	d.routers = append(d.routers, r)
 	return r, r.AwaitReady(15 * time.Second)
 }
 
 // Start starts the process; it may have been ended before.
 func (r *Router) Start() error {
+	r.d.processMu.Lock()
+	defer r.d.processMu.Unlock()
 	log, err := os.OpenFile(r.settings+".log", os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
@@ -314,6 +344,9 @@
 
 func (d *Deployment) stopAll() {
 	for _, r := range d.routers {
+		if r.done == nil {
+			continue // it was never started
+		}
 		if !r.Ended() {
 			_ = r.command.Process.Signal(syscall.SIGCONT)
 			_ = r.command.Process.Kill()
--- a/review/_src/kit/replica.go
+++ b/review/_src/kit/replica.go
@@ -32,7 +32,7 @@
 // Handler answers a request. It returns false to close the connection.
 type Handler func(e *Exchange) (keep bool)
 
-// Replica is an HTTP server of its own: one request at a time on a connection.
+// Replica is an HTTP server of its own. The requests of a connection are served in turn.
 type Replica struct {
 	ID, Service, Zone, Address string
 	// Version is the version of the replica's software.
