--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -26,4 +26,6 @@
 fi
 # Virtual fleets at their full size: the race detector takes some thirty times as long.
 go test ${skip:+-skip "^($skip)\$"} ./pkg/follow
+# Tests of memory, which the race detector multiplies, one at a time and apart from all others.
+go test -timeout 20m ${skip:+-skip "^($skip)\$"} -run 'Crowd|SmallPieces' ./test
 go test -race -timeout 20m ${skip:+-skip "^($skip)\$"} ./...
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -110,6 +110,8 @@
 	tokenMillis                  int
 	prepaid                      int64
 	deadlineMillis, idleMillis   int64
+	// maxBodyBytes is the largest body of a request; 0 keeps the default.
+	maxBodyBytes int
 	// clientReadMillis bounds how long an instance reads a request; 0 keeps the default.
 	clientReadMillis int
 	// extraSettings is TOML text appended to the settings of every instance.
@@ -218,7 +220,7 @@
 func (f *fleet) newDocument(o options) *document.Document {
 	doc := &document.Document{
 		Service: service,
-		Limits:  document.Limits{DeadlineMillis: max(o.deadlineMillis, 10_000), StreamIdleMillis: o.idleMillis},
+		Limits:  document.Limits{DeadlineMillis: max(o.deadlineMillis, 10_000), StreamIdleMillis: o.idleMillis, MaxBodyBytes: o.maxBodyBytes},
 		Accounts: []document.Account{
 			{Name: "crew", KeySHA256: document.HashKey(crewKey), PrepaidTokens: o.prepaid},
 			{Name: "other", KeySHA256: document.HashKey("other-key"), PrepaidTokens: o.prepaid},
--- a/test/route_harness_test.go
+++ b/test/route_harness_test.go
@@ -42,6 +42,10 @@
 	timeout time.Duration
 	// idleTimeout is how long clients' connections may be idle; 0 for clientIdleTimeout.
 	idleTimeout time.Duration
+	// bodyLimit is the largest body of a request; 0 for defaultBodyLimit.
+	bodyLimit int
+	// extraSettings is TOML text appended to the settings of instances that are started from now on.
+	extraSettings string
 	// grace is how long a planned stop may take; 0 for gracePeriod.
 	grace time.Duration
 	// downtime is how long a crashed upstream is down.
@@ -66,6 +70,8 @@
 	routeTimeout = 3 * time.Second
 	// clientIdleTimeout is the idle time of clients' connections unless the fleet has another.
 	clientIdleTimeout = 15 * time.Second
+	// defaultBodyLimit is the largest body of a request, in bytes, unless the fleet has another.
+	defaultBodyLimit = 65536
 	// gracePeriod is the time for a planned stop unless the fleet has another.
 	gracePeriod = 6 * time.Second
 	// promptTokens and outputTokens bound what one stream costs: its prompt, and events
@@ -136,7 +142,7 @@
 			{Name: "jobs", MaxConnections: 100},
 			{Name: "models", MaxConnections: 100, Engine: &routing.Engine{Slots: 64, MemoryTokens: 100000, TokensPerEvent: 1}},
 		},
-		Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3 * time.Second, IdleTimeout: cmp.Or(f.idleTimeout, clientIdleTimeout)},
+		Limits: routing.Limits{HeaderBytes: 16384, BodyBytes: cmp.Or(f.bodyLimit, defaultBodyLimit), HeaderTimeout: 3 * time.Second, IdleTimeout: cmp.Or(f.idleTimeout, clientIdleTimeout)},
 		Accounts: []routing.Account{
 			{Name: "crew", Keys: []string{routedKey}, Priority: -1, PrepaidTokens: f.prepaid},
 		},
@@ -190,7 +196,7 @@
 	if f.retryExtra > 0 {
 		text += fmt.Sprintf("retry_extra = %d\n", f.retryExtra)
 	}
-	return text
+	return text + f.extraSettings
 }
 
 func (f *routedFleet) startProcess(i *routedInstance) *process {
