--- a/pkg/answermem/answermem.go
+++ b/pkg/buffermem/buffermem.go
@@ -1,4 +1,4 @@
-// Package answermem bounds the memory in which an instance buffers answers of upstreams, all of them
+// Package buffermem bounds the memory in which an instance buffers answers of upstreams, all of them
 // together.
 //
 // A part of an upstream's answer is kept until it can be delivered. Upstreams that send without end would fill
@@ -6,7 +6,7 @@
 // largest answer that is still being read is given up for the one that needs room: an answer without end
 // grows until it is the largest, whereas a sound small one beside any number of them is served. The largest itself
 // waits as long as it would find room once the answers that have been read completely are delivered.
-package answermem
+package buffermem
 
 import (
 	"context"
--- a/pkg/answermem/answermem_test.go
+++ b/pkg/buffermem/buffermem_test.go
@@ -1,4 +1,4 @@
-package answermem
+package buffermem
 
 import (
 	"context"
--- a/pkg/forward/answerbuffer.go
+++ b/pkg/forward/answerbuffer.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 
-	"github.com/lavenderring/lavenderring/pkg/answermem"
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 )
 
@@ -29,30 +29,30 @@
 // isTooLong reports whether an attempt failed because an answer, or a part of it, took more memory than it may.
 // The connection was then ended by this instance.
 func isTooLong(err error) bool {
-	return errors.Is(err, errAnswerTooLong) || errors.Is(err, answermem.ErrShort) ||
-		errors.Is(err, answermem.ErrFull) || errors.Is(err, httpconn.ErrHeadTooLong)
+	return errors.Is(err, errAnswerTooLong) || errors.Is(err, buffermem.ErrShort) ||
+		errors.Is(err, buffermem.ErrFull) || errors.Is(err, httpconn.ErrHeadTooLong)
 }
 
 // newMemory returns the hold of the attempt's answer, which waits for room until the request's deadline. An answer
 // that is given up loses its connection. cancel must be called.
-func (a *attempt) newMemory(ctx context.Context) (memory *answermem.Hold, cancel context.CancelFunc) {
+func (a *attempt) newMemory(ctx context.Context) (memory *buffermem.Hold, cancel context.CancelFunc) {
 	ctx, cancel = context.WithDeadline(ctx, a.c.deadline)
 	return a.c.f.answerMemory.NewHold(ctx, a.conn.Close), cancel
 }
 
 // readError returns why a read failed: an error of a connection that was closed because the answer was given
-// up is answermem.ErrShort.
-func readError(err error, memory *answermem.Hold) error {
+// up is buffermem.ErrShort.
+func readError(err error, memory *buffermem.Hold) error {
 	if memory.IsGivenUp() {
-		return answermem.ErrShort
+		return buffermem.ErrShort
 	}
 	return err
 }
 
 // readAnswer reads an answer's body whole. What the body takes is counted in memory, which the caller must
-// release. Errors: errAnswerTooLong, answermem.ErrShort, answermem.ErrFull or that of
+// release. Errors: errAnswerTooLong, buffermem.ErrShort, buffermem.ErrFull or that of
 // the body.
-func readAnswer(response *http.Response, memory *answermem.Hold) ([]byte, error) {
+func readAnswer(response *http.Response, memory *buffermem.Hold) ([]byte, error) {
 	length := response.ContentLength
 	if response.Body == http.NoBody {
 		length = 0 // the announced length is that of the answer to another method
@@ -81,7 +81,7 @@
 
 // answerBuffer is a buffer whose capacity is counted in the memory for answers.
 type answerBuffer struct {
-	memory *answermem.Hold
+	memory *buffermem.Hold
 	data   []byte
 	// limit is the largest size of the buffer of a whole answer, one byte more than the answer may have.
 	limit int
@@ -89,7 +89,7 @@
 	searched int
 }
 
-// resize moves the data to a buffer of a size. Errors: answermem.ErrShort, answermem.ErrFull.
+// resize moves the data to a buffer of a size. Errors: buffermem.ErrShort, buffermem.ErrFull.
 func (b *answerBuffer) resize(size int) error {
 	if err := b.memory.Resize(size); err != nil {
 		return err
--- a/pkg/forward/answerbuffer_test.go
+++ b/pkg/forward/answerbuffer_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/lavenderring/lavenderring/pkg/answermem"
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/reach"
@@ -223,7 +223,7 @@
 						switch {
 						case client.status != 0 || client.refusal == nil:
 							t.Errorf("an endless answer was delivered with %d bytes", len(client.body))
-						case errors.Is(client.refusal, answermem.ErrShort):
+						case errors.Is(client.refusal, buffermem.ErrShort):
 							givenUp.Add(1)
 						}
 					})
@@ -252,7 +252,7 @@
 		for split := range len(end) {
 			event := "data: x" + end
 			cut := len(event) - len(end) + split
-			buffer := answerBuffer{memory: answermem.NewPool(1<<10).NewHold(t.Context(), nil)}
+			buffer := answerBuffer{memory: buffermem.NewPool(1<<10).NewHold(t.Context(), nil)}
 			for _, piece := range []string{"id: 1" + end, event[:cut], event[cut:] + "data:"} {
 				if err := buffer.append([]byte(piece)); err != nil {
 					t.Fatal(err)
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/lavenderring/lavenderring/pkg/answermem"
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
 	"github.com/lavenderring/lavenderring/pkg/placement"
@@ -80,7 +80,7 @@
 	head     AnswerHead
 	// memory is what the answer takes; nil without a connection, and once the answer has been passed on with
 	// it. cancelMemory ends its wait for room.
-	memory       *answermem.Hold
+	memory       *buffermem.Hold
 	cancelMemory context.CancelFunc
 	// events reads the events of a streamed answer; nil for others. answer is an answer that has been
 	// read whole.
@@ -512,7 +512,7 @@
 	}
 	failed := a.outcomeUnknown(step, err)
 	failed.connEnded = !isTooLong(err) && !errors.Is(err, reach.ErrPathLost)
-	failed.neutral = errors.Is(err, answermem.ErrFull) // says nothing about the upstream
+	failed.neutral = errors.Is(err, buffermem.ErrFull) // says nothing about the upstream
 	return failed
 }
 
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lavenderring/lavenderring/pkg/answermem"
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
 	"github.com/lavenderring/lavenderring/pkg/origin"
@@ -212,7 +212,7 @@
 type wholeAnswer struct {
 	head   AnswerHead
 	body   []byte
-	memory *answermem.Hold
+	memory *buffermem.Hold
 }
 
 // discard returns the memory of an answer that is not used any more. It may be called on nil.
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -9,7 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/lavenderring/lavenderring/pkg/answermem"
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/coldlimit"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/httpconn"
@@ -166,7 +166,7 @@
 	Deps
 	meters       meters
 	lastSent     lastSentTimes
-	answerMemory *answermem.Pool
+	answerMemory *buffermem.Pool
 	// startedAt is when the instance started.
 	startedAt time.Time
 
@@ -232,7 +232,7 @@
 	}
 	return &Forwarder{
 		Deps:         deps,
-		answerMemory: answermem.NewPool(deps.AnswerMemoryBytes),
+		answerMemory: buffermem.NewPool(deps.AnswerMemoryBytes),
 		startedAt:    deps.Now(),
 		services:     map[string]*serviceState{},
 		meters: meters{
--- a/pkg/forward/stream.go
+++ b/pkg/forward/stream.go
@@ -6,7 +6,7 @@
 	"io"
 	"strconv"
 
-	"github.com/lavenderring/lavenderring/pkg/answermem"
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 )
 
@@ -35,14 +35,14 @@
 	err error
 }
 
-func newEventReader(body io.Reader, memory *answermem.Hold, onData func()) *eventReader {
+func newEventReader(body io.Reader, memory *buffermem.Hold, onData func()) *eventReader {
 	return &eventReader{
 		body: body, onData: onData, piece: make([]byte, streamReadBytes), received: answerBuffer{memory: memory},
 	}
 }
 
 // fill reads until a complete event has been received. It returns why there is none: io.EOF after the last
-// one, errIncomplete, errEventTooLong, answermem.ErrShort, answermem.ErrFull or an error of the connection.
+// one, errIncomplete, errEventTooLong, buffermem.ErrShort, buffermem.ErrFull or an error of the connection.
 func (r *eventReader) fill() error {
 	for r.numComplete == 0 {
 		if r.err == nil {
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -272,12 +272,12 @@
 try buffers-are-counted pkg/forward/answerbuffer.go 's/b\.memory\.Resize\(size\); err/error(nil); err/' pkg/forward TestSoundAnswersAreServedBesideEndlessOnes
 try endless-is-no-crash pkg/forward/attempt.go 's/failed\.connEnded = !isTooLong\(err\) && /failed.connEnded = /' pkg/forward TestRequestGoesElsewhereWhenAnUpstreamSendsWithoutEnd
 try events-end-in-two-reads pkg/forward/answerbuffer.go 's/max\(b\.searched-len\("\\r\\n\\r\\n"\)\+1, 0\)/b.searched/' pkg/forward TestEndOfAnEventIsFoundInTwoReads
-try largest-is-given-up pkg/answermem/answermem.go 's/victim := p\.largestAbove\(bytes\)/victim := (*Hold)(nil)/' pkg/answermem TestEndlessAnswersLeaveRoomForSmallOnes
-try whole-answers-stay pkg/answermem/answermem.go 's/bytes == 0 \|\| h\.whole/bytes == 0/; s/\tdelete\(h\.pool\.growing, h\)\n\treturn nil/\treturn nil/' pkg/answermem TestWholeAnswersAreNotGivenUp
-try small-buffers-are-spared pkg/answermem/answermem.go 's/bytes = max\(bytes, p\.spared\)//' pkg/answermem TestSmallBuffersAreSpared
-try answers-wait-for-slow-clients pkg/answermem/answermem.go 's/victim == nil && p\.used/false \&\& p.used/' pkg/forward TestAnswerWaitsForTheMemoryOfSlowClients
-try wait-for-room-ends pkg/answermem/answermem.go 's/case <-h\.ctx\.Done\(\):/case <-make(chan int):/' pkg/answermem TestWaitForRoomEnds
-try freed-memory-wakes pkg/answermem/answermem.go 's/\t\tclose\(p\.freed\)\n\t\tp\.freed = nil\n/\t\t_ = p.freed\n/' pkg/answermem TestLargestAnswerWaitsForWholeOnes
+try largest-is-given-up pkg/buffermem/buffermem.go 's/victim := p\.largestAbove\(bytes\)/victim := (*Hold)(nil)/' pkg/buffermem TestEndlessAnswersLeaveRoomForSmallOnes
+try whole-answers-stay pkg/buffermem/buffermem.go 's/bytes == 0 \|\| h\.whole/bytes == 0/; s/\tdelete\(h\.pool\.growing, h\)\n\treturn nil/\treturn nil/' pkg/buffermem TestWholeAnswersAreNotGivenUp
+try small-buffers-are-spared pkg/buffermem/buffermem.go 's/bytes = max\(bytes, p\.spared\)//' pkg/buffermem TestSmallBuffersAreSpared
+try answers-wait-for-slow-clients pkg/buffermem/buffermem.go 's/victim == nil && p\.used/false \&\& p.used/' pkg/forward TestAnswerWaitsForTheMemoryOfSlowClients
+try wait-for-room-ends pkg/buffermem/buffermem.go 's/case <-h\.ctx\.Done\(\):/case <-make(chan int):/' pkg/buffermem TestWaitForRoomEnds
+try freed-memory-wakes pkg/buffermem/buffermem.go 's/\t\tclose\(p\.freed\)\n\t\tp\.freed = nil\n/\t\t_ = p.freed\n/' pkg/buffermem TestLargestAnswerWaitsForWholeOnes
 try delivered-memory-is-returned pkg/forward/call.go 's/\t\ta\.discard\(\)\n\t\}\n\ttook/\t}\n\ttook/' pkg/forward TestLongAnswerIsNeverCut
 try memory-until-written pkg/httpserve/httpserve.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ts.active.Finish(ctx, c)/' pkg/httpserve TestOnWrittenWaitsForASlowClient
 try answer-memory-is-a-share pkg/settings/router.go 's/r\.MemoryMB << 20 \* answerMemoryPercent \/ 100/r.MemoryMB << 20/' pkg/settings TestMemoryForAnswersIsAShareOfTheProcess
