Requests are read into memory that is taken first, with one bound for all clients

Cause: the HTTP library's reader keeps every byte of a request until it is answered, framing included, takes a copy for each look across two of its nodes, and grows a second copy of a body by doubling; a head or trailers in n pieces cost their size squared, and trailers and the spaces after a chunk's size have no bound. The configuration's limits were looked at after all that, its head and idle times not at all. The own door had no setting for its memory, so its garbage collector had no limit.

Change: a connection is read through one buffer of our own below the library's parser. A head is handed over once it is complete; what has been parsed is not kept. Bodies are read as a stream into a buffer that grows with what arrives. Buffers beyond 4 KiB and bodies are taken from one pool before they are filled and returned when the answer is written. When the pool is full, a request that has not progressed for a second makes room first, else the largest that is still being read for a smaller one (the mechanism of the memory for answers, now for both); who finds no room is refused at once with 503 and Retry-After, nothing of it having been passed on. The configuration's limits on head, body, head time and idle time hold while a request is read. New settings, with defaults: request_memory_mb for both programs, memory_mb for the own door; new event 108.

A single request of the largest size in small pieces is served as before.

Why it works: what clients make the process hold is either counted before it is filled or bounded for each connection.

--- a/cmd/lavenderring/main.go
+++ b/cmd/lavenderring/main.go
@@ -198,6 +198,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(&s.Resources)
 	i, err := instance.New(s, os.Stderr)
 	if err != nil {
 		return err
@@ -220,9 +221,7 @@
 	if err != nil {
 		return err
 	}
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(s.MemoryMB << 20 * memoryLimitPercent / 100)
-	}
+	limitHeap(&s.Resources)
 	out := eventlog.NewBoundedWriter(os.Stdout, time.Now)
 	defer out.Close()
 	r, err := router.New(s, platform.Adapter(), out)
@@ -238,6 +237,9 @@
 	return r.Run(ctx)
 }
 
-// memoryLimitPercent is the share of the allowed memory that is set as the garbage
-// collector's memory limit. The rest is left for stacks, sockets and bursts.
-const memoryLimitPercent = 60
+// limitHeap sets the garbage collector's memory limit.
+func limitHeap(r *settings.Resources) {
+	if limit := r.HeapLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+}
--- a/pkg/buffermem/buffermem.go
+++ b/pkg/buffermem/buffermem.go
@@ -1,49 +1,71 @@
-// Package buffermem bounds the memory in which an instance buffers answers of upstreams, all of them
-// together.
+// Package buffermem bounds the memory in which an instance buffers messages while it reads them: the answers of
+// upstreams in one pool, the requests of clients in another, all of a kind together.
 //
-// A part of an upstream's answer is kept until it can be delivered. Upstreams that send without end would fill
-// the memory, and a process that exceeds its memory ends with all its requests. When the memory is full, the
-// largest answer that is still being read is given up for the one that needs room: an answer without end
-// grows until it is the largest, whereas a sound small one beside any number of them is served. The largest itself
-// waits as long as it would find room once the answers that have been read completely are delivered.
+// A message is kept until it can be passed on. Senders that send without end would fill the memory, and a process
+// that exceeds its memory ends with all its requests. Memory is therefore taken before it is filled. When a pool is
+// full, the largest message that is still being read is given up for the one that needs room: a message without end
+// grows until it is the largest, whereas a sound small one beside any number of them is read. The largest itself may
+// wait as long as it would find room once the messages that have been read completely are passed on.
 package buffermem
 
 import (
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
-// ErrShort means that an answer was given up: the memory is full, and it was the largest that is still being
-// read.
-var ErrShort = errors.New("answer given up as the largest: the memory for answers is full")
+// ErrShort means that a message was given up: the memory is full, and it was the largest that is still being
+// read, or had stalled.
+var ErrShort = errors.New("message given up as the largest: the memory for buffers is full")
 
-// ErrFull means that answers waiting for their clients took the memory until the request's context ended.
-var ErrFull = errors.New("memory for answers is full of answers that wait for their clients")
+// ErrFull means that messages that have been read completely take the memory.
+var ErrFull = errors.New("memory for buffers is full of messages that wait to be passed on")
 
-// sparedBytes is the size up to which an answer is never given up for another: streams keep such a buffer
-// between their events.
-const sparedBytes = 32 << 10
+const (
+	// sparedBytes is the size up to which an answer is never given up for another: streams keep such a buffer
+	// between their events.
+	sparedBytes = 32 << 10
+	// stallTime is how long a request may not progress before it is given up ahead of others, whatever its size.
+	stallTime = time.Second
+)
 
-// Pool is the memory for answers. It is safe for concurrent use.
+// Pool is the memory for messages of one kind. It is safe for concurrent use.
 type Pool struct {
 	capacity, spared int
+	// stallTime is how long a message may not progress before it is given up ahead of others; 0 for any time.
+	stallTime time.Duration
+	now       func() time.Time
+	createdAt time.Time
 
 	mu   sync.Mutex
 	used int
-	// growing holds the answers that are still being read and hold anything.
+	// growing holds the messages that are still being read and hold anything.
 	growing map[*Hold]struct{}
-	// wholeBytes is what answers hold that have been read completely.
+	// wholeBytes is what messages hold that have been read completely.
 	wholeBytes int
-	// freed is closed when an answer is given up or memory is returned; nil if nobody waits.
+	// freed is closed when a message is given up or memory is returned; nil if nobody waits.
 	freed chan struct{}
 }
 
-// NewPool returns a pool of a size in bytes.
+// NewPool returns a pool for answers, of a size in bytes.
 func NewPool(capacity int) *Pool {
 	return &Pool{capacity: capacity, spared: sparedBytes, growing: map[*Hold]struct{}{}}
 }
 
+// NewRequestPool returns a pool for requests, of a size in bytes. A client may keep a request incomplete for as long
+// as it may send, so requests that have stalled are given up before those that progress, and none is spared.
+func NewRequestPool(capacity int, now func() time.Time) *Pool {
+	return &Pool{capacity: capacity, stallTime: stallTime, now: now, createdAt: now(), growing: map[*Hold]struct{}{}}
+}
+
+// Capacity returns the pool's size in bytes.
+func (p *Pool) Capacity() int { return p.capacity }
+
+// age returns the time since the pool was created, which does not jump with the time of day.
+func (p *Pool) age() time.Duration { return p.now().Sub(p.createdAt) }
+
 // Used returns how many bytes are held.
 func (p *Pool) Used() int {
 	p.mu.Lock()
@@ -51,11 +73,13 @@
 	return p.used
 }
 
-// Hold is what one answer holds of a pool. A Hold must not be used concurrently.
+// Hold is what one message holds of a pool. A Hold must not be used concurrently.
 type Hold struct {
 	pool      *Pool
 	ctx       context.Context
 	onGivenUp func()
+	// progressedAt is when something of the message was received last, in nanoseconds since the pool was created.
+	progressedAt atomic.Int64
 	// The pool's lock protects the following fields.
 	held    int
 	givenUp bool
@@ -63,20 +87,43 @@
 }
 
 // NewHold returns a hold of nothing. ctx ends with the request. onGivenUp is called at most once, from any
-// goroutine, when the answer is given up while it is being read: it must end the reading, after which the
-// answer's memory is free.
+// goroutine, when the message is given up while it is being read: it must end the reading, after which the
+// message's memory is free.
 func (p *Pool) NewHold(ctx context.Context, onGivenUp func()) *Hold {
 	return &Hold{pool: p, ctx: ctx, onGivenUp: onGivenUp}
 }
 
-// Resize changes what is held to a number of bytes; other answers may be given up for it. A decrease always
-// succeeds at once; an increase may wait. Errors: ErrShort, ErrFull; then the answer must be discarded.
+// NoteProgress records that something of the message has been received.
+func (h *Hold) NoteProgress() {
+	if h.pool.stallTime > 0 {
+		h.progressedAt.Store(int64(h.pool.age()))
+	}
+}
+
+// TryResize changes what is held to a number of bytes, as Resize does, and never waits. Errors: ErrShort, ErrFull;
+// then the message must be discarded.
+func (h *Hold) TryResize(bytes int) error {
+	freed, err := h.resizeOnce(bytes)
+	if freed != nil {
+		return ErrFull
+	}
+	return err
+}
+
+// resizeOnce changes what is held, or returns a channel that is closed when the caller may try again.
+func (h *Hold) resizeOnce(bytes int) (freed <-chan struct{}, err error) {
+	victims, freed, err := h.pool.resize(h, bytes)
+	for _, victim := range victims {
+		victim.onGivenUp()
+	}
+	return freed, err
+}
+
+// Resize changes what is held to a number of bytes; other messages may be given up for it. A decrease always
+// succeeds at once; an increase may wait. Errors: ErrShort, ErrFull; then the message must be discarded.
 func (h *Hold) Resize(bytes int) error {
 	for {
-		victims, freed, err := h.pool.resize(h, bytes)
-		for _, victim := range victims {
-			victim.onGivenUp()
-		}
+		freed, err := h.resizeOnce(bytes)
 		if freed == nil {
 			return err
 		}
@@ -88,14 +135,14 @@
 	}
 }
 
-// IsGivenUp reports whether the answer was given up for another.
+// IsGivenUp reports whether the message was given up for another.
 func (h *Hold) IsGivenUp() bool {
 	h.pool.mu.Lock()
 	defer h.pool.mu.Unlock()
 	return h.givenUp
 }
 
-// MarkWhole says that the answer has been read completely. From now on it is not given up. The error is ErrShort
+// MarkWhole says that the message has been read completely. From now on it is not given up. The error is ErrShort
 // if it was before.
 func (h *Hold) MarkWhole() error {
 	h.pool.mu.Lock()
@@ -109,6 +156,14 @@
 	return nil
 }
 
+// Reset returns all that is held and makes the hold that of a next message.
+func (h *Hold) Reset() {
+	h.pool.mu.Lock()
+	defer h.pool.mu.Unlock()
+	h.pool.set(h, 0)
+	h.whole, h.givenUp = false, false
+}
+
 // Release returns all that is held. It may be called more than once, and on nil.
 func (h *Hold) Release() {
 	if h != nil {
@@ -116,7 +171,7 @@
 	}
 }
 
-// resize changes what h holds and returns the answers that it gave up for that. It returns a channel instead if the
+// resize changes what h holds and returns the messages that it gave up for that. It returns a channel instead if the
 // caller must try again after that is closed.
 func (p *Pool) resize(h *Hold, bytes int) (victims []*Hold, freed <-chan struct{}, err error) {
 	p.mu.Lock()
@@ -126,6 +181,9 @@
 	}
 	for bytes > h.held && p.used+bytes-h.held > p.capacity {
 		victim := p.largestAbove(bytes)
+		if stalled := p.largestStalled(h); stalled != nil {
+			victim = stalled
+		}
 		if victim == nil && p.used+bytes-h.held-p.wholeBytes <= p.capacity {
 			return victims, p.awaitFreed(), nil
 		}
@@ -148,7 +206,22 @@
 	return p.freed
 }
 
-// largestAbove returns the largest answer being read that holds more than a number of bytes and is not spared;
+// largestStalled returns the largest message other than h that has stalled; nil if there is none.
+func (p *Pool) largestStalled(h *Hold) *Hold {
+	if p.stallTime == 0 {
+		return nil
+	}
+	before := int64(p.age() - p.stallTime)
+	var largest *Hold
+	for other := range p.growing {
+		if other != h && other.progressedAt.Load() < before && (largest == nil || other.held > largest.held) {
+			largest = other
+		}
+	}
+	return largest
+}
+
+// largestAbove returns the largest message being read that holds more than a number of bytes and is not spared;
 // nil if there is none.
 func (p *Pool) largestAbove(bytes int) *Hold {
 	bytes = max(bytes, p.spared)
@@ -161,7 +234,7 @@
 	return largest
 }
 
-// set changes what an answer holds.
+// set changes what a message holds.
 func (p *Pool) set(h *Hold, bytes int) {
 	p.used += bytes - h.held
 	if h.whole {
--- a/pkg/buffermem/buffermem_test.go
+++ b/pkg/buffermem/buffermem_test.go
@@ -144,3 +144,59 @@
 		t.Errorf("the error is %v, want %v", err, ErrFull)
 	}
 }
+
+// Guards against senders that stop just short and keep out others: a message that has stalled makes room for any other.
+func TestStalledRequestsAreGivenUpFirst(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := NewRequestPool(100, func() time.Time { return now })
+	givenUp := 0
+	stalled, moving, next := p.NewHold(t.Context(), func() { givenUp++ }), p.NewHold(t.Context(), func() { t.Error("a message that progresses was given up") }), p.NewHold(t.Context(), nil)
+	for _, h := range []*Hold{stalled, moving, next} {
+		h.NoteProgress()
+	}
+	if err := errors.Join(stalled.TryResize(10), moving.TryResize(80)); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(2 * stallTime)
+	moving.NoteProgress()
+	next.NoteProgress()
+	if err := next.TryResize(20); err != nil || givenUp != 1 || !stalled.IsGivenUp() {
+		t.Errorf("got %v, %d messages were given up", err, givenUp)
+	}
+}
+
+// Guards against requests that wait for memory instead of being refused at once.
+func TestTryResizeDoesNotWait(t *testing.T) {
+	p := NewRequestPool(100, time.Now)
+	whole, next := p.NewHold(t.Context(), nil), p.NewHold(t.Context(), nil)
+	if err := errors.Join(whole.TryResize(90), whole.MarkWhole()); err != nil {
+		t.Fatal(err)
+	}
+	if err := next.TryResize(20); !errors.Is(err, ErrFull) {
+		t.Errorf("got %v, want ErrFull", err)
+	}
+	whole.Reset()
+	if err := next.TryResize(20); err != nil || p.Used() != 20 {
+		t.Errorf("got %v, %d bytes are in use", err, p.Used())
+	}
+}
+
+// Guards against a hold that is used for a next message and keeps the state of the one before.
+func TestResetHoldIsThatOfANextMessage(t *testing.T) {
+	p := NewRequestPool(100, time.Now)
+	h, larger := p.NewHold(t.Context(), func() {}), p.NewHold(t.Context(), func() {})
+	if err := errors.Join(h.TryResize(60), h.MarkWhole()); err != nil {
+		t.Fatal(err)
+	}
+	h.Reset()
+	if err := errors.Join(h.TryResize(70), larger.TryResize(20)); err != nil {
+		t.Fatal(err)
+	}
+	if err := larger.TryResize(40); err != nil || !h.IsGivenUp() {
+		t.Errorf("got %v, the message was not given up as one that is being read", err)
+	}
+	h.Reset()
+	if err := h.TryResize(60); err != nil || p.Used() != 100 {
+		t.Errorf("got %v, %d bytes are in use", err, p.Used())
+	}
+}
--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -11,13 +11,17 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/forward"
 	"github.com/lavenderring/lavenderring/pkg/httpserve"
 )
 
-// maxBodyBytes bounds a body before the configuration's own limit is checked.
+// maxBodyBytes bounds a body while there is no configuration with a limit of its own.
 const maxBodyBytes = 16 << 20
 
+// memoryRetryAfter is the Retry-After of a request that found no memory: another instance may have some.
+const memoryRetryAfter = 150 * time.Millisecond
+
 // stoppingRetryAfter is the Retry-After of a request that reaches an instance just before the instance
 // closes its connections. It is short, since the load balancer sends the retry to another instance.
 const stoppingRetryAfter = 50 * time.Millisecond
@@ -39,8 +43,12 @@
 	Address string
 	// ReadTimeout bounds the time to read one request.
 	ReadTimeout time.Duration
-	Format      Format
-	Pipeline    Pipeline
+	// Limits returns the limits in force; nil for defaults.
+	Limits func() httpserve.Limits
+	// Memory bounds the memory for clients' requests; it has a default.
+	Memory   *buffermem.Pool
+	Format   Format
+	Pipeline Pipeline
 	// Overloaded reports whether other instances can serve clients better: each answer is then the
 	// last on its connection. It may be nil.
 	Overloaded func() bool
@@ -61,6 +69,9 @@
 		ReadTimeout:        opts.ReadTimeout,
 		CancelOnDisconnect: true,
 		Refuse:             s.refuse,
+		Limits:             opts.Limits,
+		Memory:             opts.Memory,
+		RejectBody:         s.rejectBody,
 	})
 	if err != nil {
 		return nil, err
@@ -106,6 +117,24 @@
 	w.Refuse(&forward.Refusal{Reason: forward.Stopping, RetryAfter: stoppingRetryAfter})
 }
 
+// rejectBody answers a request whose body was not read whole.
+func (s *Server) rejectBody(ctx context.Context, c *app.RequestContext, err error) {
+	refusal := &forward.Refusal{Reason: forward.Malformed, Step: "read", Err: err}
+	switch {
+	case errors.Is(err, httpserve.ErrBodyTooLarge):
+		refusal.Reason = forward.BodyTooLarge
+	case errors.Is(err, httpserve.ErrMemoryFull):
+		refusal.Reason, refusal.RetryAfter = forward.Overloaded, memoryRetryAfter
+	case errors.Is(err, httpserve.ErrReadTimeout):
+		refusal.Reason = forward.NotReadInTime
+	}
+	w := &responseWriter{ctx: ctx, c: c, server: s}
+	w.Refuse(refusal)
+}
+
+// Excess returns what the server did not take on because of its bounds.
+func (s *Server) Excess() httpserve.Excess { return s.httpServer.Excess() }
+
 func (s *Server) handle(ctx context.Context, c *app.RequestContext) {
 	w := &responseWriter{ctx: ctx, c: c, server: s}
 	if err := checkFraming(c.Request.Header.RawHeaders()); err != nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -148,6 +149,15 @@
 	}
 }
 
+// LargestBody returns the size of the largest body that a service allows, in bytes; 0 without a service.
+func (e *Entry) LargestBody() int {
+	largest := 0
+	for _, f := range e.Config.Snapshot().Services {
+		largest = max(largest, f.Document.Limits.MaxBodyBytes)
+	}
+	return largest
+}
+
 // SetEmptiedDomains sets the failure domains whose upstreams get no new requests.
 func (e *Entry) SetEmptiedDomains(domains []string) {
 	e.mu.Lock()
@@ -176,6 +186,20 @@
 	notRunProblem(consts.StatusServiceUnavailable, kindDraining, "this instance is stopping", drainRetryAfter).write(c)
 }
 
+// RejectBody answers a request whose body was not read whole, for a reason of package httpserve.
+func RejectBody(_ context.Context, c *app.RequestContext, err error) {
+	problem := notRunProblem(consts.StatusBadRequest, kindBadRequest, err.Error(), 0)
+	switch {
+	case errors.Is(err, httpserve.ErrBodyTooLarge):
+		problem = notRunProblem(consts.StatusRequestEntityTooLarge, kindTooLarge, err.Error(), 0)
+	case errors.Is(err, httpserve.ErrMemoryFull):
+		problem = notRunProblem(consts.StatusServiceUnavailable, kindOverloaded, err.Error(), drainRetryAfter)
+	case errors.Is(err, httpserve.ErrReadTimeout):
+		problem = notRunProblem(consts.StatusRequestTimeout, kindReadTimeout, err.Error(), 0)
+	}
+	problem.write(c)
+}
+
 // settledCheckInterval is how often AwaitSettled checks.
 const settledCheckInterval = 20 * time.Millisecond
 
--- a/pkg/entry/problem.go
+++ b/pkg/entry/problem.go
@@ -40,6 +40,7 @@
 	kindBadRequest           = "bad-request"
 	kindNotFound             = "not-found"
 	kindTooLarge             = "too-large"
+	kindReadTimeout          = "not-read-in-time"
 	kindBudgetExhausted      = "budget-exhausted"
 	kindBudgetUnreachable    = "budget-unreachable"
 	kindOverloaded           = "overloaded"
--- a/pkg/forward/refusal.go
+++ b/pkg/forward/refusal.go
@@ -17,10 +17,12 @@
 	ConfigurationOutdated Reason = "configuration-outdated"
 	// StateOutdated means that this instance cannot find out whether the configuration and the upstreams that it
 	// knows are those in force, while other instances may.
-	StateOutdated     Reason = "state-outdated"
-	NoRoute           Reason = "no-route"
-	UnknownKey        Reason = "unknown-key"
-	Malformed         Reason = "malformed"
+	StateOutdated Reason = "state-outdated"
+	NoRoute       Reason = "no-route"
+	UnknownKey    Reason = "unknown-key"
+	Malformed     Reason = "malformed"
+	// NotReadInTime means that the request did not arrive whole in time.
+	NotReadInTime     Reason = "not-read-in-time"
 	HeadTooLarge      Reason = "head-too-large"
 	BodyTooLarge      Reason = "body-too-large"
 	PrepaidExhausted  Reason = "prepaid-exhausted"
--- a/pkg/httpserve/active.go
+++ b/pkg/httpserve/active.go
@@ -49,7 +49,7 @@
 // the context has no mark.
 func (a *activeCounter) Finish(ctx context.Context, c *app.RequestContext) {
 	if conn := connOf(ctx); conn != nil {
-		conn.finishRequest(func() int { return c.GetReader().Len() })
+		conn.finishRequest()
 	}
 	if done, ok := c.Value(writtenKey).(func()); ok {
 		c.Set(writtenKey, nil)
--- a/pkg/httpserve/conn.go
+++ b/pkg/httpserve/conn.go
@@ -28,8 +28,14 @@
 type conn struct {
 	net.Conn
 	server *Server
+	// stream is what is read of the client: the connection itself, or TLS on it.
+	stream net.Conn
+	// reader reads requests from it.
+	reader *requestReader
 
 	mu sync.Mutex
+	// interrupted says that reading is to end.
+	interrupted bool
 	// readDeadline is the one that the library has set.
 	readDeadline time.Time
 	numReading   int
@@ -43,10 +49,8 @@
 	silent bool
 	// broken says that the client is gone, or that its answer is incomplete.
 	broken, closed bool
-	// readerDone ends when the library's reader has found out that the client is gone, which is the last that
-	// it does. cancel ends the context of the request in progress. Both are nil before the first request.
-	readerDone context.Context
-	cancel     context.CancelFunc
+	// cancel ends the context of the request in progress; nil before the first request.
+	cancel context.CancelFunc
 }
 
 // connOf returns the connection of a request by the context of its handler; nil if there is none.
@@ -91,6 +95,9 @@
 		c.broken = true // the client sends no more, so no unread bytes can destroy its answer
 	case c.fresh && ending && c.hasUnread():
 		return true, nil
+	case c.fresh && !c.interrupted && c.hasUnread(): // the process was late, not the client
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.limits().HeadTimeout))
+		return true, nil
 	case c.fresh && ending:
 		c.silent = true
 		return false, io.EOF // for a time-out, the library would answer with 408
@@ -121,11 +128,22 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.interrupted {
+		return nil
+	}
 	c.readDeadline = t
 	c.ending = false
 	return c.Conn.SetReadDeadline(t)
 }
 
+// interruptReading ends the reading of a request whose memory has been given up.
+func (c *conn) interruptReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
+	_ = c.Conn.SetReadDeadline(pastTime)
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -137,42 +155,29 @@
 	return n, err
 }
 
-// beginServing notes that a request is being served, and returns its context, which also ends when the client has
-// been found to be gone in another way than by the library's reader, whose context ctx is. The returned function
-// must be called when the handler has returned.
+// beginServing notes that a request is being served, and returns its context, which also ends when the client has been
+// found to be gone. The returned function must be called when the handler has returned.
 func (c *conn) beginServing(ctx context.Context) (context.Context, context.CancelFunc) {
 	serving, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.serving, c.readerDone, c.cancel = true, ctx, cancel
-	return serving, cancel
-}
-
-// awaitReader waits until the library has stopped reading from the connection, for at most a timeout.
-func (c *conn) awaitReader(timeout time.Duration) {
-	c.mu.Lock()
-	done := c.readerDone
+	c.serving, c.cancel = true, cancel
 	c.mu.Unlock()
-	if done == nil {
-		return
-	}
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-done.Done():
-	case <-timer.C:
+	if !c.server.opts.CancelOnDisconnect {
+		return serving, cancel
 	}
+	stop := c.reader.watchClient(cancel)
+	return serving, func() { stop(); cancel() }
 }
 
-// finishRequest notes that a request's response has been written to its end. numBuffered returns the
-// number of bytes that the library has received of the next request.
-func (c *conn) finishRequest(numBuffered func() int) {
+// finishRequest notes that a request's response has been written to its end, and begins to wait for the next one.
+func (c *conn) finishRequest() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.serving = false
-	if !c.broken && !c.closed { // otherwise the library may still be reading
-		c.fresh = numBuffered() == 0
+	if !c.broken && !c.closed {
+		c.fresh = c.reader.Len() == 0
 	}
+	c.mu.Unlock()
+	c.reader.awaitRequest()
 }
 
 // endIfIdle ends the connection if it waits for a next request of which nothing has arrived. The reader
@@ -236,51 +241,3 @@
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.Copy(io.Discard, c.Conn)
 }
-
-// connSet holds the open connections of a server.
-type connSet struct {
-	mu   sync.Mutex
-	open map[*conn]bool
-	// numLingering counts the connections that are read on after their end.
-	numLingering int
-}
-
-// beginLinger reports whether one more connection may be read on after its end; endLinger must follow then.
-func (s *connSet) beginLinger() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.numLingering >= maxLingering {
-		return false
-	}
-	s.numLingering++
-	return true
-}
-
-func (s *connSet) endLinger() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.numLingering--
-}
-
-func (s *connSet) add(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.open[c] = true
-}
-
-func (s *connSet) remove(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.open, c)
-}
-
-// all returns the open connections.
-func (s *connSet) all() []*conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	all := make([]*conn, 0, len(s.open))
-	for c := range s.open {
-		all = append(all, c)
-	}
-	return all
-}
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -16,8 +16,9 @@
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/common/tracer/stats"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 )
 
 // Timeouts and limits of every server.
@@ -33,6 +34,8 @@
 	exitTimeout = 200 * time.Millisecond
 	// maxHeaderBytes limits the size of a request's header.
 	maxHeaderBytes = 64 << 10
+	// defaultBodies is how many of the largest bodies the default of Options.Memory holds.
+	defaultBodies = 8
 )
 
 // Options configures a server.
@@ -42,6 +45,15 @@
 	// MaxBodyBytes limits the size of a request's body; a larger one is answered
 	// with 413.
 	MaxBodyBytes int
+	// Limits returns the limits in force, which may change; nil for the defaults.
+	Limits func() Limits
+	// Memory is the memory in which requests are buffered until they are answered. Default: of its own, for
+	// defaultBodies of the largest bodies.
+	Memory *buffermem.Pool
+	// RejectBody answers a request whose body is not read whole; it is not passed on. The error is ErrBodyTooLarge,
+	// ErrMemoryFull, ErrReadTimeout or ErrBodyBroken. The connection ends after the answer. Default: a status
+	// without a body.
+	RejectBody func(ctx context.Context, c *app.RequestContext, err error)
 	// TLS configures TLS; nil means plain connections.
 	TLS *tls.Config
 	// ReadTimeout limits the time to read one request. Default 30 s.
@@ -60,45 +72,54 @@
 type Server struct {
 	// Hertz is the library's server, on which routes are registered.
 	*server.Hertz
+	opts     Options
 	listener *listener
 	active   *activeCounter
-	conns    connSet
-	wrapConn func(net.Conn) net.Conn
-	refuse   app.HandlerFunc
+	conns    *connSet
+	memory   *buffermem.Pool
 	// lingers says that connections are read on after their last answer.
-	lingers bool
-	// cancelsOnDisconnect says that a request ends when its client is gone.
-	cancelsOnDisconnect bool
-	draining, refusing  atomic.Bool
-	started             atomic.Bool
-	done                chan struct{} // closed when no more connections are accepted
+	lingers            bool
+	draining, refusing atomic.Bool
+	started            atomic.Bool
+	numFull            atomic.Int64
+	done               chan struct{} // closed when no more connections are accepted
+}
+
+// withDefaults returns options whose defaults are filled in.
+func (o Options) withDefaults() Options {
+	o.ReadTimeout = positiveOr(o.ReadTimeout, defaultReadTimeout)
+	if o.Memory == nil {
+		o.Memory = buffermem.NewRequestPool(defaultBodies*max(o.MaxBodyBytes, maxHeaderBytes), time.Now)
+	}
+	if o.RejectBody == nil {
+		o.RejectBody = rejectBody
+	}
+	return o
 }
 
 // Listen creates a server and binds its address, so that an address in use is
 // reported immediately. Serve starts answering requests.
 func Listen(opts Options) (*Server, error) {
 	hlog.SetOutput(io.Discard) // the library's own log lines are not events of the event log
+	opts = opts.withDefaults()
 	s := &Server{
-		active: &activeCounter{}, conns: connSet{open: map[*conn]bool{}}, wrapConn: opts.WrapConn,
-		refuse: opts.Refuse, lingers: opts.Refuse != nil, cancelsOnDisconnect: opts.CancelOnDisconnect, done: make(chan struct{}),
+		opts: opts, active: &activeCounter{}, conns: newConnSet(), memory: opts.Memory,
+		lingers: opts.Refuse != nil, done: make(chan struct{}),
 	}
 	bound, err := net.Listen("tcp", opts.Address)
 	if err != nil {
 		return nil, err
 	}
 	s.listener = &listener{TCPListener: bound.(*net.TCPListener), accepted: s.trackConn}
-	readTimeout := opts.ReadTimeout
-	if readTimeout <= 0 {
-		readTimeout = defaultReadTimeout
-	}
 	options := []hertzconfig.Option{
 		{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
 		server.WithListener(s.listener),
-		server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(opts.MaxBodyBytes),
+		server.WithTransport(newTransport),
+		server.WithStreamBody(true),
+		server.WithMaxRequestBodySize(prefetchBytes),
 		server.WithMaxHeaderBytes(maxHeaderBytes),
-		server.WithReadTimeout(readTimeout),
-		server.WithOnAccept(prepareConn(readTimeout)),
+		server.WithReadTimeout(opts.ReadTimeout),
+		server.WithOnAccept(withConn),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithKeepAliveTimeout(idleTimeout),
 		server.WithExitWaitTime(exitTimeout),
@@ -107,13 +128,9 @@
 		server.WithDisablePreParseMultipartForm(true),
 		server.WithDisableDefaultDate(true),
 		server.WithDisableDefaultContentType(true),
-		server.WithSenseClientDisconnection(opts.CancelOnDisconnect),
 		server.WithTracer(s.active),
 		server.WithTraceLevel(stats.LevelDisabled),
 	}
-	if opts.TLS != nil {
-		options = append(options, server.WithTLS(opts.TLS))
-	}
 	s.Hertz = server.New(options...)
 	s.Use(s.admit)
 	return s, nil
@@ -121,66 +138,62 @@
 
 // trackConn returns an accepted connection as one of the server's.
 func (s *Server) trackConn(accepted net.Conn) net.Conn {
-	if s.wrapConn != nil {
-		accepted = s.wrapConn(accepted)
+	if s.opts.WrapConn != nil {
+		accepted = s.opts.WrapConn(accepted)
 	}
 	c := &conn{Conn: accepted, server: s, fresh: true}
+	c.stream = c
 	s.conns.add(c)
-	return c
+	if s.opts.TLS == nil {
+		return c
+	}
+	c.stream = tls.Server(c, s.opts.TLS)
+	return tlsConn{Conn: c.stream, accepted: c}
+}
+
+// tlsConn is TLS on an accepted connection.
+type tlsConn struct {
+	net.Conn
+	accepted *conn
 }
 
-// admit counts a request as active and has it served or, after Refuse, refused. The order matters: a request
-// that is served has been counted before Refuse.
+// admit reads a request's body, counts the request as active and has it served or, after Refuse, refused. The order
+// matters: a request that is served has been counted before Refuse.
 func (s *Server) admit(ctx context.Context, c *app.RequestContext) {
+	conn := connOf(ctx)
+	if !s.receiveBody(ctx, c, conn.reader) {
+		return
+	}
 	s.active.begin(c)
-	if s.refuse != nil && s.refusing.Load() {
+	if s.opts.Refuse != nil && s.refusing.Load() {
 		s.active.end(c)
-		s.refuse(ctx, c)
+		s.opts.Refuse(ctx, c)
 		c.SetConnectionClose()
 		c.Abort()
 		return
 	}
-	if conn := connOf(ctx); conn != nil {
-		var cancel context.CancelFunc
-		ctx, cancel = conn.beginServing(ctx)
-		defer cancel()
-	}
+	ctx, done := conn.beginServing(ctx)
+	defer done()
 	c.Next(ctx)
 	if s.draining.Load() && c.Response.GetHijackWriter() == nil { // otherwise the head has been sent
 		c.SetConnectionClose()
 	}
 }
 
-// prepareConn returns a function that sets the read deadline for a connection's
-// first request, and passes the connection on in the context of its requests. The
-// library applies its read timeout only from the second request on, so a client that
-// connects and sends half a body would hold the connection forever.
-func prepareConn(bound time.Duration) func(net.Conn) context.Context {
-	return func(accepted net.Conn) context.Context {
-		_ = accepted.SetReadDeadline(time.Now().Add(bound))
-		return context.WithValue(context.Background(), connKey{}, accepted)
+// withConn returns the context of a connection's requests, which holds the connection.
+func withConn(accepted net.Conn) context.Context {
+	if encrypted, ok := accepted.(tlsConn); ok {
+		accepted = encrypted.accepted
 	}
+	return context.WithValue(context.Background(), connKey{}, accepted)
 }
 
-// abortTimeout limits the wait for the library's reader. The reader stops as soon as
-// the connection closes, or has stopped earlier if the client sent more bytes.
-const abortTimeout = 100 * time.Millisecond
-
-// Abort closes a request's connection and waits until the library has stopped
-// reading from it. Without the wait, the library releases the connection's buffers
-// for reuse while its reader may still fill them, if a response cannot be
-// completed; bytes of one client could then end up in the request of another. ctx
-// is the context of the request's handler. The server must have been started with
-// CancelOnDisconnect: its reader cancels ctx as its last action.
+// Abort closes a request's connection. ctx is the context of the request's handler.
 func Abort(ctx context.Context, c *app.RequestContext) {
-	conn := connOf(ctx)
-	if conn != nil {
+	if conn := connOf(ctx); conn != nil {
 		conn.cut()
 	}
 	_ = c.GetConn().Close()
-	if conn != nil {
-		conn.awaitReader(abortTimeout)
-	}
 }
 
 // HandleJSON returns a handler that decodes a JSON body and passes it to a function.
@@ -199,7 +212,7 @@
 // Serve answers requests in the background until Close.
 func (s *Server) Serve() {
 	s.started.Store(true)
-	if s.cancelsOnDisconnect {
+	if s.opts.CancelOnDisconnect {
 		go s.watchDepartures()
 	}
 	go func() {
--- a/pkg/instance/admin.go
+++ b/pkg/instance/admin.go
@@ -85,6 +85,8 @@
 	metrics.GetOrRegisterGauge("config.services", i.metrics).Update(int64(len(i.config.Snapshot().Services)))
 	metrics.GetOrRegisterGauge("peers.bytes_in", i.metrics).Update(i.peerTraffic.In.Load())
 	metrics.GetOrRegisterGauge("peers.bytes_out", i.metrics).Update(i.peerTraffic.Out.Load())
+	excess := i.clientServer.Excess()
+	metrics.GetOrRegisterGauge("clients.requests_refused", i.metrics).Update(excess.RequestsRefused)
 	metrics.GetOrRegisterGauge("requests.active", i.metrics).Update(i.clientServer.NumActive())
 	c.JSON(consts.StatusOK, i.metrics.GetAll())
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -16,6 +16,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/bill"
 	"github.com/lavenderring/lavenderring/pkg/budget"
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/claim"
 	"github.com/lavenderring/lavenderring/pkg/configsync"
 	"github.com/lavenderring/lavenderring/pkg/entry"
@@ -86,6 +87,7 @@
 	configFetches    *ring.Queue[configFetch]
 	heartbeatTrigger *ring.Queue[struct{}]
 	changeLogger     member.ChangeLogger // used by runHeartbeats only
+	excessMonitor    life.ExcessMonitor  // used by the background task that logs excess only
 	// registeredAt is when this instance was last registered in the store; used by
 	// discover only.
 	registeredAt time.Time
@@ -248,6 +250,9 @@
 		ReadTimeout:  i.settings.CallerReadTimeout(),
 		TLS:          i.clientServerTLS,
 		Refuse:       entry.RefuseStopping,
+		Limits:       func() httpserve.Limits { return httpserve.Limits{BodyBytes: i.entry.LargestBody()} },
+		Memory:       buffermem.NewRequestPool(i.settings.RequestMemory(), time.Now),
+		RejectBody:   entry.RejectBody,
 	}
 	if i.clientServer, err = httpserve.Listen(opts); err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
--- a/pkg/instance/run.go
+++ b/pkg/instance/run.go
@@ -16,6 +16,7 @@
 	billCopyInterval  = 200 * time.Millisecond
 	billFlushInterval = 5 * time.Second
 	discoverInterval  = 5 * time.Second
+	excessLogInterval = time.Second
 	registerInterval  = 30 * time.Second
 	retryInterval     = 200 * time.Millisecond
 )
@@ -78,6 +79,7 @@
 	i.runEvery(billCopyInterval, func(ctx context.Context) { _ = i.journal.Copy(ctx) })
 	i.runEvery(billFlushInterval, i.flushBills)
 	i.runEvery(discoverInterval, i.discover)
+	i.runEvery(excessLogInterval, func(context.Context) { i.excessMonitor.Check(i.clientServer.Excess(), i.log) })
 }
 
 // discover registers this instance when registerInterval has passed, and reads the
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -40,6 +40,8 @@
 func (r *Router) serveMetrics(_ context.Context, c *app.RequestContext) {
 	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, r.metrics).Update(value) }
 	gauge("requests.active", r.clientServer.NumActive())
+	excess := r.clientServer.Excess()
+	gauge("clients.requests_refused", excess.RequestsRefused)
 	gauge("tunnels.active", r.tunnels.NumActive())
 	gauge("links.services_unreached", int64(len(r.links.Direct.Paths.Unreached())))
 	gauge("members.live", int64(r.table.CountLive()))
--- a/pkg/router/background.go
+++ b/pkg/router/background.go
@@ -22,6 +22,8 @@
 	syncCheckInterval = 20 * time.Millisecond
 	// loadLogInterval is how often the overload state is checked; a change is logged.
 	loadLogInterval = 500 * time.Millisecond
+	// excessLogInterval is how often it is checked whether clients reached a bound.
+	excessLogInterval = time.Second
 	// memberLogInterval is how often members that joined or left are logged.
 	memberLogInterval = time.Second
 )
@@ -70,6 +72,7 @@
 	r.runInBackground(r.recoverVerdicts)
 	r.runEvery(memberLogInterval, r.logMemberChanges)
 	r.runEvery(loadLogInterval, r.logOverload)
+	r.runEvery(excessLogInterval, r.logExcess)
 	r.runEvery(tokenTickInterval, r.tokens.Tick)
 	r.runEvery(housekeepInterval, r.housekeep)
 	r.runEvery(statusInterval, r.logStatus)
@@ -189,4 +192,6 @@
 	}
 }
 
+func (r *Router) logExcess(context.Context) { r.excessMonitor.Check(r.clientServer.Excess(), r.log) }
+
 func (r *Router) logMemberChanges(context.Context) { r.memberLogger.LogChanges(r.table, r.log) }
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/coldlimit"
 	"github.com/lavenderring/lavenderring/pkg/door"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
@@ -132,6 +133,8 @@
 	discovery *meeting.Discovery
 
 	memberLogger member.ChangeLogger
+	// excessMonitor is used by the background task logExcess only.
+	excessMonitor life.ExcessMonitor
 
 	// synced is closed once the instance has a configuration, the upstreams and the emptied failure
 	// domains.
@@ -322,6 +325,8 @@
 	r.clientServer, err = door.Listen(door.Options{
 		Address:     s.ClientAddress,
 		ReadTimeout: readTimeout,
+		Limits:      r.clientLimits,
+		Memory:      buffermem.NewRequestPool(s.RequestMemory(), time.Now),
 		Format:      r.platform.Format,
 		Pipeline:    r.forward,
 		Overloaded:  r.shedsClients,
@@ -339,6 +344,21 @@
 	return nil
 }
 
+// clientLimits returns the configuration's limits on what clients send.
+func (r *Router) clientLimits() httpserve.Limits {
+	table := r.config.Table()
+	if table == nil {
+		return httpserve.Limits{}
+	}
+	limits := table.Config.Limits
+	return httpserve.Limits{
+		HeadBytes:   limits.HeaderBytes,
+		BodyBytes:   limits.BodyBytes,
+		HeadTimeout: limits.HeaderTimeout,
+		IdleTimeout: limits.IdleTimeout,
+	}
+}
+
 // NoteSettings logs that the settings file was read again; err is what is wrong
 // with it. The instance keeps the settings that it was started with.
 func (r *Router) NoteSettings(err error) { life.NoteSettings(r.log, err) }
--- a/pkg/settings/router.go
+++ b/pkg/settings/router.go
@@ -9,6 +9,7 @@
 
 // Router holds the start-up settings of one instance on the users' platform.
 type Router struct {
+	Resources
 	// Name identifies the instance; a restarted instance keeps it.
 	Name string `toml:"name"`
 	// Region and Domain are the instance's region and failure domain.
@@ -54,8 +55,6 @@
 	// EmptyingBoundMS bounds the time, in milliseconds, from the store's acknowledgement that a
 	// failure domain is emptied until no instance sends requests to its upstreams. Default 2000.
 	EmptyingBoundMS int64 `toml:"emptying_bound_ms"`
-	// MemoryMB is the memory that the process may use; 0 for no limit. Default 0.
-	MemoryMB int64 `toml:"memory_mb"`
 	// AheadSeconds is how many seconds of an account's demand for tokens the instance holds
 	// at most, in reserve for an outage of the store. Default 12.
 	AheadSeconds int64 `toml:"ahead_seconds"`
@@ -117,7 +116,7 @@
 	c.requireRange("leaving_bound_ms", r.LeavingBoundMS, 100, 3_600_000)
 	c.requireRange("config_bound_ms", r.ConfigBoundMS, 100, 3_600_000)
 	c.requireRange("emptying_bound_ms", r.EmptyingBoundMS, 100, 3_600_000)
-	c.requireRange("memory_mb", r.MemoryMB, 0, 1<<20)
+	r.Resources.check(c)
 	c.requireRange("ahead_seconds", r.AheadSeconds, 1, 600)
 	return c.faults
 }
@@ -145,14 +144,6 @@
 	return time.Duration(r.EmptyingBoundMS) * time.Millisecond
 }
 
-// answerMemoryPercent is the share of the process's memory in which answers of upstreams may be buffered. Copies
-// that the garbage collector has not freed yet come on top.
-const answerMemoryPercent = 20
-
-// AnswerMemory returns the memory in which answers of upstreams may be buffered, in bytes; 0 if the process's
-// memory has no limit.
-func (r *Router) AnswerMemory() int { return int(r.MemoryMB << 20 * answerMemoryPercent / 100) }
-
 // RetryWindow returns the time window of the bound on retries.
 func (r *Router) RetryWindow() time.Duration { return seconds(r.RetryWindowSeconds) }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -17,6 +17,7 @@
 
 // Settings holds the start-up settings of one instance.
 type Settings struct {
+	Resources
 	// Name identifies the instance; a restarted instance may keep it.
 	Name string `toml:"name"`
 	// Region is the instance's region. Default "main".
@@ -210,6 +211,7 @@
 	requireRange("drain_delay_millis", s.DrainDelayMillis, 0, 600_000)
 	requireRange("caller_read_millis", s.CallerReadMillis, 100, 600_000)
 	requireRange("ahead_seconds", s.AheadSeconds, 1, 600)
+	s.Resources.check(c)
 	peer, caller := s.PeerTLS, s.CallerTLS
 	peerComplete := peer.Certificate != "" && peer.Key != "" && peer.Authority != ""
 	require(peer == TLSFiles{} || peerComplete, "peer_tls", peer, "certificate, key and authority, or none of them")
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -55,7 +55,7 @@
 try drain-waits pkg/instance/run.go 's/err := i\.clientServer\.AwaitIdle\(drainCtx\)/err := drainCtx.Err()/' test TestPlannedStopCutsNothing
 try answers-are-written-out pkg/httpserve/httpserve.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ts.active.end(c)/' test TestPlannedStopLeavesSlowClientsTheirAnswers
 try own-door-writes-answers-out pkg/httpserve/httpserve.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ts.active.end(c)/' test TestPlannedStopOfTheOwnDoorLeavesSlowClientsTheirAnswers
-try few-ended-connections-are-read-on pkg/httpserve/conn.go 's/if s\.numLingering >= maxLingering \{/if false {/' pkg/httpserve TestFewEndedConnectionsAreReadOn
+try few-ended-connections-are-read-on pkg/httpserve/connset.go 's/if s\.numLingering >= maxLingering \{/if false {/' pkg/httpserve TestFewEndedConnectionsAreReadOn
 try replaced-drawer-declines pkg/prepaid/drawer.go 's/if req\.Drawer != n\.Self \{/if false {/' pkg/prepaid TestReplacedDrawerDeclines
 try exhausted-only-if-too-few pkg/prepaid/write.go 's/\(writes > 0 && b\.exceedsLedger\(need\)\)/writes > 0/; s/max\(target-b\.free, b\.waiting\)/target*0/; s/max\(b\.waiting-b\.free, 0\)/0/' pkg/prepaid TestTokensTakenByOthersAreNotExhaustion
 try strangers-try-little pkg/prepaid/write.go 's/if !n\.Fleet\.Joined\(\) \{/if false {/' pkg/prepaid TestFleetThatStartsUnderLoadLeavesTheStoreAlone
@@ -280,7 +280,7 @@
 try freed-memory-wakes pkg/buffermem/buffermem.go 's/\t\tclose\(p\.freed\)\n\t\tp\.freed = nil\n/\t\t_ = p.freed\n/' pkg/buffermem TestLargestAnswerWaitsForWholeOnes
 try delivered-memory-is-returned pkg/forward/call.go 's/\t\ta\.discard\(\)\n\t\}\n\ttook/\t}\n\ttook/' pkg/forward TestLongAnswerIsNeverCut
 try memory-until-written pkg/httpserve/httpserve.go 's/c\.Next\(ctx\)/c.Next(ctx)\n\ts.active.Finish(ctx, c)/' pkg/httpserve TestOnWrittenWaitsForASlowClient
-try answer-memory-is-a-share pkg/settings/router.go 's/r\.MemoryMB << 20 \* answerMemoryPercent \/ 100/r.MemoryMB << 20/' pkg/settings TestMemoryForAnswersIsAShareOfTheProcess
+try answer-memory-is-a-share pkg/settings/resources.go 's/r\.MemoryMB << 20 \* answerMemoryPercent \/ 100/r.MemoryMB << 20/' pkg/settings TestMemoryForAnswersIsAShareOfTheProcess
 try own-door-heads pkg/httpcall/headlimit.go 's/buffered >= maxHeadBytes && c\.growths > 1/false/' pkg/httpcall TestHeadWithoutEndIsCutOff
 try own-door-chunk-lines pkg/httpcall/headlimit.go 's/c\.lineBytes > maxHeadBytes/false/' pkg/httpcall TestHeadWithoutEndIsCutOff
 try own-door-bodies-are-no-heads pkg/httpcall/headlimit.go 's/ && c\.growths > 1//' pkg/httpcall TestRestOfABodyIsNotTakenForAHead
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -32,6 +32,9 @@
 	crowdFDs, crowdFileFDs, crowdConnClients = 600, 200, 900
 )
 
+// crowdSettings are the settings of the machine that an instance is to stay within.
+var crowdSettings = fmt.Sprintf("memory_mb = %d\n", crowdMemoryMB)
+
 // crowdDoor is an instance with one kind of client address.
 type crowdDoor struct {
 	t       *testing.T
@@ -46,17 +49,17 @@
 }
 
 // crowdDoors starts an instance with each kind of client address.
-var crowdDoors = map[string]func(t *testing.T) *crowdDoor{
+var crowdDoors = map[string]func(t *testing.T, settings string) *crowdDoor{
 	"route": startRoutedDoor,
 	"serve": startOwnDoor,
 }
 
-func startRoutedDoor(t *testing.T) *crowdDoor {
+func startRoutedDoor(t *testing.T, settings string) *crowdDoor {
 	f := newRoutedFleet(t, 0, 1_000_000_000)
 	f.bodyLimit = crowdBodyLimit
 	f.withoutKeys = true
 	f.writeConfig()
-	f.extraSettings = fmt.Sprintf("memory_mb = %d\n", crowdMemoryMB)
+	f.extraSettings = settings
 	i := f.startInstance(0)
 	f.await("the instance to be ready", func() bool { return i.isReady() })
 	names := platform.UpstreamHeaders
@@ -74,8 +77,8 @@
 	}
 }
 
-func startOwnDoor(t *testing.T) *crowdDoor {
-	f := newFleet(t, options{instances: 1, services: 1, prepaid: 1_000_000_000, maxBodyBytes: crowdBodyLimit})
+func startOwnDoor(t *testing.T, settings string) *crowdDoor {
+	f := newFleet(t, options{instances: 1, services: 1, prepaid: 1_000_000_000, maxBodyBytes: crowdBodyLimit, extraSettings: settings})
 	i := f.instances[0]
 	return &crowdDoor{
 		t: t, process: i, address: i.address,
@@ -199,7 +202,7 @@
 	for door, startDoor := range crowdDoors {
 		for _, form := range crowdForms {
 			t.Run(door+"/"+form.name, func(t *testing.T) {
-				startDoor(t).checkForms([]crowdForm{form}, 1)
+				startDoor(t, crowdSettings).checkForms([]crowdForm{form}, 1)
 			})
 		}
 	}
@@ -210,7 +213,7 @@
 	skipWithRaceDetector(t)
 	for door, startDoor := range crowdDoors {
 		t.Run(door, func(t *testing.T) {
-			startDoor(t).checkForms(crowdForms, crowdShare)
+			startDoor(t, crowdSettings).checkForms(crowdForms, crowdShare)
 		})
 	}
 }
@@ -221,7 +224,7 @@
 	unread := crowdForm{"answers not read", 64, func(c *crowdClient) { c.write(c.lengthHead(2) + "{}") }}
 	for door, startDoor := range crowdDoors {
 		t.Run(door, func(t *testing.T) {
-			d := startDoor(t)
+			d := startDoor(t, crowdSettings)
 			stop := d.watchMemory()
 			defer stop()
 			d.awaitOrdinary("before the crowd")
@@ -254,7 +257,7 @@
 	for door, startDoor := range crowdDoors {
 		for name, send := range starts {
 			t.Run(door+"/"+name, func(t *testing.T) {
-				d := startDoor(t)
+				d := startDoor(t, crowdSettings)
 				limit := unix.Rlimit{Cur: crowdFDs, Max: crowdFDs}
 				if err := unix.Prlimit(d.process.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
 					t.Fatal(err)
@@ -301,7 +304,7 @@
 		},
 	}
 	for door, startDoor := range crowdDoors {
-		d := startDoor(t)
+		d := startDoor(t, crowdSettings)
 		for name, send := range requests {
 			t.Run(door+"/"+name, func(t *testing.T) {
 				conn, err := net.Dial("tcp", d.address)
