Clients' connections have a bound that leaves descriptors for all others

What callers saw: beside 900 clients that hold connections, an instance with 600 descriptors had 421 to 591 open, in all six cases of TestCrowdLeavesDescriptors; where the clients idle after an answer, an ordinary caller got none in a minute, at both doors.

Cause: nothing but the process's limit bounded the connections of clients, so none was left for upstreams, the store and other instances, and idle ones were kept for a minute.

Why it works: who waits for nothing makes room for who has come to ask, so a crowd that holds connections can only take those of its own bound.

--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -45,7 +45,8 @@
 	ReadTimeout time.Duration
 	// Limits returns the limits in force; nil for defaults.
 	Limits func() httpserve.Limits
-	// Memory bounds the memory for clients' requests; it has a default.
+	// MaxConns bounds the clients' connections, and Memory the memory for their requests; both have defaults.
+	MaxConns int
 	Memory   *buffermem.Pool
 	Format   Format
 	Pipeline Pipeline
@@ -70,6 +71,7 @@
 		CancelOnDisconnect: true,
 		Refuse:             s.refuse,
 		Limits:             opts.Limits,
+		MaxConns:           opts.MaxConns,
 		Memory:             opts.Memory,
 		RejectBody:         s.rejectBody,
 	})
--- a/pkg/eventlog/catalogue.go
+++ b/pkg/eventlog/catalogue.go
@@ -96,7 +96,7 @@
 	InstanceStatus:    {"instance-status", "what the instance did since its start, told every few seconds", "none"},
 	InstanceOverload:  {"instance-overload", "the instance's own link is full, or carries everything again (overloaded); meanwhile it is not ready, takes on a bounded number of requests and refuses the rest at once", "see whether its callers are spread, and its link's size"},
 	InstanceClosing:   {"instance-closing", "a stopping instance closes its clients' connections, after_ms after the stop began; active requests are cut off", "if requests are cut off, see OPERATING, planned stops"},
-	ClientsLimited:    {"clients-limited", "what clients hold reached a bound since the last such event: requests_refused requests were refused because others took the memory for them", "see OPERATING, clients that do not behave"},
+	ClientsLimited:    {"clients-limited", "what clients hold reached a bound since the last such event: conns_closed connections were closed because too many were open, requests_refused requests because others took the memory for them", "see OPERATING, clients that do not behave"},
 	StoreUnreachable:  {"store-unreachable", "a platform call failed after calls had succeeded", "see OPERATING, store outage"},
 	StoreReachable:    {"store-reachable", "a platform call succeeded after calls had failed", "none"},
 	WatchFailed:       {"watch-failed", "a call that follows the configuration or the upstreams failed; age_ms tells for how long nothing has confirmed the copy", "see OPERATIONS, a change came late"},
--- a/pkg/httpserve/conn.go
+++ b/pkg/httpserve/conn.go
@@ -159,6 +159,7 @@
 // found to be gone. The returned function must be called when the handler has returned.
 func (c *conn) beginServing(ctx context.Context) (context.Context, context.CancelFunc) {
 	serving, cancel := context.WithCancel(ctx)
+	c.server.conns.noteServing(c)
 	c.mu.Lock()
 	c.serving, c.cancel = true, cancel
 	c.mu.Unlock()
@@ -178,6 +179,7 @@
 	}
 	c.mu.Unlock()
 	c.reader.awaitRequest()
+	c.server.conns.noteWaiting(c)
 }
 
 // endIfIdle ends the connection if it waits for a next request of which nothing has arrived. The reader
--- a/pkg/httpserve/connset.go
+++ b/pkg/httpserve/connset.go
@@ -1,21 +1,65 @@
 package httpserve
 
-import "sync"
+import (
+	"container/list"
+	"sync"
+)
 
 // connSet holds the open connections of a server.
 type connSet struct {
+	// most bounds the number of open connections.
+	most int
+
 	mu   sync.Mutex
 	open map[*conn]bool
+	// waiting holds the connections of which no request is being served, the one that waits longest first, and
+	// places where each stands in it.
+	waiting *list.List
+	places  map[*conn]*list.Element
 	// numLingering counts the connections that are read on after their end.
 	numLingering int
 }
 
-func newConnSet() *connSet { return &connSet{open: map[*conn]bool{}} }
+func newConnSet(most int) *connSet {
+	return &connSet{most: most, open: map[*conn]bool{}, waiting: list.New(), places: map[*conn]*list.Element{}}
+}
 
-func (s *connSet) add(c *conn) {
+// add adds a connection. Beyond the bound, it returns the connection to be closed for it: the one that waits longest,
+// never one whose request is being served. If there is none other, that is the added one.
+func (s *connSet) add(c *conn) (excess *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = true
+	s.places[c] = s.waiting.PushBack(c)
+	if len(s.open) <= s.most {
+		return nil
+	}
+	excess, _ = s.waiting.Front().Value.(*conn)
+	return excess
+}
+
+// noteServing notes that a connection's request is being served.
+func (s *connSet) noteServing(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaveWaiting(c)
+}
+
+// noteWaiting notes that a connection waits for a next request.
+func (s *connSet) noteWaiting(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaveWaiting(c)
+	if s.open[c] {
+		s.places[c] = s.waiting.PushBack(c)
+	}
+}
+
+func (s *connSet) leaveWaiting(c *conn) {
+	if place := s.places[c]; place != nil {
+		s.waiting.Remove(place)
+		delete(s.places, c)
+	}
 }
 
 // beginLinger reports whether one more connection may be read on after its end; endLinger must follow then.
@@ -38,6 +82,7 @@
 func (s *connSet) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaveWaiting(c)
 	delete(s.open, c)
 }
 
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -34,6 +34,8 @@
 	exitTimeout = 200 * time.Millisecond
 	// maxHeaderBytes limits the size of a request's header.
 	maxHeaderBytes = 64 << 10
+	// defaultMaxConns is the default of Options.MaxConns.
+	defaultMaxConns = 10_000
 	// defaultBodies is how many of the largest bodies the default of Options.Memory holds.
 	defaultBodies = 8
 )
@@ -47,6 +49,9 @@
 	MaxBodyBytes int
 	// Limits returns the limits in force, which may change; nil for the defaults.
 	Limits func() Limits
+	// MaxConns limits the number of open connections. Beyond it, the one that waits longest is closed, never one
+	// whose request is being served. Default 10,000.
+	MaxConns int
 	// Memory is the memory in which requests are buffered until they are answered. Default: of its own, for
 	// defaultBodies of the largest bodies.
 	Memory *buffermem.Pool
@@ -81,13 +86,14 @@
 	lingers            bool
 	draining, refusing atomic.Bool
 	started            atomic.Bool
-	numFull            atomic.Int64
+	numExcess, numFull atomic.Int64
 	done               chan struct{} // closed when no more connections are accepted
 }
 
 // withDefaults returns options whose defaults are filled in.
 func (o Options) withDefaults() Options {
 	o.ReadTimeout = positiveOr(o.ReadTimeout, defaultReadTimeout)
+	o.MaxConns = positiveOr(o.MaxConns, defaultMaxConns)
 	if o.Memory == nil {
 		o.Memory = buffermem.NewRequestPool(defaultBodies*max(o.MaxBodyBytes, maxHeaderBytes), time.Now)
 	}
@@ -103,7 +109,7 @@
 	hlog.SetOutput(io.Discard) // the library's own log lines are not events of the event log
 	opts = opts.withDefaults()
 	s := &Server{
-		opts: opts, active: &activeCounter{}, conns: newConnSet(), memory: opts.Memory,
+		opts: opts, active: &activeCounter{}, conns: newConnSet(opts.MaxConns), memory: opts.Memory,
 		lingers: opts.Refuse != nil, done: make(chan struct{}),
 	}
 	bound, err := net.Listen("tcp", opts.Address)
@@ -136,14 +142,21 @@
 	return s, nil
 }
 
-// trackConn returns an accepted connection as one of the server's.
+// trackConn returns an accepted connection as one of the server's; nil if it has been closed, because there are too many.
 func (s *Server) trackConn(accepted net.Conn) net.Conn {
 	if s.opts.WrapConn != nil {
 		accepted = s.opts.WrapConn(accepted)
 	}
 	c := &conn{Conn: accepted, server: s, fresh: true}
 	c.stream = c
-	s.conns.add(c)
+	excess := s.conns.add(c)
+	if excess != nil {
+		s.numExcess.Add(1)
+		excess.cut()
+	}
+	if excess == c {
+		return nil
+	}
 	if s.opts.TLS == nil {
 		return c
 	}
--- a/pkg/httpserve/limits.go
+++ b/pkg/httpserve/limits.go
@@ -16,13 +16,15 @@
 
 // Excess counts what a server did not take on because of its bounds.
 type Excess struct {
+	// ConnsClosed is the number of connections that were closed because too many were open.
+	ConnsClosed int64
 	// RequestsRefused is the number of requests that were refused because others took the memory for them.
 	RequestsRefused int64
 }
 
 // Excess returns what the server did not take on since its start.
 func (s *Server) Excess() Excess {
-	return Excess{RequestsRefused: s.numFull.Load()}
+	return Excess{ConnsClosed: s.numExcess.Load(), RequestsRefused: s.numFull.Load()}
 }
 
 // limits returns the limits in force.
--- a/pkg/httpserve/listener.go
+++ b/pkg/httpserve/listener.go
@@ -13,6 +13,7 @@
 // still accepted: closing a listener resets them.
 type listener struct {
 	*net.TCPListener
+	// accepted returns an accepted connection as it is handed to the library; nil if it has been closed.
 	accepted func(net.Conn) net.Conn
 	stopping atomic.Bool
 }
@@ -28,13 +29,16 @@
 		if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 			conn, err = l.acceptQueued()
 		}
-		if err == nil {
-			return l.accepted(conn), nil
-		}
-		if !isTransient(err) {
+		if err != nil && !isTransient(err) {
 			return nil, err
 		}
-		time.Sleep(acceptRetryDelay)
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		if accepted := l.accepted(conn); accepted != nil {
+			return accepted, nil
+		}
 	}
 }
 
--- a/pkg/instance/admin.go
+++ b/pkg/instance/admin.go
@@ -86,6 +86,7 @@
 	metrics.GetOrRegisterGauge("peers.bytes_in", i.metrics).Update(i.peerTraffic.In.Load())
 	metrics.GetOrRegisterGauge("peers.bytes_out", i.metrics).Update(i.peerTraffic.Out.Load())
 	excess := i.clientServer.Excess()
+	metrics.GetOrRegisterGauge("clients.conns_closed", i.metrics).Update(excess.ConnsClosed)
 	metrics.GetOrRegisterGauge("clients.requests_refused", i.metrics).Update(excess.RequestsRefused)
 	metrics.GetOrRegisterGauge("requests.active", i.metrics).Update(i.clientServer.NumActive())
 	c.JSON(consts.StatusOK, i.metrics.GetAll())
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -251,6 +251,7 @@
 		TLS:          i.clientServerTLS,
 		Refuse:       entry.RefuseStopping,
 		Limits:       func() httpserve.Limits { return httpserve.Limits{BodyBytes: i.entry.LargestBody()} },
+		MaxConns:     i.settings.ClientConnections(),
 		Memory:       buffermem.NewRequestPool(i.settings.RequestMemory(), time.Now),
 		RejectBody:   entry.RejectBody,
 	}
--- a/pkg/life/limits.go
+++ b/pkg/life/limits.go
@@ -14,6 +14,7 @@
 		return
 	}
 	log.Event(eventlog.ClientsLimited, "", eventlog.Fields{
+		"conns_closed":     now.ConnsClosed - m.logged.ConnsClosed,
 		"requests_refused": now.RequestsRefused - m.logged.RequestsRefused,
 	})
 	m.logged = now
--- a/pkg/router/admin.go
+++ b/pkg/router/admin.go
@@ -41,6 +41,7 @@
 	gauge := func(name string, value int64) { metrics.GetOrRegisterGauge(name, r.metrics).Update(value) }
 	gauge("requests.active", r.clientServer.NumActive())
 	excess := r.clientServer.Excess()
+	gauge("clients.conns_closed", excess.ConnsClosed)
 	gauge("clients.requests_refused", excess.RequestsRefused)
 	gauge("tunnels.active", r.tunnels.NumActive())
 	gauge("links.services_unreached", int64(len(r.links.Direct.Paths.Unreached())))
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -326,6 +326,7 @@
 		Address:     s.ClientAddress,
 		ReadTimeout: readTimeout,
 		Limits:      r.clientLimits,
+		MaxConns:    s.ClientConnections(),
 		Memory:      buffermem.NewRequestPool(s.RequestMemory(), time.Now),
 		Format:      r.platform.Format,
 		Pipeline:    r.forward,
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -32,8 +32,11 @@
 	crowdFDs, crowdFileFDs, crowdConnClients = 600, 200, 900
 )
 
-// crowdSettings are the settings of the machine that an instance is to stay within.
-var crowdSettings = fmt.Sprintf("memory_mb = %d\n", crowdMemoryMB)
+// Settings of the machine that an instance is to stay within.
+var (
+	crowdSettings   = fmt.Sprintf("memory_mb = %d\n", crowdMemoryMB)
+	crowdFDSettings = crowdSettings + fmt.Sprintf("max_fds = %d\n", crowdFDs)
+)
 
 // crowdDoor is an instance with one kind of client address.
 type crowdDoor struct {
@@ -257,7 +260,7 @@
 	for door, startDoor := range crowdDoors {
 		for name, send := range starts {
 			t.Run(door+"/"+name, func(t *testing.T) {
-				d := startDoor(t, crowdSettings)
+				d := startDoor(t, crowdFDSettings)
 				limit := unix.Rlimit{Cur: crowdFDs, Max: crowdFDs}
 				if err := unix.Prlimit(d.process.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
 					t.Fatal(err)
