Answers at the own door take counted memory, and bodies are sent without a copy

What callers saw: 64 clients that do not read answers of 8 MB made an instance of the own door take more than 1,500 MB of 160, so it ended with all its requests.

Cause: the own door read each answer of a plain service whole, copied it twice (into the answer, then into the response) and kept all until its client had read it, without a bound. Bodies of requests were copied twice on their way to the upstream, beside what is counted.

Neither answers nor bodies are copied any more, as nothing reuses their memory.

An answer without length and chunks is still read by the library, up to 16 MB, before it is counted.

Why it works: an answer takes memory before it is filled, so what clients leave unread cannot exceed the pool.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -20,6 +20,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/bill"
 	"github.com/lavenderring/lavenderring/pkg/budget"
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/chat"
 	"github.com/lavenderring/lavenderring/pkg/claim"
 	"github.com/lavenderring/lavenderring/pkg/configsync"
@@ -80,6 +81,8 @@
 	Silent  SilentFunc
 	// PeerProber tells crashed upstreams from ones that only closed a connection.
 	PeerProber PeerProber
+	// Answers is the memory for the answers of plain services.
+	Answers *buffermem.Pool
 	// Quarantine finds requests that crash upstreams.
 	Quarantine *quarantine.Table
 	Log        *eventlog.Log
--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/lavenderring/lavenderring/pkg/bill"
 	"github.com/lavenderring/lavenderring/pkg/budget"
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/chat"
 	"github.com/lavenderring/lavenderring/pkg/configsync"
 	"github.com/lavenderring/lavenderring/pkg/dispatch"
@@ -115,6 +116,7 @@
 		Self: "self", Domain: "a", Config: state, Budgets: s.budget,
 		Journal:    bill.NewJournal("self", storefake.New(1), nil, func() string { return "" }),
 		PeerProber: noPeers{},
+		Answers:    buffermem.NewPool(64 << 20),
 		Quarantine: quarantine.NewTable("self", func() {}),
 		Log:        s.log, Metrics: metrics.NewRegistry(), Now: time.Now,
 	})
--- a/pkg/entry/plain.go
+++ b/pkg/entry/plain.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderring/lavenderring/pkg/document"
 	"github.com/lavenderring/lavenderring/pkg/eventlog"
 	"github.com/lavenderring/lavenderring/pkg/fingerprint"
+	"github.com/lavenderring/lavenderring/pkg/httpserve"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
 	"github.com/lavenderring/lavenderring/pkg/upstream"
 )
@@ -69,7 +70,7 @@
 			Query:          string(r.c.URI().QueryString()),
 			ContentType:    string(r.c.ContentType()),
 			IdempotencyKey: r.idempotencyKey,
-			Body:           append([]byte(nil), r.c.Request.Body()...),
+			Body:           r.c.Request.Body(),
 		},
 	}
 	return call.serve(ctx)
@@ -148,12 +149,14 @@
 	p.e.Log.Event(eventlog.RequestDispatched, p.r.id, eventlog.Fields{"upstream": lease.Upstream.Name})
 	ctx, cancel := context.WithDeadline(ctx, p.r.deadline)
 	defer cancel()
+	memory := p.e.Answers.NewHold(ctx, cancel)
 	var answer *upstream.PlainAnswer
 	if err == nil {
-		answer, err = upstream.CallPlain(ctx, lease.Upstream.Address, p.call, &p.r.tracker)
+		answer, err = upstream.CallPlain(ctx, lease.Upstream.Address, p.call, &p.r.tracker, memory)
 	}
 	p.e.concludeRun(ctx, p.r, run, !failedBeforeSending(err), err)
 	if err != nil {
+		memory.Release()
 		gone := errors.Is(err, errClientGone)
 		p.e.releaseLease(lease, dispatch.Result{Failed: !gone, Canceled: gone, Load: -1})
 		return p.canRetry(err), p.e.upstreamProblem(p.r, err)
@@ -162,6 +165,7 @@
 	p.e.releaseLease(lease, dispatch.Result{Load: answer.Load})
 	p.r.tracker.MarkAnswered()
 	p.answer = answer
+	httpserve.OnWritten(p.r.c, memory.Release)
 	return false, nil
 }
 
@@ -179,7 +183,9 @@
 func (p *plainCall) deliver() {
 	p.r.responseStarted = true
 	p.r.c.Header(chat.HeaderOutcome, string(outcome.Ran))
-	p.r.c.Data(p.answer.Status, p.answer.ContentType, p.answer.Body)
+	p.r.c.SetStatusCode(p.answer.Status)
+	p.r.c.SetContentType(p.answer.ContentType)
+	p.r.c.Response.SetBodyRaw(p.answer.Body)
 }
 
 // releaseLease ends a lease on an upstream and logs when the upstream starts to
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -3,6 +3,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -53,6 +54,8 @@
 	configFetchQueueSize = 64
 	// maxBodyBytes limits a client's request body until its service is known.
 	maxBodyBytes = 8 << 20
+	// defaultAnswerMemory is the memory for answers, in bytes, of a process without a limit.
+	defaultAnswerMemory = 64 << 20
 )
 
 // Instance is one running process of the fleet.
@@ -228,6 +231,7 @@
 		Silent:     i.table.Silent,
 		PeerProber: httpconn.NewPeerProber(httpconn.DialTCP, nil, i.verifier.Verify, time.Now),
 
+		Answers:    buffermem.NewPool(cmp.Or(s.AnswerMemory(), defaultAnswerMemory)),
 		Quarantine: i.quarantine.Table(),
 
 		Log:     i.log,
--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -80,7 +80,7 @@
 	address, sent := serveEndless(t, eventsHead+"Transfer-Encoding: chunked\r\n\r\n", "9\r\ndata: a\n\n\r\n")
 	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 	defer cancel()
-	if _, err := CallPlain(ctx, address, PlainRequest{ID: "r", Method: "GET", Path: "/"}, &outcome.Tracker{}); err == nil {
+	if _, err := CallPlain(ctx, address, PlainRequest{ID: "r", Method: "GET", Path: "/"}, &outcome.Tracker{}, newHold(t)); err == nil {
 		t.Error("an answer without end was received")
 	}
 	if n := <-sent; n >= maxSentBytes {
--- a/pkg/upstream/stream.go
+++ b/pkg/upstream/stream.go
@@ -129,7 +129,7 @@
 	if r.Urgent {
 		req.Header.Set(chat.HeaderPriority, "urgent")
 	}
-	req.SetBody(r.Body)
+	req.SetBodyRaw(r.Body)
 }
 
 // checkHead returns an error if the answer is not one to this request by an accepted process.
--- a/pkg/upstream/toolong_test.go
+++ b/pkg/upstream/toolong_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
 )
 
@@ -43,10 +44,15 @@
 				}
 			}()
 			request := PlainRequest{ID: "1", Method: "POST", Path: "/"}
-			_, err = CallPlain(t.Context(), listener.Addr().String(), request, &outcome.Tracker{})
+			_, err = CallPlain(t.Context(), listener.Addr().String(), request, &outcome.Tracker{}, newHold(t))
 			if !errors.Is(err, ErrTooLong) {
 				t.Errorf("error is %v, want %v", err, ErrTooLong)
 			}
 		})
 	}
 }
+
+// newHold returns a hold of memory for an answer.
+func newHold(t *testing.T) *buffermem.Hold {
+	return buffermem.NewPool(4*maxAnswerBytes).NewHold(t.Context(), func() {})
+}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"strconv"
 	"strings"
 
@@ -13,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"github.com/lavenderring/lavenderring/pkg/buffermem"
 	"github.com/lavenderring/lavenderring/pkg/chat"
 	"github.com/lavenderring/lavenderring/pkg/httpcall"
 	"github.com/lavenderring/lavenderring/pkg/outcome"
@@ -59,7 +59,8 @@
 
 func callError(address string, err error) error {
 	if errors.Is(err, httpcall.ErrHeadTooLong) || errors.Is(err, httpcall.ErrResponseTooLong) ||
-		errors.Is(err, hertzerrors.ErrBodyTooLarge) {
+		errors.Is(err, hertzerrors.ErrBodyTooLarge) || errors.Is(err, buffermem.ErrTooLong) ||
+		errors.Is(err, buffermem.ErrShort) || errors.Is(err, buffermem.ErrFull) {
 		err = &httpcall.Error{Step: "exchange", Peer: address, Err: errors.Join(ErrTooLong, err)}
 	}
 	var call *httpcall.Error
@@ -69,13 +70,20 @@
 	return &CallError{Step: "exchange", Peer: address, Err: err}
 }
 
-// maxAnswerBytes bounds the body of a plain service's answer.
-const maxAnswerBytes = 16 << 20
+// Sizes of a plain service's answer.
+const (
+	// maxAnswerBytes bounds its body.
+	maxAnswerBytes = 16 << 20
+	// firstAnswerBytes is the size of the first buffer, and maxAnswerReadBytes bounds one read: the library gathers
+	// so much of a chunk.
+	firstAnswerBytes   = 4 << 10
+	maxAnswerReadBytes = 16 << 10
+)
 
 // PlainRequest is a request to a plain service.
 type PlainRequest struct {
 	ID, Method, Path, Query, ContentType, IdempotencyKey string
-	Body                                                 []byte
+	Body                                                 []byte // not changed, and not copied
 }
 
 // PlainAnswer is the answer of a plain service.
@@ -91,8 +99,10 @@
 }
 
 // CallPlain calls a plain service. tracker is marked before the first byte is
-// sent. Errors: *CallError.
-func CallPlain(ctx context.Context, address string, r PlainRequest, tracker *outcome.Tracker) (*PlainAnswer, error) {
+// sent. The answer's body is held in memory, which the caller releases. Errors: *CallError.
+func CallPlain(
+	ctx context.Context, address string, r PlainRequest, tracker *outcome.Tracker, memory *buffermem.Hold,
+) (*PlainAnswer, error) {
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
@@ -102,7 +112,7 @@
 	}
 	req.SetMethod(r.Method)
 	req.SetRequestURI(uri)
-	req.SetBody(r.Body)
+	req.SetBodyRaw(r.Body)
 	req.Header.Set(chat.HeaderRequestID, r.ID)
 	if r.ContentType != "" {
 		req.Header.SetContentTypeBytes([]byte(r.ContentType))
@@ -110,19 +120,19 @@
 	if r.IdempotencyKey != "" {
 		req.Header.Set(chat.HeaderIdempotencyKey, r.IdempotencyKey)
 	}
-	opts := httpcall.Options{Address: address, OnSending: tracker.MarkSending, MaxResponseBytes: maxAnswerBytes}
+	opts := httpcall.Options{Address: address, OnSending: tracker.MarkSending, MaxResponseBytes: maxAnswerBytes, Stream: true}
 	closeCall, err := httpcall.Call(ctx, opts, req, resp)
 	defer closeCall()
 	if err != nil {
 		return nil, callError(address, err)
 	}
+	body, err := readBody(resp, memory)
+	if err != nil {
+		return nil, callError(address, err)
+	}
 	if resp.Header.Get(chat.HeaderRequestID) != r.ID {
 		return nil, &CallError{Step: "exchange", Peer: address, Status: resp.StatusCode(), Err: ErrRequestIDMismatch}
 	}
-	body, err := readBody(resp)
-	if err != nil {
-		return nil, &CallError{Step: "exchange", Peer: address, Status: resp.StatusCode(), Err: err}
-	}
 	return &PlainAnswer{
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
@@ -132,14 +142,22 @@
 	}, nil
 }
 
-// readBody returns a copy of a response's body. The library leaves a body of events to be read.
-func readBody(resp *protocol.Response) ([]byte, error) {
+// unknownLength is the length of a body that is not announced.
+const unknownLength = -1
+
+// readBody reads a response's body into memory that is taken for it.
+func readBody(resp *protocol.Response, memory *buffermem.Hold) ([]byte, error) {
 	if !resp.IsBodyStream() {
-		return append([]byte(nil), resp.Body()...), nil
+		return nil, memory.MarkWhole() // there is none
+	}
+	body, err := buffermem.ReadAll(resp.BodyStream(), buffermem.Message{
+		Length: max(resp.Header.ContentLength(), unknownLength), Limit: maxAnswerBytes, FirstBytes: firstAnswerBytes, MaxReadBytes: maxAnswerReadBytes, Take: memory.Resize,
+	})
+	if memory.IsGivenUp() {
+		err = buffermem.ErrShort // the connection was ended for it
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = ErrTooLong
+	if err == nil {
+		err = memory.MarkWhole()
 	}
 	return body, err
 }
