--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -368,5 +368,21 @@
 try part-trials-are-confirmed $q/table.go 's/return r, r\.confirmTrial\(now\)/return r, nil/' $q TestTrialOfAPartCondemnedMeanwhileIsNotSent
 try versions-of-lost-streams-are-not-guessed pkg/forward/origin.go 's/if err == nil && !c\.route\.LeadsTo\(began\.Service\) \{/if err != nil \&\& c.r.Resumes != "" { return origin.Origin{Service: c.route.SelectService(c.r.ID), Version: "v2"}, nil }\n\tif err == nil \&\& !c.route.LeadsTo(began.Service) {/' test TestLossesOfAllJoinNoVersions
 try streams-without-events-are-no-answers pkg/forward/stream.go 's/ && a\.endsWithConnection\(\) && !a\.events\.hadData:/ \&\& false:/' test TestPartOfPromptsThatCrashesEnginesIsRefused
+# Clients that do not behave.
+try requests-take-memory pkg/httpserve/reader.go 's/return r\.hold\.TryResize\(counted\)/return nil/' test TestCrowdLeavesTheInstanceAlone
+try full-memory-refuses pkg/httpserve/reader.go 's/return r\.hold\.TryResize\(counted\)/return nil/' pkg/httpserve TestFullMemoryRefusesAtOnce
+try request-buffers-are-bounded pkg/httpserve/reader.go 's/len\(r\.buffer\) > limits\.HeadBytes/len(r.buffer) > limits.HeadBytes<<20/' pkg/httpserve TestFramingTakesNoMemory
+try request-heads-are-bounded pkg/httpserve/reader.go 's/r\.Len\(\) > limits\.HeadBytes/r.Len() > limits.HeadBytes<<20/; s/len\(r\.buffer\) > limits\.HeadBytes/len(r.buffer) > limits.HeadBytes<<20/' pkg/httpserve TestFramingTakesNoMemory
+try request-memory-is-returned pkg/httpserve/reader.go 's/\tr\.hold\.Reset\(\)\n//' pkg/httpserve TestIdleConnectionsKeepNoMemory
+try bodies-have-a-limit pkg/buffermem/read.go 's/case len\(data\) > m\.Limit:/case false:/' pkg/httpserve TestRequestsOverTheLimitsAreRefused
+try stalled-requests-make-room pkg/buffermem/buffermem.go 's/stalled != nil \{/false {/' pkg/httpserve TestStalledRequestMakesRoom
+try given-up-requests-are-told pkg/httpserve/conn.go 's/\tc\.interrupted = true\n\t_ = c\.Conn\.SetReadDeadline\(pastTime\)\n//' pkg/httpserve TestStalledRequestMakesRoom
+try heads-have-their-time pkg/httpserve/reader.go 's/Add\(limits\.HeadTimeout\)/Add(time.Hour)/' pkg/httpserve TestHeadsAndIdleConnectionsEndInTheirTime
+try idle-time-is-the-configurations pkg/httpserve/reader.go 's/Add\(r\.conn\.server\.limits\(\)\.IdleTimeout\)/Add(time.Hour)/' pkg/httpserve TestHeadsAndIdleConnectionsEndInTheirTime
+try connections-are-bounded pkg/httpserve/connset.go 's/len\(s\.open\) <= s\.most/true/' test TestCrowdLeavesDescriptors
+try longest-waiting-makes-room pkg/httpserve/connset.go 's/s\.waiting\.Front\(\)/s.waiting.Back()/' pkg/httpserve TestConnectionThatWaitsLongestMakesRoom
+try requests-in-progress-stay pkg/httpserve/conn.go 's/\tc\.server\.conns\.noteServing\(c\)\n//' pkg/httpserve TestRequestsInProgressKeepTheirConnections
+try own-door-answers-take-memory pkg/upstream/upstream.go 's/Take: memory\.Resize/Take: func(int) error { return nil }/' test TestCrowdThatReadsNoAnswersLeavesTheInstanceAlone
+try ended-calls-keep-no-body pkg/httpcall/httpcall.go 's/\td\.conn = nil\n//' pkg/httpcall TestEndedCallKeepsNoBody
 
 exit $status
