--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -81,7 +81,7 @@
 }
 
 func startOwnDoor(t *testing.T, settings string) *crowdDoor {
-	f := newFleet(t, options{instances: 1, services: 1, prepaid: 1_000_000_000, maxBodyBytes: crowdBodyLimit, extraSettings: settings})
+	f := newFleet(t, options{instances: 1, engines: 1, services: 1, prepaid: 1_000_000_000, maxBodyBytes: crowdBodyLimit, extraSettings: settings})
 	i := f.instances[0]
 	return &crowdDoor{
 		t: t, process: i, address: i.address,
