--- a/pkg/httpserve/reader_test.go
+++ b/pkg/httpserve/reader_test.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -249,6 +253,24 @@
 	}
 }
 
+// Guards against TLS handshakes that do not finish and hold their connections for good.
+func TestUnfinishedHandshakesEnd(t *testing.T) {
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	b := newBoundedServer(t, testBodyBytes, func(o *Options) {
+		o.TLS = &tls.Config{Certificates: certified.TLS.Certificates}
+		o.Limits = func() Limits { return Limits{IdleTimeout: 20 * time.Millisecond} }
+	})
+	silent, begun := dial(t, b.Server), dial(t, b.Server)
+	send(t, begun, "\x16\x03\x01") // the begin of a handshake record
+	for _, client := range []net.Conn{silent, begun} {
+		if _, err := io.Copy(io.Discard, client); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Error("the connection is open")
+		}
+	}
+	await(t, "the connections to end", func() bool { return len(b.conns.all()) == 0 })
+}
+
 // BenchmarkRequest is a request with a small body on a kept connection.
 func BenchmarkRequest(b *testing.B) { benchmarkRequest(b, 512) }
 
