Chunks fit the buffer where the limit on heads is small

Seen by reading: with a limit on heads below 3 KiB, a chunk of 4 KiB or more did not fit the buffer that is bounded for trailers, and the request got 400. The bound is at least one read of a body now; TestLargeChunksPassWithSmallHeads is red without it.

--- a/pkg/httpserve/reader.go
+++ b/pkg/httpserve/reader.go
@@ -165,8 +165,8 @@
 		r.start = 0
 		return nil
 	}
-	limits := r.conn.server.limits()
-	if len(r.buffer) > limits.HeadBytes+headLineBytes {
+	most := max(r.conn.server.limits().HeadBytes+headLineBytes, maxBodyReadBytes)
+	if len(r.buffer) > most {
 		return hertzerrors.ErrHeaderTooLarge // beside heads, only trailers need so much
 	}
 	size := max(2*len(r.buffer), firstBufferBytes)
--- a/pkg/httpserve/reader_test.go
+++ b/pkg/httpserve/reader_test.go
@@ -127,6 +127,18 @@
 	}
 }
 
+// Guards against chunks that do not fit the buffer where the limit on heads is small.
+func TestLargeChunksPassWithSmallHeads(t *testing.T) {
+	b := newBoundedServer(t, 4*testBodyBytes, func(o *Options) {
+		o.Limits = func() Limits { return Limits{HeadBytes: 256, BodyBytes: testBodyBytes} }
+	})
+	body := strings.Repeat("b", testBodyBytes)
+	request := chunkedHead + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	if status, _, got := exchange(t, dial(t, b.Server), request); status != http.StatusOK || got != body {
+		t.Errorf("status %d, %d bytes", status, len(got))
+	}
+}
+
 // Guards against requests over their limits that are read, or refused in a way that clients take for another.
 func TestRequestsOverTheLimitsAreRefused(t *testing.T) {
 	b := newBoundedServer(t, 4*testBodyBytes, nil)
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -371,8 +371,8 @@
 # Clients that do not behave.
 try requests-take-memory pkg/httpserve/reader.go 's/return r\.hold\.TryResize\(counted\)/return nil/' test TestCrowdLeavesTheInstanceAlone
 try full-memory-refuses pkg/httpserve/reader.go 's/return r\.hold\.TryResize\(counted\)/return nil/' pkg/httpserve TestFullMemoryRefusesAtOnce
-try request-buffers-are-bounded pkg/httpserve/reader.go 's/len\(r\.buffer\) > limits\.HeadBytes/len(r.buffer) > limits.HeadBytes<<20/' pkg/httpserve TestFramingTakesNoMemory
-try request-heads-are-bounded pkg/httpserve/reader.go 's/r\.Len\(\) > limits\.HeadBytes/r.Len() > limits.HeadBytes<<20/; s/len\(r\.buffer\) > limits\.HeadBytes/len(r.buffer) > limits.HeadBytes<<20/' pkg/httpserve TestFramingTakesNoMemory
+try request-buffers-are-bounded pkg/httpserve/reader.go 's/len\(r\.buffer\) > most/len(r.buffer) > most<<20/' pkg/httpserve TestFramingTakesNoMemory
+try request-heads-are-bounded pkg/httpserve/reader.go 's/r\.Len\(\) > limits\.HeadBytes/r.Len() > limits.HeadBytes<<20/; s/len\(r\.buffer\) > most/len(r.buffer) > most<<20/' pkg/httpserve TestFramingTakesNoMemory
 try request-memory-is-returned pkg/httpserve/reader.go 's/\tr\.hold\.Reset\(\)\n//' pkg/httpserve TestIdleConnectionsKeepNoMemory
 try bodies-have-a-limit pkg/buffermem/read.go 's/case len\(data\) > m\.Limit:/case false:/' pkg/httpserve TestRequestsOverTheLimitsAreRefused
 try stalled-requests-make-room pkg/buffermem/buffermem.go 's/stalled != nil \{/false {/' pkg/httpserve TestStalledRequestMakesRoom
