--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -54,6 +54,8 @@
 	configFetchQueueSize = 64
 	// maxBodyBytes limits a client's request body until its service is known.
 	maxBodyBytes = 8 << 20
+	// maxControlConns bounds the connections of operators and the load balancer.
+	maxControlConns = 64
 	// defaultAnswerMemory is the memory for answers, in bytes, of a process without a limit.
 	defaultAnswerMemory = 64 << 20
 )
@@ -262,7 +264,7 @@
 	if i.clientServer, err = httpserve.Listen(opts); err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
-	opts = httpserve.Options{Address: i.settings.AdminAddress, MaxBodyBytes: maxBodyBytes}
+	opts = httpserve.Options{Address: i.settings.AdminAddress, MaxBodyBytes: maxBodyBytes, MaxConns: maxControlConns}
 	if i.adminServer, err = httpserve.Listen(opts); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -46,6 +46,8 @@
 	readTimeout = 10 * time.Second
 	// maxAdminBodyBytes bounds a body sent to administration paths, which need none.
 	maxAdminBodyBytes = 64 << 10
+	// maxControlConns bounds the connections of the load balancer and those of operators.
+	maxControlConns = 64
 )
 
 // Platform holds what the adapter to the users' platform provides.
@@ -335,16 +337,21 @@
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
-	if r.readyServer, err = httpserve.Listen(httpserve.Options{Address: s.ReadyAddress, MaxBodyBytes: maxAdminBodyBytes}); err != nil {
+	if r.readyServer, err = httpserve.Listen(r.controlOptions(s.ReadyAddress)); err != nil {
 		return fmt.Errorf("listen for the load balancer: %w", err)
 	}
-	if r.adminServer, err = httpserve.Listen(httpserve.Options{Address: s.AdminAddress, MaxBodyBytes: maxAdminBodyBytes}); err != nil {
+	if r.adminServer, err = httpserve.Listen(r.controlOptions(s.AdminAddress)); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	r.registerAdminRoutes()
 	return nil
 }
 
+// controlOptions returns the options of a server for the load balancer or operators.
+func (r *Router) controlOptions(address string) httpserve.Options {
+	return httpserve.Options{Address: address, MaxBodyBytes: maxAdminBodyBytes, MaxConns: maxControlConns}
+}
+
 // clientLimits returns the configuration's limits on what clients send.
 func (r *Router) clientLimits() httpserve.Limits {
 	table := r.config.Table()
