A connection is closed for another, or its request begun, never both

Found by reading: between the choice of the connection that makes room and its end, its request could be read whole and passed on; it would run, and its client get no answer. Closing and beginning now exclude each other under the connection's lock, and a request whose connection was closed first finds its client gone. TestConnectionIsClosedOrItsRequestBegun is red without the check.

--- a/pkg/httpserve/conn.go
+++ b/pkg/httpserve/conn.go
@@ -206,6 +206,22 @@
 	}
 }
 
+// cutIfWaiting closes the connection at once unless a request is being served, and reports whether it did. A request
+// that was read meanwhile finds its client gone, so it is not begun.
+func (c *conn) cutIfWaiting() bool {
+	c.mu.Lock()
+	serving := c.serving
+	if !serving {
+		c.broken, c.closed = true, true
+	}
+	c.mu.Unlock()
+	if serving {
+		return false
+	}
+	c.cut()
+	return true
+}
+
 // cut closes the connection at once.
 func (c *conn) cut() {
 	c.mu.Lock()
--- a/pkg/httpserve/connset.go
+++ b/pkg/httpserve/connset.go
@@ -24,18 +24,24 @@
 	return &connSet{most: most, open: map[*conn]bool{}, waiting: list.New(), places: map[*conn]*list.Element{}}
 }
 
-// add adds a connection. Beyond the bound, it returns the connection to be closed for it: the one that waits longest,
-// never one whose request is being served. If there is none other, that is the added one.
-func (s *connSet) add(c *conn) (excess *conn) {
+// add adds a connection.
+func (s *connSet) add(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = true
 	s.places[c] = s.waiting.PushBack(c)
-	if len(s.open) <= s.most {
+}
+
+// excess returns the connection to be closed because there are too many: the one that waits longest, never one whose
+// request is being served; nil if there are not too many.
+func (s *connSet) excess() *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) <= s.most || s.waiting.Len() == 0 {
 		return nil
 	}
-	excess, _ = s.waiting.Front().Value.(*conn)
-	return excess
+	longest, _ := s.waiting.Front().Value.(*conn)
+	return longest
 }
 
 // noteServing notes that a connection's request is being served.
--- a/pkg/httpserve/connset_test.go
+++ b/pkg/httpserve/connset_test.go
@@ -84,3 +84,18 @@
 		t.Errorf("%d connections were closed", got)
 	}
 }
+
+// Guards against a request that is passed on although its connection has just been closed for another: it would run, and
+// its client get no answer.
+func TestConnectionIsClosedOrItsRequestBegun(t *testing.T) {
+	s, _ := newClosableServer(t)
+	_, closed := accept(t, s)
+	if !closed.cutIfWaiting() || !closed.isGone() {
+		t.Error("a connection that was closed while it waited does not count as gone")
+	}
+	_, begun := accept(t, s)
+	begun.serving = true // as beginServing notes it
+	if begun.cutIfWaiting() || begun.isGone() {
+		t.Error("a connection was closed while its request was being served")
+	}
+}
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -149,12 +149,8 @@
 	}
 	c := &conn{Conn: accepted, server: s, fresh: true}
 	c.stream = c
-	excess := s.conns.add(c)
-	if excess != nil {
-		s.numExcess.Add(1)
-		excess.cut()
-	}
-	if excess == c {
+	s.conns.add(c)
+	if s.closeExcess(c) {
 		return nil
 	}
 	if s.opts.TLS == nil {
@@ -164,6 +160,20 @@
 	return tlsConn{Conn: c.stream, accepted: c}
 }
 
+// closeExcess closes connections until there are not too many, and reports whether an accepted one is among them.
+func (s *Server) closeExcess(accepted *conn) bool {
+	for excess := s.conns.excess(); excess != nil; excess = s.conns.excess() {
+		if !excess.cutIfWaiting() {
+			continue // its request is being served since
+		}
+		s.numExcess.Add(1)
+		if excess == accepted {
+			return true
+		}
+	}
+	return false
+}
+
 // tlsConn is TLS on an accepted connection.
 type tlsConn struct {
 	net.Conn
--- a/scripts/safeguards.sh
+++ b/scripts/safeguards.sh
@@ -381,6 +381,7 @@
 try idle-time-is-the-configurations pkg/httpserve/reader.go 's/Add\(r\.conn\.server\.limits\(\)\.IdleTimeout\)/Add(time.Hour)/' pkg/httpserve TestHeadsAndIdleConnectionsEndInTheirTime
 try connections-are-bounded pkg/httpserve/connset.go 's/len\(s\.open\) <= s\.most/true/' test TestCrowdLeavesDescriptors
 try longest-waiting-makes-room pkg/httpserve/connset.go 's/s\.waiting\.Front\(\)/s.waiting.Back()/' pkg/httpserve TestConnectionThatWaitsLongestMakesRoom
+try begun-requests-keep-connections pkg/httpserve/conn.go 's/if serving \{\n\t\treturn false/if false {\n\t\treturn false/' pkg/httpserve TestConnectionIsClosedOrItsRequestBegun
 try requests-in-progress-stay pkg/httpserve/conn.go 's/\tc\.server\.conns\.noteServing\(c\)\n//' pkg/httpserve TestRequestsInProgressKeepTheirConnections
 try own-door-answers-take-memory pkg/upstream/upstream.go 's/Take: memory\.Resize/Take: func(int) error { return nil }/' test TestCrowdThatReadsNoAnswersLeavesTheInstanceAlone
 try ended-calls-keep-no-body pkg/httpcall/httpcall.go 's/\td\.conn = nil\n//' pkg/httpcall TestEndedCallKeepsNoBody
