--- a/pkg/httpserve/reader.go
+++ b/pkg/httpserve/reader.go
@@ -8,10 +8,8 @@
 	"os"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/common/config"
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"github.com/lavenderring/lavenderring/pkg/buffermem"
 )
@@ -33,9 +31,11 @@
 type phase int
 
 const (
-	// phaseIdle lasts until something of a request arrives, phaseHead until the library has taken the head.
+	// phaseIdle lasts until something of a request arrives.
 	phaseIdle phase = iota
+	// phaseHead lasts until the library has taken the head.
 	phaseHead
+	// phaseBody lasts until the request has been answered.
 	phaseBody
 )
 
@@ -45,7 +45,8 @@
 type requestReader struct {
 	network.Conn
 	conn *conn
-	// hold is the memory of what the client sends: the buffer beyond uncountedBytes, and bodyBytes.
+	// hold is the memory of what the client sends: a buffer beyond uncountedBytes, and the body. taken is its size,
+	// bodyBytes the part for the body.
 	hold             *buffermem.Hold
 	taken, bodyBytes int
 
@@ -278,29 +279,3 @@
 		<-done
 	}
 }
-
-// transport is the library's transport, whose connections are read through a requestReader.
-type transport struct {
-	network.Transporter
-}
-
-func newTransport(options *config.Options) network.Transporter {
-	return &transport{standard.NewTransporter(options)}
-}
-
-// ListenAndServe implements network.Transporter.
-func (t *transport) ListenAndServe(onData network.OnData) error {
-	return t.Transporter.ListenAndServe(func(ctx context.Context, accepted any) error {
-		written, ok := accepted.(network.Conn)
-		c := connOf(ctx)
-		if !ok || c == nil {
-			return errNoConn
-		}
-		reader := newRequestReader(ctx, written, c)
-		defer reader.release()
-		return onData(ctx, reader)
-	})
-}
-
-// errNoConn means that the library passed on something else than an accepted connection.
-var errNoConn = errors.New("not an accepted connection")
