--- a/pkg/door/door.go
+++ b/pkg/door/door.go
@@ -37,6 +37,12 @@
 	Serve(ctx context.Context, r *forward.Request, client forward.Client)
 }
 
+// Refuser is a Pipeline that records the requests that the server refuses.
+type Refuser interface {
+	// Refuse refuses a request whose body was not read.
+	Refuse(r *forward.Request, client forward.Client, refusal *forward.Refusal)
+}
+
 // Options configures a Server.
 type Options struct {
 	// Address is the IP address and port to listen on.
@@ -131,6 +137,10 @@
 		refusal.Reason = forward.NotReadInTime
 	}
 	w := &responseWriter{ctx: ctx, c: c, server: s}
+	if refuser, ok := s.opts.Pipeline.(Refuser); ok {
+		refuser.Refuse(s.opts.Format.DecodeRequest(&c.Request.Header, nil, time.Now()), w, refusal)
+		return
+	}
 	w.Refuse(refusal)
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -190,17 +190,27 @@
 }
 
 // RejectBody answers a request whose body was not read whole, for a reason of package httpserve.
-func RejectBody(_ context.Context, c *app.RequestContext, err error) {
-	problem := notRunProblem(consts.StatusBadRequest, kindBadRequest, err.Error(), 0)
+func (e *Entry) RejectBody(_ context.Context, c *app.RequestContext, err error) {
+	e.finish(e.newRequest(c), bodyProblem(err))
+}
+
+// bodyProblem returns the Problem of a request whose body was not read whole.
+func bodyProblem(err error) *Problem {
 	switch {
 	case errors.Is(err, httpserve.ErrBodyTooLarge):
-		problem = notRunProblem(consts.StatusRequestEntityTooLarge, kindTooLarge, err.Error(), 0)
+		return tooLargeProblem()
 	case errors.Is(err, httpserve.ErrMemoryFull):
-		problem = notRunProblem(consts.StatusServiceUnavailable, kindOverloaded, err.Error(), drainRetryAfter)
+		return notRunProblem(consts.StatusServiceUnavailable, kindOverloaded, err.Error(), drainRetryAfter)
 	case errors.Is(err, httpserve.ErrReadTimeout):
-		problem = notRunProblem(consts.StatusRequestTimeout, kindReadTimeout, err.Error(), 0)
+		return notRunProblem(consts.StatusRequestTimeout, kindReadTimeout, err.Error(), 0)
+	default:
+		return notRunProblem(consts.StatusBadRequest, kindBadRequest, err.Error(), 0)
 	}
-	problem.write(c)
+}
+
+// tooLargeProblem returns the Problem of a request whose body exceeds a limit.
+func tooLargeProblem() *Problem {
+	return notRunProblem(consts.StatusRequestEntityTooLarge, kindTooLarge, "the body is larger than the service allows", 0)
 }
 
 // settledCheckInterval is how often AwaitSettled checks.
@@ -257,11 +267,17 @@
 	}
 }
 
+// newRequest returns a request that has just arrived.
+func (e *Entry) newRequest(c *app.RequestContext) *request {
+	r := &request{id: ulid.Make().String(), route: string(c.Path()), started: e.Now(), c: c}
+	c.Header(chat.HeaderRequestID, r.id)
+	return r
+}
+
 // admit authenticates the client and checks the request against the limits of
 // the service.
 func (e *Entry) admit(c *app.RequestContext) (*request, *Problem) {
-	r := &request{id: ulid.Make().String(), route: string(c.Path()), started: e.Now(), c: c}
-	c.Header(chat.HeaderRequestID, r.id)
+	r := e.newRequest(c)
 	key, isBearer := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
 	ref, found := e.Config.Snapshot().Account(strings.TrimSpace(key))
 	if !isBearer || !found {
@@ -276,7 +292,7 @@
 		return r, notRunProblem(consts.StatusBadRequest, kindBadRequest, "Idempotency-Key is longer than 255 bytes", 0)
 	}
 	if len(c.Request.Body()) > r.doc.Limits.MaxBodyBytes {
-		return r, notRunProblem(consts.StatusRequestEntityTooLarge, kindTooLarge, "the body is larger than the service allows", 0)
+		return r, tooLargeProblem()
 	}
 	if e.Journal.Full() {
 		return r, notRunProblem(consts.StatusServiceUnavailable, kindStoreUnavailable, "bills wait for the platform's store", storeRetryAfter)
--- a/pkg/forward/forwarder.go
+++ b/pkg/forward/forwarder.go
@@ -385,6 +385,9 @@
 	return c, c.reserve(ctx)
 }
 
+// Refuse refuses a request that is not to be served, for a reason of its server.
+func (f *Forwarder) Refuse(r *Request, client Client, refusal *Refusal) { f.refuse(r, client, refusal) }
+
 func (f *Forwarder) refuse(r *Request, client Client, refusal *Refusal) {
 	f.meters.refused.Inc(1)
 	fields := eventlog.Fields{"reason": refusal.Reason, "took_ms": f.Now().Sub(r.Arrived).Milliseconds()}
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -244,6 +244,9 @@
 	}()
 }
 
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
 // StopListening refuses new connections; open ones stay open.
 func (s *Server) StopListening() { _ = s.listener.Close() }
 
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -259,7 +259,7 @@
 		Limits:       func() httpserve.Limits { return httpserve.Limits{BodyBytes: i.entry.LargestBody()} },
 		MaxConns:     i.settings.ClientConnections(),
 		Memory:       buffermem.NewRequestPool(i.settings.RequestMemory(), time.Now),
-		RejectBody:   entry.RejectBody,
+		RejectBody:   i.entry.RejectBody,
 	}
 	if i.clientServer, err = httpserve.Listen(opts); err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
