--- a/pkg/buffermem/buffermem.go
+++ b/pkg/buffermem/buffermem.go
@@ -60,9 +60,6 @@
 	return &Pool{capacity: capacity, stallTime: stallTime, now: now, createdAt: now(), growing: map[*Hold]struct{}{}}
 }
 
-// Capacity returns the pool's size in bytes.
-func (p *Pool) Capacity() int { return p.capacity }
-
 // age returns the time since the pool was created, which does not jump with the time of day.
 func (p *Pool) age() time.Duration { return p.now().Sub(p.createdAt) }
 
--- a/pkg/httpserve/body.go
+++ b/pkg/httpserve/body.go
@@ -15,7 +15,7 @@
 
 // Sizes of a body's buffer.
 const (
-	// prefetchBytes is how much of a body the library receives before the request is passed on.
+	// prefetchBytes is how much of a body the library receives before it calls the request's handler.
 	prefetchBytes = 1 << 10
 	// firstBodyBytes is the size of the buffer for a body when its reading begins, and announcedBytes the largest
 	// one for which an announced size is believed.
--- a/pkg/httpserve/httpserve.go
+++ b/pkg/httpserve/httpserve.go
@@ -86,6 +86,7 @@
 	lingers            bool
 	draining, refusing atomic.Bool
 	started            atomic.Bool
+	// numExcess and numFull count what Excess returns.
 	numExcess, numFull atomic.Int64
 	done               chan struct{} // closed when no more connections are accepted
 }
