--- a/review/_src2/kit/http.go
+++ b/review/_src2/kit/http.go
@@ -1,26 +1,9 @@
 package kit
 
-import (
-	"bytes"
-	"context"
-	"encoding/json"
-	"net/http"
-)
+import "context"
 
 func ctx() context.Context { return context.Background() }
 
-func postJSON(url string, body any) error {
-	text, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	resp, err := http.Post(url, "application/json", bytes.NewReader(text))
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
-}
-
 // Config returns a configuration in the operator's format: services "app" (plain) and "llm" (engines), one tenant.
 func Config(version int, prepaid int64, routes ...map[string]any) map[string]any {
 	tenant := map[string]any{"name": "crew", "api_keys": []string{Key}}
--- a/review/_src2/kit/kit.go
+++ b/review/_src2/kit/kit.go
@@ -4,12 +4,16 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -44,6 +48,7 @@
 	record  *os.File
 	started time.Time
 	procs   []*exec.Cmd
+	closed  bool
 }
 
 // Instance is one process of the project.
@@ -52,14 +57,27 @@
 	Cmd                                        *exec.Cmd
 }
 
-// FreeAddress returns a free loopback address.
+// host is this run's loopback address. Connections that other programs open do not take its ports.
+var host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
+// usedAddresses holds the addresses that FreeAddress has returned: a port that nobody listens on yet may be found free
+// twice.
+var usedAddresses = map[string]bool{}
+
+// FreeAddress returns a free loopback address, another one each time.
 func FreeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			panic(err)
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !usedAddresses[address] {
+			usedAddresses[address] = true
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // New starts the store and opens record.txt.
@@ -77,9 +95,20 @@
 		return nil, err
 	}
 	f.client = platform.NewClient(f.Address, 5*time.Second, nil)
+	go f.closeOnSignal()
 	return f, nil
 }
 
+// closeOnSignal ends all processes when the case is told to stop.
+func (f *Fleet) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	f.Logf("told to stop")
+	f.Close()
+	os.Exit(CantRun)
+}
+
 // Trouble reports whether the disruption is to be played.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
@@ -119,18 +148,12 @@
 	}
 }
 
-// Post calls a control path of the store stand-in.
-func (f *Fleet) Post(path string, body any) error {
-	return postJSON("http://"+f.Address+path, body)
-}
-
 // StartInstances starts instances with the settings of a small deployment.
 func (f *Fleet) StartInstances(count int, extra string) error {
 	for n := range count {
 		i := &Instance{Name: fmt.Sprintf("edge-%d", n), Client: FreeAddress(), Ready: FreeAddress(), Peer: FreeAddress(), Admin: FreeAddress()}
 		i.Settings = filepath.Join(f.dir, i.Name+".toml")
 		f.Instances = append(f.Instances, i)
-		_ = n
 	}
 	for n, i := range f.Instances {
 		text := fmt.Sprintf(`name = %q
@@ -160,12 +183,22 @@
 	}
 	for _, i := range f.Instances {
 		if !f.AwaitReady(i, 15*time.Second) {
+			f.logLog(i)
 			return fmt.Errorf("%s is not ready", i.Name)
 		}
 	}
 	return nil
 }
 
+// logLog copies the last lines of an instance's log into record.txt.
+func (f *Fleet) logLog(i *Instance) {
+	text, _ := os.ReadFile(i.Settings + ".log")
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	for _, line := range lines[max(len(lines)-20, 0):] {
+		f.Logf("%s: %s", i.Name, line)
+	}
+}
+
 // StartInstance starts an instance's process by the command of the deploy file.
 func (f *Fleet) StartInstance(i *Instance) error {
 	log, err := os.OpenFile(i.Settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -195,11 +228,14 @@
 
 // StartWaiting starts a process for whose end the caller waits.
 func (f *Fleet) StartWaiting(cmd *exec.Cmd) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return errClosed
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.procs = append(f.procs, cmd)
 	return nil
 }
@@ -233,17 +269,22 @@
 	return false
 }
 
-// LogPath returns the path of an instance's event log.
-func (i *Instance) LogPath() string { return i.Settings + ".log" }
+// errClosed means that the fleet has been closed.
+var errClosed = errors.New("the fleet is closed")
+
+// reapTime is the time in which those that wait for the processes learn of their end.
+const reapTime = 200 * time.Millisecond
 
 // Close ends all processes that were started.
 func (f *Fleet) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.closed = true
 	for _, cmd := range f.procs {
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
 	}
+	time.Sleep(reapTime)
 	_ = f.record.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
