--- a/review/_src2/early/main.go
+++ b/review/_src2/early/main.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"strings"
 	"syscall"
 	"time"
@@ -22,6 +23,11 @@
 	bodyBytes   = 1 << 20
 	answerParts = 8
 	trials      = 12
+	// numReplicas bounds what a crash takes: one of them, 17 in 100.
+	numReplicas = 6
+	// killAfter is how long after a request has reached a replica the replica is killed, backAfter how long after that
+	// it is back, betweenTrials how long it then serves before the next request.
+	killAfter, backAfter, betweenTrials = 300 * time.Millisecond, time.Second, 700 * time.Millisecond
 )
 
 func answerPart(id string, n int) string { return fmt.Sprintf("part %d of the answer to %s\n", n, id) }
@@ -70,6 +76,7 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Lavenderring-Instance-Id: %s\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}", id)
 		return
 	}
+	fmt.Printf("%s\n", attempt) // one write, read by the driver
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Lavenderring-Attempt-Id: %s\r\nX-Lavenderring-Response-Seal: seal-%s\r\n\r\n", attempt, id)
 	for n := range answerParts / 2 {
 		_, _ = io.WriteString(c, answerPart(attempt, n))
@@ -88,6 +95,46 @@
 	os.Exit(run())
 }
 
+// server is a replica with its restarts.
+type server struct {
+	f           *kit.Fleet
+	id, address string
+	cmd         *exec.Cmd
+}
+
+func (s *server) start(arrivals chan<- *server) error {
+	cmd := exec.Command(os.Args[0], "replica", s.id, s.address)
+	cmd.Stderr = os.Stderr
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := s.f.StartWaiting(cmd); err != nil {
+		return err
+	}
+	s.cmd = cmd
+	go func() {
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			s.f.Logf("%s reaches replica %s", lines.Text(), s.id)
+			arrivals <- s
+		}
+	}()
+	if !kit.AwaitListening(s.address) {
+		return fmt.Errorf("%s does not listen", s.id)
+	}
+	entry := kit.Entry{Service: "app", Address: s.address, Zone: "khi-" + string("abc"[int(s.id[2]-'0')%3]), Version: "v1", Slots: 6, State: "ready", Seq: 1, Born: time.Now().UnixMilli()}
+	return s.f.Put("servers/"+s.id, entry)
+}
+
+// crash kills the replica and starts it again.
+func (s *server) crash(arrivals chan<- *server) error {
+	s.f.Logf("replica %s is killed", s.id)
+	_ = s.cmd.Process.Kill()
+	_ = s.cmd.Wait()
+	time.Sleep(backAfter)
+	return s.start(arrivals)
+}
+
 func run() int {
 	f, err := kit.New()
 	if err != nil {
@@ -99,30 +146,32 @@
 	if err == nil {
 		err = f.StartInstances(3, "")
 	}
+	arrivals := make(chan *server, 2*trials)
+	for n := 0; n < numReplicas && err == nil; n++ {
+		err = (&server{f: f, id: fmt.Sprintf("i-%d", n), address: kit.FreeAddress()}).start(arrivals)
+	}
 	if err != nil {
 		f.Logf("cannot run: %v", err)
 		return kit.CantRun
 	}
+	time.Sleep(time.Second)
 	broken, complete := 0, 0
 	for n := range trials {
-		id := fmt.Sprintf("i-%d", n)
-		address := kit.FreeAddress()
-		cmd, err := f.StartReplica(id, address)
-		if err != nil || !kit.AwaitListening(address) {
-			return kit.CantRun
-		}
-		entry := kit.Entry{Service: "app", Address: address, Zone: "khi-a", Version: "v1", Slots: 6, State: "ready", Seq: 1, Born: time.Now().UnixMilli()}
-		if err := f.Put("servers/"+id, entry); err != nil {
-			return kit.CantRun
-		}
-		time.Sleep(700 * time.Millisecond)
 		attempt := fmt.Sprintf("attempt-%04d", n)
-		if kit.Trouble() {
-			time.AfterFunc(300*time.Millisecond, func() {
-				f.Logf("replica %s is killed", id)
-				_ = cmd.Process.Signal(syscall.SIGKILL)
-			})
-		}
+		ended, crashed := make(chan struct{}), make(chan error, 1)
+		go func() {
+			select {
+			case s := <-arrivals:
+				if !kit.Trouble() {
+					break
+				}
+				time.Sleep(killAfter)
+				crashed <- s.crash(arrivals)
+				return
+			case <-ended:
+			}
+			crashed <- nil
+		}()
 		f.Logf("sent %s to %s: %d bytes", attempt, f.Instances[n%3].Name, bodyBytes)
 		status, body, seal, err := send(f.Instances[n%3].Client, attempt)
 		f.Logf("answered %s: status %d, seal %q, %d of %d bytes, error %v", attempt, status, seal, len(body), len(wholeAnswer(attempt)), err)
@@ -134,8 +183,12 @@
 				f.Logf("MIXED: %s got a success with %d of the %d bytes of its answer", attempt, len(body), len(wholeAnswer(attempt)))
 			}
 		}
-		f.Remove("servers/" + id)
-		_ = cmd.Process.Kill()
+		close(ended)
+		if err := <-crashed; err != nil {
+			f.Logf("cannot run: %v", err)
+			return kit.CantRun
+		}
+		time.Sleep(betweenTrials)
 	}
 	f.Logf("%d requests, %d whole successes, %d successes that were cut", trials, complete, broken)
 	if broken > 0 {
--- a/review/_src2/kit/kit.go
+++ b/review/_src2/kit/kit.go
@@ -140,14 +140,6 @@
 	return last
 }
 
-// Remove removes an object.
-func (f *Fleet) Remove(key string) {
-	req, _ := http.NewRequest(http.MethodDelete, "http://"+f.Address+"/api/objects/"+key, nil)
-	if resp, err := http.DefaultClient.Do(req); err == nil {
-		_ = resp.Body.Close()
-	}
-}
-
 // StartInstances starts instances with the settings of a small deployment.
 func (f *Fleet) StartInstances(count int, extra string) error {
 	for n := range count {
@@ -211,13 +203,6 @@
 	return f.start(cmd)
 }
 
-// StartReplica starts the case's own program as a replica.
-func (f *Fleet) StartReplica(args ...string) (*exec.Cmd, error) {
-	cmd := exec.Command(os.Args[0], append([]string{"replica"}, args...)...)
-	cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr
-	return cmd, f.start(cmd)
-}
-
 func (f *Fleet) start(cmd *exec.Cmd) error {
 	if err := f.StartWaiting(cmd); err != nil {
 		return err
--- a/review/_src2/takeup/replica.go
+++ b/review/_src2/takeup/replica.go
@@ -41,19 +41,6 @@
 	ended.ended, ended.how = time.Now(), how
 }
 
-// of returns copies of the runs of one request.
-func (r *runs) of(attempt string) []run {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var found []run
-	for _, one := range r.all {
-		if one.attempt == attempt {
-			found = append(found, *one)
-		}
-	}
-	return found
-}
-
 // replica answers with streams. It stops its work when its caller closes the connection.
 type replica struct {
 	id       string
